--- /dev/null
+++ b/src/sesameladder/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Package under construction."""
--- /dev/null
+++ b/src/sesameladder/model/_pool.py
@@ -0,0 +1,29 @@
+"""Pools of workers that serve one queue."""
+
+from dataclasses import dataclass
+
+DEFAULT_WAIT_LIMIT_MS = 10_000
+DEFAULT_QUEUE_LIMIT = 512
+
+
+@dataclass(frozen=True, slots=True)
+class Pool:
+    """The workers of one service."""
+
+    name: str
+    """Unique name in the fleet."""
+
+    service: str
+    """Name of the service that the pool runs."""
+
+    floor_slots: int = 0
+    """Slots that the pool's demand needs at its mean rate."""
+
+    spare: bool = False
+    """Whether the pool lends VMs to pools that would break their budget."""
+
+    wait_limit_ms: int = DEFAULT_WAIT_LIMIT_MS
+    """Longest time a request may wait in a cell's queue, in milliseconds."""
+
+    queue_limit: int = DEFAULT_QUEUE_LIMIT
+    """Requests that may wait in one cell's queue."""
--- /dev/null
+++ b/src/sesameladder/model/_zone.py
@@ -0,0 +1,50 @@
+"""Regions, availability zones, racks and the links between zones."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Rack:
+    """A failure domain of workers that share power and a switch."""
+
+    name: str
+    """Unique name in the fleet."""
+
+    zone: str
+    """Name of the availability zone that holds the rack."""
+
+
+@dataclass(frozen=True, slots=True)
+class AvailabilityZone:
+    """A failure domain with its own entry VMs and upstreams."""
+
+    name: str
+    """Unique name in the fleet."""
+
+    region: str
+    """Name of the region that holds the zone."""
+
+
+@dataclass(frozen=True, slots=True)
+class Link:
+    """The network between two availability zones."""
+
+    first_zone: str
+    """Name of one zone."""
+
+    second_zone: str
+    """Name of the other zone."""
+
+    delay_ms: float
+    """One-way delay in milliseconds."""
+
+
+@dataclass(frozen=True, slots=True)
+class Region:
+    """Availability zones that share one platform store."""
+
+    name: str
+    """Unique name in the fleet."""
+
+    zones: tuple[str, ...]
+    """Names of the region's availability zones."""
--- /dev/null
+++ b/src/sesameladder/platform/_fake_store.py
@@ -0,0 +1,139 @@
+"""An in-memory store with injected faults, for tests and measurements."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from sesameladder.platform._errors import (
+    StoreAnswerLost,
+    StoreRefused,
+    StoreUnavailable,
+)
+from sesameladder.platform._store import (
+    MAX_VALUE_BYTES,
+    StoreEntry,
+    SwapConflict,
+    SwapOutcome,
+    Swapped,
+)
+
+
+@dataclass(slots=True)
+class FakeStore:
+    """Keeps entries in a dictionary under an injected clock."""
+
+    now: Callable[[], float]
+    """Clock in seconds; leases lapse by it."""
+
+    entries: dict[str, StoreEntry] = field(default_factory=dict)
+    """Entries by key."""
+
+    leases: dict[int, tuple[float, float]] = field(default_factory=dict)
+    """Lapse time and length in seconds, by lease number."""
+
+    attached: dict[str, int] = field(default_factory=dict)
+    """Lease number by key."""
+
+    revision: int = 0
+    """Global revision, one more with each write."""
+
+    available: bool = True
+    """Whether calls reach the store."""
+
+    answers_to_lose: int = 0
+    """Writes, from the next on, that take effect but lose their answer."""
+
+    calls: dict[str, int] = field(default_factory=dict)
+    """Number of calls by operation."""
+
+    def get(self, key: str) -> StoreEntry | None:
+        """Return the entry of a key, or None when it is absent."""
+        self._enter("get")
+        return self.entries.get(key)
+
+    def list_entries(self, prefix: str) -> list[StoreEntry]:
+        """Return the entries whose keys start with a prefix, by key."""
+        self._enter("list")
+        keys = sorted(key for key in self.entries if key.startswith(prefix))
+        return [self.entries[key] for key in keys]
+
+    def compare_and_swap(
+        self,
+        key: str,
+        expected_revision: int,
+        value: bytes,
+        lease: int | None = None,
+    ) -> SwapOutcome:
+        """Write a value if the key has a revision; 0 expects an absent key."""
+        self._enter("compare_and_swap")
+        if len(value) > MAX_VALUE_BYTES:
+            raise StoreRefused(f"value of {key} has {len(value)} bytes")
+        if lease is not None and lease not in self.leases:
+            raise StoreRefused(f"lease {lease} does not exist")
+        current = self.entries.get(key)
+        if (current.revision if current else 0) != expected_revision:
+            return SwapConflict(current)
+        self.revision += 1
+        self.entries[key] = StoreEntry(key, value, self.revision)
+        self.attached.pop(key, None)
+        if lease is not None:
+            self.attached[key] = lease
+        return self._answer(Swapped(self.revision))
+
+    def delete(self, key: str, expected_revision: int) -> SwapOutcome:
+        """Delete a key if it has a revision."""
+        self._enter("delete")
+        current = self.entries.get(key)
+        if current is None or current.revision != expected_revision:
+            return SwapConflict(current)
+        self._remove(key)
+        return self._answer(Swapped(self.revision))
+
+    def grant_lease(self, seconds: float) -> int:
+        """Create a lease; keys attached to it vanish when it lapses."""
+        self._enter("grant_lease")
+        self.revision += 1
+        self.leases[self.revision] = (self.now() + seconds, seconds)
+        return self.revision
+
+    def keep_alive(self, lease: int) -> bool:
+        """Renew a lease; returns False when it has lapsed."""
+        self._enter("keep_alive")
+        if lease not in self.leases:
+            return False
+        seconds = self.leases[lease][1]
+        self.leases[lease] = (self.now() + seconds, seconds)
+        return True
+
+    def watch(self, key: str, after_revision: int, timeout: float) -> StoreEntry | None:
+        """Return the entry if it was written after a revision; never waits."""
+        del timeout
+        self._enter("watch")
+        entry = self.entries.get(key)
+        if entry is not None and entry.revision > after_revision:
+            return entry
+        return None
+
+    def _enter(self, operation: str) -> None:
+        self.calls[operation] = self.calls.get(operation, 0) + 1
+        if not self.available:
+            raise StoreUnavailable("the store is down")
+        self._expire_leases()
+
+    def _answer(self, outcome: SwapOutcome) -> SwapOutcome:
+        if self.answers_to_lose > 0:
+            self.answers_to_lose -= 1
+            raise StoreAnswerLost("the answer of the write was lost")
+        return outcome
+
+    def _expire_leases(self) -> None:
+        now = self.now()
+        lapsed = {lease for lease, (end, _) in self.leases.items() if end <= now}
+        for key in [key for key, lease in self.attached.items() if lease in lapsed]:
+            self._remove(key)
+        for lease in lapsed:
+            del self.leases[lease]
+
+    def _remove(self, key: str) -> None:
+        self.revision += 1
+        del self.entries[key]
+        self.attached.pop(key, None)
--- /dev/null
+++ b/src/sesameladder/platform/_http_client.py
@@ -0,0 +1,193 @@
+"""HTTP client of the platform's store, VM list and VM actions."""
+
+from urllib.parse import quote
+
+from urllib3 import BaseHTTPResponse, PoolManager, Retry, Timeout
+from urllib3.exceptions import HTTPError, NewConnectionError
+
+from sesameladder.platform._errors import (
+    PlatformError,
+    StoreAnswerLost,
+    StoreRefused,
+    StoreUnavailable,
+)
+from sesameladder.platform._fleet import VmState, VmStatus
+from sesameladder.platform._store import (
+    MAX_VALUE_BYTES,
+    StoreEntry,
+    SwapConflict,
+    SwapOutcome,
+    Swapped,
+)
+
+CONNECT_TIMEOUT_S = 1.0
+READ_TIMEOUT_S = 5.0
+REVISION_HEADER = "Store-Revision"
+
+
+class PlatformClient:
+    """Implements ``Store`` and ``Fleet`` over HTTP; safe to share by threads."""
+
+    __slots__ = ("base", "headers", "http")
+
+    def __init__(self, base: str, zone: str, http: PoolManager) -> None:
+        self.base = base
+        self.headers = {"From-Zone": zone}
+        self.http = http
+
+    @classmethod
+    def from_address(cls, address: str, zone: str) -> "PlatformClient":
+        """Return a client of the platform at ``host:port``, calling from a zone."""
+        timeout = Timeout(connect=CONNECT_TIMEOUT_S, read=READ_TIMEOUT_S)
+        http = PoolManager(timeout=timeout, retries=Retry(0, redirect=0), maxsize=4)
+        return cls(f"http://{address}", zone, http)
+
+    def get(self, key: str) -> StoreEntry | None:
+        """Return the entry of a key, or None when it is absent."""
+        response = self._call("GET", f"/v1/kv/{quote(key)}")
+        if response.status == 404:
+            return None
+        return _decode_entry(key, response)
+
+    def list_entries(self, prefix: str) -> list[StoreEntry]:
+        """Return the entries whose keys start with a prefix, by key."""
+        response = self._call("GET", f"/v1/kv?prefix={quote(prefix, safe='')}")
+        rows = _decode_rows(response)
+        try:
+            return [
+                StoreEntry(
+                    str(row["key"]),
+                    bytes.fromhex(str(row["value_hex"])),
+                    int(str(row["revision"])),
+                )
+                for row in rows
+            ]
+        except (KeyError, ValueError) as error:
+            raise StoreUnavailable(f"malformed list answer: {error}") from error
+
+    def compare_and_swap(
+        self,
+        key: str,
+        expected_revision: int,
+        value: bytes,
+        lease: int | None = None,
+    ) -> SwapOutcome:
+        """Write a value if the key has a revision; 0 expects an absent key."""
+        if len(value) > MAX_VALUE_BYTES:
+            raise StoreRefused(f"value of {key} has {len(value)} bytes")
+        path = f"/v1/kv/{quote(key)}?expected={expected_revision}"
+        if lease is not None:
+            path += f"&lease={lease}"
+        return self._decode_swap(key, self._call("PUT", path, value))
+
+    def delete(self, key: str, expected_revision: int) -> SwapOutcome:
+        """Delete a key if it has a revision."""
+        path = f"/v1/kv/{quote(key)}?expected={expected_revision}"
+        return self._decode_swap(key, self._call("DELETE", path))
+
+    def grant_lease(self, seconds: float) -> int:
+        """Create a lease; keys attached to it vanish when it lapses."""
+        response = self._call("POST", f"/v1/leases?ttl_ms={int(seconds * 1000)}")
+        try:
+            return int(response.data)
+        except ValueError as error:
+            raise StoreAnswerLost(f"malformed lease answer: {error}") from error
+
+    def keep_alive(self, lease: int) -> bool:
+        """Renew a lease; returns False when it has lapsed."""
+        response = self._call("POST", f"/v1/leases/{lease}/keepalive")
+        return response.status == 200
+
+    def watch(self, key: str, after_revision: int, timeout: float) -> StoreEntry | None:
+        """Wait up to ``timeout`` seconds for a write after a revision."""
+        path = f"/v1/watch/{quote(key)}?after={after_revision}"
+        path += f"&timeout_ms={int(timeout * 1000)}"
+        response = self._call("GET", path, read_timeout=timeout + READ_TIMEOUT_S)
+        if response.status in (204, 404):
+            return None
+        return _decode_entry(key, response)
+
+    def list_vms(self) -> list[VmStatus]:
+        """Return the VM list, which lags behind the truth."""
+        rows = _decode_rows(self._call("GET", "/v1/vms"))
+        try:
+            return [
+                VmStatus(
+                    str(row["name"]),
+                    str(row["zone"]),
+                    VmState(str(row["state"])),
+                    float(str(row["changed_at"])),
+                )
+                for row in rows
+            ]
+        except (KeyError, ValueError) as error:
+            raise PlatformError(f"malformed VM list: {error}") from error
+
+    def drain(self, vm: str) -> None:
+        """Ask a VM to accept no new task; idempotent."""
+        self._call("POST", f"/v1/vms/{quote(vm)}/drain")
+
+    def reboot(self, vm: str) -> None:
+        """Reboot a VM; idempotent while the reboot is running."""
+        self._call("POST", f"/v1/vms/{quote(vm)}/reboot")
+
+    def _call(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        read_timeout: float = READ_TIMEOUT_S,
+    ) -> BaseHTTPResponse:
+        timeout = Timeout(connect=CONNECT_TIMEOUT_S, read=read_timeout)
+        try:
+            response = self.http.request(
+                method,
+                self.base + path,
+                body=body,
+                headers=self.headers,
+                timeout=timeout,
+            )
+        except HTTPError as error:
+            raise _translate_error(error) from error
+        if response.status == 503:
+            raise StoreUnavailable("the platform answered 503")
+        if response.status in (400, 413):
+            raise StoreRefused(response.data.decode("utf-8", "replace"))
+        if response.status >= 500:
+            raise StoreAnswerLost(f"the platform answered {response.status}")
+        return response
+
+    def _decode_swap(self, key: str, response: BaseHTTPResponse) -> SwapOutcome:
+        if response.status == 409:
+            if REVISION_HEADER not in response.headers:
+                return SwapConflict(None)
+            return SwapConflict(_decode_entry(key, response))
+        try:
+            return Swapped(int(response.headers[REVISION_HEADER]))
+        except (KeyError, ValueError) as error:
+            raise StoreAnswerLost(f"malformed swap answer: {error}") from error
+
+
+def _translate_error(error: HTTPError) -> PlatformError:
+    cause = getattr(error, "reason", error)
+    if isinstance(cause, NewConnectionError):
+        return StoreUnavailable(str(error))
+    return StoreAnswerLost(str(error))
+
+
+def _decode_entry(key: str, response: BaseHTTPResponse) -> StoreEntry:
+    try:
+        revision = int(response.headers[REVISION_HEADER])
+    except (KeyError, ValueError) as error:
+        raise StoreUnavailable(f"malformed answer for {key}: {error}") from error
+    return StoreEntry(key, response.data, revision)
+
+
+def _decode_rows(response: BaseHTTPResponse) -> list[dict[str, object]]:
+    try:
+        rows = response.json()
+    except ValueError as error:
+        raise StoreUnavailable(f"malformed answer: {error}") from error
+    if not isinstance(rows, list) or not all(isinstance(row, dict) for row in rows):
+        raise StoreUnavailable("malformed answer: not a list of objects")
+    return rows
--- /dev/null
+++ b/src/sesameladder/platform/tests/test_fake_store.py
@@ -0,0 +1,56 @@
+"""The fake store behaves as the platform's store does."""
+
+import pytest
+
+from sesameladder.platform import (
+    FakeStore,
+    StoreAnswerLost,
+    StoreUnavailable,
+    SwapConflict,
+    Swapped,
+)
+
+
+class Clock:
+    def __init__(self) -> None:
+        self.seconds = 0.0
+
+    def __call__(self) -> float:
+        return self.seconds
+
+
+def test_second_create_conflicts() -> None:
+    """Guards against two writers that both believe they created a key."""
+    store = FakeStore(Clock())
+    assert store.compare_and_swap("a", 0, b"1") == Swapped(1)
+    outcome = store.compare_and_swap("a", 0, b"2")
+    assert isinstance(outcome, SwapConflict)
+    assert store.get("a").value == b"1"
+
+
+def test_lost_answer_takes_effect() -> None:
+    """Guards against fakes whose lost answers also lose the write."""
+    store = FakeStore(Clock(), answers_to_lose=1)
+    with pytest.raises(StoreAnswerLost):
+        store.compare_and_swap("a", 0, b"1")
+    assert store.get("a").value == b"1"
+
+
+def test_lapsed_lease_removes_keys() -> None:
+    """Guards against roles that outlive the lease of their holder."""
+    clock = Clock()
+    store = FakeStore(clock)
+    lease = store.grant_lease(2.0)
+    store.compare_and_swap("role", 0, b"me", lease)
+    clock.seconds = 1.0
+    assert store.keep_alive(lease)
+    clock.seconds = 3.0
+    assert store.get("role") is None
+    assert not store.keep_alive(lease)
+
+
+def test_unavailable_store_raises() -> None:
+    """Guards against reads that succeed during an outage."""
+    store = FakeStore(Clock(), available=False)
+    with pytest.raises(StoreUnavailable):
+        store.get("a")
--- /dev/null
+++ b/src/sesameladder/testing/__init__.py
@@ -0,0 +1,1 @@
+"""Support for running the project's checks."""
