Add settings and the stand-ins of platform and upstreams

Cause: the entry process needs its settings and something to talk to. Change: settings classes read from JSON with comments and checked strictly; an HTTP stand-in of the platform (store, leases, watches, VM list, faults) and one of upstreams (tasks, leases, slots, faults). Conclusion: other parts can start both stand-ins on port 0.

--- a/src/sesameladder/settings/__init__.py
+++ b/src/sesameladder/settings/__init__.py
@@ -1,1 +1,30 @@
-"""Package under construction."""
+"""Settings in JSON with comments, checked before anything opens."""
+
+from sesameladder.settings._entry import (
+    ClientInstance,
+    ClientSettings,
+    EntrySettings,
+    InstanceSettings,
+    StatsdSettings,
+)
+from sesameladder.settings._errors import SettingsInvalid, SettingsProblem
+from sesameladder.settings._standins import (
+    PlatformStandinSettings,
+    UpstreamSettings,
+    UpstreamStandinSettings,
+    VmRow,
+)
+
+__all__ = [
+    "ClientInstance",
+    "ClientSettings",
+    "EntrySettings",
+    "InstanceSettings",
+    "PlatformStandinSettings",
+    "SettingsInvalid",
+    "SettingsProblem",
+    "StatsdSettings",
+    "UpstreamSettings",
+    "UpstreamStandinSettings",
+    "VmRow",
+]
--- /dev/null
+++ b/src/sesameladder/settings/_entry.py
@@ -0,0 +1,148 @@
+"""Settings of the entry process and of the operators' client."""
+
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated, ClassVar, Literal, Self
+
+from pydantic import ConfigDict, Field
+
+from sesameladder.model import Link, Region
+from sesameladder.settings._fields import STRICT, Address, Name
+from sesameladder.settings._reader import read_settings
+
+LogLevel = Literal["DEBUG", "INFO", "WARNING", "ERROR"]
+
+
+@dataclass(frozen=True, slots=True)
+class StatsdSettings:
+    """Where metrics are sent."""
+
+    address: Address
+    """``ip:port`` of the statsd server (UDP)."""
+
+    prefix: str
+    """Prefix of every metric name."""
+
+
+@dataclass(frozen=True, slots=True)
+class InstanceSettings:
+    """One entry instance of the deployment, as its peers see it."""
+
+    instance: Name
+    """Unique id of the instance."""
+
+    zone: Name
+    """Availability zone that the instance runs in."""
+
+    peer_address: Address
+    """``ip:port`` of the peer server."""
+
+    admin_address: Address
+    """``ip:port`` of the admin endpoint."""
+
+
+@dataclass(frozen=True, slots=True)
+class ClientInstance:
+    """One entry instance, as the operators' client sees it."""
+
+    instance: Name
+    """Unique id of the instance."""
+
+    zone: Name
+    """Availability zone that the instance runs in."""
+
+    admin_address: Address
+    """``ip:port`` of the admin endpoint."""
+
+
+@dataclass(frozen=True, slots=True)
+class EntrySettings:
+    """Settings of one ``sesameladder-entry`` process."""
+
+    __pydantic_config__: ClassVar[ConfigDict] = STRICT
+
+    deployment: Name
+    """Name of the deployment; peers of another deployment are refused."""
+
+    region: Name
+    """Region of this instance."""
+
+    zone: Name
+    """Availability zone of this instance."""
+
+    instance: Name
+    """Unique id of this instance."""
+
+    http_address: Address
+    """``ip:port`` that callers connect to."""
+
+    admin_address: Address
+    """``ip:port`` of health, state dump and token endpoints."""
+
+    peer_address: Address
+    """``ip:port`` that other entry instances connect to."""
+
+    platform_address: Address
+    """``ip:port`` of the region's platform."""
+
+    regions: tuple[Region, ...]
+    """Regions with their zones; the first one's store accepts tickets."""
+
+    links: tuple[Link, ...]
+    """Delays between zones."""
+
+    instances: tuple[InstanceSettings, ...]
+    """All entry instances of the deployment, this one included."""
+
+    http_threads: Annotated[int, Field(ge=4, le=1024)] = 64
+    """Threads that serve callers; also the first admission limit."""
+
+    statsd: StatsdSettings | None = None
+    """Where metrics are sent; null sends none."""
+
+    log_level: LogLevel = "INFO"
+    """Lowest level that is logged."""
+
+    drain_delay_ms: Annotated[int, Field(ge=0, le=60_000)] = 1_000
+    """Time between the failing health answer and the end of accepting."""
+
+    shutdown_limit_s: Annotated[int, Field(ge=1, le=3_600)] = 60
+    """Longest time that a graceful shutdown waits for requests."""
+
+    request_timeout_ms: Annotated[int, Field(ge=100, le=3_600_000)] = 60_000
+    """Longest time that a request without its own deadline may take."""
+
+    max_body_bytes: Annotated[int, Field(ge=1_024, le=16_000_000)] = 1_000_000
+    """Largest request body that is accepted."""
+
+    @classmethod
+    def from_file(cls, path: str | Path) -> Self:
+        """Return the settings in a file; raises SettingsInvalid."""
+        return read_settings(cls, path)
+
+
+@dataclass(frozen=True, slots=True)
+class ClientSettings:
+    """Settings of the ``sesameladder`` operator command."""
+
+    __pydantic_config__: ClassVar[ConfigDict] = STRICT
+
+    platform_address: Address
+    """``ip:port`` of the platform of the region that accepts tickets."""
+
+    zone: Name
+    """Availability zone that the client calls from."""
+
+    region: Name
+    """Region that accepts tickets."""
+
+    author: Annotated[str, Field(min_length=1, max_length=200)]
+    """Author that is written into filed tickets."""
+
+    instances: tuple[ClientInstance, ...]
+    """Entry instances whose state can be read."""
+
+    @classmethod
+    def from_file(cls, path: str | Path) -> Self:
+        """Return the settings in a file; raises SettingsInvalid."""
+        return read_settings(cls, path)
--- /dev/null
+++ b/src/sesameladder/settings/_standins.py
@@ -0,0 +1,103 @@
+"""Settings of the stand-ins, which are used in tests and trials only."""
+
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated, ClassVar, Literal, Self
+
+from pydantic import ConfigDict, Field
+
+from sesameladder.settings._fields import STRICT, Address, Name
+from sesameladder.settings._reader import read_settings
+
+Milliseconds = Annotated[int, Field(ge=0, le=3_600_000)]
+
+
+@dataclass(frozen=True, slots=True)
+class VmRow:
+    """A VM that the platform stand-in lists and probes."""
+
+    name: Name
+    """Unique name of the VM."""
+
+    zone: Name
+    """Availability zone of the VM."""
+
+    address: Address
+    """``ip:port`` of an upstream, or of the admin endpoint of an entry VM."""
+
+    kind: Literal["upstream", "entry"]
+    """Upstreams can be drained and rebooted; entry VMs are only listed."""
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformStandinSettings:
+    """Settings of ``sesameladder-platform-standin``."""
+
+    __pydantic_config__: ClassVar[ConfigDict] = STRICT
+
+    address: Address
+    """``ip:port`` that the stand-in listens on; port 0 picks a free one."""
+
+    vm_list_lag_ms: Milliseconds = 1_000
+    """Age of the states that the VM list shows."""
+
+    probe_interval_ms: Annotated[int, Field(ge=10, le=60_000)] = 200
+    """Time between two probes of the same VM."""
+
+    writes_per_s: Annotated[int, Field(ge=1, le=1_000_000)] = 500
+    """Writes that the store takes per second."""
+
+    reads_per_s: Annotated[int, Field(ge=1, le=1_000_000)] = 2_000
+    """Reads that the store takes per second; a watch counts as one."""
+
+    vms: tuple[VmRow, ...] = ()
+    """VMs that are listed from the start."""
+
+    @classmethod
+    def from_file(cls, path: str | Path) -> Self:
+        """Return the settings in a file; raises SettingsInvalid."""
+        return read_settings(cls, path)
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamSettings:
+    """One upstream of an upstream stand-in process."""
+
+    name: Name
+    """Unique name of the VM."""
+
+    address: Address
+    """``ip:port`` that the upstream listens on; port 0 picks a free one."""
+
+    slots: Annotated[int, Field(ge=1, le=1024)] = 8
+    """Tasks that run at the same time."""
+
+    connections: Annotated[int, Field(ge=1, le=4096)] = 64
+    """Connections that are open at the same time."""
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamStandinSettings:
+    """Settings of ``sesameladder-upstream-standin``."""
+
+    __pydantic_config__: ClassVar[ConfigDict] = STRICT
+
+    upstreams: Annotated[tuple[UpstreamSettings, ...], Field(min_length=1)]
+    """Upstreams that the process serves, each on its own address."""
+
+    default_work_ms: Milliseconds = 20
+    """Run time of a task without a ``Work-Ms`` header."""
+
+    report_lag_ms: Milliseconds = 500
+    """Age of the task report."""
+
+    reboot_ms: Milliseconds = 2_000
+    """Time that a reboot takes."""
+
+    seed: int = 0
+    """Seed of the random choices of fault modes."""
+
+    @classmethod
+    def from_file(cls, path: str | Path) -> Self:
+        """Return the settings in a file; raises SettingsInvalid."""
+        return read_settings(cls, path)
--- /dev/null
+++ b/src/sesameladder/standins/_http.py
@@ -0,0 +1,289 @@
+"""HTTP server of the stand-ins: one handler function over cheroot's WSGI server."""
+
+import errno
+import json
+import logging
+import threading
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import Any
+from urllib.parse import parse_qsl
+
+from cheroot import errors, wsgi
+from cheroot.server import HTTPConnection
+
+MAX_BODY_BYTES = 4_000_000
+MAX_HEADER_BYTES = 64_000
+IDLE_TIMEOUT_S = 60
+SHUTDOWN_TIMEOUT_S = 2
+LISTEN_BACKLOG = 256
+
+LOGGER = logging.getLogger(__name__)
+
+REASONS = {
+    200: "OK",
+    202: "Accepted",
+    204: "No Content",
+    400: "Bad Request",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    409: "Conflict",
+    413: "Content Too Large",
+    500: "Internal Server Error",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Response:
+    """An answer to one request."""
+
+    status: int
+    """HTTP status code."""
+
+    body: bytes = b""
+    """Body of the answer."""
+
+    headers: dict[str, str] = field(default_factory=dict)
+    """Further headers."""
+
+    @classmethod
+    def from_json(cls, value: object, status: int = 200) -> "Response":
+        """Return an answer with a JSON body."""
+        headers = {"Content-Type": "application/json"}
+        return cls(status, json.dumps(value).encode(), headers)
+
+    @classmethod
+    def from_text(cls, status: int, text: str, **headers: str) -> "Response":
+        """Return an answer with a plain text body."""
+        return cls(status, text.encode(), headers)
+
+
+class RequestRefused(Exception):
+    """The request is malformed; answered with a status and a message."""
+
+    def __init__(self, message: str, status: int = 400) -> None:
+        super().__init__(message)
+        self.status = status
+
+
+class DropConnection(ConnectionResetError):
+    """Ends the connection without an answer.
+
+    The server closes connections on this error number without writing to them.
+    """
+
+    def __init__(self) -> None:
+        super().__init__(errno.ECONNRESET, "dropped by the stand-in")
+
+
+class Request:
+    """One request as the handler sees it."""
+
+    __slots__ = ("body", "environ", "method", "path", "query")
+
+    def __init__(self, environ: dict[str, Any]) -> None:
+        self.environ = environ
+        self.method: str = environ["REQUEST_METHOD"]
+        self.path = _decode_path(environ["PATH_INFO"])
+        self.query = dict(parse_qsl(environ["QUERY_STRING"], keep_blank_values=True))
+        self.body = _read_body(environ)
+
+    @property
+    def over_connection_limit(self) -> bool:
+        """Whether the connection was accepted above the server's limit."""
+        return bool(self.environ["standin.over_connection_limit"])
+
+    def header(self, name: str) -> str | None:
+        """Return a header's value, or None when it is absent."""
+        key = "HTTP_" + name.upper().replace("-", "_")
+        value: str | None = self.environ.get(key)
+        return value
+
+    def header_int(self, name: str, default: int, low: int, high: int) -> int:
+        """Return a header as an integer within bounds."""
+        return _parse_int(f"header {name}", self.header(name), default, low, high)
+
+    def query_int(self, name: str, default: int | None, low: int, high: int) -> int:
+        """Return a query parameter as an integer within bounds."""
+        return _parse_int(f"parameter {name}", self.query.get(name), default, low, high)
+
+    def json_object(self) -> dict[str, Any]:
+        """Return the body as a JSON object."""
+        try:
+            value = json.loads(self.body)
+        except (ValueError, RecursionError) as error:
+            raise RequestRefused(f"the body is not JSON: {error}") from error
+        if not isinstance(value, dict):
+            raise RequestRefused("the body is not a JSON object")
+        return value
+
+
+Handler = Callable[[Request], Response]
+
+
+class StandinServer:
+    """Serves a handler on one address with a fixed number of threads."""
+
+    __slots__ = ("connections", "handler", "server", "thread")
+
+    def __init__(
+        self,
+        address: str,
+        handler: Handler,
+        threads: int,
+        connection_limit: int | None = None,
+    ) -> None:
+        host, _, port = address.rpartition(":")
+        self.handler = handler
+        self.connections = ConnectionCounter(connection_limit)
+        self.server = wsgi.Server(
+            (host, int(port)),
+            self.respond,
+            numthreads=threads,
+            request_queue_size=LISTEN_BACKLOG,
+            timeout=IDLE_TIMEOUT_S,
+            shutdown_timeout=SHUTDOWN_TIMEOUT_S,
+        )
+        _set_limits(self.server)
+        self.server.ConnectionClass = self.connections.create_class()
+        self.server.gateway = StandinGateway
+        self.thread: threading.Thread | None = None
+
+    @property
+    def address(self) -> str:
+        """The ``ip:port`` in use, known once the server has started."""
+        host, port = self.server.bind_addr[:2]
+        return f"{host}:{port}"
+
+    def start(self) -> None:
+        """Bind the address and serve it on a thread of its own."""
+        self.server.prepare()
+        self.thread = threading.Thread(target=self.server.serve, daemon=True)
+        self.thread.start()
+
+    def stop(self) -> None:
+        """Stop serving; handlers that wait have to be woken up before."""
+        self.server.stop()
+        if self.thread is not None:
+            self.thread.join()
+
+    def respond(
+        self, environ: dict[str, Any], start_response: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        """Answer one WSGI request."""
+        response = self._handle(environ)
+        headers = {**response.headers, "Content-Length": str(len(response.body))}
+        reason = REASONS.get(response.status, "Unknown")
+        start_response(f"{response.status} {reason}", list(headers.items()))
+        return [response.body]
+
+    def _handle(self, environ: dict[str, Any]) -> Response:
+        try:
+            return self.handler(Request(environ))
+        except RequestRefused as error:
+            return Response.from_text(error.status, str(error))
+
+
+class ConnectionCounter:
+    """Counts a server's open connections and marks those above the limit."""
+
+    __slots__ = ("limit", "lock", "open", "over_limit", "peak")
+
+    def __init__(self, limit: int | None) -> None:
+        self.limit = limit
+        self.lock = threading.Lock()
+        self.open = 0
+        self.peak = 0
+        self.over_limit = 0
+
+    def enter(self) -> bool:
+        """Count a new connection; returns whether it is above the limit."""
+        with self.lock:
+            self.open += 1
+            over = self.limit is not None and self.open > self.limit
+            if over:
+                self.over_limit += 1
+            self.peak = max(self.peak, self.open)
+            return over
+
+    def leave(self) -> None:
+        """Count a closed connection."""
+        with self.lock:
+            self.open -= 1
+
+    def create_class(self) -> type[HTTPConnection]:
+        """Return a connection class that reports to this counter."""
+        counter = self
+
+        class CountedConnection(HTTPConnection):
+            def __init__(self, *arguments: Any, **options: Any) -> None:
+                super().__init__(*arguments, **options)
+                self.over_limit = counter.enter()
+                self.counted = True
+
+            def close(self) -> None:
+                super().close()
+                if self.counted:
+                    self.counted = False
+                    counter.leave()
+
+        return CountedConnection
+
+
+class StandinGateway(wsgi.Gateway_10):
+    """Passes the connection's mark to the handler."""
+
+    def get_environ(self) -> Any:
+        """Return the WSGI environment with the connection's mark."""
+        environ: Any = super().get_environ()  # type: ignore[no-untyped-call]
+        environ["standin.over_connection_limit"] = self.req.conn.over_limit
+        return environ
+
+
+def _set_limits(server: Any) -> None:
+    server.keep_alive_conn_limit = None
+    server.max_request_body_size = MAX_BODY_BYTES
+    server.max_request_header_size = MAX_HEADER_BYTES
+    server.error_log = _log_server_error
+
+
+def _log_server_error(
+    message: str = "", level: int = logging.ERROR, traceback: bool = False
+) -> None:
+    LOGGER.log(
+        level, "http_server_error", extra={"detail": message}, exc_info=traceback
+    )
+
+
+def _decode_path(path_info: str) -> str:
+    try:
+        return path_info.encode("latin-1").decode("utf-8")
+    except UnicodeError as error:
+        raise RequestRefused(f"the path is not UTF-8: {error}") from error
+
+
+def _read_body(environ: dict[str, Any]) -> bytes:
+    try:
+        body: bytes = environ["wsgi.input"].read()
+    except errors.MaxSizeExceeded as error:
+        raise RequestRefused("the body is too large", 413) from error
+    except ValueError as error:
+        raise RequestRefused(f"the body is malformed: {error}") from error
+    return body
+
+
+def _parse_int(
+    what: str, text: str | None, default: int | None, low: int, high: int
+) -> int:
+    if text is None:
+        if default is None:
+            raise RequestRefused(f"{what} is missing")
+        return default
+    if not text.isascii() or not text.isdigit() or len(text) > 18:
+        raise RequestRefused(f"{what} is {text[:40]!r}; expected a whole number")
+    value = int(text)
+    if not low <= value <= high:
+        raise RequestRefused(f"{what} is {value}; expected {low} to {high}")
+    return value
--- /dev/null
+++ b/src/sesameladder/standins/platform/_vm_list.py
@@ -0,0 +1,163 @@
+"""The lagging VM list, filled by probing each VM, and the VM actions."""
+
+import threading
+from collections import deque
+from dataclasses import dataclass, field
+
+from pydantic import TypeAdapter, ValidationError
+from urllib3 import PoolManager, Retry, Timeout
+from urllib3.exceptions import HTTPError, MaxRetryError, NewConnectionError
+
+from sesameladder.platform import VmState
+from sesameladder.settings import PlatformStandinSettings, VmRow
+from sesameladder.standins._clock import Clock
+from sesameladder.standins._http import RequestRefused, Response
+from sesameladder.standins.platform._faults import FaultMode, FaultSwitch
+
+PROBE_TIMEOUT_S = 1.0
+CLOSE = {"Connection": "close"}
+HISTORY_LENGTH = 64
+
+ROWS: TypeAdapter[list[VmRow]] = TypeAdapter(list[VmRow])
+
+
+@dataclass(slots=True)
+class ListedVm:
+    """A VM with the recent history of its observed states."""
+
+    row: VmRow
+    """Name, zone, address and kind."""
+
+    history: deque[tuple[float, float, VmState]] = field(
+        default_factory=lambda: deque(maxlen=HISTORY_LENGTH)
+    )
+    """Clock time, epoch time and state of each change, oldest first."""
+
+    def observe(self, now: float, epoch: float, state: VmState) -> None:
+        """Note the state that a probe found."""
+        if not self.history or self.history[-1][2] is not state:
+            self.history.append((now, epoch, state))
+
+    def show(self, at: float) -> tuple[float, VmState]:
+        """Return the last change up to a time, as epoch time and state."""
+        shown = self.history[0]
+        for change in self.history:
+            if change[0] <= at:
+                shown = change
+        return shown[1], shown[2]
+
+
+class VmList:
+    """Probes the registered VMs and shows their states after the lag."""
+
+    __slots__ = (
+        "clock",
+        "faults",
+        "http",
+        "lock",
+        "settings",
+        "stopped",
+        "thread",
+        "vms",
+    )
+
+    def __init__(
+        self, settings: PlatformStandinSettings, clock: Clock, faults: FaultSwitch
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.faults = faults
+        self.lock = threading.Lock()
+        self.vms: dict[str, ListedVm] = {}
+        self.stopped = threading.Event()
+        self.thread = threading.Thread(target=self._probe_always, daemon=True)
+        timeout = Timeout(connect=PROBE_TIMEOUT_S, read=PROBE_TIMEOUT_S)
+        self.http = PoolManager(timeout=timeout, retries=Retry(0))
+        self.add(settings.vms)
+
+    def start(self) -> None:
+        """Start probing."""
+        self.thread.start()
+
+    def stop(self) -> None:
+        """Stop probing."""
+        self.stopped.set()
+        self.thread.join()
+
+    def add(self, rows: tuple[VmRow, ...] | list[VmRow]) -> None:
+        """Register VMs, or replace those of the same name."""
+        with self.lock:
+            for row in rows:
+                vm = ListedVm(row)
+                vm.observe(self.clock.now(), self.clock.epoch(), VmState.LIVE)
+                self.vms[row.name] = vm
+
+    def add_from_json(self, body: bytes) -> None:
+        """Register the VMs of a ``POST /vms`` body, a list of rows."""
+        try:
+            rows = ROWS.validate_json(body, strict=True)
+        except ValidationError as error:
+            raise RequestRefused(str(error)) from error
+        self.add(rows)
+
+    def list_rows(self) -> list[dict[str, object]]:
+        """Return the lagging list as JSON rows, by name."""
+        at = self.clock.now() - self.settings.vm_list_lag_ms / 1000
+        with self.lock:
+            vms = sorted(self.vms.values(), key=lambda vm: vm.row.name)
+            return [_encode_vm(vm, at) for vm in vms]
+
+    def act(self, name: str, action: str) -> Response:
+        """Pass a drain or reboot to the VM."""
+        with self.lock:
+            vm = self.vms.get(name)
+        if vm is None:
+            raise RequestRefused(f"no such VM: {name[:200]}", 404)
+        if vm.row.kind == "entry":
+            raise RequestRefused(f"VM {name} is an entry VM")
+        try:
+            self.http.request(
+                "POST", f"http://{vm.row.address}/-/{action}", headers=CLOSE
+            )
+        except HTTPError as error:
+            raise RequestRefused(f"VM {name} did not answer: {error}", 502) from error
+        return Response(204)
+
+    def probe_all(self) -> None:
+        """Probe every VM once, except those of zones that are cut off."""
+        with self.lock:
+            vms = list(self.vms.values())
+        for vm in vms:
+            if self.faults.find(vm.row.zone).mode is FaultMode.CUT:
+                continue
+            state = self._probe(vm.row)
+            if state is not None:
+                with self.lock:
+                    vm.observe(self.clock.now(), self.clock.epoch(), state)
+
+    def _probe_always(self) -> None:
+        while not self.stopped.wait(self.settings.probe_interval_ms / 1000):
+            self.probe_all()
+
+    def _probe(self, row: VmRow) -> VmState | None:
+        """Return the state of a VM; None when a paused process hides it."""
+        try:
+            response = self.http.request(
+                "GET", f"http://{row.address}/-/health", headers=CLOSE
+            )
+        except MaxRetryError as error:
+            refused = isinstance(error.reason, NewConnectionError)
+            return VmState.GONE if refused else None
+        except HTTPError:
+            return None
+        return VmState.LIVE if response.status == 200 else VmState.LEAVING
+
+
+def _encode_vm(vm: ListedVm, at: float) -> dict[str, object]:
+    changed_at, state = vm.show(at)
+    return {
+        "name": vm.row.name,
+        "zone": vm.row.zone,
+        "state": state.value,
+        "changed_at": changed_at,
+    }
--- /dev/null
+++ b/src/sesameladder/standins/upstream/_faults.py
@@ -0,0 +1,80 @@
+"""Fault modes of an upstream."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Any
+
+from sesameladder.standins._http import RequestRefused
+
+MAX_FACTOR = 1_000
+
+
+class FaultMode(StrEnum):
+    """How an upstream treats the work that it accepts."""
+
+    NONE = "none"
+    """Work runs and is answered."""
+
+    FAIL = "fail"
+    """Work fails at once with status 500."""
+
+    HANG = "hang"
+    """Work never ends by itself."""
+
+    CRASH = "crash"
+    """Work runs, then the connection ends without an answer."""
+
+    LOSE_ANSWER = "lose_answer"
+    """Work runs, then the connection stays open without an answer."""
+
+    SLOW = "slow"
+    """Work takes a multiple of its run time."""
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """A fault mode and how often it strikes."""
+
+    mode: FaultMode = FaultMode.NONE
+    """How work is treated."""
+
+    probability: float = 1.0
+    """Share of the work that the fault strikes."""
+
+    factor: float = 1.0
+    """Multiple of the run time in the mode ``slow``."""
+
+    count: int | None = None
+    """Requests that the fault still strikes; None means all."""
+
+    @classmethod
+    def from_json(cls, order: dict[str, Any]) -> "Fault":
+        """Return the fault in a ``POST /-/faults`` body."""
+        unknown = sorted(set(order) - {"mode", "probability", "factor", "count"})
+        if unknown:
+            raise RequestRefused(f"unknown keys: {', '.join(unknown)[:200]}")
+        try:
+            mode = FaultMode(order.get("mode", ""))
+        except ValueError:
+            accepted = ", ".join(FaultMode)
+            raise RequestRefused(f"mode is not one of {accepted}") from None
+        return cls(
+            mode,
+            _read_number(order, "probability", 0, 1),
+            _read_number(order, "factor", 1, MAX_FACTOR),
+            _read_count(order),
+        )
+
+
+def _read_number(order: dict[str, Any], key: str, low: float, high: float) -> float:
+    value = order.get(key, 1)
+    if type(value) not in (int, float) or not low <= value <= high:
+        raise RequestRefused(f"{key} is not a number from {low} to {high}")
+    return float(value)
+
+
+def _read_count(order: dict[str, Any]) -> int | None:
+    value = order.get("count")
+    if value is not None and (type(value) is not int or value < 1):
+        raise RequestRefused("count is not a whole number above 0")
+    return value
--- /dev/null
+++ b/src/sesameladder/standins/upstream/_task.py
@@ -0,0 +1,106 @@
+"""One task of an upstream: progress, lease and end."""
+
+import base64
+import binascii
+import hashlib
+import json
+from dataclasses import dataclass
+from enum import StrEnum
+
+CHECKPOINT_DIGEST_BYTES = 8
+NEVER_S = float("inf")
+
+
+class TaskEnd(StrEnum):
+    """Why a task ended."""
+
+    DONE = "done"
+    """It ran to its end."""
+
+    CHECKPOINTED = "checkpointed"
+    """It saved its state on order."""
+
+    STOPPED = "stopped"
+    """It was stopped on order."""
+
+    LAPSED = "lapsed"
+    """Its lease lapsed."""
+
+    CUT = "cut"
+    """The worker rebooted."""
+
+
+@dataclass(slots=True)
+class Task:
+    """A task whose remaining work shrinks with time, at the rate of its share."""
+
+    task_id: str
+    """Identity that the forwarder gave the task."""
+
+    started_at: float
+    """Clock time of the start."""
+
+    lease_end: float
+    """Clock time at which the lease lapses."""
+
+    work_left_s: float
+    """Work that is left at ``updated_at``, in seconds at a full share."""
+
+    updated_at: float
+    """Clock time at which ``work_left_s`` was computed."""
+
+    share: float = 1.0
+    """Rate of progress, above 0 up to 1."""
+
+    end: TaskEnd | None = None
+    """Why the task ended; None while it runs."""
+
+    def advance(self, now: float) -> None:
+        """Account the work since the last update and end the task when due."""
+        if self.end is not None:
+            return
+        until = min(now, self.lease_end)
+        self.work_left_s -= max(0.0, until - self.updated_at) * self.share
+        self.updated_at = max(self.updated_at, until)
+        if self.work_left_s <= 1e-9:
+            self.end = TaskEnd.DONE
+        elif now >= self.lease_end:
+            self.end = TaskEnd.LAPSED
+
+    def next_event(self) -> float:
+        """Return the clock time at which the task ends if nothing changes."""
+        done_at = self.updated_at + self.work_left_s / self.share
+        return min(done_at, self.lease_end)
+
+
+@dataclass(frozen=True, slots=True)
+class Checkpoint:
+    """Saved state of a task, passed through callers as an opaque text."""
+
+    checkpoint_id: str
+    """Identity of the checkpoint."""
+
+    work_left_s: float
+    """Work that is left, in seconds at a full share."""
+
+    def to_text(self) -> str:
+        """Return the opaque text."""
+        body = json.dumps([self.checkpoint_id, self.work_left_s]).encode()
+        return base64.urlsafe_b64encode(_digest(body) + body).decode()
+
+    @classmethod
+    def from_text(cls, text: str) -> "Checkpoint":
+        """Return the checkpoint in an opaque text; raises ValueError."""
+        try:
+            data = base64.b64decode(text.encode("ascii"), b"-_", validate=True)
+        except (binascii.Error, UnicodeError) as error:
+            raise ValueError(f"the checkpoint is malformed: {error}") from error
+        digest, body = data[:CHECKPOINT_DIGEST_BYTES], data[CHECKPOINT_DIGEST_BYTES:]
+        if digest != _digest(body):
+            raise ValueError("the checkpoint is damaged")
+        checkpoint_id, work_left_s = json.loads(body)
+        return cls(checkpoint_id, work_left_s)
+
+
+def _digest(body: bytes) -> bytes:
+    return hashlib.blake2b(body, digest_size=CHECKPOINT_DIGEST_BYTES).digest()
