Add messages and connections between entry instances

Cause: instances have to exchange grants, configuration and outcomes. Change: a Cap'n Proto schema, typed messages, frames with a length limit, a server, links that tell an unsent request from a lost answer, and a switch that cuts a zone off for tests.

--- /dev/null
+++ b/src/sesameladder/peering/_codec.py
@@ -0,0 +1,145 @@
+"""Encodes messages as Cap'n Proto envelopes and checks what arrives."""
+
+from dataclasses import dataclass, fields, is_dataclass
+from functools import cache
+from importlib.resources import as_file, files
+from typing import Any, get_args, get_type_hints
+
+import capnp
+
+from sesameladder.peering._errors import FrameInvalid
+from sesameladder.peering._messages import Message
+
+FORMAT_VERSION = 1
+MAX_FRAME_BYTES = 2 * 1024 * 1024
+WORD_BYTES = 8
+# A reader may visit each word a few times; the limit bounds amplification.
+TRAVERSAL_LIMIT_WORDS = 4 * MAX_FRAME_BYTES // WORD_BYTES
+
+
+@dataclass(frozen=True, slots=True)
+class Envelope:
+    """A message with its sender and its place in a request-reply pair."""
+
+    sender: str
+    """Instance id of the sender."""
+
+    incarnation: int
+    """Random number that the sender drew at its start."""
+
+    correlation: int
+    """Number of the request; 0 for a one-way message."""
+
+    is_reply: bool
+    """Whether the message answers the request with this number."""
+
+    message: Message
+    """The typed message."""
+
+
+def encode_envelope(deployment: str, envelope: Envelope) -> bytes:
+    """Return the wire form of an envelope, without the frame's length."""
+    union_field = _to_camel(type(envelope.message).__name__)
+    built = _load_schema().Envelope.new_message(
+        deployment=deployment,
+        formatVersion=FORMAT_VERSION,
+        sender=envelope.sender,
+        incarnation=envelope.incarnation,
+        correlation=envelope.correlation,
+        isReply=envelope.is_reply,
+        **{union_field: _to_wire(envelope.message)},
+    )
+    return bytes(built.to_bytes())
+
+
+def decode_envelope(deployment: str, data: bytes) -> Envelope:
+    """Return the envelope in a frame; raises ``FrameInvalid``."""
+    if len(data) > MAX_FRAME_BYTES or len(data) % WORD_BYTES:
+        raise FrameInvalid(f"frame of {len(data)} bytes")
+    try:
+        with _load_schema().Envelope.from_bytes(
+            data, traversal_limit_in_words=TRAVERSAL_LIMIT_WORDS
+        ) as reader:
+            return _read_envelope(deployment, reader)
+    except (capnp.KjException, ValueError, KeyError, TypeError) as error:
+        summary = str(error).splitlines()[0]
+        raise FrameInvalid(f"malformed frame: {summary}") from error
+
+
+def _read_envelope(deployment: str, reader: Any) -> Envelope:
+    if reader.formatVersion != FORMAT_VERSION:
+        raise FrameInvalid(f"format version {reader.formatVersion}")
+    if reader.deployment != deployment:
+        raise FrameInvalid(f"deployment {reader.deployment!r}")
+    union_field = str(reader.which())
+    kind = _index_messages()[union_field]
+    values = getattr(reader, union_field).to_dict()
+    return Envelope(
+        sender=reader.sender,
+        incarnation=reader.incarnation,
+        correlation=reader.correlation,
+        is_reply=reader.isReply,
+        message=_from_wire(kind, values),
+    )
+
+
+@cache
+def _load_schema() -> Any:
+    capnp.remove_import_hook()
+    resource = files("sesameladder.peering") / "peer.capnp"
+    with as_file(resource) as path:
+        return capnp.load(str(path))
+
+
+@cache
+def _index_messages() -> dict[str, type[Message]]:
+    return {_to_camel(kind.__name__): kind for kind in get_args(Message)}
+
+
+@cache
+def _to_camel(name: str) -> str:
+    head, *tail = name.split("_")
+    return head[0].lower() + head[1:] + "".join(part.capitalize() for part in tail)
+
+
+@cache
+def _list_fields(kind: type) -> tuple[tuple[str, str, Any], ...]:
+    hints = get_type_hints(kind)
+    return tuple(
+        (field.name, _to_camel(field.name), hints[field.name]) for field in fields(kind)
+    )
+
+
+def _to_wire(value: Any) -> Any:
+    if is_dataclass(value):
+        return {
+            wire_name: _to_wire(getattr(value, name))
+            for name, wire_name, _ in _list_fields(type(value))
+        }
+    if isinstance(value, tuple):
+        return [_to_wire(item) for item in value]
+    return value
+
+
+def _from_wire(kind: Any, value: Any) -> Any:
+    if is_dataclass(kind):
+        return _build_dataclass(kind, value)
+    if getattr(kind, "__origin__", None) is tuple:
+        item_kind = get_args(kind)[0]
+        return tuple(_from_wire(item_kind, item) for item in value)
+    return value
+
+
+def _build_dataclass(kind: Any, value: Any) -> Any:
+    arguments = {
+        name: _from_wire(hint, value.get(wire_name, _empty(hint)))
+        for name, wire_name, hint in _list_fields(kind)
+    }
+    return kind(**arguments)
+
+
+def _empty(hint: Any) -> Any:
+    if is_dataclass(hint):
+        return {}
+    origin = getattr(hint, "__origin__", None)
+    return () if origin is tuple else hint()
--- /dev/null
+++ b/src/sesameladder/peering/_framing.py
@@ -0,0 +1,39 @@
+"""Frames on a TCP connection: a 4-byte big-endian length, then the message."""
+
+import socket
+import struct
+
+from sesameladder.peering._codec import MAX_FRAME_BYTES
+from sesameladder.peering._errors import FrameInvalid
+
+LENGTH = struct.Struct(">I")
+
+
+def send_frame(connection: socket.socket, data: bytes) -> None:
+    """Send one frame; raises ``OSError`` when the connection fails."""
+    connection.sendall(LENGTH.pack(len(data)) + data)
+
+
+def receive_frame(connection: socket.socket) -> bytes | None:
+    """Return the next frame, or None at the end of the stream.
+
+    Raises ``FrameInvalid`` for a frame that is too long, and ``OSError`` when
+    the connection fails.
+    """
+    prefix = _receive_exactly(connection, LENGTH.size)
+    if prefix is None:
+        return None
+    (length,) = LENGTH.unpack(prefix)
+    if length > MAX_FRAME_BYTES:
+        raise FrameInvalid(f"frame of {length} bytes")
+    return _receive_exactly(connection, length)
+
+
+def _receive_exactly(connection: socket.socket, count: int) -> bytes | None:
+    received = bytearray()
+    while len(received) < count:
+        chunk = connection.recv(min(count - len(received), 65536))
+        if not chunk:
+            return None
+        received += chunk
+    return bytes(received)
--- /dev/null
+++ b/src/sesameladder/peering/_link.py
@@ -0,0 +1,169 @@
+"""An outgoing connection to one peer, opened when it is needed."""
+
+import socket
+from collections.abc import Callable
+from concurrent.futures import Future
+from contextlib import suppress
+from itertools import count
+from queue import SimpleQueue
+from threading import Lock, Thread
+
+from sesameladder.peering._codec import Envelope, decode_envelope, encode_envelope
+from sesameladder.peering._errors import (
+    FrameInvalid,
+    PeerAnswerLost,
+    PeerUnreachable,
+)
+from sesameladder.peering._framing import receive_frame, send_frame
+from sesameladder.peering._identity import PeerAddress, PeerIdentity, split_address
+from sesameladder.peering._messages import Message
+
+CONNECT_TIMEOUT_S = 0.5
+
+
+class PeerLink:
+    """Sends requests and one-way messages to one peer.
+
+    A writer task owns the connection. A reader task for each connection
+    completes the futures of the requests that were sent on it.
+    """
+
+    __slots__ = (
+        "connection",
+        "deployment",
+        "identity",
+        "is_blocked",
+        "lock",
+        "numbers",
+        "outbox",
+        "peer",
+        "pending",
+    )
+
+    def __init__(
+        self,
+        deployment: str,
+        identity: PeerIdentity,
+        peer: PeerAddress,
+        is_blocked: Callable[[str], bool],
+    ) -> None:
+        self.deployment = deployment
+        self.identity = identity
+        self.peer = peer
+        self.is_blocked = is_blocked
+        self.outbox: SimpleQueue[tuple[int, Message] | None] = SimpleQueue()
+        self.pending: dict[int, Future[Message]] = {}
+        self.connection: socket.socket | None = None
+        self.lock = Lock()
+        self.numbers = count(1)
+
+    def start(self) -> None:
+        """Start the writer task."""
+        Thread(target=self._write, name="peer-out", daemon=True).start()
+
+    def stop(self) -> None:
+        """End the writer task and close the connection."""
+        self.outbox.put(None)
+
+    def send(self, message: Message) -> None:
+        """Queue a one-way message; it is dropped when the peer is unreachable."""
+        self.outbox.put((0, message))
+
+    def request(self, message: Message) -> "Future[Message]":
+        """Queue a request.
+
+        The future fails with ``PeerUnreachable`` when the request was not sent
+        and with ``PeerAnswerLost`` when the connection failed afterwards.
+        """
+        number = next(self.numbers)
+        future: Future[Message] = Future()
+        with self.lock:
+            self.pending[number] = future
+        self.outbox.put((number, message))
+        return future
+
+    def forget(self, future: "Future[Message]") -> None:
+        """Drop a request whose answer is no longer awaited."""
+        with self.lock:
+            numbers = [n for n, other in self.pending.items() if other is future]
+            for number in numbers:
+                del self.pending[number]
+
+    def _write(self) -> None:
+        while (item := self.outbox.get()) is not None:
+            self._transmit(*item)
+        self._drop_connection()
+
+    def _transmit(self, number: int, message: Message) -> None:
+        if self.is_blocked(self.peer.instance):
+            self._fail(number, PeerUnreachable(f"{self.peer.instance} is blocked"))
+            self._drop_connection()
+            return
+        try:
+            connection = self._connect()
+        except OSError as error:
+            self._fail(number, PeerUnreachable(f"{self.peer.instance}: {error}"))
+            return
+        envelope = Envelope(
+            self.identity.instance, self.identity.incarnation, number, False, message
+        )
+        try:
+            send_frame(connection, encode_envelope(self.deployment, envelope))
+        except OSError as error:
+            self._fail(number, PeerAnswerLost(f"{self.peer.instance}: {error}"))
+            self._drop_connection()
+
+    def _connect(self) -> socket.socket:
+        if self.connection is not None:
+            return self.connection
+        connection = socket.create_connection(
+            split_address(self.peer.address), timeout=CONNECT_TIMEOUT_S
+        )
+        connection.settimeout(None)
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.connection = connection
+        Thread(
+            target=self._read, args=(connection,), name="peer-answers", daemon=True
+        ).start()
+        return connection
+
+    def _read(self, connection: socket.socket) -> None:
+        reason = "connection closed"
+        try:
+            while (data := receive_frame(connection)) is not None:
+                envelope = decode_envelope(self.deployment, data)
+                if self.is_blocked(envelope.sender):
+                    break
+                self._complete(envelope)
+        except (OSError, FrameInvalid) as error:
+            reason = str(error)
+        if self.connection is connection:
+            self.connection = None
+        connection.close()
+        self._fail_all(PeerAnswerLost(f"{self.peer.instance}: {reason}"))
+
+    def _complete(self, envelope: Envelope) -> None:
+        with self.lock:
+            future = self.pending.pop(envelope.correlation, None)
+        if future is not None and envelope.is_reply:
+            future.set_result(envelope.message)
+
+    def _fail(self, number: int, error: Exception) -> None:
+        with self.lock:
+            future = self.pending.pop(number, None)
+        if future is not None:
+            future.set_exception(error)
+
+    def _fail_all(self, error: Exception) -> None:
+        with self.lock:
+            futures = list(self.pending.values())
+            self.pending.clear()
+        for future in futures:
+            future.set_exception(error)
+
+    def _drop_connection(self) -> None:
+        connection = self.connection
+        self.connection = None
+        if connection is not None:
+            with suppress(OSError):
+                connection.shutdown(socket.SHUT_RDWR)
--- /dev/null
+++ b/src/sesameladder/peering/_peers.py
@@ -0,0 +1,108 @@
+"""All peers of an instance behind one interface."""
+
+from collections.abc import Iterable
+from concurrent.futures import Future
+from concurrent.futures import TimeoutError as FutureTimeout
+
+from sesameladder.peering._errors import PeerAnswerLost, PeerUnreachable
+from sesameladder.peering._identity import PeerAddress, PeerIdentity
+from sesameladder.peering._link import PeerLink
+from sesameladder.peering._messages import Failure, Message
+from sesameladder.peering._server import MessageHandler, PeerServer
+
+
+class Peers:
+    """Sends to any configured instance; messages to itself stay in the process."""
+
+    __slots__ = ("addresses", "blocked_zones", "handler", "identity", "links", "server")
+
+    def __init__(
+        self,
+        deployment: str,
+        identity: PeerIdentity,
+        addresses: Iterable[PeerAddress],
+        handler: MessageHandler,
+    ) -> None:
+        self.identity = identity
+        self.handler = handler
+        self.addresses = {address.instance: address for address in addresses}
+        self.blocked_zones: frozenset[str] = frozenset()
+        own = self.addresses[identity.instance]
+        self.server = PeerServer(
+            deployment, identity, own.address, handler, self.is_blocked
+        )
+        self.links = {
+            instance: PeerLink(deployment, identity, address, self.is_blocked)
+            for instance, address in self.addresses.items()
+            if instance != identity.instance
+        }
+
+    def start(self) -> None:
+        """Start to accept and to send."""
+        self.server.start()
+        for link in self.links.values():
+            link.start()
+
+    def stop(self) -> None:
+        """Close all connections."""
+        self.server.stop()
+        for link in self.links.values():
+            link.stop()
+
+    def is_blocked(self, instance: str) -> bool:
+        """Return whether a test has cut the connection to an instance's zone."""
+        address = self.addresses.get(instance)
+        return address is not None and address.zone in self.blocked_zones
+
+    def list_zone(self, zone: str) -> list[str]:
+        """Return the ids of the other instances of a zone."""
+        return [
+            instance
+            for instance, address in sorted(self.addresses.items())
+            if address.zone == zone and instance != self.identity.instance
+        ]
+
+    def send(self, instance: str, message: Message) -> None:
+        """Send a one-way message; lost when the peer is unreachable."""
+        if instance == self.identity.instance:
+            self.handler(self.identity, message, _ignore)
+            return
+        link = self.links.get(instance)
+        if link is not None:
+            link.send(message)
+
+    def request(self, instance: str, message: Message) -> "Future[Message]":
+        """Send a request and return the future of its answer."""
+        if instance == self.identity.instance:
+            future: Future[Message] = Future()
+            self.handler(self.identity, message, future.set_result)
+            return future
+        if instance not in self.links:
+            failed: Future[Message] = Future()
+            failed.set_exception(PeerUnreachable(f"{instance} is not configured"))
+            return failed
+        return self.links[instance].request(message)
+
+    def call(self, instance: str, message: Message, timeout: float) -> Message:
+        """Send a request and wait for its answer.
+
+        Raises ``PeerUnreachable`` when it was not sent, and ``PeerAnswerLost``
+        when no answer came within ``timeout`` seconds or the peer failed.
+        """
+        future = self.request(instance, message)
+        try:
+            answer = future.result(timeout)
+        except FutureTimeout as error:
+            self._forget(instance, future)
+            raise PeerAnswerLost(f"{instance}: no answer in {timeout} s") from error
+        if isinstance(answer, Failure):
+            raise PeerAnswerLost(f"{instance}: {answer.reason}")
+        return answer
+
+    def _forget(self, instance: str, future: "Future[Message]") -> None:
+        if instance in self.links:
+            self.links[instance].forget(future)
+
+
+def _ignore(_message: Message) -> None:
+    """Drop the reply to a one-way message."""
--- /dev/null
+++ b/src/sesameladder/peering/tests/test_peers.py
@@ -0,0 +1,85 @@
+"""Requests between instances over loopback sockets."""
+
+import socket
+import struct
+from collections.abc import Iterator
+
+import pytest
+
+from sesameladder.peering import (
+    Acknowledgement,
+    Message,
+    PeerAddress,
+    PeerAnswerLost,
+    PeerIdentity,
+    Peers,
+    PeerUnreachable,
+    PullConfiguration,
+    PullPlan,
+    Reply,
+    split_address,
+)
+
+CALL_TIMEOUT_S = 30.0
+
+
+def reserve_address() -> str:
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        host, port = listener.getsockname()
+    return f"{host}:{port}"
+
+
+def answer(_sender: PeerIdentity, message: Message, reply: Reply) -> None:
+    if isinstance(message, PullConfiguration):
+        reply(Acknowledgement(message.after == 5))
+
+
+@pytest.fixture
+def pair() -> Iterator[tuple[Peers, Peers]]:
+    addresses = [
+        PeerAddress("a", "zone-a", reserve_address()),
+        PeerAddress("b", "zone-b", reserve_address()),
+    ]
+    members = [
+        Peers("d", PeerIdentity(name, 1), addresses, answer) for name in ("a", "b")
+    ]
+    for member in members:
+        member.start()
+    yield members[0], members[1]
+    for member in members:
+        member.stop()
+
+
+@pytest.mark.parametrize("target", ["a", "b"])
+def test_call_gets_its_answer(pair: tuple[Peers, Peers], target: str) -> None:
+    """Guards against answers that reach another request or nobody."""
+    for after in (5, 6):
+        reply = pair[0].call(target, PullConfiguration(after), CALL_TIMEOUT_S)
+        assert reply == Acknowledgement(after == 5)
+
+
+def test_blocked_zone_is_unreachable_until_healed(pair: tuple[Peers, Peers]) -> None:
+    """Guards against messages that cross a cut between zones."""
+    pair[0].blocked_zones = frozenset({"zone-b"})
+    with pytest.raises(PeerUnreachable):
+        pair[0].call("b", PullConfiguration(5), CALL_TIMEOUT_S)
+    pair[0].blocked_zones = frozenset()
+    reply = pair[0].call("b", PullConfiguration(5), CALL_TIMEOUT_S)
+    assert reply == Acknowledgement(True)
+
+
+def test_missing_answer_is_reported_as_lost(pair: tuple[Peers, Peers]) -> None:
+    """Guards against treating a request without answer as not delivered."""
+    with pytest.raises(PeerAnswerLost):
+        pair[0].call("b", PullPlan("r", 1), 0.01)
+
+
+def test_server_survives_bad_frames(pair: tuple[Peers, Peers]) -> None:
+    """Guards against one peer's garbage that stops service for the others."""
+    address = split_address(pair[1].server.address)
+    for data in (struct.pack(">I", 2**31), struct.pack(">I", 8) + b"\xff" * 8):
+        with socket.create_connection(address) as connection:
+            connection.sendall(data)
+            assert connection.recv(1) == b""
+    reply = pair[0].call("b", PullConfiguration(5), CALL_TIMEOUT_S)
+    assert reply == Acknowledgement(True)
