--- a/src/sesameladder/peering/_codec.py
+++ b/src/sesameladder/peering/_codec.py
@@ -11,7 +11,7 @@
 from sesameladder.peering._messages import Message
 
 FORMAT_VERSION = 1
-MAX_FRAME_BYTES = 2 * 1024 * 1024
+MAX_FRAME_BYTES = 16 * 1024 * 1024
 WORD_BYTES = 8
 # A reader may visit each word a few times; the limit bounds amplification.
 TRAVERSAL_LIMIT_WORDS = 4 * MAX_FRAME_BYTES // WORD_BYTES
@@ -112,9 +112,10 @@
 
 def _to_wire(value: Any) -> Any:
     if is_dataclass(value):
+        kind: Any = type(value)
         return {
             wire_name: _to_wire(getattr(value, name))
-            for name, wire_name, _ in _list_fields(type(value))
+            for name, wire_name, _ in _list_fields(kind)
         }
     if isinstance(value, tuple):
         return [_to_wire(item) for item in value]
