Add the region plan with its rules, store access and role lease

Cause: stops, moves and cell ownership need one value per region that is changed by one compare-and-swap. Change: RegionPlan with VM rows and dispatcher rows as compressed JSON; rules on a draft that collects several changes, and the same rules as pure functions; PlanStore that settles lost answers by reading back; RoleLease with the acquisition's revision as fence. Measured: 12 tests of the package pass; before there was none. Conclusion: the entry process can read plans and hold the planner's role.

--- /dev/null
+++ b/src/sesameladder/planning/_cell_table.py
@@ -0,0 +1,67 @@
+"""Dispatcher rows under change: who owns each cell."""
+
+from collections.abc import Set
+from dataclasses import replace
+
+from sesameladder.planning._plan import cell_key
+from sesameladder.planning._refusal import PlanRefusal, RefusalReason
+from sesameladder.planning._rows import DispatcherRow
+
+
+class CellTable:
+    """The dispatcher rows of the next plan."""
+
+    __slots__ = ("changed", "rows")
+
+    def __init__(self, rows: dict[str, DispatcherRow]) -> None:
+        self.rows = dict(rows)
+        self.changed = False
+
+    def assign(
+        self, pool: str, zone: str, instance: str, gone: Set[str]
+    ) -> PlanRefusal | None:
+        """Name the owner of a cell; ``gone`` are instances known to be gone."""
+        key = cell_key(pool, zone)
+        row = self.rows.get(key)
+        if row is None:
+            return self._put(DispatcherRow(pool, zone, instance))
+        if row.instance == instance:
+            is_gone = row.previous is not None and row.previous in gone
+            return self._put(replace(row, previous_gone=row.previous_gone or is_gone))
+        previous = _find_previous_owner(row, gone)
+        if previous is None:
+            return PlanRefusal(
+                RefusalReason.DISPATCHER_BUSY,
+                f"cell {key} is being handed over from {row.previous}"
+                f" to {row.instance}",
+            )
+        is_gone = previous in gone or (previous == row.previous and row.previous_gone)
+        epoch = row.epoch + 1
+        return self._put(DispatcherRow(pool, zone, instance, previous, is_gone, epoch))
+
+    def settle(self, key: str) -> PlanRefusal | None:
+        """Record that the owner of a cell grants, so its change is complete."""
+        row = self.rows[key]
+        return self._put(replace(row, previous=None, previous_gone=False))
+
+    def drop(self, key: str) -> None:
+        """Remove the row of a cell that has no VM."""
+        del self.rows[key]
+        self.changed = True
+
+    def _put(self, row: DispatcherRow) -> PlanRefusal | None:
+        key = cell_key(row.pool, row.zone)
+        if self.rows.get(key) != row:
+            self.rows[key] = row
+            self.changed = True
+        return None
+
+
+def _find_previous_owner(row: DispatcherRow, gone: Set[str]) -> str | None:
+    """Return the one instance that may still grant, or None if there may be two.
+
+    An owner starts only after the previous one confirmed or is known to be gone.
+    """
+    if row.previous is None or row.previous_gone or row.previous in gone:
+        return row.instance
+    return row.previous if row.instance in gone else None
--- /dev/null
+++ b/src/sesameladder/planning/_draft_rows.py
@@ -0,0 +1,186 @@
+"""Bookkeeping of a plan under change: rows, availability and versions."""
+
+from collections.abc import Set
+from dataclasses import dataclass, replace
+
+from sesameladder.model import FleetState
+from sesameladder.planning._cell_table import CellTable
+from sesameladder.planning._plan import RegionPlan
+from sesameladder.planning._refusal import PlanRefusal, RefusalReason
+from sesameladder.planning._rows import Phase, VmRow
+
+
+@dataclass(frozen=True, slots=True)
+class Situation:
+    """What the rules need to know besides the plan."""
+
+    state: FleetState
+    """Configuration in effect."""
+
+    down: Set[str]
+    """VMs that are failed, suspected, unreachable or cut off."""
+
+    now: float
+    """Time in seconds since the Unix epoch."""
+
+
+@dataclass(frozen=True, slots=True)
+class DrainReport:
+    """A dispatcher's statement about the grants of one VM."""
+
+    applied_version: int
+    """Plan version that the dispatcher has applied."""
+
+    outstanding: int
+    """Grants of the VM that are not released."""
+
+
+@dataclass(slots=True)
+class PoolTally:
+    """Availability of one pool."""
+
+    members: int = 0
+    """VMs of the pool, with released ones that are about to join it."""
+
+    available: int = 0
+    """Members that serve and that nothing is known against."""
+
+
+class DraftRows:
+    """VM rows and cells of the next plan, with the availability of each pool."""
+
+    __slots__ = (
+        "base",
+        "cells",
+        "fence",
+        "rows",
+        "rows_changed",
+        "situation",
+        "tallies",
+    )
+
+    def __init__(self, base: RegionPlan, situation: Situation, fence: int) -> None:
+        self.base = base
+        self.situation = situation
+        self.fence = fence
+        self.rows = dict(base.rows)
+        self.cells = CellTable(base.dispatchers)
+        self.rows_changed = False
+        self.tallies: dict[str, PoolTally] = {}
+        for row in self.rows.values():
+            self.count(row, 1)
+
+    def check_writer(self) -> PlanRefusal | None:
+        """Refuse a writer with an old fence or an old configuration."""
+        if self.fence < self.base.fence:
+            return PlanRefusal(
+                RefusalReason.STALE_FENCE,
+                f"fence {self.fence} is lower than the plan's {self.base.fence}",
+            )
+        number = self.situation.state.number
+        if number < self.base.configuration_number:
+            return PlanRefusal(
+                RefusalReason.OLD_CONFIGURATION,
+                f"configuration {number} is older than the plan's"
+                f" {self.base.configuration_number}",
+            )
+        return None
+
+    def finish(self) -> RegionPlan:
+        """Return the next plan with every change so far."""
+        return RegionPlan(
+            region=self.base.region,
+            version=self.version,
+            fence=self.fence,
+            configuration_number=self.situation.state.number,
+            rows=self.rows,
+            dispatchers=self.cells.rows,
+        )
+
+    @property
+    def changed(self) -> bool:
+        """Whether the next plan differs from the base."""
+        return self.rows_changed or self.cells.changed
+
+    @property
+    def version(self) -> int:
+        """Version of the next plan."""
+        return self.base.version + 1
+
+    def tally(self, pool: str) -> PoolTally:
+        """Return the availability of a pool."""
+        return self.tallies.setdefault(pool, PoolTally())
+
+    def is_available(self, row: VmRow) -> bool:
+        """Tell whether a VM counts as available for its pool's budget."""
+        return row.phase is Phase.SERVING and row.vm not in self.situation.down
+
+    def missing_for_budget(self, pool: str) -> int:
+        """Return how many VMs a pool lacks to be within its budget."""
+        budget = self.situation.state.budgets.get(pool)
+        if budget is None:
+            return 0
+        tally = self.tally(pool)
+        unavailable = tally.members - tally.available
+        return max(
+            budget.min_available - tally.available,
+            unavailable - budget.max_unavailable,
+            0,
+        )
+
+    def expect(self, vm: str, *phases: Phase) -> VmRow | PlanRefusal:
+        """Return a VM's row if it is in one of the phases."""
+        row = self.rows.get(vm)
+        if row is None:
+            return PlanRefusal(RefusalReason.UNKNOWN_VM, f"VM {vm} has no row")
+        if row.phase not in phases:
+            return wrong_phase(row, " or ".join(phases))
+        return row
+
+    def serve(self, row: VmRow) -> PlanRefusal | None:
+        """Let a VM serve its pool without a permit or target."""
+        return self.enter(replace(row, permit=None, target_pool=None), Phase.SERVING)
+
+    def enter(self, row: VmRow, phase: Phase) -> PlanRefusal | None:
+        """Put a VM into a phase as of now; never refused."""
+        now = self.situation.now
+        return self.put(replace(row, phase=phase, since=now, version=self.version))
+
+    def put(self, row: VmRow) -> PlanRefusal | None:
+        """Replace a VM's row and adjust the availability of its pool."""
+        old = self.rows.get(row.vm)
+        if old is not None:
+            self.count(old, -1)
+        self.count(row, 1)
+        self.rows[row.vm] = row
+        self.rows_changed = True
+        return None
+
+    def drop(self, row: VmRow) -> PlanRefusal | None:
+        """Remove a VM's row; never refused."""
+        self.count(row, -1)
+        del self.rows[row.vm]
+        self.rows_changed = True
+        return None
+
+    def is_named(self, row: VmRow) -> bool:
+        """Tell whether the configuration names the VM in the row's zone."""
+        spec = self.situation.state.vms.get(row.vm)
+        return spec is not None and spec.zone == row.zone
+
+    def count(self, row: VmRow, step: int) -> None:
+        """Add a row to the availability of its pool, or with -1 remove it."""
+        pool = row.pool if row.phase is not Phase.RELEASED else row.target_pool
+        if pool is None:
+            return
+        tally = self.tally(pool)
+        tally.members += step
+        if self.is_available(row):
+            tally.available += step
+
+
+def wrong_phase(row: VmRow, expected: str) -> PlanRefusal:
+    """Return the refusal for a VM that is in another phase than expected."""
+    return PlanRefusal(
+        RefusalReason.WRONG_PHASE, f"VM {row.vm} is {row.phase}, not {expected}"
+    )
--- /dev/null
+++ b/src/sesameladder/planning/_plan.py
@@ -0,0 +1,186 @@
+"""The plan of a region: every VM row and dispatcher row as one value."""
+
+import json
+import zlib
+from dataclasses import dataclass, field
+from typing import Any
+
+from sesameladder.planning._rows import DispatcherRow, Phase, VmRow
+
+FORMAT_VERSION = 1
+COMPRESSION_LEVEL = 6
+MAX_DECOMPRESSED_BYTES = 16_000_000
+# Values that a row ends with are left out while they have these defaults.
+ROW_PADDING: tuple[Any, ...] = (None, None, None, None, 0, 0, 0, None, None, None, 0, 0)
+
+
+class PlanMalformed(Exception):
+    """A stored plan could not be read."""
+
+
+def cell_key(pool: str, zone: str) -> str:
+    """Return the key of a cell's dispatcher row."""
+    return f"{pool}/{zone}"
+
+
+@dataclass(frozen=True, slots=True)
+class RegionPlan:
+    """Rows and permits of a region; treated as immutable."""
+
+    region: str
+    """Name of the region."""
+
+    version: int = 0
+    """Increases by one with each plan that follows another."""
+
+    fence: int = 0
+    """Highest fence of a planner that changed the plan."""
+
+    configuration_number: int = 0
+    """Number of the last ticket that the plan takes into account."""
+
+    rows: dict[str, VmRow] = field(default_factory=dict)
+    """VM rows by VM name."""
+
+    dispatchers: dict[str, DispatcherRow] = field(default_factory=dict)
+    """Dispatcher rows by ``pool/zone``."""
+
+    @classmethod
+    def empty(cls, region: str) -> "RegionPlan":
+        """Return the plan of a region without VMs."""
+        return cls(region)
+
+    def to_bytes(self) -> bytes:
+        """Return the plan as compressed JSON with one array per row."""
+        document = {
+            "format": FORMAT_VERSION,
+            "region": self.region,
+            "version": self.version,
+            "fence": self.fence,
+            "configuration": self.configuration_number,
+            "vms": [_encode_row(row) for row in self.rows.values()],
+            "dispatchers": [_encode_cell(row) for row in self.dispatchers.values()],
+        }
+        text = json.dumps(document, separators=(",", ":"))
+        return zlib.compress(text.encode(), COMPRESSION_LEVEL)
+
+    @classmethod
+    def from_bytes(cls, data: bytes) -> "RegionPlan":
+        """Read a plan; raises ``PlanMalformed`` for anything else."""
+        try:
+            return _decode_plan(json.loads(_decompress(data)))
+        except (zlib.error, ValueError, TypeError, KeyError, RecursionError) as error:
+            raise PlanMalformed(f"the region plan can't be read: {error}") from error
+
+
+def _decompress(data: bytes) -> bytes:
+    stream = zlib.decompressobj()
+    text = stream.decompress(data, MAX_DECOMPRESSED_BYTES)
+    if not stream.eof:
+        raise ValueError("the compressed data is cut short or too large")
+    return text
+
+
+def _encode_row(row: VmRow) -> list[Any]:
+    values: list[Any] = [
+        row.vm,
+        row.pool,
+        row.zone,
+        row.phase.value,
+        round(row.since, 3),
+        round(row.maintained_at),
+        row.version,
+        row.target_pool,
+        row.permit,
+        row.lender,
+        row.attempts,
+        round(row.retry_at, 3),
+    ]
+    while not values[-1]:
+        values.pop()
+    return values
+
+
+def _encode_cell(row: DispatcherRow) -> list[Any]:
+    return [
+        row.pool,
+        row.zone,
+        row.instance,
+        row.previous,
+        row.previous_gone,
+        row.epoch,
+    ]
+
+
+def _decode_plan(document: Any) -> RegionPlan:
+    if not isinstance(document, dict) or document["format"] != FORMAT_VERSION:
+        raise ValueError(f"format {FORMAT_VERSION} is expected")
+    rows = [_decode_row(values) for values in document["vms"]]
+    cells = [_decode_cell(values) for values in document["dispatchers"]]
+    plan = RegionPlan(
+        region=_text(document["region"]),
+        version=_count(document["version"]),
+        fence=_count(document["fence"]),
+        configuration_number=_count(document["configuration"]),
+        rows={row.vm: row for row in rows},
+        dispatchers={cell_key(cell.pool, cell.zone): cell for cell in cells},
+    )
+    if len(plan.rows) != len(rows) or len(plan.dispatchers) != len(cells):
+        raise ValueError("a VM or a cell has two rows")
+    return plan
+
+
+def _decode_row(values: list[Any]) -> VmRow:
+    padded = [*values, *ROW_PADDING[len(values) :]]
+    vm, pool, zone, phase, since, maintained_at, version, *optional = padded
+    target, permit, lender, attempts, retry_at = optional
+    return VmRow(
+        vm=_text(vm),
+        pool=_optional_text(pool),
+        phase=Phase(phase),
+        since=_seconds(since),
+        target_pool=_optional_text(target),
+        permit=_optional_text(permit),
+        zone=_text(zone),
+        version=_count(version),
+        lender=_optional_text(lender),
+        maintained_at=_seconds(maintained_at),
+        attempts=_count(attempts),
+        retry_at=_seconds(retry_at),
+    )
+
+
+def _decode_cell(values: Any) -> DispatcherRow:
+    pool, zone, instance, previous, gone, epoch = values
+    if not isinstance(gone, bool):
+        raise TypeError("a flag is expected")
+    return DispatcherRow(
+        _text(pool),
+        _text(zone),
+        _text(instance),
+        _optional_text(previous),
+        gone,
+        _count(epoch),
+    )
+
+
+def _text(value: Any) -> str:
+    if not isinstance(value, str) or not value:
+        raise TypeError(f"a name is expected, not {value!r}")
+    return value
+
+
+def _optional_text(value: Any) -> str | None:
+    return None if value is None else _text(value)
+
+
+def _count(value: Any) -> int:
+    if type(value) is not int or value < 0:
+        raise TypeError(f"a whole number of at least 0 is expected, not {value!r}")
+    return value
+
+
+def _seconds(value: Any) -> float:
+    if type(value) not in (int, float) or not value >= 0:
+        raise TypeError(f"a time in seconds is expected, not {value!r}")
+    return float(value)
--- /dev/null
+++ b/src/sesameladder/planning/_plan_store.py
@@ -0,0 +1,113 @@
+"""Reads and writes of a region's plan in the platform's store."""
+
+from dataclasses import dataclass
+
+from sesameladder.planning._plan import RegionPlan
+from sesameladder.platform import (
+    PlatformError,
+    Store,
+    StoreAnswerLost,
+    StoreEntry,
+    SwapConflict,
+)
+
+
+class PlanStoreError(Exception):
+    """The plan could not be read from the store."""
+
+
+@dataclass(frozen=True, slots=True)
+class StoredPlan:
+    """A plan as it stands in the store."""
+
+    plan: RegionPlan
+    """The plan; empty when the region has none yet."""
+
+    revision: int
+    """Store revision of the plan; 0 when the region has none yet."""
+
+
+@dataclass(frozen=True, slots=True)
+class PlanWritten:
+    """The plan stands in the store."""
+
+    revision: int
+    """Store revision of the write."""
+
+
+@dataclass(frozen=True, slots=True)
+class PlanSuperseded:
+    """Another writer changed the plan first; nothing was written."""
+
+    current: StoredPlan
+    """The plan that stands in the store."""
+
+
+@dataclass(frozen=True, slots=True)
+class PlanNotWritten:
+    """The store was not reached or rejected the call; nothing was written."""
+
+    detail: str
+    """Message of the store's error."""
+
+
+@dataclass(frozen=True, slots=True)
+class PlanUnsettled:
+    """The answer was lost and reading back failed; the write may take effect.
+
+    The caller has to read the plan before it writes again.
+    """
+
+    detail: str
+    """Message of the store's error."""
+
+
+WriteOutcome = PlanWritten | PlanSuperseded | PlanNotWritten | PlanUnsettled
+
+
+class PlanStore:
+    """The plan of one region at the key ``plan/<region>``."""
+
+    __slots__ = ("key", "region", "store")
+
+    def __init__(self, store: Store, region: str) -> None:
+        self.store = store
+        self.region = region
+        self.key = f"plan/{region}"
+
+    def read(self) -> StoredPlan:
+        """Return the plan; raises ``PlanStoreError`` or ``PlanMalformed``."""
+        try:
+            return self._decode(self.store.get(self.key))
+        except PlatformError as error:
+            raise PlanStoreError(f"{self.key} can't be read: {error}") from error
+
+    def write(self, plan: RegionPlan, expected_revision: int) -> WriteOutcome:
+        """Replace the plan if it has a revision; 0 expects that there is none."""
+        data = plan.to_bytes()
+        try:
+            outcome = self.store.compare_and_swap(self.key, expected_revision, data)
+        except StoreAnswerLost:
+            return self._read_back(data, expected_revision)
+        except PlatformError as error:
+            return PlanNotWritten(str(error))
+        if isinstance(outcome, SwapConflict):
+            return PlanSuperseded(self._decode(outcome.current))
+        return PlanWritten(outcome.revision)
+
+    def _read_back(self, data: bytes, expected_revision: int) -> WriteOutcome:
+        """Settle a lost answer; fence and version make the value unique."""
+        try:
+            entry = self.store.get(self.key)
+        except PlatformError as error:
+            return PlanUnsettled(str(error))
+        if entry is not None and entry.value == data:
+            return PlanWritten(entry.revision)
+        if (entry.revision if entry else 0) == expected_revision:
+            return PlanUnsettled("the write has not taken effect yet")
+        return PlanSuperseded(self._decode(entry))
+
+    def _decode(self, entry: StoreEntry | None) -> StoredPlan:
+        if entry is None:
+            return StoredPlan(RegionPlan.empty(self.region), 0)
+        return StoredPlan(RegionPlan.from_bytes(entry.value), entry.revision)
--- /dev/null
+++ b/src/sesameladder/planning/tests/test_rules.py
@@ -0,0 +1,87 @@
+"""The rules of the plan keep P1 and P2 and refuse old writers."""
+
+import pytest
+
+from sesameladder.model import AvailabilityBudget, FleetState, Pool, VirtualMachine
+from sesameladder.planning import (
+    DrainReport,
+    Phase,
+    PlanMalformed,
+    PlanRefusal,
+    RefusalReason,
+    RegionPlan,
+    Situation,
+    add_vm,
+    mark_drained,
+    release_vm,
+    request_move,
+    request_stop,
+)
+
+
+def make_state(number=1, vms=3, min_available=2, max_unavailable=1):
+    names = [f"vm{index}" for index in range(vms)]
+    return FleetState(
+        number=number,
+        pools={name: Pool(name, name) for name in ("a", "b")},
+        vms={
+            name: VirtualMachine(name, "a", "z1", "r1", "127.0.0.1:1") for name in names
+        },
+        budgets={"a": AvailabilityBudget("a", min_available, max_unavailable)},
+    )
+
+
+def make_plan(state, fence=5):
+    plan = RegionPlan.empty("north")
+    for name, vm in state.vms.items():
+        plan = add_vm(plan, name, vm.pool, Situation(state, frozenset(), 10.0), fence)
+    return plan
+
+
+@pytest.mark.parametrize(
+    ("down", "fence", "number", "reason"),
+    [
+        ((), 5, 1, None),
+        (("vm1",), 5, 1, RefusalReason.BUDGET),
+        (("vm0",), 5, 1, None),
+        ((), 4, 1, RefusalReason.STALE_FENCE),
+        ((), 5, 0, RefusalReason.OLD_CONFIGURATION),
+    ],
+)
+def test_stop_is_refused(down, fence, number, reason):
+    """Guards against stops that break a budget or come from an old planner."""
+    plan = make_plan(make_state())
+    state = make_state(number=number)
+    outcome = request_stop(
+        plan, "vm0", "wave:w", Situation(state, frozenset(down), 11.0), fence
+    )
+    found = outcome.reason if isinstance(outcome, PlanRefusal) else None
+    assert found == reason
+
+
+def test_plan_survives_encoding():
+    """Guards against fields that are lost between two planners."""
+    state = make_state()
+    situation = Situation(state, frozenset(), 11.0)
+    plan = request_move(make_plan(state), "vm0", "b", situation, 7)
+    assert RegionPlan.from_bytes(plan.to_bytes()) == plan
+
+
+@pytest.mark.parametrize("cut", [0, 1, 20, -1])
+def test_malformed_plan_is_refused(cut):
+    """Guards against a crash of the reader on a damaged value."""
+    data = make_plan(make_state()).to_bytes()
+    with pytest.raises(PlanMalformed):
+        RegionPlan.from_bytes(data[:cut])
+
+
+@pytest.mark.parametrize(("version", "outstanding"), [(0, 0), (99, 1)])
+def test_release_needs_the_dispatchers_report(version, outstanding):
+    """Guards against a VM that joins a pool while another pool uses it."""
+    state = make_state()
+    situation = Situation(state, frozenset(), 11.0)
+    plan = request_move(make_plan(state), "vm0", "b", situation, 7)
+    report = DrainReport(version, outstanding)
+    assert isinstance(mark_drained(plan, "vm0", report, situation, 7), PlanRefusal)
+    assert isinstance(release_vm(plan, "vm0", situation, 7), PlanRefusal)
+    assert plan.rows["vm0"].phase is Phase.LEAVING
