Add the ticket log with a first working version

Cause: configuration changes need numbered tickets that are checked, accepted by one conditional write and readable for ever. Measured: 3 tests pass; 500 tickets stay readable after a compaction that leaves 179 of 499 archive entries.

--- a/src/sesameladder/tickets/__init__.py
+++ b/src/sesameladder/tickets/__init__.py
@@ -1,1 +1,59 @@
-"""Package under construction."""
+"""Change tickets: parsing, checks, folding, filing, history and compaction."""
+
+from sesameladder.tickets._check import check_ticket
+from sesameladder.tickets._fold import fold_ticket
+from sesameladder.tickets._log import TicketLog
+from sesameladder.tickets._outcomes import (
+    Accepted,
+    AlreadyAccepted,
+    FileOutcome,
+    LostRace,
+    NotFiled,
+    Rejected,
+    Unsettled,
+)
+from sesameladder.tickets._parse import MAX_TICKET_BYTES
+from sesameladder.tickets._problems import Problem, TicketInvalid
+from sesameladder.tickets._records import (
+    HEAD_KEY,
+    SNAPSHOT_INTERVAL,
+    Head,
+    TicketLogCorrupt,
+    TicketLogError,
+    TicketLogRefused,
+    TicketLogUnavailable,
+)
+from sesameladder.tickets._state_codec import (
+    StateMalformed,
+    decode_state,
+    encode_state,
+)
+from sesameladder.tickets._ticket import Ticket, parse_ticket
+
+__all__ = [
+    "HEAD_KEY",
+    "MAX_TICKET_BYTES",
+    "SNAPSHOT_INTERVAL",
+    "Accepted",
+    "AlreadyAccepted",
+    "FileOutcome",
+    "Head",
+    "LostRace",
+    "NotFiled",
+    "Problem",
+    "Rejected",
+    "StateMalformed",
+    "Ticket",
+    "TicketInvalid",
+    "TicketLog",
+    "TicketLogCorrupt",
+    "TicketLogError",
+    "TicketLogRefused",
+    "TicketLogUnavailable",
+    "Unsettled",
+    "check_ticket",
+    "decode_state",
+    "encode_state",
+    "fold_ticket",
+    "parse_ticket",
+]
--- /dev/null
+++ b/src/sesameladder/tickets/_access.py
@@ -0,0 +1,99 @@
+"""Store calls of the ticket log, whose lost answers are read back."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from sesameladder.platform import (
+    PlatformError,
+    Store,
+    StoreAnswerLost,
+    StoreEntry,
+    StoreRefused,
+    Swapped,
+)
+from sesameladder.tickets._records import (
+    TicketLogRefused,
+    TicketLogUnavailable,
+)
+
+SETTLE_ATTEMPTS = 4
+FIRST_PAUSE_S = 0.05
+
+
+@dataclass(frozen=True, slots=True)
+class StoreAccess:
+    """Reads and conditional writes with the errors of the ticket log."""
+
+    store: Store
+    """The platform's store."""
+
+    pause: Callable[[float], None]
+    """Waits for some seconds before a lost answer is read back again."""
+
+    def read(self, key: str) -> StoreEntry | None:
+        """Return an entry; raises ``TicketLogUnavailable``."""
+        try:
+            return self.store.get(key)
+        except PlatformError as error:
+            raise TicketLogUnavailable(f"reading {key}: {error}") from error
+
+    def create(self, key: str, value: bytes) -> bytes:
+        """Create a key if absent and return the value that stands there."""
+        for attempt in range(SETTLE_ATTEMPTS):
+            try:
+                outcome = self.store.compare_and_swap(key, 0, value)
+            except StoreAnswerLost:
+                current = self.read(key)
+                if current is not None:
+                    return current.value
+                self.wait(attempt)
+                continue
+            except StoreRefused as error:
+                raise TicketLogRefused(str(error)) from error
+            except PlatformError as error:
+                raise TicketLogUnavailable(f"creating {key}: {error}") from error
+            if isinstance(outcome, Swapped):
+                return value
+            if outcome.current is not None:
+                return outcome.current.value
+        raise TicketLogUnavailable(f"creating {key}: the answer stays lost")
+
+    def remove(self, key: str) -> None:
+        """Delete a key whatever its revision; an absent key is fine."""
+        for attempt in range(SETTLE_ATTEMPTS):
+            current = self.read(key)
+            if current is None:
+                return
+            try:
+                self.store.delete(key, current.revision)
+            except StoreAnswerLost:
+                self.wait(attempt)
+            except PlatformError as error:
+                raise TicketLogUnavailable(f"deleting {key}: {error}") from error
+        if self.read(key) is not None:
+            raise TicketLogUnavailable(f"deleting {key}: the key stays")
+
+    def raise_counter(self, key: str, number: int) -> None:
+        """Raise a number kept under a key; a higher one is left alone."""
+        for attempt in range(SETTLE_ATTEMPTS):
+            current = self.read(key)
+            if current is not None and read_counter(current) >= number:
+                return
+            revision = current.revision if current else 0
+            try:
+                self.store.compare_and_swap(key, revision, str(number).encode())
+            except StoreAnswerLost:
+                self.wait(attempt)
+            except PlatformError as error:
+                raise TicketLogUnavailable(f"writing {key}: {error}") from error
+
+    def wait(self, attempt: int) -> None:
+        """Pause longer with each attempt."""
+        self.pause(FIRST_PAUSE_S * 2**attempt)
+
+
+def read_counter(entry: StoreEntry | None) -> int:
+    """Return the number of a counter; 0 when it is absent or malformed."""
+    if entry is None or not (entry.value.isdigit() and len(entry.value) < 20):
+        return 0
+    return int(entry.value)
--- /dev/null
+++ b/src/sesameladder/tickets/_check.py
@@ -0,0 +1,153 @@
+"""Rules that a ticket has to satisfy on the state before it."""
+
+from collections import defaultdict
+from collections.abc import Iterable
+
+from sesameladder.model import AvailabilityBudget, FleetState, VirtualMachine
+from sesameladder.tickets._check_waves import check_waves
+from sesameladder.tickets._fold import fold_ticket
+from sesameladder.tickets._problems import Problem
+from sesameladder.tickets._sections import SECTIONS
+from sesameladder.tickets._ticket import Ticket
+
+LISTED_NAMES = 10
+
+
+def check_ticket(state: FleetState, ticket: Ticket) -> list[Problem]:
+    """Return every reason to refuse a ticket on a state; empty to accept it."""
+    expected = state.number + 1
+    if ticket.number != expected:
+        return [Problem("number", str(ticket.number), f"the next number, {expected}")]
+    result = fold_ticket(state, ticket)
+    members = group_by_pool(result)
+    return [
+        *_check_empty(ticket),
+        *_check_removals(state, ticket),
+        *_check_pool_names(result, ticket),
+        *_check_removed_pools(result, ticket, members),
+        *_check_vms(result, ticket),
+        *_check_budgets(state, result, ticket, members),
+        *check_waves(result, ticket, members),
+    ]
+
+
+def group_by_pool(state: FleetState) -> dict[str, list[VirtualMachine]]:
+    """Return the VMs of each pool that has any."""
+    members: dict[str, list[VirtualMachine]] = defaultdict(list)
+    for vm in state.vms.values():
+        members[vm.pool].append(vm)
+    return members
+
+
+def list_names(names: Iterable[str]) -> str:
+    """Return sorted names as text, cut after the first few."""
+    ordered = sorted(names)
+    if not ordered:
+        return "none so far"
+    more = len(ordered) - LISTED_NAMES
+    shown = ", ".join(ordered[:LISTED_NAMES])
+    return f"{shown} and {more} more" if more > 0 else shown
+
+
+def _check_empty(ticket: Ticket) -> list[Problem]:
+    if any(getattr(ticket, section.name) for section in SECTIONS):
+        return []
+    names = ", ".join(section.name for section in SECTIONS)
+    return [Problem("ticket", "no change", f"at least one object in {names}")]
+
+
+def _check_removals(state: FleetState, ticket: Ticket) -> list[Problem]:
+    problems = []
+    for section in SECTIONS:
+        present = getattr(state, section.state_attribute)
+        for name, item in getattr(ticket, section.name).items():
+            if item is None and name not in present:
+                accepted = f"null only for what exists: {list_names(present)}"
+                problems.append(Problem(f"{section.name}.{name}", "null", accepted))
+    return problems
+
+
+def _check_pool_names(result: FleetState, ticket: Ticket) -> list[Problem]:
+    named = [
+        *((f"vms.{name}.pool", vm.pool) for name, vm in ticket.vms.items() if vm),
+        *((f"budgets.{name}", name) for name, item in ticket.budgets.items() if item),
+        *(
+            (f"maintenance.{name}.pools.{index}", pool)
+            for name, wave in ticket.maintenance.items()
+            if wave
+            for index, pool in enumerate(wave.pools)
+        ),
+    ]
+    accepted = f"the name of a pool: {list_names(result.pools)}"
+    return [
+        Problem(path, f"{pool!r}, an unknown pool", accepted)
+        for path, pool in named
+        if pool not in result.pools
+    ]
+
+
+def _check_removed_pools(
+    result: FleetState, ticket: Ticket, members: dict[str, list[VirtualMachine]]
+) -> list[Problem]:
+    problems = []
+    for pool in (name for name, item in ticket.pools.items() if item is None):
+        users = [f"vms.{vm.name}" for vm in members.get(pool, [])]
+        users += [f"budgets.{pool}"] if pool in result.budgets else []
+        users += [
+            f"maintenance.{w.id}" for w in result.waves.values() if pool in w.pools
+        ]
+        if users:
+            accepted = f"a ticket that also moves or removes {list_names(users)}"
+            problems.append(
+                Problem(f"pools.{pool}", "null for a pool in use", accepted)
+            )
+    return problems
+
+
+def _check_vms(result: FleetState, ticket: Ticket) -> list[Problem]:
+    by_address: dict[str, str] = {}
+    zone_by_rack: dict[str, str] = {}
+    for vm in result.vms.values():
+        if vm.name not in ticket.vms:
+            by_address[vm.address] = vm.name
+            zone_by_rack[vm.rack] = vm.zone
+    problems = []
+    for vm in (vm for vm in ticket.vms.values() if vm is not None):
+        holder = by_address.setdefault(vm.address, vm.name)
+        if holder != vm.name:
+            value = f"{vm.address}, the address of VM {holder}"
+            accepted = "an address that no other VM has"
+            problems.append(Problem(f"vms.{vm.name}.address", value, accepted))
+        zone = zone_by_rack.setdefault(vm.rack, vm.zone)
+        if zone != vm.zone:
+            value = f"rack {vm.rack} in zone {vm.zone}"
+            accepted = f"zone {zone}, which holds the rack's other VMs"
+            problems.append(Problem(f"vms.{vm.name}.rack", value, accepted))
+    return problems
+
+
+def _check_budgets(
+    state: FleetState,
+    result: FleetState,
+    ticket: Ticket,
+    members: dict[str, list[VirtualMachine]],
+) -> list[Problem]:
+    touched = {vm.pool for vm in ticket.vms.values() if vm}
+    touched |= {state.vms[name].pool for name in ticket.vms if name in state.vms}
+    touched |= set(ticket.budgets)
+    problems: list[Problem] = []
+    for pool in sorted(touched & set(result.budgets)):
+        budget = result.budgets[pool]
+        problems += _check_budget(budget, len(members.get(pool, [])))
+    return problems
+
+
+def _check_budget(budget: AvailabilityBudget, count: int) -> list[Problem]:
+    problems = []
+    for field in ("min_available", "max_unavailable"):
+        value = getattr(budget, field)
+        if value > count:
+            seen = f"{value}, but the pool has {count} VMs after this ticket"
+            accepted = f"at most {count}, or at least {value} VMs in the pool"
+            problems.append(Problem(f"budgets.{budget.pool}.{field}", seen, accepted))
+    return problems
--- /dev/null
+++ b/src/sesameladder/tickets/_compaction.py
@@ -0,0 +1,95 @@
+"""Compaction: old archive entries move into bundles, old snapshots go.
+
+A block's archive entries are deleted only after all its bundles were read
+back, so each number is readable after a crash at any step. Every write is a
+create of a value that all compactors derive from the same tickets, so racing
+compactors do no harm.
+"""
+
+from dataclasses import dataclass
+
+from sesameladder.tickets._access import StoreAccess, read_counter
+from sesameladder.tickets._bundles import (
+    MAX_PLAIN_BYTES,
+    Bundle,
+    build_bundle_key,
+    find_block_end,
+    read_bundle,
+)
+from sesameladder.tickets._reader import LogReader
+from sesameladder.tickets._records import (
+    COMPACTED_KEY,
+    SNAPSHOT_INTERVAL,
+    TicketLogCorrupt,
+    build_snapshot_key,
+    build_ticket_key,
+)
+
+# Recent tickets stay single, because lagging instances read them one by one.
+KEPT_TICKETS = 2 * SNAPSHOT_INTERVAL
+
+
+@dataclass(frozen=True, slots=True)
+class Compactor:
+    """Bundles the tickets that are older than the latest snapshot."""
+
+    reader: LogReader
+    """Reads tickets and snapshots."""
+
+    access: StoreAccess
+    """Store calls."""
+
+    def compact(self) -> int:
+        """Bundle all old blocks; returns how many tickets were bundled."""
+        head = self.reader.read_head()
+        newest = self.reader.find_snapshot(head.number).number
+        limit = min(head.number - KEPT_TICKETS, newest - 1)
+        done = read_counter(self.access.read(COMPACTED_KEY))
+        first = done + 1
+        while find_block_end(first) <= limit:
+            self._bundle_block(first)
+            first = find_block_end(first) + 1
+        return first - done - 1
+
+    def _bundle_block(self, first: int) -> None:
+        last = find_block_end(first)
+        number = first
+        while number <= last:
+            number = self._ensure_bundle(number, last) + 1
+        for archived in range(first, last + 1):
+            self.access.remove(build_ticket_key(archived))
+        self.access.remove(build_snapshot_key(last))
+        self.access.raise_counter(COMPACTED_KEY, last)
+
+    def _ensure_bundle(self, first: int, last: int) -> int:
+        """Create the bundle that starts at a number; returns its last number."""
+        bundle = read_bundle(self.access, first)
+        if bundle is None:
+            bundle = self._create_bundle(first, last)
+        return bundle.last
+
+    def _create_bundle(self, first: int, last: int) -> Bundle:
+        filled = self._fill_bundle(first, last)
+        key = build_bundle_key(first)
+        if filled is not None:
+            value = self.access.create(key, filled.to_bytes())
+            return Bundle.from_bytes(key, first, value)
+        # Another compactor bundled the block after this one looked for it.
+        bundle = read_bundle(self.access, first)
+        if bundle is None:
+            raise TicketLogCorrupt(f"a ticket from {first} to {last} is absent")
+        return bundle
+
+    def _fill_bundle(self, first: int, last: int) -> Bundle | None:
+        """Return a bundle of archived tickets; None when one is absent."""
+        tickets: dict[int, bytes] = {}
+        size = 0
+        for number in range(first, last + 1):
+            entry = self.access.read(build_ticket_key(number))
+            if entry is None:
+                return None
+            size += len(entry.value)
+            if tickets and size > MAX_PLAIN_BYTES:
+                break
+            tickets[number] = entry.value
+        return Bundle(tickets)
--- /dev/null
+++ b/src/sesameladder/tickets/_filing.py
@@ -0,0 +1,115 @@
+"""Filing of a ticket: one conditional write of the head decides."""
+
+from dataclasses import dataclass
+
+from sesameladder.platform import (
+    PlatformError,
+    StoreAnswerLost,
+    StoreRefused,
+    StoreUnavailable,
+    SwapOutcome,
+    Swapped,
+)
+from sesameladder.tickets._access import SETTLE_ATTEMPTS, StoreAccess
+from sesameladder.tickets._check import check_ticket
+from sesameladder.tickets._outcomes import (
+    Accepted,
+    AlreadyAccepted,
+    FileOutcome,
+    LostRace,
+    NotFiled,
+    Rejected,
+    Unsettled,
+)
+from sesameladder.tickets._problems import Problem
+from sesameladder.tickets._reader import LogReader
+from sesameladder.tickets._records import (
+    HEAD_KEY,
+    Head,
+    TicketLogCorrupt,
+    TicketLogError,
+    TicketLogUnavailable,
+    build_ticket_key,
+    decode_ticket,
+    encode_head,
+)
+from sesameladder.tickets._ticket import Ticket
+
+
+@dataclass(frozen=True, slots=True)
+class Filer:
+    """Files tickets; each outcome is a value, never an exception."""
+
+    reader: LogReader
+    """Reads the log."""
+
+    access: StoreAccess
+    """Store calls."""
+
+    def file_ticket(self, ticket: Ticket) -> FileOutcome:
+        """Check a ticket on the current state and accept it as the next one."""
+        try:
+            head = self.reader.read_head()
+            if ticket.number <= head.number:
+                return self._compare_winner(ticket, AlreadyAccepted(ticket.number))
+            state = self.reader.load_state(head, head.number)
+            problems = check_ticket(state, ticket)
+            if problems:
+                return Rejected(tuple(problems))
+            self._archive(head)
+        except TicketLogError as error:
+            return NotFiled(str(error))
+        return self._swap_head(head, ticket)
+
+    def _archive(self, head: Head) -> None:
+        if head.ticket is None:
+            return
+        key = build_ticket_key(head.number)
+        standing = self.access.create(key, head.ticket.to_bytes())
+        if decode_ticket(standing, key).digest != head.digest:
+            raise TicketLogCorrupt(f"{key}: differs from the accepted ticket")
+
+    def _swap_head(self, head: Head, ticket: Ticket) -> FileOutcome:
+        try:
+            outcome = self._send(head, ticket)
+        except StoreRefused as error:
+            return Rejected((Problem("ticket", str(error), "what the store takes"),))
+        except StoreUnavailable as error:
+            return NotFiled(str(error))
+        except StoreAnswerLost as error:
+            return self._settle(head, ticket, str(error))
+        if isinstance(outcome, Swapped):
+            return Accepted(ticket.number)
+        try:
+            return self._compare_winner(ticket, AlreadyAccepted(ticket.number))
+        except TicketLogError as error:
+            return NotFiled(f"another ticket has the number; {error}")
+
+    def _settle(self, head: Head, ticket: Ticket, reason: str) -> FileOutcome:
+        """Find out whether a write whose answer was lost took effect.
+
+        While the head is unchanged, the write may still arrive late. Sending
+        the same conditional write again settles that: it succeeds, or the
+        head has changed.
+        """
+        for attempt in range(SETTLE_ATTEMPTS):
+            self.access.wait(attempt)
+            try:
+                if self.reader.read_head().number >= ticket.number:
+                    return self._compare_winner(ticket, Accepted(ticket.number))
+                if isinstance(self._send(head, ticket), Swapped):
+                    return Accepted(ticket.number)
+            except (TicketLogError, PlatformError) as error:
+                reason = str(error)
+        return Unsettled(reason)
+
+    def _send(self, head: Head, ticket: Ticket) -> SwapOutcome:
+        return self.access.store.compare_and_swap(
+            HEAD_KEY, head.revision, encode_head(ticket)
+        )
+
+    def _compare_winner(self, ticket: Ticket, if_equal: FileOutcome) -> FileOutcome:
+        winner = self.reader.read_ticket(ticket.number)
+        if winner is None:
+            raise TicketLogUnavailable(f"ticket {ticket.number} can't be read back")
+        return if_equal if winner.digest == ticket.digest else LostRace(winner)
--- /dev/null
+++ b/src/sesameladder/tickets/_fold.py
@@ -0,0 +1,27 @@
+"""Folding of tickets into the state that results from them."""
+
+from typing import Any
+
+from sesameladder.model import FleetState
+from sesameladder.tickets._sections import SECTIONS
+from sesameladder.tickets._ticket import Ticket
+
+
+def fold_ticket(state: FleetState, ticket: Ticket) -> FleetState:
+    """Return the state after a ticket; the given state stays unchanged."""
+    changed = {
+        section.state_attribute: _replace_objects(
+            getattr(state, section.state_attribute), getattr(ticket, section.name)
+        )
+        for section in SECTIONS
+    }
+    return FleetState(number=ticket.number, **changed)
+
+
+def _replace_objects(
+    objects: dict[str, Any], changes: dict[str, Any]
+) -> dict[str, Any]:
+    if not changes:
+        return objects
+    merged = {**objects, **changes}
+    return {name: item for name, item in merged.items() if item is not None}
--- /dev/null
+++ b/src/sesameladder/tickets/_log.py
@@ -0,0 +1,71 @@
+"""The ticket log: filing, reading, snapshots and compaction."""
+
+import time
+from collections.abc import Callable
+
+from sesameladder.model import FleetState
+from sesameladder.platform import Store
+from sesameladder.tickets._access import StoreAccess
+from sesameladder.tickets._compaction import Compactor
+from sesameladder.tickets._filing import Filer
+from sesameladder.tickets._outcomes import FileOutcome
+from sesameladder.tickets._reader import LogReader
+from sesameladder.tickets._records import (
+    SNAPSHOT_INTERVAL,
+    Head,
+    build_snapshot_key,
+)
+from sesameladder.tickets._state_codec import encode_state
+from sesameladder.tickets._ticket import Ticket
+
+
+class TicketLog:
+    """The tickets of a store.
+
+    Reads raise ``TicketLogUnavailable`` while the store can't be reached and
+    ``TicketLogCorrupt`` when a value in it is malformed.
+    """
+
+    __slots__ = ("access", "compactor", "filer", "reader")
+
+    def __init__(
+        self, store: Store, pause: Callable[[float], None] = time.sleep
+    ) -> None:
+        self.access = StoreAccess(store, pause)
+        self.reader = LogReader(self.access)
+        self.filer = Filer(self.reader, self.access)
+        self.compactor = Compactor(self.reader, self.access)
+
+    def file_ticket(self, ticket: Ticket) -> FileOutcome:
+        """File a ticket under its number; never raises for the store's faults."""
+        return self.filer.file_ticket(ticket)
+
+    def read_head(self) -> Head:
+        """Return the latest accepted ticket; number 0 before the first."""
+        return self.reader.read_head()
+
+    def read_ticket(self, number: int) -> Ticket | None:
+        """Return an accepted ticket; None when the number isn't taken."""
+        return self.reader.read_ticket(number)
+
+    def list_history(self, start: int, count: int) -> list[Ticket]:
+        """Return up to ``count`` tickets in order, from number ``start``."""
+        return self.reader.list_history(start, count)
+
+    def load_state(self) -> FleetState:
+        """Return the state after the latest accepted ticket."""
+        head = self.reader.read_head()
+        return self.reader.load_state(head, head.number)
+
+    def write_snapshot(self) -> int:
+        """Write the latest due snapshot if absent; returns its number or 0."""
+        head = self.reader.read_head()
+        number = head.number // SNAPSHOT_INTERVAL * SNAPSHOT_INTERVAL
+        if number and self.reader.read_snapshot(number) is None:
+            state = self.reader.load_state(head, number)
+            self.access.create(build_snapshot_key(number), encode_state(state))
+        return number
+
+    def compact(self) -> int:
+        """Bundle old archive entries; returns how many tickets were bundled."""
+        return self.compactor.compact()
--- /dev/null
+++ b/src/sesameladder/tickets/_parse.py
@@ -0,0 +1,75 @@
+"""Reading of a ticket's JSON into rows, with a problem for each fault."""
+
+import json
+from difflib import get_close_matches
+from typing import Any
+
+from pydantic import TypeAdapter, ValidationError
+from pydantic_core import ErrorDetails
+
+from sesameladder.platform import MAX_VALUE_BYTES
+from sesameladder.tickets._json import check_json
+from sesameladder.tickets._problems import Problem, TicketInvalid, shorten_value
+from sesameladder.tickets._rows import NAME_RULE, TicketRow
+from sesameladder.tickets._sections import SECTIONS
+
+# The envelope is the head's number and digest, and the framing of a bundle.
+ENVELOPE_BYTES = 1_024
+MAX_TICKET_BYTES = MAX_VALUE_BYTES - ENVELOPE_BYTES
+# Allows white space and escapes that the canonical form doesn't have.
+MAX_RAW_BYTES = 4 * MAX_VALUE_BYTES
+MAX_PROBLEMS = 50
+
+TICKET_ADAPTER = TypeAdapter(TicketRow)
+ROW_BY_SECTION = {section.name: section.row for section in SECTIONS}
+
+
+def read_ticket_row(raw: bytes) -> TicketRow:
+    """Return the checked rows of a ticket; raises ``TicketInvalid``."""
+    if len(raw) > MAX_RAW_BYTES:
+        accepted = f"at most {MAX_RAW_BYTES} bytes of JSON"
+        raise TicketInvalid((Problem("ticket", f"{len(raw)} bytes", accepted),))
+    check_json(raw)
+    try:
+        return TICKET_ADAPTER.validate_json(raw)
+    except ValidationError as error:
+        details = error.errors(include_url=False)[:MAX_PROBLEMS]
+        raise TicketInvalid(tuple(_describe(item) for item in details)) from error
+
+
+def _describe(error: ErrorDetails) -> Problem:
+    location = error["loc"]
+    path = ".".join(shorten_value(str(part)) for part in location) or "ticket"
+    if error["type"] in ("unexpected_keyword_argument", "extra_forbidden"):
+        return Problem(path, "an unknown key", _describe_keys(location))
+    if error["type"] in ("missing", "missing_argument"):
+        return Problem(path, "nothing", _describe_field(location))
+    value = shorten_value(json.dumps(error["input"], ensure_ascii=False, default=str))
+    if location[-1:] == ("[key]",):
+        return Problem(path.removesuffix(".[key]"), value, NAME_RULE)
+    return Problem(path, value, _describe_field(location) or error["msg"])
+
+
+def _describe_keys(location: tuple[int | str, ...]) -> str:
+    row = _find_row(location[:-1])
+    names = list(row.__pydantic_fields__)
+    near = get_close_matches(str(location[-1]), names, n=1)
+    hint = f"{near[0]!r} may be meant; " if near else ""
+    return f"{hint}the keys {', '.join(names)}"
+
+
+def _describe_field(location: tuple[int | str, ...]) -> str:
+    if not location:
+        return "an object with number, author, reason and the changed sections"
+    if len(location) == 2:
+        return "an object with the complete new state, or null to remove it"
+    parent = 1 if len(location) < 2 else 3
+    row = _find_row(location[: parent - 1])
+    field = row.__pydantic_fields__.get(str(location[parent - 1]))
+    return (field.description or "") if field else ""
+
+
+def _find_row(location: tuple[int | str, ...]) -> Any:
+    if not location:
+        return TicketRow
+    return ROW_BY_SECTION.get(str(location[0]), TicketRow)
--- /dev/null
+++ b/src/sesameladder/tickets/_reader.py
@@ -0,0 +1,92 @@
+"""Reading of the ticket log: head, single tickets, history and folded state."""
+
+from dataclasses import dataclass
+
+from sesameladder.model import FleetState
+from sesameladder.tickets._access import StoreAccess
+from sesameladder.tickets._bundles import BundleReader
+from sesameladder.tickets._fold import fold_ticket
+from sesameladder.tickets._records import (
+    HEAD_KEY,
+    SNAPSHOT_INTERVAL,
+    Head,
+    TicketLogCorrupt,
+    build_snapshot_key,
+    build_ticket_key,
+    decode_head,
+    decode_ticket,
+)
+from sesameladder.tickets._state_codec import StateMalformed, decode_state
+from sesameladder.tickets._ticket import Ticket
+
+MAX_HISTORY = 1_000
+
+
+@dataclass(frozen=True, slots=True)
+class LogReader:
+    """Reads the log; raises ``TicketLogUnavailable`` or ``TicketLogCorrupt``."""
+
+    access: StoreAccess
+    """Store calls."""
+
+    def read_head(self) -> Head:
+        """Return the latest accepted ticket; number 0 before the first."""
+        return decode_head(self.access.read(HEAD_KEY))
+
+    def read_ticket(self, number: int) -> Ticket | None:
+        """Return an accepted ticket; None when the number isn't taken."""
+        head = self.read_head()
+        if not 1 <= number <= head.number:
+            return None
+        return self.read_below(head, number, BundleReader(self.access))
+
+    def read_below(self, head: Head, number: int, bundles: BundleReader) -> Ticket:
+        """Return the ticket of a number that is at most the head's."""
+        if number == head.number and head.ticket is not None:
+            return head.ticket
+        key = build_ticket_key(number)
+        entry = self.access.read(key)
+        raw = entry.value if entry else bundles.read(number)
+        ticket = decode_ticket(raw, key)
+        if ticket.number != number:
+            raise TicketLogCorrupt(f"{key}: holds ticket {ticket.number}")
+        return ticket
+
+    def list_history(self, start: int, count: int) -> list[Ticket]:
+        """Return up to ``count`` tickets in order, from number ``start``."""
+        head = self.read_head()
+        first = max(1, start)
+        last = min(head.number, first + min(count, MAX_HISTORY) - 1)
+        bundles = BundleReader(self.access)
+        return [self.read_below(head, n, bundles) for n in range(first, last + 1)]
+
+    def load_state(self, head: Head, number: int) -> FleetState:
+        """Return the state after a ticket that is at most the head's."""
+        state = self.find_snapshot(number)
+        bundles = BundleReader(self.access)
+        for following in range(state.number + 1, number + 1):
+            state = fold_ticket(state, self.read_below(head, following, bundles))
+        return state
+
+    def find_snapshot(self, number: int) -> FleetState:
+        """Return the latest snapshot up to a number; the empty state if none."""
+        latest = number // SNAPSHOT_INTERVAL * SNAPSHOT_INTERVAL
+        for candidate in range(latest, 0, -SNAPSHOT_INTERVAL):
+            state = self.read_snapshot(candidate)
+            if state is not None:
+                return state
+        return FleetState()
+
+    def read_snapshot(self, number: int) -> FleetState | None:
+        """Return one snapshot; None when it is absent."""
+        key = build_snapshot_key(number)
+        entry = self.access.read(key)
+        if entry is None:
+            return None
+        try:
+            state = decode_state(entry.value)
+        except StateMalformed as error:
+            raise TicketLogCorrupt(f"{key}: {error}") from error
+        if state.number != number:
+            raise TicketLogCorrupt(f"{key}: holds the state after {state.number}")
+        return state
--- /dev/null
+++ b/src/sesameladder/tickets/_records.py
@@ -0,0 +1,96 @@
+"""Keys and values of the ticket log in the platform's store."""
+
+import json
+from dataclasses import dataclass
+
+from sesameladder.platform import StoreEntry
+from sesameladder.tickets._json import encode_json
+from sesameladder.tickets._problems import TicketInvalid
+from sesameladder.tickets._ticket import Ticket
+
+HEAD_KEY = "config/head"
+TICKET_PREFIX = "config/tickets/"
+SNAPSHOT_PREFIX = "config/snapshots/"
+BUNDLE_PREFIX = "config/bundles/"
+COMPACTED_KEY = "config/compacted"
+SNAPSHOT_INTERVAL = 64
+
+
+class TicketLogError(Exception):
+    """Base class of the ticket log's errors."""
+
+
+class TicketLogUnavailable(TicketLogError):
+    """The store can't be reached, or its answer stays lost."""
+
+
+class TicketLogRefused(TicketLogError):
+    """The store rejects a write, for example over its size limit."""
+
+
+class TicketLogCorrupt(TicketLogError):
+    """A value in the store is missing or malformed."""
+
+
+@dataclass(frozen=True, slots=True)
+class Head:
+    """The latest accepted ticket."""
+
+    number: int
+    """Number of the ticket; 0 before the first."""
+
+    digest: str
+    """Digest of the ticket; empty before the first."""
+
+    ticket: Ticket | None
+    """The ticket; None before the first."""
+
+    revision: int
+    """The store's revision of the head; 0 while it is absent."""
+
+
+EMPTY_HEAD = Head(0, "", None, 0)
+
+
+def encode_head(ticket: Ticket) -> bytes:
+    """Return the head's value for a ticket."""
+    return encode_json(
+        {"number": ticket.number, "digest": ticket.digest, "ticket": ticket.to_json()}
+    )
+
+
+def decode_head(entry: StoreEntry | None) -> Head:
+    """Return the head of a store entry; raises ``TicketLogCorrupt``."""
+    if entry is None:
+        return EMPTY_HEAD
+    number, digest, raw = _split_head(entry.value)
+    ticket = decode_ticket(raw, HEAD_KEY)
+    if ticket.number != number or ticket.digest != digest:
+        raise TicketLogCorrupt(f"{HEAD_KEY}: number or digest differ from its ticket")
+    return Head(number, digest, ticket, entry.revision)
+
+
+def decode_ticket(raw: bytes, key: str) -> Ticket:
+    """Return a stored ticket; raises ``TicketLogCorrupt``."""
+    try:
+        return Ticket.from_bytes(raw)
+    except TicketInvalid as error:
+        raise TicketLogCorrupt(f"{key}: {error}") from error
+
+
+def build_ticket_key(number: int) -> str:
+    """Return the key of an archived ticket."""
+    return f"{TICKET_PREFIX}{number}"
+
+
+def build_snapshot_key(number: int) -> str:
+    """Return the key of the folded state after a ticket."""
+    return f"{SNAPSHOT_PREFIX}{number}"
+
+
+def _split_head(value: bytes) -> tuple[object, object, bytes]:
+    try:
+        form = json.loads(value)
+        return form["number"], form["digest"], encode_json(form["ticket"])
+    except (ValueError, KeyError, TypeError, RecursionError) as error:
+        raise TicketLogCorrupt(f"{HEAD_KEY}: {error!r}") from error
--- /dev/null
+++ b/src/sesameladder/tickets/_sections.py
@@ -0,0 +1,73 @@
+"""The sections of a ticket and the conversion of their objects."""
+
+from dataclasses import dataclass, fields
+from typing import Any
+
+from sesameladder.model import (
+    AvailabilityBudget,
+    MaintenanceWave,
+    Pool,
+    Team,
+    VirtualMachine,
+)
+from sesameladder.tickets._rows import BudgetRow, PoolRow, TeamRow, VmRow, WaveRow
+
+
+@dataclass(frozen=True, slots=True)
+class Section:
+    """One kind of object in a ticket."""
+
+    name: str
+    """Key in the ticket's JSON and attribute of ``Ticket``."""
+
+    state_attribute: str
+    """Attribute of ``FleetState`` that holds the objects."""
+
+    row: type
+    """JSON form of an object, without its name."""
+
+    model: type
+    """Class of the object in the fleet's model."""
+
+    key_field: str
+    """Field of the model that holds the object's name."""
+
+    row_fields: tuple[str, ...]
+    """Names of the fields that the JSON form has."""
+
+    def build_object(self, name: str, row: Any) -> Any:
+        """Return the model object of a row."""
+        values = {field: getattr(row, field) for field in self.row_fields}
+        return self.model(**{self.key_field: name}, **values)
+
+    def build_objects(self, rows: dict[str, Any]) -> dict[str, Any]:
+        """Return the model objects of a section; None marks a removal."""
+        return {
+            name: None if row is None else self.build_object(name, row)
+            for name, row in rows.items()
+        }
+
+    def encode_objects(self, objects: dict[str, Any]) -> dict[str, Any]:
+        """Return the JSON form of a section's objects."""
+        return {
+            name: None if item is None else self.encode_object(item)
+            for name, item in objects.items()
+        }
+
+    def encode_object(self, item: Any) -> dict[str, Any]:
+        """Return the JSON form of one object."""
+        return {field: getattr(item, field) for field in self.row_fields}
+
+
+def _define(name: str, state: str, row: type, model: type, key: str) -> Section:
+    names = tuple(field.name for field in fields(row))
+    return Section(name, state, row, model, key, names)
+
+
+SECTIONS = (
+    _define("pools", "pools", PoolRow, Pool, "name"),
+    _define("vms", "vms", VmRow, VirtualMachine, "name"),
+    _define("budgets", "budgets", BudgetRow, AvailabilityBudget, "pool"),
+    _define("teams", "teams", TeamRow, Team, "name"),
+    _define("maintenance", "waves", WaveRow, MaintenanceWave, "id"),
+)
--- /dev/null
+++ b/src/sesameladder/tickets/tests/samples.py
@@ -0,0 +1,66 @@
+"""Sample tickets for the tests of the ticket log and its users."""
+
+import json
+from copy import deepcopy
+
+from sesameladder.platform import FakeStore
+from sesameladder.tickets import SNAPSHOT_INTERVAL, Ticket, TicketLog, parse_ticket
+
+BASE = {
+    "number": 1,
+    "author": "mara",
+    "reason": "first fleet",
+    "pools": {"caps": {"service": "caps"}, "desk": {"service": "desk", "spare": True}},
+    "vms": {
+        f"w{n}": {
+            "pool": "caps" if n < 6 else "desk",
+            "zone": "a",
+            "rack": "a1" if n % 6 < 4 else "a2",
+            "address": f"10.0.0.{n + 1}:8080",
+        }
+        for n in range(12)
+    },
+    "budgets": {
+        "caps": {"min_available": 4, "max_unavailable": 2},
+        "desk": {"min_available": 3, "max_unavailable": 1},
+    },
+    "teams": {"fitters": {"weight": 3, "share_cap": 0.5, "urgent_allowed": True}},
+}
+
+
+def build_form(**changes) -> dict:
+    """Return a copy of the first ticket's JSON form with changed keys."""
+    return {**deepcopy(BASE), **changes}
+
+
+def build_follower(number: int, author: str = "mara", **sections) -> Ticket:
+    """Return a small ticket that changes the team's weight, or given sections."""
+    form = {"number": number, "author": author, "reason": f"change {number}"}
+    form |= sections or {"teams": {"fitters": {"weight": number}}}
+    return read_form(form)
+
+
+def read_form(form: dict) -> Ticket:
+    """Return the ticket of a JSON form."""
+    return parse_ticket(json.dumps(form).encode())
+
+
+def create_log(store=None) -> TicketLog:
+    """Return a log whose pauses take no time."""
+    return TicketLog(store or create_store(), pause=lambda seconds: None)
+
+
+def create_store() -> FakeStore:
+    """Return an empty store with a stopped clock."""
+    return FakeStore(lambda: 0.0)
+
+
+def create_filled_log(count: int = 1, store=None) -> TicketLog:
+    """Return a log that has accepted the first ticket and its followers."""
+    log = create_log(store)
+    log.file_ticket(read_form(BASE))
+    for number in range(2, count + 1):
+        log.file_ticket(build_follower(number))
+        if number % SNAPSHOT_INTERVAL == 0:
+            log.write_snapshot()
+    return log
--- /dev/null
+++ b/src/sesameladder/tickets/tests/test_log.py
@@ -0,0 +1,51 @@
+"""The ticket log accepts one ticket per number and keeps all of them readable."""
+
+from sesameladder.tickets import (
+    Accepted,
+    AlreadyAccepted,
+    LostRace,
+    decode_state,
+    encode_state,
+)
+from sesameladder.tickets.tests.samples import (
+    BASE,
+    build_follower,
+    create_filled_log,
+    create_log,
+    create_store,
+    read_form,
+)
+
+
+def test_filing_twice_reports_already_accepted() -> None:
+    """Guards against a repeated filing that is refused or accepted again."""
+    log = create_log()
+    assert log.file_ticket(read_form(BASE)) == Accepted(1)
+    assert log.file_ticket(read_form(BASE)) == AlreadyAccepted(1)
+
+
+def test_racing_operators_see_one_winner() -> None:
+    """Guards against two tickets that are both accepted under one number."""
+    store = create_store()
+    first = create_filled_log(1, store)
+    second = create_log(store)
+    winner = build_follower(2, "mara")
+    assert first.file_ticket(winner) == Accepted(2)
+    assert second.file_ticket(build_follower(2, "ines")) == LostRace(winner)
+    assert second.read_head().ticket == winner
+
+
+def test_500_tickets_stay_readable_after_compaction() -> None:
+    """Guards against numbers that vanish between archive and bundle."""
+    store = create_store()
+    log = create_filled_log(500, store)
+    before = log.list_history(1, 500)
+    state = log.load_state()
+    assert log.write_snapshot() == 448
+    assert log.compact() == 320
+    assert log.compact() == 0
+    assert log.list_history(1, 500) == before
+    assert [log.read_ticket(n).number for n in range(1, 501)] == list(range(1, 501))
+    assert log.load_state() == state == decode_state(encode_state(state))
+    archived = [key for key in store.entries if key.startswith("config/tickets/")]
+    assert len(archived) == 499 - 320
