Add the cell dispatcher

Cause: forwarders need one queue per cell that grants worker slots. Change: slots, waiting queue, run-time estimates, fair shares, leaving marks, retries, outlier ejection, recovery and preemption as plain objects with an injected clock and random source.

--- /dev/null
+++ b/src/sesameladder/dispatch/_config.py
@@ -0,0 +1,87 @@
+"""Settings of one cell's dispatcher."""
+
+from dataclasses import dataclass
+
+from sesameladder.model import Pool
+
+
+@dataclass(frozen=True, slots=True)
+class DispatcherConfig:
+    """Limits and policy parameters of one cell's dispatcher."""
+
+    queue_limit: int = 512
+    """Demands that may wait; resumed jobs are not counted against it."""
+
+    wait_limit_ms: float = 10_000.0
+    """Longest wait of a demand, in milliseconds."""
+
+    task_lease_s: float = 3.0
+    """Lease of a task on a worker, and length of the recovery, in seconds."""
+
+    start_by_s: float = 1.0
+    """Time in seconds within which a forwarder uses a grant or returns it."""
+
+    long_factor: float = 8.0
+    """Run time, in medians of the cell, from which work counts as long."""
+
+    default_run_ms: float = 200.0
+    """Run time assumed for the cell before anything was observed."""
+
+    aging_factor: float = 4.0
+    """Seconds of waiting that outweigh one second of expected run time."""
+
+    long_share: float = 0.5
+    """Largest share of the slots that long work may hold."""
+
+    long_floor_share: float = 0.125
+    """Share of the slots that waiting long work gets before short work."""
+
+    short_headroom: float = 1.5
+    """Slots kept free for short work, in square roots of its mean use."""
+
+    load_window_s: float = 20.0
+    """Time constant of the mean slot use by work class, in seconds."""
+
+    preempt_min_run_s: float = 0.5
+    """Time in seconds for which a grant is not preempted for short work."""
+
+    throttle_after_s: float = 1.0
+    """Wait of short work, in seconds, from which stragglers are throttled."""
+
+    throttle_share: float = 0.5
+    """Share of its slot that a throttled straggler gets."""
+
+    retry_ratio: float = 0.1
+    """Retries per first attempt."""
+
+    retry_burst: float = 10.0
+    """Retries that can be saved up."""
+
+    never_runs_workers: int = 3
+    """Distinct workers on which a job fails before it counts as unrunnable."""
+
+    ejection_failures: int = 3
+    """Consecutive failures after which a worker is ejected."""
+
+    ejection_share: float = 1 / 3
+    """Largest share of the cell's workers that is ejected (at least one)."""
+
+    probe_delay_s: float = 1.0
+    """Delay in seconds before the first probe of an ejected worker."""
+
+    probe_delay_limit_s: float = 60.0
+    """Longest delay in seconds between probes."""
+
+    refusal_hold_s: float = 5.0
+    """Time in seconds for which a worker's own leaving refusal counts."""
+
+    full_hold_s: float = 0.5
+    """Time in seconds without grants after a worker refused as full."""
+
+    @classmethod
+    def from_pool(cls, pool: Pool) -> "DispatcherConfig":
+        """Return the settings of a pool's cells."""
+        return cls(
+            queue_limit=pool.queue_limit,
+            wait_limit_ms=float(pool.wait_limit_ms),
+        )
--- /dev/null
+++ b/src/sesameladder/dispatch/_dispatcher.py
@@ -0,0 +1,321 @@
+"""The dispatcher of one cell: one pool's workers in one availability zone."""
+
+from dataclasses import dataclass
+from random import Random
+
+from sesameladder.dispatch._admission import Admission
+from sesameladder.dispatch._cell import CellState
+from sesameladder.dispatch._config import DispatcherConfig
+from sesameladder.dispatch._dump import dump_cell
+from sesameladder.dispatch._forwarders import Forwarders
+from sesameladder.dispatch._grants import Grant
+from sesameladder.dispatch._long_work import LongWork
+from sesameladder.dispatch._outcomes import Outcomes
+from sesameladder.dispatch._placement import Placement
+from sesameladder.dispatch._queue import WaitingDemand
+from sesameladder.dispatch._recovery import Recovery
+from sesameladder.dispatch._types import (
+    Decision,
+    Demand,
+    Granted,
+    GrantOutcome,
+    LeavingSource,
+    OutstandingGrant,
+    Queued,
+    RefusalReason,
+    Refused,
+    WorkClass,
+    WorkerSpec,
+)
+from sesameladder.dispatch._workers import Worker
+from sesameladder.model import Team
+
+
+@dataclass(frozen=True, slots=True)
+class HandOver:
+    """What a dispatcher passes on when it stops."""
+
+    outstanding: list[OutstandingGrant]
+    """Grants that are not released yet."""
+
+    queued: list[str]
+    """Ids of the demands that waited; forwarders submit them again."""
+
+
+class Dispatcher:
+    """Queues demands and grants the slots of the cell's workers.
+
+    All times are seconds of one monotonic clock, passed in as ``now``. The
+    object is not safe to share by threads. ``grant_prefix`` must differ
+    between the lives of the cell's dispatchers.
+    """
+
+    __slots__ = (
+        "admission",
+        "cell",
+        "forwarders",
+        "grant_prefix",
+        "granted",
+        "handed_over",
+        "long_work",
+        "outcomes",
+        "placement",
+        "recovery",
+    )
+
+    def __init__(
+        self, config: DispatcherConfig, random: Random, grant_prefix: str = ""
+    ) -> None:
+        self.cell = CellState.create(config, random)
+        self.admission = Admission(self.cell)
+        self.forwarders = Forwarders()
+        self.long_work = LongWork(self.cell)
+        self.placement = Placement(self.cell, self.long_work)
+        self.outcomes = Outcomes(self.cell)
+        self.recovery = Recovery(self.cell)
+        self.grant_prefix = grant_prefix
+        self.granted = 0
+        self.handed_over = False
+
+    def update_teams(self, teams: dict[str, Team]) -> None:
+        """Replace the teams and their quotas."""
+        self.cell.teams = dict(teams)
+
+    def submit(self, demand: Demand, now: float) -> Queued | Refused:
+        """Queue a demand or refuse it at once; resubmission changes nothing."""
+        if self.handed_over:
+            return self.admission.refuse(demand, RefusalReason.HANDED_OVER)
+        if self.forwarders.is_stale(demand.forwarder, demand.incarnation):
+            return self.admission.refuse(demand, RefusalReason.FORWARDER_GONE)
+        if self.forwarders.sees_new_life(demand.forwarder, demand.incarnation):
+            self.forget_forwarder(demand.forwarder, demand.incarnation - 1, now)
+        if demand.demand_id in self.cell.queue.by_id:
+            return Queued(demand.demand_id, 0.0)
+        work_class = self._classify(demand)
+        refused = self._check(demand, work_class, now)
+        if refused is not None:
+            return refused
+        return self._enqueue(demand, work_class, now)
+
+    def poll(self, now: float) -> list[Decision]:
+        """Return the decisions that are due."""
+        if self.handed_over:
+            return []
+        self._advance(now)
+        decisions = self._refuse_expired(now)
+        if self.recovery.is_over(now):
+            for item, worker in self.placement.matches(now):
+                decisions.append(self._grant(item, worker, now))
+            self.long_work.update(now)
+            decisions.extend(self.long_work.order_relief(now))
+        return decisions
+
+    def release(self, grant_id: str, outcome: GrantOutcome, now: float) -> bool:
+        """End a grant; False when it is not outstanding (late or repeated)."""
+        grant = self.cell.grants.by_id.get(grant_id)
+        if grant is None:
+            self.recovery.note_release(grant_id, now)
+            return False
+        self.outcomes.record(grant, outcome, now)
+        self._free(grant, now)
+        return True
+
+    def cancel(self, demand_id: str, now: float) -> bool:
+        """Remove a waiting demand; False when it doesn't wait."""
+        removed = self.cell.queue.remove(demand_id) is not None
+        self.long_work.update(now)
+        return removed
+
+    def update_workers(self, workers: list[WorkerSpec], now: float) -> None:
+        """Replace the list of the cell's workers."""
+        before = set(self.cell.workers.by_vm)
+        self.cell.workers.update(workers, now)
+        for vm in before - {spec.vm for spec in workers}:
+            self.cell.outliers.forget(vm)
+        for worker in self.cell.workers.by_vm.values():
+            worker.held = len(self.cell.grants.by_vm.get(worker.spec.vm, {}))
+            self.cell.refresh(worker, now)
+
+    def mark_leaving(self, vm: str, source: LeavingSource, now: float) -> None:
+        """Stop granting slots of a VM; the VM need not be listed yet."""
+        self.cell.leaving.mark_leaving(vm, source, now)
+        self._refresh_vm(vm, now)
+
+    def mark_serving(self, vm: str, source: LeavingSource, now: float) -> None:
+        """Record that a source says that a VM serves."""
+        self.cell.leaving.mark_serving(vm, source, now)
+        self._refresh_vm(vm, now)
+
+    def recover(self, grants: list[OutstandingGrant], now: float) -> None:
+        """Take over reported grants; the first call starts the recovery."""
+        self.recovery.begin(now)
+        for reported in grants:
+            grant = self.recovery.adopt(reported, now)
+            if grant is not None:
+                self._occupy(grant, now)
+
+    def apply_task_reports(self, vm: str, count_running: int, now: float) -> None:
+        """Apply a worker's fresh report of its number of running tasks."""
+        worker = self.cell.workers.by_vm.get(vm)
+        if worker is not None:
+            self.recovery.apply_report(worker, count_running, now)
+            self.cell.refresh(worker, now)
+
+    def workers_to_report(self, now: float) -> list[WorkerSpec]:
+        """Return the workers whose task report is needed now."""
+        return [worker.spec for worker in self.recovery.awaited_workers(now)]
+
+    def forget_forwarder(self, forwarder: str, incarnation: int, now: float) -> None:
+        """Record that a forwarder's lives up to an incarnation are over.
+
+        Its waiting demands are dropped; its slots come back after one lease.
+        """
+        self.forwarders.end(forwarder, incarnation)
+        due = now + self.cell.config.task_lease_s
+        for grant in self.cell.grants.of_forwarder(forwarder, incarnation):
+            self.forwarders.free_at(due, grant.grant_id)
+        for item in list(self.cell.queue.by_id.values()):
+            demand = item.demand
+            if demand.forwarder == forwarder and demand.incarnation <= incarnation:
+                self.cell.queue.remove(demand.demand_id)
+
+    def outstanding(self, vm: str) -> int:
+        """Return the slots of a VM that are in use as far as is known."""
+        worker = self.cell.workers.by_vm.get(vm)
+        unknown = worker.unknown if worker else 0
+        return len(self.cell.grants.by_vm.get(vm, {})) + unknown
+
+    def outstanding_grants(self) -> list[OutstandingGrant]:
+        """Return the grants that are not released yet."""
+        return [grant.to_outstanding() for grant in self.cell.grants.by_id.values()]
+
+    def hand_over(self) -> HandOver:
+        """Stop granting for good and return what is outstanding."""
+        self.handed_over = True
+        return HandOver(self.outstanding_grants(), list(self.cell.queue.by_id))
+
+    def next_wakeup(self, now: float) -> float | None:
+        """Return the next time at which ``poll`` may decide without new events."""
+        if self.handed_over:
+            return None
+        times = [
+            self.cell.queue.next_expiry(),
+            self.forwarders.next_due(),
+            self.long_work.next_check(),
+            self.cell.outliers.next_probe_at() if len(self.cell.queue) else None,
+            self.cell.workers.timers[0][0] if self.cell.workers.timers else None,
+        ]
+        if not self.recovery.is_over(now):
+            times.append(self.recovery.ends_at)
+        return min((time for time in times if time is not None), default=None)
+
+    def dump(self) -> dict[str, object]:
+        """Return the state as a JSON object."""
+        return dump_cell(self.cell, self.granted, self.handed_over)
+
+    def _classify(self, demand: Demand) -> WorkClass:
+        if demand.urgent:
+            return WorkClass.URGENT
+        if demand.resumed or self.cell.estimates.is_long(demand.kind):
+            return WorkClass.LONG
+        return WorkClass.SHORT
+
+    def _check(
+        self, demand: Demand, work_class: WorkClass, now: float
+    ) -> Refused | None:
+        wait = self.admission.estimate_wait_s(work_class)
+        if demand.resumed:
+            return None
+        refused = self.admission.refuse_queue_full(demand)
+        if refused is None:
+            refused = self.admission.refuse_wait(demand, wait, now)
+        if refused is None:
+            refused = self.admission.refuse_retry(demand, now)
+        return refused
+
+    def _enqueue(self, demand: Demand, work_class: WorkClass, now: float) -> Queued:
+        wait = self.admission.estimate_wait_s(work_class)
+        expected = self.outcomes.expected_remaining_ms(demand)
+        config = self.cell.config
+        limit = float("inf") if demand.resumed else now + config.wait_limit_ms / 1000
+        self.cell.queue.push(
+            WaitingDemand(
+                demand=demand,
+                enqueued_at=now,
+                expected_ms=expected,
+                work_class=work_class,
+                key=now + config.aging_factor * expected / 1000,
+                expires_at=min(limit, demand.deadline),
+            )
+        )
+        return Queued(demand.demand_id, wait)
+
+    def _advance(self, now: float) -> None:
+        for grant_id in self.forwarders.take_due(now):
+            grant = self.cell.grants.by_id.get(grant_id)
+            if grant is not None:
+                self._free(grant, now)
+        for worker in self.cell.workers.take_due(now):
+            self.cell.refresh(worker, now)
+        for vm in self.cell.outliers.take_outliers(self.cell.workers.listed, now):
+            self._refresh_vm(vm, now)
+        self.long_work.update(now)
+
+    def _refuse_expired(self, now: float) -> list[Decision]:
+        refused: list[Decision] = []
+        for item in self.cell.queue.expired(now):
+            late = item.demand.deadline <= now
+            reason = RefusalReason.DEADLINE if late else RefusalReason.WAIT_TOO_LONG
+            refused.append(self.admission.refuse(item.demand, reason))
+        return refused
+
+    def _grant(self, item: WaitingDemand, worker: Worker, now: float) -> Granted:
+        demand = item.demand
+        self.granted += 1
+        grant = Grant(
+            grant_id=f"{self.grant_prefix}{self.granted}",
+            demand_id=demand.demand_id,
+            forwarder=demand.forwarder,
+            incarnation=demand.incarnation,
+            vm=worker.spec.vm,
+            team=demand.team,
+            kind=demand.kind,
+            granted_at=now,
+            expected_ms=item.expected_ms,
+            queue_class=item.work_class,
+            checkpointable=demand.checkpointable,
+            long=self._classify(demand) == WorkClass.LONG,
+            failed_before=bool(demand.tried_workers),
+            probe=worker.ejected,
+        )
+        if grant.probe:
+            self.cell.outliers.begin_probe(grant.vm)
+        queue = self.cell.queue.by_class[item.work_class]
+        queue.charge(demand.team, item.expected_ms, self.cell.weight(demand.team))
+        self._occupy(grant, now)
+        spec = worker.spec
+        return Granted(
+            demand.demand_id, grant.grant_id, spec.vm, spec.rack, spec.address
+        )
+
+    def _occupy(self, grant: Grant, now: float) -> None:
+        self.cell.grants.add(grant)
+        self.long_work.started(grant)
+        worker = self.cell.workers.by_vm.get(grant.vm)
+        if worker is not None:
+            worker.held += 1
+            self.cell.workers.refresh(worker, now)
+
+    def _free(self, grant: Grant, now: float) -> None:
+        self.cell.grants.remove(grant.grant_id)
+        self.long_work.ended(grant)
+        worker = self.cell.workers.by_vm.get(grant.vm)
+        if worker is not None:
+            worker.held -= 1
+            self.cell.refresh(worker, now)
+            self.cell.workers.drop_if_unused(worker)
+
+    def _refresh_vm(self, vm: str, now: float) -> None:
+        worker = self.cell.workers.by_vm.get(vm)
+        if worker is not None:
+            self.cell.refresh(worker, now)
--- /dev/null
+++ b/src/sesameladder/dispatch/_estimates.py
@@ -0,0 +1,122 @@
+"""Run times learned by kind of work."""
+
+import math
+from bisect import bisect_left, insort
+from collections import OrderedDict, deque
+from dataclasses import dataclass, field
+
+from sesameladder.dispatch._config import DispatcherConfig
+
+KIND_WINDOW = 33
+CELL_WINDOW = 257
+PRIOR_WEIGHT = 0.5
+MIN_OBSERVATIONS = 3
+MAX_KINDS = 4096
+MIN_RUN_MS = 0.1
+
+
+class RunTimeWindow:
+    """The median of the latest run times."""
+
+    __slots__ = ("latest", "size", "sorted_ms")
+
+    def __init__(self, size: int) -> None:
+        self.size = size
+        self.latest: deque[float] = deque()
+        self.sorted_ms: list[float] = []
+
+    def add(self, run_ms: float) -> None:
+        """Add a run time; the oldest one drops out of a full window."""
+        if len(self.latest) == self.size:
+            del self.sorted_ms[bisect_left(self.sorted_ms, self.latest.popleft())]
+        self.latest.append(run_ms)
+        insort(self.sorted_ms, run_ms)
+
+    def median(self) -> float:
+        """Return the median in milliseconds; the window must not be empty."""
+        return self.sorted_ms[len(self.sorted_ms) // 2]
+
+    def count(self) -> int:
+        """Return the number of run times in the window."""
+        return len(self.latest)
+
+
+@dataclass(slots=True)
+class KindEstimate:
+    """What is known of one kind."""
+
+    window: RunTimeWindow = field(default_factory=lambda: RunTimeWindow(KIND_WINDOW))
+    """Latest run times of completed jobs."""
+
+    lower_bound_ms: float = 0.0
+    """Longest time that a job of a little-known kind has run without an end."""
+
+
+class RunTimeEstimates:
+    """Estimates the run time of a demand from its kind.
+
+    The median is robust against the few jobs that run many times longer.
+    Declared times are wrong by up to ten times, so one counts as half an
+    observation, in the logarithmic scale in which such errors are symmetric.
+    """
+
+    __slots__ = ("cell", "config", "kinds")
+
+    def __init__(self, config: DispatcherConfig) -> None:
+        self.config = config
+        self.cell = RunTimeWindow(CELL_WINDOW)
+        self.kinds: OrderedDict[str, KindEstimate] = OrderedDict()
+
+    def observe(self, kind: str, run_ms: float) -> None:
+        """Record the run time of a job that succeeded."""
+        run_ms = max(run_ms, MIN_RUN_MS)
+        self.cell.add(run_ms)
+        self._entry(kind).window.add(run_ms)
+
+    def observe_running(self, kind: str, running_ms: float) -> None:
+        """Record that a job runs for some time already without an end."""
+        entry = self._entry(kind)
+        entry.lower_bound_ms = max(entry.lower_bound_ms, running_ms)
+
+    def cell_median_ms(self) -> float:
+        """Return the median run time in the cell, in milliseconds."""
+        if self.cell.count() == 0:
+            return self.config.default_run_ms
+        return self.cell.median()
+
+    def long_threshold_ms(self) -> float:
+        """Return the run time from which work counts as long, in milliseconds."""
+        return self.config.long_factor * self.cell_median_ms()
+
+    def expected_ms(self, kind: str, declared_ms: float | None) -> float:
+        """Return the expected run time of a job, in milliseconds."""
+        prior = declared_ms if declared_ms else self.cell_median_ms()
+        prior = max(prior, MIN_RUN_MS)
+        entry = self.kinds.get(kind)
+        if entry is None:
+            return prior
+        count = entry.window.count()
+        if count == 0:
+            return max(prior, entry.lower_bound_ms)
+        total = count * math.log(entry.window.median())
+        total += PRIOR_WEIGHT * math.log(prior)
+        return math.exp(total / (count + PRIOR_WEIGHT))
+
+    def is_long(self, kind: str) -> bool:
+        """Return whether a kind counts as long; unknown kinds count as short."""
+        entry = self.kinds.get(kind)
+        if entry is None:
+            return False
+        if entry.window.count() < MIN_OBSERVATIONS:
+            return entry.lower_bound_ms >= self.long_threshold_ms()
+        return entry.window.median() >= self.long_threshold_ms()
+
+    def _entry(self, kind: str) -> KindEstimate:
+        entry = self.kinds.get(kind)
+        if entry is None:
+            entry = self.kinds[kind] = KindEstimate()
+            if len(self.kinds) > MAX_KINDS:
+                self.kinds.popitem(last=False)
+        else:
+            self.kinds.move_to_end(kind)
+        return entry
--- /dev/null
+++ b/src/sesameladder/dispatch/_grants.py
@@ -0,0 +1,137 @@
+"""Outstanding grants, indexed by forwarder, VM and team."""
+
+from collections import Counter
+from dataclasses import dataclass
+
+from sesameladder.dispatch._types import OutstandingGrant, WorkClass
+
+
+@dataclass(slots=True)
+class Grant:
+    """A slot that a forwarder holds."""
+
+    grant_id: str
+    """Identity of the grant."""
+
+    demand_id: str
+    """Identity of the demand that was granted."""
+
+    forwarder: str
+    """Entry instance that uses the grant."""
+
+    incarnation: int
+    """Incarnation of the forwarder."""
+
+    vm: str
+    """VM whose slot is held."""
+
+    team: str
+    """Team that the slot is charged to."""
+
+    kind: str
+    """Kind of work."""
+
+    granted_at: float
+    """Time of the grant in seconds."""
+
+    expected_ms: float
+    """Expected run time at the time of the grant, in milliseconds."""
+
+    queue_class: WorkClass
+    """Class whose fair share was charged."""
+
+    checkpointable: bool
+    """Whether the job can be checkpointed."""
+
+    long: bool = False
+    """Whether the grant counts as long work."""
+
+    failed_before: bool = False
+    """Whether earlier attempts of the request failed."""
+
+    probe: bool = False
+    """Whether the grant probes an ejected worker."""
+
+    preempted_at: float | None = None
+    """Time of the last preempt order."""
+
+    throttled: bool = False
+    """Whether the task is throttled."""
+
+    def to_outstanding(self) -> OutstandingGrant:
+        """Return the grant as reported to another dispatcher."""
+        return OutstandingGrant(
+            grant_id=self.grant_id,
+            demand_id=self.demand_id,
+            forwarder=self.forwarder,
+            incarnation=self.incarnation,
+            vm=self.vm,
+            team=self.team,
+            kind=self.kind,
+            checkpointable=self.checkpointable,
+        )
+
+
+class GrantTable:
+    """The outstanding grants of the cell."""
+
+    __slots__ = ("by_forwarder", "by_id", "by_vm", "held_by_team", "long_ids")
+
+    def __init__(self) -> None:
+        self.by_id: dict[str, Grant] = {}
+        self.by_forwarder: dict[str, dict[str, Grant]] = {}
+        self.by_vm: dict[str, dict[str, Grant]] = {}
+        self.held_by_team: Counter[str] = Counter()
+        self.long_ids: dict[str, Grant] = {}
+
+    def __len__(self) -> int:
+        return len(self.by_id)
+
+    def add(self, grant: Grant) -> None:
+        """Add a grant."""
+        self.by_id[grant.grant_id] = grant
+        self.by_forwarder.setdefault(grant.forwarder, {})[grant.grant_id] = grant
+        self.by_vm.setdefault(grant.vm, {})[grant.grant_id] = grant
+        self.held_by_team[grant.team] += 1
+        if grant.long:
+            self.long_ids[grant.grant_id] = grant
+
+    def remove(self, grant_id: str) -> Grant | None:
+        """Remove a grant; None when it is not outstanding."""
+        grant = self.by_id.pop(grant_id, None)
+        if grant is None:
+            return None
+        for index, key in (
+            (self.by_forwarder, grant.forwarder),
+            (self.by_vm, grant.vm),
+        ):
+            del index[key][grant_id]
+            if not index[key]:
+                del index[key]
+        self.held_by_team[grant.team] -= 1
+        if not self.held_by_team[grant.team]:
+            del self.held_by_team[grant.team]
+        self.long_ids.pop(grant_id, None)
+        return grant
+
+    def mark_long(self, grant: Grant) -> None:
+        """Count a grant as long work from now on."""
+        grant.long = True
+        self.long_ids[grant.grant_id] = grant
+
+    def on_vm(self, vm: str) -> list[Grant]:
+        """Return the grants on a VM."""
+        return list(self.by_vm.get(vm, {}).values())
+
+    def of_forwarder(self, forwarder: str, incarnation: int) -> list[Grant]:
+        """Return a forwarder's grants up to an incarnation."""
+        grants = self.by_forwarder.get(forwarder, {}).values()
+        return [grant for grant in grants if grant.incarnation <= incarnation]
+
+    def long_held(self) -> int:
+        """Return the number of slots held by long work."""
+        return len(self.long_ids)
+
+    def short_held(self) -> int:
+        """Return the number of slots held by other work."""
+        return len(self.by_id) - len(self.long_ids)
--- /dev/null
+++ b/src/sesameladder/dispatch/_outcomes.py
@@ -0,0 +1,89 @@
+"""What the dispatcher learns from the outcome of a grant."""
+
+from collections import OrderedDict
+
+from sesameladder.dispatch._cell import CellState
+from sesameladder.dispatch._grants import Grant
+from sesameladder.dispatch._types import (
+    Demand,
+    GrantOutcome,
+    LeavingSource,
+    OutcomeKind,
+)
+
+MAX_PROGRESS_ENTRIES = 4096
+FAILURES = (OutcomeKind.FAILED, OutcomeKind.CONNECTION_FAILED)
+
+
+class Outcomes:
+    """Feeds outcomes to estimates, outlier detection and fair shares."""
+
+    __slots__ = ("cell", "progress_ms")
+
+    def __init__(self, cell: CellState) -> None:
+        self.cell = cell
+        self.progress_ms: OrderedDict[str, float] = OrderedDict()
+
+    def record(self, grant: Grant, outcome: GrantOutcome, now: float) -> None:
+        """Record how a grant ended."""
+        ran_ms = outcome.ran_ms
+        self._correct_share(grant, ran_ms)
+        if outcome.kind == OutcomeKind.SUCCEEDED:
+            self._record_success(grant, ran_ms, now)
+        elif outcome.kind in FAILURES:
+            self._record_failure(grant, outcome.kind)
+        elif outcome.kind == OutcomeKind.CHECKPOINTED:
+            self._record_progress(grant, ran_ms)
+        elif outcome.kind == OutcomeKind.NOT_RUN_LEAVING:
+            self.cell.leaving.mark_leaving(grant.vm, LeavingSource.WORKER, now)
+        elif outcome.kind == OutcomeKind.NOT_RUN_FULL:
+            self._hold_full_worker(grant, now)
+        if grant.probe:
+            self._end_probe(grant, outcome.kind, now)
+
+    def expected_remaining_ms(self, demand: Demand) -> float:
+        """Return the expected run time that is left, in milliseconds."""
+        expected = self.cell.estimates.expected_ms(demand.kind, demand.expected_ms)
+        done = self.progress_ms.get(demand.demand_id, 0.0) if demand.resumed else 0.0
+        return max(expected - done, 0.1 * expected)
+
+    def _record_success(self, grant: Grant, ran_ms: float, now: float) -> None:
+        total = ran_ms + self.progress_ms.pop(grant.demand_id, 0.0)
+        self.cell.estimates.observe(grant.kind, total)
+        self.cell.unrunnable.record_success(grant.kind)
+        self.cell.outliers.record_success(grant.vm, now)
+
+    def _record_failure(self, grant: Grant, kind: OutcomeKind) -> None:
+        self.progress_ms.pop(grant.demand_id, None)
+        unrunnable = self.cell.unrunnable
+        job_to_blame = unrunnable.fails_elsewhere(grant.kind, grant.vm)
+        connection = kind == OutcomeKind.CONNECTION_FAILED
+        counts = connection or not (grant.failed_before or job_to_blame)
+        if not connection:
+            unrunnable.record_failure(grant.kind, grant.vm)
+        self.cell.outliers.record_failure(grant.vm, counts)
+
+    def _record_progress(self, grant: Grant, ran_ms: float) -> None:
+        before = self.progress_ms.pop(grant.demand_id, 0.0)
+        self.progress_ms[grant.demand_id] = before + ran_ms
+        if len(self.progress_ms) > MAX_PROGRESS_ENTRIES:
+            self.progress_ms.popitem(last=False)
+
+    def _hold_full_worker(self, grant: Grant, now: float) -> None:
+        worker = self.cell.workers.by_vm.get(grant.vm)
+        if worker is not None:
+            worker.blocked_until = now + self.cell.config.full_hold_s
+            self.cell.workers.refresh_at(worker, worker.blocked_until)
+
+    def _end_probe(self, grant: Grant, kind: OutcomeKind, now: float) -> None:
+        succeeded: bool | None = None
+        if kind == OutcomeKind.SUCCEEDED:
+            succeeded = True
+        elif kind in FAILURES:
+            succeeded = False
+        self.cell.outliers.end_probe(grant.vm, succeeded, now)
+
+    def _correct_share(self, grant: Grant, ran_ms: float) -> None:
+        queue = self.cell.queue.by_class[grant.queue_class]
+        difference = ran_ms - grant.expected_ms
+        queue.charge(grant.team, difference, self.cell.weight(grant.team))
--- /dev/null
+++ b/src/sesameladder/dispatch/_placement.py
@@ -0,0 +1,88 @@
+"""The choice of the next demand and its worker."""
+
+from collections.abc import Callable, Iterator
+
+from sesameladder.dispatch._cell import CellState
+from sesameladder.dispatch._long_work import LongWork
+from sesameladder.dispatch._queue import WaitingDemand
+from sesameladder.dispatch._types import WorkClass
+from sesameladder.dispatch._workers import Worker
+
+MAX_DEFERRED_PER_POLL = 16
+
+
+class Placement:
+    """Matches waiting demands with free slots."""
+
+    __slots__ = ("cell", "deferred", "long_work")
+
+    def __init__(self, cell: CellState, long_work: LongWork) -> None:
+        self.cell = cell
+        self.long_work = long_work
+        self.deferred: list[WaitingDemand] = []
+
+    def matches(self, now: float) -> Iterator[tuple[WaitingDemand, Worker]]:
+        """Remove and yield demands with the worker that each one gets.
+
+        The caller must occupy the slot before it takes the next match.
+        """
+        while self.cell.workers.has_free_slot() or self._probe_due(now):
+            item = self._next_demand()
+            if item is None or len(self.deferred) > MAX_DEFERRED_PER_POLL:
+                break
+            worker = self._choose_worker(item, now)
+            self.cell.queue.remove(item.demand.demand_id)
+            if worker is None:
+                self.deferred.append(item)
+            else:
+                yield item, worker
+        for item in self.deferred:
+            self.cell.queue.restore(item)
+        self.deferred.clear()
+
+    def _probe_due(self, now: float) -> bool:
+        return self.cell.outliers.take_probe(now) is not None
+
+    def _next_demand(self) -> WaitingDemand | None:
+        for skip in (self.cell.exceeds_share, lambda _: False):
+            for work_class in self._class_order():
+                item = self._head(work_class, skip)
+                if item is not None:
+                    return item
+        return None
+
+    def _class_order(self) -> Iterator[WorkClass]:
+        held = self.cell.grants.long_held()
+        yield WorkClass.URGENT
+        if held < self.long_work.floor():
+            yield WorkClass.LONG
+        yield WorkClass.SHORT
+        if held < self.long_work.limit():
+            yield WorkClass.LONG
+
+    def _head(
+        self, work_class: WorkClass, skip: Callable[[str], bool]
+    ) -> WaitingDemand | None:
+        queue = self.cell.queue.by_class[work_class]
+        item = queue.head(skip)
+        # A kind may have turned out to be long since the demand was queued.
+        while (
+            item is not None
+            and work_class == WorkClass.SHORT
+            and self.cell.estimates.is_long(item.demand.kind)
+        ):
+            self.cell.queue.move(item, WorkClass.LONG)
+            item = queue.head(skip)
+        return item
+
+    def _choose_worker(self, item: WaitingDemand, now: float) -> Worker | None:
+        probed = self.cell.outliers.take_probe(now)
+        if probed is not None and self._may_probe(item):
+            worker = self.cell.workers.by_vm.get(probed)
+            if worker is not None and worker.may_probe(now):
+                return worker
+        return self.cell.workers.choose(item.demand)
+
+    def _may_probe(self, item: WaitingDemand) -> bool:
+        demand = item.demand
+        return demand.repeatable and not demand.urgent and demand.attempt == 1
--- /dev/null
+++ b/src/sesameladder/dispatch/_queue.py
@@ -0,0 +1,181 @@
+"""Demands that wait for a slot, ordered by class, team and expected time."""
+
+import heapq
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field, replace
+
+from sesameladder.dispatch._types import Demand, WorkClass
+
+COMPACT_MINIMUM = 64
+
+
+@dataclass(slots=True)
+class WaitingDemand:
+    """A demand in the queue."""
+
+    demand: Demand
+    """The demand."""
+
+    enqueued_at: float
+    """Time of submission in seconds."""
+
+    expected_ms: float
+    """Expected remaining run time in milliseconds."""
+
+    work_class: WorkClass
+    """Class whose queue holds the demand."""
+
+    key: float
+    """Position in the team's queue; the lowest is next."""
+
+    expires_at: float
+    """Time in seconds at which the demand is refused."""
+
+    sequence: int = 0
+    """Order of submission."""
+
+    waits: bool = True
+    """Whether the demand still waits; heaps drop the others lazily."""
+
+
+@dataclass(slots=True)
+class TeamQueue:
+    """One team's waiting demands of one class."""
+
+    heap: list[tuple[float, int, WaitingDemand]] = field(default_factory=list)
+    """Demands by key; some may have left the queue."""
+
+    count: int = 0
+    """Demands that still wait."""
+
+    virtual_time: float = 0.0
+    """Slot milliseconds granted, divided by the team's weight."""
+
+    def head(self) -> WaitingDemand | None:
+        """Return the next demand."""
+        while self.heap and not self.heap[0][2].waits:
+            heapq.heappop(self.heap)
+        return self.heap[0][2] if self.heap else None
+
+
+class ClassQueue:
+    """Waiting demands of one class, shared fairly between teams.
+
+    The team with the lowest virtual time is next (weighted fair queueing). A
+    team that returns after a pause starts at the others' virtual time, so it
+    can't claim slots for the time in which it did not wait.
+    """
+
+    __slots__ = ("active", "count", "expected_ms", "teams", "virtual_clock")
+
+    def __init__(self) -> None:
+        self.teams: dict[str, TeamQueue] = {}
+        self.active: dict[str, TeamQueue] = {}
+        self.count = 0
+        self.expected_ms = 0.0
+        self.virtual_clock = 0.0
+
+    def push(self, item: WaitingDemand) -> None:
+        """Add a demand."""
+        name = item.demand.team
+        team = self.teams.setdefault(name, TeamQueue())
+        if team.count == 0:
+            team.virtual_time = max(team.virtual_time, self.virtual_clock)
+            self.active[name] = team
+        heapq.heappush(team.heap, (item.key, item.sequence, item))
+        team.count += 1
+        self.count += 1
+        self.expected_ms += item.expected_ms
+
+    def discard(self, item: WaitingDemand) -> None:
+        """Remove a demand; its ``waits`` must be False already."""
+        team = self.teams[item.demand.team]
+        team.count -= 1
+        self.count -= 1
+        self.expected_ms = self.expected_ms - item.expected_ms if self.count else 0.0
+        if team.count == 0:
+            del self.active[item.demand.team]
+            team.heap.clear()
+        elif len(team.heap) > COMPACT_MINIMUM + 2 * team.count:
+            team.heap = [entry for entry in team.heap if entry[2].waits]
+            heapq.heapify(team.heap)
+
+    def head(self, skip: Callable[[str], bool]) -> WaitingDemand | None:
+        """Return the next demand of the teams that are not skipped."""
+        allowed = [name for name in self.active if not skip(name)]
+        if not allowed:
+            return None
+        name = min(allowed, key=lambda one: self.active[one].virtual_time)
+        return self.active[name].head()
+
+    def charge(self, team: str, slot_ms: float, weight: float) -> None:
+        """Charge a team for granted slot time; negative to give time back."""
+        queue = self.teams.setdefault(team, TeamQueue())
+        if slot_ms > 0:
+            self.virtual_clock = max(self.virtual_clock, queue.virtual_time)
+        queue.virtual_time += slot_ms / weight
+
+
+class WaitingQueue:
+    """All waiting demands of the cell."""
+
+    __slots__ = ("by_class", "by_id", "expiries", "sequence")
+
+    def __init__(self) -> None:
+        self.by_class = {name: ClassQueue() for name in WorkClass}
+        self.by_id: dict[str, WaitingDemand] = {}
+        self.expiries: list[tuple[float, int, WaitingDemand]] = []
+        self.sequence = 0
+
+    def __len__(self) -> int:
+        return len(self.by_id)
+
+    def push(self, item: WaitingDemand) -> None:
+        """Add a demand."""
+        self.sequence += 1
+        item.sequence = self.sequence
+        self.by_id[item.demand.demand_id] = item
+        self.by_class[item.work_class].push(item)
+        heapq.heappush(self.expiries, (item.expires_at, item.sequence, item))
+
+    def remove(self, demand_id: str) -> WaitingDemand | None:
+        """Remove a demand; None when it doesn't wait."""
+        item = self.by_id.pop(demand_id, None)
+        if item is None:
+            return None
+        item.waits = False
+        self.by_class[item.work_class].discard(item)
+        self._compact_expiries()
+        return item
+
+    def move(self, item: WaitingDemand, work_class: WorkClass) -> None:
+        """Move a demand to a class's queue; it keeps its key and its expiry."""
+        if self.remove(item.demand.demand_id) is not None:
+            self.restore(replace(item, work_class=work_class))
+
+    def restore(self, item: WaitingDemand) -> None:
+        """Put a removed demand back; it keeps its key and its expiry."""
+        self.push(replace(item, waits=True))
+
+    def expired(self, now: float) -> Iterator[WaitingDemand]:
+        """Remove and yield the demands whose time is over."""
+        while self.expiries and self.expiries[0][0] <= now:
+            item = heapq.heappop(self.expiries)[2]
+            if item.waits:
+                self.remove(item.demand.demand_id)
+                yield item
+
+    def next_expiry(self) -> float | None:
+        """Return the next time at which a demand is refused."""
+        while self.expiries and not self.expiries[0][2].waits:
+            heapq.heappop(self.expiries)
+        return self.expiries[0][0] if self.expiries else None
+
+    def count(self, *classes: WorkClass) -> int:
+        """Return the number of waiting demands of some classes."""
+        return sum(self.by_class[name].count for name in classes)
+
+    def _compact_expiries(self) -> None:
+        if len(self.expiries) > COMPACT_MINIMUM + 2 * len(self.by_id):
+            self.expiries = [entry for entry in self.expiries if entry[2].waits]
+            heapq.heapify(self.expiries)
--- /dev/null
+++ b/src/sesameladder/dispatch/_recovery.py
@@ -0,0 +1,80 @@
+"""What a dispatcher has to learn before it grants after a start."""
+
+from sesameladder.dispatch._cell import CellState
+from sesameladder.dispatch._grants import Grant
+from sesameladder.dispatch._types import OutstandingGrant, WorkClass
+from sesameladder.dispatch._workers import Worker
+
+
+class Recovery:
+    """Collects outstanding grants and task reports.
+
+    The forwarders report their grants for one task lease. After that, each
+    worker stays without grants until a report of its running tasks arrives;
+    tasks beyond the known grants occupy slots until a report no longer shows
+    them.
+    """
+
+    __slots__ = ("cell", "ends_at", "released_early")
+
+    def __init__(self, cell: CellState) -> None:
+        self.cell = cell
+        self.ends_at: float | None = None
+        self.released_early: set[str] = set()
+
+    def is_over(self, now: float) -> bool:
+        """Return whether the time for reports of forwarders is over."""
+        return self.ends_at is not None and now >= self.ends_at
+
+    def begin(self, now: float) -> None:
+        """Start the recovery; later calls change nothing."""
+        if self.ends_at is None:
+            self.ends_at = now + self.cell.config.task_lease_s
+
+    def note_release(self, grant_id: str, now: float) -> None:
+        """Remember a release that came before the report of its grant."""
+        if not self.is_over(now):
+            self.released_early.add(grant_id)
+
+    def adopt(self, reported: OutstandingGrant, now: float) -> Grant | None:
+        """Return a reported grant to add; None when it is known or released."""
+        known = reported.grant_id in self.cell.grants.by_id
+        if known or reported.grant_id in self.released_early:
+            return None
+        return Grant(
+            grant_id=reported.grant_id,
+            demand_id=reported.demand_id,
+            forwarder=reported.forwarder,
+            incarnation=reported.incarnation,
+            vm=reported.vm,
+            team=reported.team,
+            kind=reported.kind,
+            granted_at=now,
+            expected_ms=0.0,
+            queue_class=WorkClass.SHORT,
+            checkpointable=reported.checkpointable,
+        )
+
+    def apply_report(self, worker: Worker, count_running: int, now: float) -> None:
+        """Apply a worker's report of its running tasks."""
+        if not self.is_over(now):
+            return
+        beyond = max(0, count_running - self._surely_started(worker.spec.vm, now))
+        worker.unknown = min(worker.unknown, beyond) if worker.recovered else beyond
+        worker.recovered = True
+
+    def awaited_workers(self, now: float) -> list[Worker]:
+        """Return the workers whose task report is needed now."""
+        if not self.is_over(now):
+            return []
+        workers = self.cell.workers.by_vm.values()
+        return [
+            worker
+            for worker in workers
+            if worker.listed and (not worker.recovered or worker.unknown > 0)
+        ]
+
+    def _surely_started(self, vm: str, now: float) -> int:
+        # A younger grant may not have reached the worker yet.
+        latest = now - self.cell.config.start_by_s
+        return sum(grant.granted_at <= latest for grant in self.cell.grants.on_vm(vm))
--- /dev/null
+++ b/src/sesameladder/dispatch/_retries.py
@@ -0,0 +1,93 @@
+"""Limits of retries: the retry budget and jobs that can never run."""
+
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from sesameladder.dispatch._config import DispatcherConfig
+from sesameladder.dispatch._types import Demand
+
+MAX_FAILING_KINDS = 1024
+
+
+class RetryBudget:
+    """A token bucket that first attempts fill and retries empty.
+
+    It starts empty, so that retries never exceed the ratio over the life of
+    the dispatcher.
+    """
+
+    __slots__ = ("burst", "ratio", "tokens")
+
+    def __init__(self, config: DispatcherConfig) -> None:
+        self.ratio = config.retry_ratio
+        self.burst = config.retry_burst
+        self.tokens = 0.0
+
+    def credit(self) -> None:
+        """Count a first attempt."""
+        self.tokens = min(self.burst, self.tokens + self.ratio)
+
+    def take(self) -> bool:
+        """Spend a token for a retry; False when there is none."""
+        # The margin absorbs the rounding of ten additions of 0.1.
+        if self.tokens < 1.0 - 1e-9:
+            return False
+        self.tokens -= 1.0
+        return True
+
+
+@dataclass(slots=True)
+class KindFailures:
+    """Failures of one kind since its last success."""
+
+    workers: set[str] = field(default_factory=set)
+    """VMs on which jobs of the kind failed."""
+
+
+class UnrunnableJobs:
+    """Recognises jobs that fail wherever they run.
+
+    A failure is held against the job rather than the worker when the worker
+    succeeds with other jobs.
+    """
+
+    __slots__ = ("kinds", "workers_needed")
+
+    def __init__(self, config: DispatcherConfig) -> None:
+        self.workers_needed = config.never_runs_workers
+        self.kinds: OrderedDict[str, KindFailures] = OrderedDict()
+
+    def record_success(self, kind: str) -> None:
+        """Record that a job of a kind succeeded."""
+        self.kinds.pop(kind, None)
+
+    def record_failure(self, kind: str, vm: str) -> None:
+        """Record that a job of a kind failed on a worker."""
+        failures = self.kinds.setdefault(kind, KindFailures())
+        failures.workers.add(vm)
+        self.kinds.move_to_end(kind)
+        if len(self.kinds) > MAX_FAILING_KINDS:
+            self.kinds.popitem(last=False)
+
+    def fails_elsewhere(self, kind: str, vm: str) -> bool:
+        """Return whether a kind, without success, failed on two other workers."""
+        failures = self.kinds.get(kind)
+        return failures is not None and len(failures.workers - {vm}) >= 2
+
+    def is_unrunnable(self, demand: Demand, healthy: Callable[[str], bool]) -> bool:
+        """Return whether a retry is pointless on any worker.
+
+        The demand's own lineage counts, and so do other jobs of its kind as
+        long as none of them succeeded.
+        """
+        if demand.attempt <= 1 or demand.resumed:
+            return False
+        failed_on = set(demand.tried_workers)
+        if self._enough(failed_on, healthy):
+            return True
+        failures = self.kinds.get(demand.kind)
+        return failures is not None and self._enough(failures.workers, healthy)
+
+    def _enough(self, vms: set[str], healthy: Callable[[str], bool]) -> bool:
+        return sum(healthy(vm) for vm in vms) >= self.workers_needed
--- /dev/null
+++ b/src/sesameladder/dispatch/_workers.py
@@ -0,0 +1,178 @@
+"""The cell's workers, their free slots and the choice among them."""
+
+import heapq
+from dataclasses import dataclass
+
+from sesameladder.dispatch._types import Demand, WorkerSpec
+
+
+@dataclass(slots=True)
+class Worker:
+    """State of one worker."""
+
+    spec: WorkerSpec
+    """Worker as the plan lists it."""
+
+    listed: bool = True
+    """Whether the plan lists the worker in this cell."""
+
+    held: int = 0
+    """Slots held by outstanding grants."""
+
+    unknown: int = 0
+    """Slots held by tasks of unknown origin, found in a report after a start."""
+
+    recovered: bool = False
+    """Whether a fresh task report has been seen since the worker was added."""
+
+    leaving: bool = False
+    """Whether some source says that the VM is leaving."""
+
+    ejected: bool = False
+    """Whether the worker is ejected as an outlier."""
+
+    suspect: bool = False
+    """Whether the worker's last outcome was a failure; it is chosen last."""
+
+    blocked_until: float = 0.0
+    """Time in seconds until which the worker gets no grant after refusing."""
+
+    bucket: dict[str, "Worker"] | None = None
+    """Bucket of the free-slot index that holds the worker."""
+
+    counted_slots: int = 0
+    """Slots of the worker that are part of the cell's serving slots."""
+
+    def free(self) -> int:
+        """Return the number of free slots."""
+        return self.spec.slots - self.held - self.unknown
+
+    def serves(self, now: float) -> bool:
+        """Return whether the worker may get ordinary grants."""
+        allowed = self.listed and self.recovered
+        return allowed and not (
+            self.leaving or self.ejected or now < self.blocked_until
+        )
+
+    def may_probe(self, now: float) -> bool:
+        """Return whether the ejected worker may get one grant as a probe."""
+        allowed = self.listed and self.recovered and self.free() > 0
+        return allowed and not (self.leaving or now < self.blocked_until)
+
+
+class WorkerSet:
+    """Workers by VM name, indexed by free slots."""
+
+    __slots__ = ("buckets", "by_vm", "listed", "serving_slots", "suspects", "timers")
+
+    def __init__(self) -> None:
+        self.by_vm: dict[str, Worker] = {}
+        self.buckets: list[dict[str, Worker]] = []
+        self.suspects: dict[str, Worker] = {}
+        self.timers: list[tuple[float, str]] = []
+        self.serving_slots = 0
+        self.listed = 0
+
+    def update(self, specs: list[WorkerSpec], now: float) -> None:
+        """Replace the list; workers with outstanding grants are kept unlisted."""
+        names = {spec.vm for spec in specs}
+        for spec in specs:
+            worker = self.by_vm.get(spec.vm)
+            if worker is None:
+                worker = self.by_vm[spec.vm] = Worker(spec)
+            worker.spec = spec
+            worker.listed = True
+            self.refresh(worker, now)
+        for vm in [vm for vm in self.by_vm if vm not in names]:
+            worker = self.by_vm[vm]
+            worker.listed = False
+            worker.recovered = False
+            self.refresh(worker, now)
+            self.drop_if_unused(worker)
+        self.listed = len(names)
+
+    def drop_if_unused(self, worker: Worker) -> None:
+        """Forget a worker that is neither listed nor holds a grant."""
+        if not worker.listed and worker.held == 0:
+            self.by_vm.pop(worker.spec.vm, None)
+
+    def refresh(self, worker: Worker, now: float) -> None:
+        """Bring the index up to date after a change of a worker."""
+        vm = worker.spec.vm
+        serves = worker.serves(now)
+        slots = worker.spec.slots if serves else 0
+        self.serving_slots += slots - worker.counted_slots
+        worker.counted_slots = slots
+        bucket = self._bucket_of(worker) if serves and worker.free() > 0 else None
+        if bucket is worker.bucket:
+            return
+        if worker.bucket is not None:
+            del worker.bucket[vm]
+        if bucket is not None:
+            bucket[vm] = worker
+        worker.bucket = bucket
+
+    def refresh_at(self, worker: Worker, time: float) -> None:
+        """Refresh a worker when a limit in time ends."""
+        heapq.heappush(self.timers, (time, worker.spec.vm))
+
+    def take_due(self, now: float) -> list[Worker]:
+        """Return the workers whose limit in time has ended."""
+        due = []
+        while self.timers and self.timers[0][0] <= now:
+            worker = self.by_vm.get(heapq.heappop(self.timers)[1])
+            if worker is not None:
+                due.append(worker)
+        return due
+
+    def choose(self, demand: Demand) -> Worker | None:
+        """Return the worker with a free slot that suits a demand best.
+
+        A worker that was tried before is chosen only if no other worker serves.
+        """
+        if demand.tried_workers:
+            return self._choose_other(demand)
+        for bucket in reversed(self.buckets):
+            if bucket:
+                return next(iter(bucket.values()))
+        return max(self.suspects.values(), key=Worker.free, default=None)
+
+    def has_free_slot(self) -> bool:
+        """Return whether some serving worker has a free slot."""
+        return bool(self.suspects) or any(self.buckets)
+
+    def free_slots(self) -> int:
+        """Return the free slots of the serving workers."""
+        free = sum(index * len(bucket) for index, bucket in enumerate(self.buckets))
+        return free + sum(worker.free() for worker in self.suspects.values())
+
+    def _choose_other(self, demand: Demand) -> Worker | None:
+        candidates = [*self.suspects.values()]
+        for bucket in self.buckets:
+            candidates.extend(bucket.values())
+        fresh = [one for one in candidates if one.spec.vm not in demand.tried_workers]
+        if not fresh and self._another_serves(demand):
+            return None
+        return min(
+            fresh or candidates,
+            key=lambda one: (
+                one.spec.rack in demand.tried_racks,
+                one.suspect,
+                -one.free(),
+            ),
+            default=None,
+        )
+
+    def _another_serves(self, demand: Demand) -> bool:
+        return any(
+            worker.counted_slots > 0 and vm not in demand.tried_workers
+            for vm, worker in self.by_vm.items()
+        )
+
+    def _bucket_of(self, worker: Worker) -> dict[str, Worker]:
+        if worker.suspect:
+            return self.suspects
+        free = worker.free()
+        while len(self.buckets) <= free:
+            self.buckets.append({})
+        return self.buckets[free]
