--- /dev/null
+++ b/src/sesameladder/idempotency/_begin.py
@@ -0,0 +1,105 @@
+"""What a home answers to a request with a token."""
+
+from dataclasses import dataclass
+from functools import singledispatch
+
+from sesameladder.idempotency._outcome import (
+    NotRun,
+    NotRunReason,
+    Outcome,
+    Unknown,
+    UnknownReason,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class StartAllowed:
+    """The caller of ``begin`` owns the start; every other attempt waits."""
+
+
+@dataclass(frozen=True, slots=True)
+class InProgress:
+    """Another attempt is starting or running; its outcome answers this one."""
+
+
+@dataclass(frozen=True, slots=True)
+class Finished:
+    """The outcome of the one run, or of the refusal of this attempt."""
+
+    outcome: Outcome
+    """What this and all later equal attempts are answered."""
+
+
+@dataclass(frozen=True, slots=True)
+class RefusedVoid:
+    """The token never started and never will."""
+
+
+@dataclass(frozen=True, slots=True)
+class DigestMismatch:
+    """The token belongs to a request with another content."""
+
+
+@dataclass(frozen=True, slots=True)
+class Expired:
+    """The token expired before it was used; it never started."""
+
+
+@dataclass(frozen=True, slots=True)
+class Forgotten:
+    """The token's record may have been dropped: never run, outcome unknown."""
+
+
+@dataclass(frozen=True, slots=True)
+class NotHome:
+    """This process answers for another incarnation than the token's home."""
+
+
+Begin = (
+    StartAllowed
+    | InProgress
+    | Finished
+    | RefusedVoid
+    | DigestMismatch
+    | Expired
+    | Forgotten
+    | NotHome
+)
+
+
+@singledispatch
+def begin_outcome(begin: object) -> Outcome | None:
+    """Return the outcome that a begin decides, or None when it decides none."""
+    del begin
+    return None
+
+
+@begin_outcome.register
+def _finished(begin: Finished) -> Outcome:
+    return begin.outcome
+
+
+@begin_outcome.register
+def _void(begin: RefusedVoid) -> Outcome:
+    del begin
+    return NotRun(NotRunReason.TOKEN_VOID)
+
+
+@begin_outcome.register
+def _expired(begin: Expired) -> Outcome:
+    del begin
+    return NotRun(NotRunReason.TOKEN_EXPIRED)
+
+
+@begin_outcome.register
+def _mismatch(begin: DigestMismatch) -> Outcome:
+    # This attempt did not run, but "not run" would also cover the attempts
+    # that used the token for the other content.
+    del begin
+    return Unknown(UnknownReason.KEY_REUSED)
+
+
+@begin_outcome.register
+def _forgotten(begin: Forgotten) -> Outcome:
+    del begin
+    return Unknown(UnknownReason.ANSWER_EVICTED)
--- /dev/null
+++ b/src/sesameladder/idempotency/_claims.py
@@ -0,0 +1,187 @@
+"""Binds a caller's own key to a token with one write to the store."""
+
+import threading
+from dataclasses import dataclass
+from hashlib import blake2b
+
+from sesameladder.idempotency._errors import TokenMalformed
+from sesameladder.idempotency._outcome import NotRunReason, UnknownReason
+from sesameladder.idempotency._token import Token
+from sesameladder.platform import (
+    PlatformError,
+    Store,
+    StoreAnswerLost,
+    StoreEntry,
+    StoreRefused,
+    StoreUnavailable,
+    Swapped,
+)
+
+CLAIM_PREFIX = "claims/"
+CLAIM_HASH_BYTES = 20
+CLAIM_RETENTION_SECONDS = 25 * 3600.0
+CLAIM_LEASE_SHARE_SECONDS = 3600.0
+CLAIM_WRITES_PER_SECOND = 20.0
+CLAIM_BURST_SECONDS = 2.0
+CLAIM_TRIES = 3
+
+# A claim uses a lease of at most CLAIM_LEASE_SHARE_SECONDS of age, so it
+# stands at least this long after the request arrived.
+KEY_LIFETIME_SECONDS = CLAIM_RETENTION_SECONDS - CLAIM_LEASE_SHARE_SECONDS
+
+
+@dataclass(frozen=True, slots=True)
+class Bound:
+    """The key belongs to a token, whose path the request follows."""
+
+    token: Token
+    """The token of the claim that stands in the store."""
+
+    is_mine: bool
+    """Whether it is the token offered with this call."""
+
+
+@dataclass(frozen=True, slots=True)
+class BindRefused:
+    """The key could not be bound or read; the request is not sent."""
+
+    not_run: bool
+    """Whether all attempts made so far are known not to have run."""
+
+    reason: str
+    """A ``NotRunReason`` or ``UnknownReason``."""
+
+
+class WriteAllowance:
+    """A token bucket of store writes; its owner holds the lock."""
+
+    __slots__ = ("available", "burst", "rate", "refilled_at")
+
+    def __init__(self, rate: float, burst: float) -> None:
+        self.rate = rate
+        self.burst = burst
+        self.available = burst
+        self.refilled_at: float | None = None
+
+    def take(self, now: float) -> bool:
+        """Take one write if the allowance has one."""
+        elapsed = max(0.0, now - self.refilled_at) if self.refilled_at else 0.0
+        self.available = min(self.burst, self.available + elapsed * self.rate)
+        self.refilled_at = now
+        if self.available < 1.0:
+            return False
+        self.available -= 1.0
+        return True
+
+
+def claim_key(key: str) -> str:
+    """Return the store key of a caller's key."""
+    digest = blake2b(key.encode(), digest_size=CLAIM_HASH_BYTES).hexdigest()
+    return CLAIM_PREFIX + digest
+
+
+class ClaimBinder:
+    """Creates and reads claims; threads may share it.
+
+    A key's claim stands for at least ``KEY_LIFETIME_SECONDS`` from the
+    arrival of the attempt that created it. The token that it names expires by
+    then, so tokens of two claims of one key never start in overlapping times.
+    A retry after that time would find no claim and count as a new request;
+    callers state the age of their first attempt to have it refused instead.
+    """
+
+    __slots__ = ("_allowance", "_lease", "_lease_granted_at", "_lock", "_store")
+
+    def __init__(
+        self, store: Store, writes_per_second: float = CLAIM_WRITES_PER_SECOND
+    ) -> None:
+        self._store = store
+        self._allowance = WriteAllowance(
+            writes_per_second, max(1.0, writes_per_second * CLAIM_BURST_SECONDS)
+        )
+        self._lease: int | None = None
+        self._lease_granted_at = 0.0
+        self._lock = threading.Lock()
+
+    def bind(
+        self,
+        key: str,
+        token: Token,
+        first_attempt: bool,
+        now: float,
+        is_retry: bool = False,
+        first_attempt_age: float | None = None,
+    ) -> Bound | BindRefused:
+        """Bind a caller's key to a fresh token, or read whose it is.
+
+        ``first_attempt`` and ``is_retry`` are the caller's statements that no
+        earlier attempt was made, or that one was; without a statement both
+        are False. ``first_attempt_age`` is the age of the first attempt in
+        seconds, when the caller states it.
+        """
+        path = claim_key(key)
+        try:
+            entry = self._store.get(path) if is_retry else None
+            if entry is None and _too_old(first_attempt_age):
+                return BindRefused(False, UnknownReason.KEY_TOO_OLD)
+            entry = entry or self._create(path, token, now)
+            return Bound(Token.from_text(entry.value.decode()), _is(entry, token))
+        except _ClaimRateExceeded:
+            return BindRefused(first_attempt, NotRunReason.CLAIM_RATE)
+        except (TokenMalformed, UnicodeDecodeError):
+            return BindRefused(False, UnknownReason.CLAIM_UNREADABLE)
+        except PlatformError:
+            return BindRefused(first_attempt, NotRunReason.STORE_UNAVAILABLE)
+
+    def _create(self, path: str, token: Token, now: float) -> StoreEntry:
+        """Return the claim that stands after a create-if-absent write.
+
+        A write whose answer was lost may still be on its way when the claim
+        is read back as absent. Writing again is harmless: the second write
+        then conflicts with this call's own, unique value.
+        """
+        for _ in range(CLAIM_TRIES):
+            try:
+                entry = self._try_create(path, token.to_text().encode(), now)
+            except StoreAnswerLost:
+                entry = self._store.get(path)
+            except StoreRefused:
+                self._drop_lease()
+                continue
+            if entry is not None:
+                return entry
+        raise StoreUnavailable("a claim was neither written nor read")
+
+    def _try_create(self, path: str, value: bytes, now: float) -> StoreEntry | None:
+        lease = self._lease_for(now)
+        outcome = self._store.compare_and_swap(path, 0, value, lease)
+        if isinstance(outcome, Swapped):
+            return StoreEntry(path, value, outcome.revision)
+        return outcome.current
+
+    def _lease_for(self, now: float) -> int:
+        """Return this hour's lease and take one write from the allowance."""
+        with self._lock:
+            if not self._allowance.take(now):
+                raise _ClaimRateExceeded
+            age = now - self._lease_granted_at
+            if self._lease is None or age >= CLAIM_LEASE_SHARE_SECONDS:
+                self._lease = self._store.grant_lease(CLAIM_RETENTION_SECONDS)
+                self._lease_granted_at = now
+            return self._lease
+
+    def _drop_lease(self) -> None:
+        with self._lock:
+            self._lease = None
+
+
+class _ClaimRateExceeded(Exception):
+    """The instance has written its share of claims."""
+
+
+def _too_old(first_attempt_age: float | None) -> bool:
+    return first_attempt_age is not None and first_attempt_age >= KEY_LIFETIME_SECONDS
+
+
+def _is(entry: StoreEntry, token: Token) -> bool:
+    return entry.value == token.to_text().encode()
--- /dev/null
+++ b/src/sesameladder/idempotency/_handover.py
@@ -0,0 +1,153 @@
+"""The form in which a home table travels at graceful shutdown."""
+
+import base64
+import json
+from dataclasses import dataclass
+
+from sesameladder.idempotency._errors import HandoverMalformed, TokenMalformed
+from sesameladder.idempotency._outcome import Done, NotRun, Outcome, Unknown
+from sesameladder.idempotency._token import PeerIdentity, Token
+
+# Below the limit of one peer frame (2 MiB) with room for its envelope.
+CHUNK_BYTES = 1_500_000
+
+
+@dataclass(frozen=True, slots=True)
+class HandedRecord:
+    """An ended token."""
+
+    token: Token
+    """The token."""
+
+    digest: bytes
+    """Digest of its request."""
+
+    is_void: bool
+    """Whether the token never started and never will."""
+
+    refused_through: int
+    """Attempts up to this number were answered "not run"."""
+
+    outcome: Outcome
+    """What retries are answered."""
+
+
+@dataclass(frozen=True, slots=True)
+class HandoverChunk:
+    """A part of a table; only all parts together may be adopted."""
+
+    sender: PeerIdentity
+    """The process that shuts down."""
+
+    homes: tuple[PeerIdentity, ...]
+    """The homes that the table answers for: the sender and those it adopted."""
+
+    floors: dict[str, tuple[int, int]]
+    """Floors of dropped records, see ``RetainedRecords``."""
+
+    export: int
+    """Number of the export; parts of two exports are never mixed."""
+
+    index: int
+    """Number of the part, from 0."""
+
+    count: int
+    """Number of parts."""
+
+    records: tuple[HandedRecord, ...]
+    """The records of this part."""
+
+    def to_bytes(self) -> bytes:
+        """Return the part as JSON."""
+        return json.dumps(
+            {
+                "sender": [self.sender.instance, self.sender.incarnation],
+                "homes": [[home.instance, home.incarnation] for home in self.homes],
+                "floors": self.floors,
+                "export": self.export,
+                "index": self.index,
+                "count": self.count,
+                "records": [_record_to_json(record) for record in self.records],
+            },
+            separators=(",", ":"),
+        ).encode()
+
+    @classmethod
+    def from_bytes(cls, data: bytes) -> "HandoverChunk":
+        """Return the part of its JSON; raises ``HandoverMalformed``."""
+        try:
+            fields = json.loads(data)
+            return cls(
+                sender=PeerIdentity(*fields["sender"]),
+                homes=tuple(PeerIdentity(*home) for home in fields["homes"]),
+                floors={
+                    home: (int(incarnation), int(sequence))
+                    for home, (incarnation, sequence) in fields["floors"].items()
+                },
+                export=int(fields["export"]),
+                index=int(fields["index"]),
+                count=int(fields["count"]),
+                records=tuple(map(_record_from_json, fields["records"])),
+            )
+        except (ValueError, TypeError, KeyError, TokenMalformed) as error:
+            raise HandoverMalformed(f"not a part of a home table: {error}") from error
+
+
+def split_records(records: list[HandedRecord]) -> list[tuple[HandedRecord, ...]]:
+    """Return the records in parts whose JSON stays within ``CHUNK_BYTES``.
+
+    A record larger than that gets a part of its own.
+    """
+    parts: list[tuple[HandedRecord, ...]] = []
+    part: list[HandedRecord] = []
+    size = 0
+    for record in records:
+        record_size = len(json.dumps(_record_to_json(record)))
+        if part and size + record_size > CHUNK_BYTES:
+            parts.append(tuple(part))
+            part, size = [], 0
+        part.append(record)
+        size += record_size
+    return [*parts, tuple(part)]
+
+
+def _record_to_json(record: HandedRecord) -> list[object]:
+    return [
+        record.token.to_text(),
+        record.digest.hex(),
+        record.is_void,
+        record.refused_through,
+        _outcome_to_json(record.outcome),
+    ]
+
+
+def _record_from_json(fields: list[object]) -> HandedRecord:
+    token, digest, is_void, refused_through, outcome = fields
+    return HandedRecord(
+        token=Token.from_text(str(token)),
+        digest=bytes.fromhex(str(digest)),
+        is_void=bool(is_void),
+        refused_through=int(str(refused_through)),
+        outcome=_outcome_from_json(outcome),
+    )
+
+
+def _outcome_to_json(outcome: Outcome) -> list[object]:
+    if isinstance(outcome, Done):
+        body = base64.b64encode(outcome.body).decode()
+        return ["done", outcome.status, outcome.headers, body]
+    if isinstance(outcome, NotRun):
+        return ["not-run", outcome.reason, outcome.retry_after_s]
+    return ["unknown", outcome.reason]
+
+
+def _outcome_from_json(value: object) -> Outcome:
+    match value:
+        case ["done", int(status), list(headers), str(body)]:
+            pairs = tuple((str(name), str(text)) for name, text in headers)
+            return Done(status, pairs, base64.b64decode(body, validate=True))
+        case ["not-run", str(reason), None | int() | float() as retry_after_s]:
+            return NotRun(reason, retry_after_s)
+        case ["unknown", str(reason)]:
+            return Unknown(reason)
+    raise ValueError(f"not an outcome: {value!r}")
--- /dev/null
+++ b/src/sesameladder/idempotency/_home.py
@@ -0,0 +1,334 @@
+"""The state of the tokens that one process answers for."""
+
+import threading
+from dataclasses import dataclass
+from enum import StrEnum
+
+from sesameladder.idempotency._begin import (
+    Begin,
+    DigestMismatch,
+    Expired,
+    Finished,
+    Forgotten,
+    InProgress,
+    NotHome,
+    RefusedVoid,
+    StartAllowed,
+)
+from sesameladder.idempotency._handover import (
+    HandedRecord,
+    HandoverChunk,
+    split_records,
+)
+from sesameladder.idempotency._outcome import (
+    NotRun,
+    NotRunReason,
+    Outcome,
+    Unknown,
+    UnknownReason,
+    outcome_bytes,
+)
+from sesameladder.idempotency._retention import RETENTION_SECONDS, RetainedRecords
+from sesameladder.idempotency._token import PeerIdentity, Token
+
+HOME_BYTES = 32 * 1024 * 1024
+UNSTATED_ATTEMPT = 0
+NO_ATTEMPT = -1
+
+
+class TokenState(StrEnum):
+    """State of a used token at its home."""
+
+    STARTING = "starting"
+    RUNNING = "running"
+    REFUSED = "refused"
+    DONE = "done"
+    VOID = "void"
+
+
+@dataclass(slots=True)
+class HomeRecord:
+    """A used token."""
+
+    digest: bytes
+    """Digest of the request; empty for a token voided before its first use."""
+
+    state: TokenState
+    """Where the token stands."""
+
+    outcome: Outcome | None = None
+    """Outcome of the run or of the latest refusal."""
+
+    attempt_seen: int = NO_ATTEMPT
+    """Highest attempt number that has arrived."""
+
+    refused_through: int = NO_ATTEMPT
+    """Attempts up to this number were answered "not run" and stay refused."""
+
+
+class HomeTable:
+    """Decides which attempt of a token may start; threads may share it.
+
+    Records of tokens that are starting or running are never dropped;
+    admission limits bound their number. Ended records are dropped by age and
+    bytes. A token whose record was dropped never runs again and its answer is
+    unknown.
+    """
+
+    __slots__ = (
+        "_active",
+        "_adopted",
+        "_ended",
+        "_exports",
+        "_incoming",
+        "_lock",
+        "identity",
+        "sealed",
+    )
+
+    def __init__(
+        self,
+        instance: str,
+        incarnation: int,
+        max_bytes: int = HOME_BYTES,
+        retention: float = RETENTION_SECONDS,
+    ) -> None:
+        self.identity = PeerIdentity(instance, incarnation)
+        self.sealed = False
+        self._exports = 0
+        self._active: dict[Token, HomeRecord] = {}
+        self._ended: RetainedRecords[HomeRecord] = RetainedRecords(max_bytes, retention)
+        self._adopted: set[PeerIdentity] = set()
+        self._incoming: dict[PeerIdentity, dict[int, HandoverChunk]] = {}
+        self._lock = threading.Lock()
+
+    def answers_for(self, home: PeerIdentity) -> bool:
+        """Return whether this table holds the state of a home's tokens."""
+        return home == self.identity or home in self._adopted
+
+    def begin(
+        self,
+        token: Token,
+        request_digest: bytes,
+        now: float,
+        attempt: int = UNSTATED_ATTEMPT,
+    ) -> Begin:
+        """Admit an attempt of a token.
+
+        ``attempt`` is the number that the caller states, from 1, or
+        ``UNSTATED_ATTEMPT``. After a refusal as not run, only an attempt with
+        a higher number may start, since a message of an earlier one may still
+        be on its way.
+        """
+        with self._lock:
+            if not self.answers_for(token.home_identity):
+                return NotHome()
+            record = self._active.get(token) or self._ended.get(token)
+            if record is None:
+                return self._begin_first(token, request_digest, now, attempt)
+            return self._begin_again(token, record, request_digest, now, attempt)
+
+    def confirm_start(self, token: Token) -> bool:
+        """Turn starting into running; only the first call returns True."""
+        with self._lock:
+            record = self._active.get(token)
+            if record is None or record.state is not TokenState.STARTING:
+                return False
+            record.state = TokenState.RUNNING
+            return True
+
+    def refuse_start(self, token: Token) -> None:
+        """Void a starting token whose witness did not record the start."""
+        with self._lock:
+            record = self._active.get(token)
+            if record is not None and record.state is TokenState.STARTING:
+                self._void(token, record)
+
+    def finish(self, token: Token, outcome: Outcome, now: float) -> Outcome:
+        """End a starting or running token; returns the outcome that counts.
+
+        A ``NotRun`` leaves the token to attempts with a higher number.
+        """
+        with self._lock:
+            record = self._active.get(token)
+            if record is None:
+                return self._ended_outcome(token)
+            if isinstance(outcome, NotRun):
+                self._refuse(token, record, outcome, now)
+            else:
+                record.state = TokenState.DONE
+                record.outcome = outcome
+                self._end(token, record, now)
+            return outcome
+
+    def export(self) -> list[bytes]:
+        """Seal the table and return it in parts for a peer of the zone.
+
+        A sealed table starts nothing any more. A token that is still running
+        travels as unknown; its answer can reach the peer by a second export.
+        """
+        with self._lock:
+            self.sealed = True
+            self._exports += 1
+            for token, record in list(self._active.items()):
+                if record.state is TokenState.STARTING:
+                    self._void(token, record)
+            parts = split_records(self._handed_records())
+            homes = (self.identity, *sorted(self._adopted, key=str))
+            floors = self._ended.floors()
+            return [
+                HandoverChunk(
+                    self.identity,
+                    homes,
+                    floors,
+                    self._exports,
+                    index,
+                    len(parts),
+                    part,
+                ).to_bytes()
+                for index, part in enumerate(parts)
+            ]
+
+    def import_from(self, data: bytes) -> frozenset[PeerIdentity]:
+        """Take in one part; returns the homes adopted with the last one.
+
+        Nothing is adopted before all parts are here: a token without a record
+        counts as never started. Raises ``HandoverMalformed``.
+        """
+        chunk = HandoverChunk.from_bytes(data)
+        with self._lock:
+            parts = self._incoming.setdefault(chunk.sender, {})
+            if any(part.export != chunk.export for part in parts.values()):
+                parts.clear()
+            parts[chunk.index] = chunk
+            if len(parts) < chunk.count:
+                return frozenset()
+            del self._incoming[chunk.sender]
+            for part in parts.values():
+                self._adopt_part(part)
+            homes = frozenset(chunk.homes) - {self.identity}
+            self._adopted |= homes
+            return homes
+
+    def dump(self) -> dict[str, object]:
+        """Return counts and floors for the state dump."""
+        with self._lock:
+            states = [record.state for record in self._active.values()]
+            return {
+                "home": str(self.identity),
+                "sealed": self.sealed,
+                "adopted": sorted(str(home) for home in self._adopted),
+                "starting": states.count(TokenState.STARTING),
+                "running": states.count(TokenState.RUNNING),
+                "ended": len(self._ended),
+                "ended_bytes": self._ended.total_bytes,
+                "floors": self._ended.floors(),
+            }
+
+    def _handed_records(self) -> list[HandedRecord]:
+        ended = [_handed(token, record) for token, record in self._ended.items()]
+        lost = Unknown(UnknownReason.HOME_LOST)
+        running = [
+            HandedRecord(token, record.digest, False, record.refused_through, lost)
+            for token, record in self._active.items()
+        ]
+        return ended + running
+
+    def _adopt_part(self, part: HandoverChunk) -> None:
+        for home, (incarnation, sequence) in part.floors.items():
+            self._ended.raise_floor(home, incarnation, sequence)
+        for handed in part.records:
+            known = self._ended.get(handed.token)
+            if known is None or isinstance(known.outcome, Unknown):
+                size = outcome_bytes(handed.outcome)
+                self._ended.put(handed.token, _adopted(handed), size)
+
+    def _begin_first(
+        self, token: Token, digest: bytes, now: float, attempt: int
+    ) -> Begin:
+        if self._ended.may_have_dropped(token):
+            return Forgotten()
+        if now >= token.expires_at and token.home_identity == self.identity:
+            return Expired()
+        record = HomeRecord(digest, TokenState.STARTING, attempt_seen=attempt)
+        if not self._may_start(token):
+            self._void(token, record, now)
+            return RefusedVoid()
+        self._active[token] = record
+        return StartAllowed()
+
+    def _begin_again(
+        self, token: Token, record: HomeRecord, digest: bytes, now: float, attempt: int
+    ) -> Begin:
+        if record.digest != digest:
+            return DigestMismatch()
+        record.attempt_seen = max(record.attempt_seen, attempt)
+        if record.state in (TokenState.STARTING, TokenState.RUNNING):
+            return InProgress()
+        if record.state is TokenState.VOID:
+            return RefusedVoid()
+        if record.state is TokenState.REFUSED and attempt > record.refused_through:
+            return self._reopen(token, record, now)
+        assert record.outcome is not None
+        return Finished(record.outcome)
+
+    def _reopen(self, token: Token, record: HomeRecord, now: float) -> Begin:
+        if not self._may_start(token) or now >= token.expires_at:
+            self._void(token, record, now)
+            return RefusedVoid()
+        self._ended.pop(token)
+        record.state = TokenState.STARTING
+        self._active[token] = record
+        return StartAllowed()
+
+    def _may_start(self, token: Token) -> bool:
+        # An adopted home's tokens are only answered: two peers may both hold
+        # the table when the answer of a handover is lost.
+        return not self.sealed and token.home_identity == self.identity
+
+    def _refuse(
+        self, token: Token, record: HomeRecord, outcome: NotRun, now: float
+    ) -> None:
+        record.state = TokenState.REFUSED
+        record.outcome = outcome
+        record.refused_through = record.attempt_seen
+        self._end(token, record, now)
+
+    def _void(self, token: Token, record: HomeRecord, now: float | None = None) -> None:
+        record.state = TokenState.VOID
+        record.outcome = NotRun(NotRunReason.TOKEN_VOID)
+        self._end(token, record, now)
+
+    def _end(self, token: Token, record: HomeRecord, now: float | None) -> None:
+        self._active.pop(token, None)
+        assert record.outcome is not None
+        self._ended.put(token, record, outcome_bytes(record.outcome), now)
+
+    def _ended_outcome(self, token: Token) -> Outcome:
+        record = self._ended.get(token)
+        if record is None or record.outcome is None:
+            return Unknown(UnknownReason.ANSWER_EVICTED)
+        return record.outcome
+
+
+def _handed(token: Token, record: HomeRecord) -> HandedRecord:
+    assert record.outcome is not None
+    is_void = record.state is TokenState.VOID
+    return HandedRecord(
+        token, record.digest, is_void, record.refused_through, record.outcome
+    )
+
+
+def _adopted(handed: HandedRecord) -> HomeRecord:
+    state = TokenState.DONE
+    if handed.is_void:
+        state = TokenState.VOID
+    elif isinstance(handed.outcome, NotRun):
+        state = TokenState.REFUSED
+    return HomeRecord(
+        handed.digest,
+        state,
+        handed.outcome,
+        handed.refused_through,
+        handed.refused_through,
+    )
--- /dev/null
+++ b/src/sesameladder/idempotency/_issuer.py
@@ -0,0 +1,52 @@
+"""Issues tokens in the name of one process."""
+
+import random
+import threading
+
+from sesameladder.idempotency._token import PeerIdentity, Token
+
+TOKEN_LIFETIME_SECONDS = 24 * 3600.0
+NONCE_BITS = 64
+
+
+class TokenIssuer:
+    """Numbers the tokens of one incarnation; threads may share it."""
+
+    __slots__ = (
+        "_lock",
+        "_next_sequence",
+        "_random",
+        "identity",
+        "lifetime",
+    )
+
+    def __init__(
+        self,
+        instance: str,
+        incarnation: int,
+        lifetime: float = TOKEN_LIFETIME_SECONDS,
+        random_source: random.Random | None = None,
+    ) -> None:
+        self.identity = PeerIdentity(instance, incarnation)
+        self.lifetime = lifetime
+        self._random = random_source or random.SystemRandom()
+        self._next_sequence = 1
+        self._lock = threading.Lock()
+
+    def issue(self, witness: PeerIdentity | None, now: float) -> Token:
+        """Return a new token; the witness is another live process or None."""
+        if witness is not None and witness.instance == self.identity.instance:
+            raise ValueError("a home can't be the witness of its own tokens")
+        with self._lock:
+            sequence = self._next_sequence
+            self._next_sequence += 1
+            nonce = self._random.getrandbits(NONCE_BITS)
+        return Token(
+            home=self.identity.instance,
+            home_incarnation=self.identity.incarnation,
+            witness=witness.instance if witness else None,
+            witness_incarnation=witness.incarnation if witness else 0,
+            sequence=sequence,
+            expires_at=now + self.lifetime,
+            nonce=nonce,
+        )
--- /dev/null
+++ b/src/sesameladder/idempotency/_resolver.py
@@ -0,0 +1,208 @@
+"""What an entry does with a request that carries a token.
+
+The entry process carries out one step at a time and reports what came of it.
+"""
+
+from dataclasses import dataclass
+from functools import singledispatchmethod
+
+from sesameladder.idempotency._begin import Finished
+from sesameladder.idempotency._outcome import (
+    NotRun,
+    NotRunReason,
+    Outcome,
+    Unknown,
+    UnknownReason,
+)
+from sesameladder.idempotency._token import PeerIdentity, Token
+from sesameladder.idempotency._witness import NeverStarted, Started, WitnessVerdict
+
+MAX_HOME_MOVES = 4
+
+
+@dataclass(frozen=True, slots=True)
+class RunHere:
+    """Begin the token in this process's own home table."""
+
+
+@dataclass(frozen=True, slots=True)
+class ForwardToHome:
+    """Send the request to the process that answers for the token."""
+
+    home: PeerIdentity
+    """The token's home, or the process that took over its table."""
+
+
+@dataclass(frozen=True, slots=True)
+class AskWitness:
+    """Have the witness void the token, unless its start is recorded."""
+
+    witness: PeerIdentity
+    """The witness; it may be this process."""
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """Answer the caller; the last step."""
+
+    outcome: Outcome
+    """What the caller is told."""
+
+
+Step = RunHere | ForwardToHome | AskWitness | Answer
+
+
+@dataclass(frozen=True, slots=True)
+class HomeAnswered:
+    """The home, here or elsewhere, ended the request."""
+
+    outcome: Outcome
+    """The outcome that the home's table holds."""
+
+
+@dataclass(frozen=True, slots=True)
+class HomeUnreachable:
+    """No answer came from the home."""
+
+    delivered: bool = True
+    """Whether the request may have reached it; False only when it was not sent."""
+
+
+@dataclass(frozen=True, slots=True)
+class HomeGone:
+    """The home's process ended, or another incarnation answers in its place."""
+
+
+@dataclass(frozen=True, slots=True)
+class HomeMoved:
+    """A peer announced that it answers for the home's tokens."""
+
+    successor: PeerIdentity
+    """The process that holds the home's table."""
+
+
+@dataclass(frozen=True, slots=True)
+class WitnessAnswered:
+    """The witness answered the question."""
+
+    verdict: WitnessVerdict
+    """What it holds for the token."""
+
+
+@dataclass(frozen=True, slots=True)
+class WitnessUnreachable:
+    """No answer came from the witness; the void may have taken effect."""
+
+
+@dataclass(frozen=True, slots=True)
+class DeadlinePassed:
+    """The caller's deadline passed before the last step."""
+
+
+Event = (
+    HomeAnswered
+    | HomeUnreachable
+    | HomeGone
+    | HomeMoved
+    | WitnessAnswered
+    | WitnessUnreachable
+    | DeadlinePassed
+)
+
+
+class AttemptResolver:
+    """The decisions for one attempt of a token at one entry.
+
+    ``first_attempt`` is the caller's statement that no earlier attempt was
+    made.
+    """
+
+    __slots__ = ("first_attempt", "here", "home", "last_step", "moves", "token")
+
+    def __init__(
+        self,
+        token: Token,
+        here: PeerIdentity,
+        first_attempt: bool = False,
+        successor: PeerIdentity | None = None,
+    ) -> None:
+        self.token = token
+        self.here = here
+        self.first_attempt = first_attempt
+        self.home = successor or token.home_identity
+        self.moves = 0
+        self.last_step: Step | None = None
+
+    def start(self) -> Step:
+        """Return the first step."""
+        return self._take(self._contact_home())
+
+    def handle(self, event: Event) -> Step:
+        """Return the next step; after an ``Answer`` it stays the same."""
+        if isinstance(self.last_step, Answer):
+            return self.last_step
+        return self._take(self._decide(event))
+
+    def _take(self, step: Step) -> Step:
+        self.last_step = step
+        return step
+
+    def _contact_home(self) -> Step:
+        if self.home == self.here:
+            return RunHere()
+        return ForwardToHome(self.home)
+
+    @singledispatchmethod
+    def _decide(self, event: Event) -> Step:
+        raise TypeError(f"not an event of an attempt: {event!r}")
+
+    @_decide.register
+    def _home_answered(self, event: HomeAnswered) -> Step:
+        return Answer(event.outcome)
+
+    @_decide.register
+    def _home_unreachable(self, event: HomeUnreachable) -> Step:
+        # The only attempt ever made ends here, so no other can run it.
+        if self.first_attempt and not event.delivered:
+            return Answer(NotRun(NotRunReason.HOME_UNREACHABLE))
+        return self._ask_witness()
+
+    @_decide.register
+    def _home_gone(self, event: HomeGone) -> Step:
+        del event
+        return self._ask_witness()
+
+    @_decide.register
+    def _home_moved(self, event: HomeMoved) -> Step:
+        if event.successor == self.home or self.moves >= MAX_HOME_MOVES:
+            return self._ask_witness()
+        self.moves += 1
+        self.home = event.successor
+        return self._contact_home()
+
+    @_decide.register
+    def _witness_answered(self, event: WitnessAnswered) -> Step:
+        verdict = event.verdict
+        if isinstance(verdict, NeverStarted):
+            return Answer(NotRun(NotRunReason.TOKEN_VOID))
+        if isinstance(verdict, Finished):
+            return Answer(verdict.outcome)
+        if isinstance(verdict, Started):
+            return Answer(Unknown(UnknownReason.STARTED))
+        return Answer(Unknown(UnknownReason.WITNESS_LOST))
+
+    @_decide.register
+    def _witness_unreachable(self, event: WitnessUnreachable) -> Step:
+        del event
+        return Answer(Unknown(UnknownReason.WITNESS_LOST))
+
+    @_decide.register
+    def _deadline_passed(self, event: DeadlinePassed) -> Step:
+        del event
+        return Answer(Unknown(UnknownReason.DEADLINE))
+
+    def _ask_witness(self) -> Step:
+        witness = self.token.witness_identity
+        if witness is None:
+            return Answer(Unknown(UnknownReason.HOME_LOST))
+        return AskWitness(witness)
--- /dev/null
+++ b/src/sesameladder/idempotency/_witness.py
@@ -0,0 +1,119 @@
+"""The starts that one process records for the homes of its zone."""
+
+import threading
+from dataclasses import dataclass
+from enum import Enum
+
+from sesameladder.idempotency._begin import Finished
+from sesameladder.idempotency._outcome import Done, Outcome, outcome_bytes
+from sesameladder.idempotency._retention import RETENTION_SECONDS, RetainedRecords
+from sesameladder.idempotency._token import PeerIdentity, Token
+
+WITNESS_BYTES = 16 * 1024 * 1024
+MAX_ANSWER_BYTES = 256 * 1024
+
+
+@dataclass(frozen=True, slots=True)
+class NeverStarted:
+    """No start was recorded; the token is void from now on."""
+
+
+@dataclass(frozen=True, slots=True)
+class Started:
+    """A start was recorded, or a record of it may have been dropped."""
+
+
+@dataclass(frozen=True, slots=True)
+class NotWitness:
+    """The token names another incarnation as its witness."""
+
+
+WitnessVerdict = NeverStarted | Started | Finished | NotWitness
+
+
+class _Mark(Enum):
+    STARTED = "started"
+    VOID = "void"
+
+
+class WitnessTable:
+    """Decides between a start and a void, whichever comes first.
+
+    Threads may share it. Records are dropped by age and bytes. A token whose
+    record may have been dropped counts as started towards a question and as
+    void towards its home, so neither answer can be false.
+    """
+
+    __slots__ = ("_lock", "_records", "identity", "max_answer_bytes")
+
+    def __init__(
+        self,
+        instance: str,
+        incarnation: int,
+        max_bytes: int = WITNESS_BYTES,
+        max_answer_bytes: int = MAX_ANSWER_BYTES,
+        retention: float = RETENTION_SECONDS,
+    ) -> None:
+        self.identity = PeerIdentity(instance, incarnation)
+        self.max_answer_bytes = max_answer_bytes
+        self._records: RetainedRecords[_Mark | Outcome] = RetainedRecords(
+            max_bytes, retention
+        )
+        self._lock = threading.Lock()
+
+    def record_start(self, token: Token, now: float) -> bool:
+        """Record that the home starts the token; False forbids the start.
+
+        The home may ask again after a refused attempt, and its message may
+        arrive twice: a token that has started stays startable for its home,
+        whose own table allows one run.
+        """
+        with self._lock:
+            if token.witness_identity != self.identity:
+                return False
+            record = self._records.get(token)
+            if record is None and self._records.may_have_dropped(token):
+                return False
+            if record is None:
+                self._records.put(token, _Mark.STARTED, 0, now)
+                return True
+            return record is _Mark.STARTED
+
+    def void(self, token: Token, now: float) -> WitnessVerdict:
+        """Say whether the token started; if it did not, it never will."""
+        with self._lock:
+            if token.witness_identity != self.identity:
+                return NotWitness()
+            record = self._records.get(token)
+            if record is None and self._records.may_have_dropped(token):
+                return Started()
+            if record is None or record is _Mark.VOID:
+                self._records.put(token, _Mark.VOID, 0, now)
+                return NeverStarted()
+            return Started() if isinstance(record, _Mark) else Finished(record)
+
+    def record_answer(self, token: Token, answer: Outcome) -> None:
+        """Keep the answer of a started token for callers of a lost home.
+
+        Only ``Done`` is kept: a late message with an earlier attempt's
+        ``NotRun`` must not hide a later start.
+        """
+        size = outcome_bytes(answer)
+        if not isinstance(answer, Done) or size > self.max_answer_bytes:
+            return
+        with self._lock:
+            if self._records.get(token) is _Mark.STARTED:
+                self._records.put(token, answer, size)
+
+    def dump(self) -> dict[str, object]:
+        """Return counts and floors for the state dump."""
+        with self._lock:
+            marks = [record for _, record in self._records.items()]
+            return {
+                "witness": str(self.identity),
+                "started": marks.count(_Mark.STARTED),
+                "void": marks.count(_Mark.VOID),
+                "answered": sum(isinstance(mark, Done) for mark in marks),
+                "bytes": self._records.total_bytes,
+                "floors": self._records.floors(),
+            }
--- /dev/null
+++ b/src/sesameladder/idempotency/tests/test_resolver.py
@@ -0,0 +1,129 @@
+"""The entry's decisions, event by event."""
+
+import pytest
+
+from sesameladder.idempotency import (
+    Answer,
+    AskWitness,
+    AttemptResolver,
+    DeadlinePassed,
+    Done,
+    Finished,
+    ForwardToHome,
+    HomeAnswered,
+    HomeGone,
+    HomeMoved,
+    HomeUnreachable,
+    NeverStarted,
+    NotRun,
+    NotRunReason,
+    NotWitness,
+    PeerIdentity,
+    RunHere,
+    Started,
+    Token,
+    Unknown,
+    UnknownReason,
+    WitnessAnswered,
+    WitnessUnreachable,
+)
+
+HOME = PeerIdentity("a", 1)
+WITNESS = PeerIdentity("b", 1)
+OTHER = PeerIdentity("c", 1)
+TOKEN = Token("a", 1, "b", 1, 1, 100.0)
+ALONE = Token("a", 1, None, 0, 1, 100.0)
+DONE = Done(200, (), b"ok")
+VOID = Answer(NotRun(NotRunReason.TOKEN_VOID))
+STARTED = Answer(Unknown(UnknownReason.STARTED))
+WITNESS_LOST = Answer(Unknown(UnknownReason.WITNESS_LOST))
+HOME_LOST = Answer(Unknown(UnknownReason.HOME_LOST))
+
+
+@pytest.mark.parametrize(
+    ("token", "events", "steps"),
+    [
+        (TOKEN, [HomeAnswered(DONE)], [Answer(DONE)]),
+        # Forwarding may have reached the home although its answer was lost.
+        (TOKEN, [HomeUnreachable()], [AskWitness(WITNESS)]),
+        (TOKEN, [HomeGone()], [AskWitness(WITNESS)]),
+        (
+            TOKEN,
+            [HomeGone(), WitnessAnswered(NeverStarted())],
+            [AskWitness(WITNESS), VOID],
+        ),
+        (
+            TOKEN,
+            [HomeGone(), WitnessAnswered(Started())],
+            [AskWitness(WITNESS), STARTED],
+        ),
+        (
+            TOKEN,
+            [HomeGone(), WitnessAnswered(Finished(DONE))],
+            [AskWitness(WITNESS), Answer(DONE)],
+        ),
+        (
+            TOKEN,
+            [HomeGone(), WitnessAnswered(NotWitness())],
+            [AskWitness(WITNESS), WITNESS_LOST],
+        ),
+        (
+            TOKEN,
+            [HomeUnreachable(), WitnessUnreachable()],
+            [AskWitness(WITNESS), WITNESS_LOST],
+        ),
+        (ALONE, [HomeUnreachable()], [HOME_LOST]),
+        (
+            TOKEN,
+            [HomeMoved(OTHER), HomeAnswered(DONE)],
+            [ForwardToHome(OTHER), Answer(DONE)],
+        ),
+        (TOKEN, [HomeMoved(HOME)], [AskWitness(WITNESS)]),
+        (TOKEN, [DeadlinePassed()], [Answer(Unknown(UnknownReason.DEADLINE))]),
+    ],
+)
+def test_steps(token, events, steps) -> None:
+    """Guards against an answer that the events so far do not support."""
+    resolver = AttemptResolver(token, OTHER)
+    assert resolver.start() == ForwardToHome(HOME)
+    assert [resolver.handle(event) for event in events] == steps
+
+
+def test_home_runs_its_own_token() -> None:
+    """Guards against a home that forwards to itself."""
+    assert AttemptResolver(TOKEN, HOME).start() == RunHere()
+
+
+def test_blank_replacement_of_the_home_does_not_run() -> None:
+    """Guards against a run by a process that has lost the token's state."""
+    replacement = PeerIdentity("a", 2)
+    assert AttemptResolver(TOKEN, replacement).start() == ForwardToHome(HOME)
+
+
+@pytest.mark.parametrize("token", [TOKEN, ALONE])
+@pytest.mark.parametrize("first_attempt", [False, True])
+@pytest.mark.parametrize("delivered", [False, True])
+def test_undelivered_first_attempt_is_not_run(token, first_attempt, delivered) -> None:
+    """Guards against "not run" for a request that the home may hold."""
+    resolver = AttemptResolver(token, OTHER, first_attempt)
+    resolver.start()
+    step = resolver.handle(HomeUnreachable(delivered))
+    surely_not_run = isinstance(step, Answer) and isinstance(step.outcome, NotRun)
+    assert surely_not_run == (first_attempt and not delivered)
+
+
+def test_home_table_that_moves_in_circles_ends() -> None:
+    """Guards against peers that send a request round without end."""
+    resolver = AttemptResolver(TOKEN, OTHER)
+    resolver.start()
+    peers = [PeerIdentity(name, 1) for name in "defghijk"]
+    steps = [resolver.handle(HomeMoved(peer)) for peer in peers]
+    assert AskWitness(WITNESS) in steps
+
+
+def test_late_event_does_not_change_the_answer() -> None:
+    """Guards against two different answers to one attempt."""
+    resolver = AttemptResolver(TOKEN, OTHER)
+    resolver.start()
+    answer = resolver.handle(DeadlinePassed())
+    assert resolver.handle(HomeAnswered(DONE)) == answer
