Correct the test of a moved home table

Change: the row names a third process, and a new row expects RunHere when the asking entry holds the table.

Conclusion: the resolver needed no change.

--- a/src/sesameladder/idempotency/tests/test_resolver.py
+++ b/src/sesameladder/idempotency/tests/test_resolver.py
@@ -31,6 +31,7 @@
 HOME = PeerIdentity("a", 1)
 WITNESS = PeerIdentity("b", 1)
 OTHER = PeerIdentity("c", 1)
+SUCCESSOR = PeerIdentity("d", 1)
 TOKEN = Token("a", 1, "b", 1, 1, 100.0)
 ALONE = Token("a", 1, None, 0, 1, 100.0)
 DONE = Done(200, (), b"ok")
@@ -75,9 +76,10 @@
         (ALONE, [HomeUnreachable()], [HOME_LOST]),
         (
             TOKEN,
-            [HomeMoved(OTHER), HomeAnswered(DONE)],
-            [ForwardToHome(OTHER), Answer(DONE)],
+            [HomeMoved(SUCCESSOR), HomeAnswered(DONE)],
+            [ForwardToHome(SUCCESSOR), Answer(DONE)],
         ),
+        (TOKEN, [HomeMoved(OTHER)], [RunHere()]),
         (TOKEN, [HomeMoved(HOME)], [AskWitness(WITNESS)]),
         (TOKEN, [DeadlinePassed()], [Answer(Unknown(UnknownReason.DEADLINE))]),
     ],
