Add the configuration replica, its relay rules and poll schedule

Cause: every instance holds the folded configuration and must never go back, whatever peers and the store send.

--- a/src/sesameladder/configuration/__init__.py
+++ b/src/sesameladder/configuration/__init__.py
@@ -1,1 +1,41 @@
-"""Package under construction."""
+"""The configuration replica of an instance and the rules that keep it current."""
+
+from sesameladder.configuration._outcomes import (
+    Applied,
+    Conflicting,
+    Gap,
+    Malformed,
+    OfferOutcome,
+    Stale,
+)
+from sesameladder.configuration._poll import PollSchedule
+from sesameladder.configuration._recent import RecentTicket
+from sesameladder.configuration._relay import (
+    Declined,
+    Pull,
+    RelayRules,
+    SendSnapshot,
+    SendTickets,
+    Transfer,
+)
+from sesameladder.configuration._rendezvous import rank_members
+from sesameladder.configuration._replica import ConfigurationReplica
+
+__all__ = [
+    "Applied",
+    "ConfigurationReplica",
+    "Conflicting",
+    "Declined",
+    "Gap",
+    "Malformed",
+    "OfferOutcome",
+    "PollSchedule",
+    "Pull",
+    "RecentTicket",
+    "RelayRules",
+    "SendSnapshot",
+    "SendTickets",
+    "Stale",
+    "Transfer",
+    "rank_members",
+]
--- /dev/null
+++ b/src/sesameladder/configuration/_poll.py
@@ -0,0 +1,49 @@
+"""When an instance that hears of no relay reads the store itself."""
+
+from collections.abc import Callable
+from random import Random
+
+RELAY_SILENCE_S = 1.0
+POLL_INTERVAL_S = 0.5
+# Spreads the polls of instances that lost their relay at the same moment.
+POLL_JITTER = 0.5
+MAX_BACKOFF_S = 8.0
+
+
+class PollSchedule:
+    """Decides the time of the next poll; the caller polls and reports back."""
+
+    __slots__ = ("clock", "due_at", "failures", "random")
+
+    def __init__(self, clock: Callable[[], float], random: Random) -> None:
+        self.clock = clock
+        self.random = random
+        self.failures = 0
+        self.due_at = clock() + self._spread(POLL_INTERVAL_S)
+
+    def note_relay(self) -> None:
+        """Note that a relay was heard of; delays polling by a silence time."""
+        self.failures = 0
+        earliest = self.clock() + RELAY_SILENCE_S
+        self.due_at = max(self.due_at, earliest + self._spread(POLL_INTERVAL_S))
+
+    def note_answer(self) -> None:
+        """Note that the store answered a poll."""
+        self.failures = 0
+        self._schedule(POLL_INTERVAL_S)
+
+    def note_failure(self) -> None:
+        """Note that a poll failed; the pause doubles up to its limit."""
+        self.failures += 1
+        pause = POLL_INTERVAL_S * 2.0 ** min(self.failures, 16)
+        self._schedule(min(pause, MAX_BACKOFF_S))
+
+    def is_due(self) -> bool:
+        """Return whether the instance should poll now."""
+        return self.clock() >= self.due_at
+
+    def _schedule(self, pause: float) -> None:
+        self.due_at = self.clock() + self._spread(pause)
+
+    def _spread(self, pause: float) -> float:
+        return pause * (1 + self.random.uniform(-POLL_JITTER, POLL_JITTER))
--- /dev/null
+++ b/src/sesameladder/configuration/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the configuration replica and its relay rules."""
