Test the cell dispatcher under failures

They showed and this change corrects: long work told from short work before anything was learned, refusals by a worker that lapsed unnoticed, waiting long work without a bound within its class, and a resumed job whose expected time was mixed with the cell's median.

--- a/src/sesameladder/dispatch/_admission.py
+++ b/src/sesameladder/dispatch/_admission.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from sesameladder.dispatch._cell import CellState
+from sesameladder.dispatch._long_work import LongWork
 from sesameladder.dispatch._types import Demand, RefusalReason, Refused, WorkClass
 
 MIN_RETRY_AFTER_S = 1.0
@@ -20,16 +21,22 @@
     cell: CellState
     """State of the cell."""
 
+    long_work: LongWork
+    """Limits of long work."""
+
     def estimate_wait_s(self, work_class: WorkClass) -> float:
         """Return the expected wait of a new demand, in seconds."""
         slots = self.cell.workers.serving_slots
-        if slots == 0:
+        queues = self.cell.queue.by_class
+        ahead = [queues[name] for name in CLASSES_AHEAD[work_class]]
+        waiting = sum(queue.count for queue in ahead)
+        if slots == 0 or self.cell.workers.free_slots() > waiting:
             return 0.0
-        ahead_ms = sum(
-            self.cell.queue.by_class[name].expected_ms
-            for name in CLASSES_AHEAD[work_class]
-        )
-        return ahead_ms / 1000 / slots
+        wait_ms = sum(queue.expected_ms for queue in ahead) / slots
+        if work_class == WorkClass.LONG:
+            own_ms = queues[WorkClass.LONG].expected_ms / self.long_work.limit()
+            wait_ms = max(wait_ms, own_ms)
+        return wait_ms / 1000
 
     def refuse_queue_full(self, demand: Demand) -> Refused | None:
         """Return a refusal if the queue is full."""
@@ -40,7 +47,7 @@
 
     def refuse_wait(self, demand: Demand, wait_s: float, now: float) -> Refused | None:
         """Return a refusal if the estimated wait is too long."""
-        limit = self.cell.config.wait_limit_ms / 1000
+        limit = self.cell.config.wait_limit_s
         if now + wait_s > demand.deadline:
             excess = now + wait_s - demand.deadline
             return self.refuse(demand, RefusalReason.DEADLINE, excess)
@@ -54,7 +61,7 @@
             self.cell.retries.credit()
             return None
         if self.cell.unrunnable.is_unrunnable(
-            demand, lambda vm: self.cell.outliers.is_healthy(vm, now)
+            demand, lambda vm: self.cell.outliers.is_healthy(vm, now), now
         ):
             return self.refuse(demand, RefusalReason.NEVER_RUNS)
         if not self.cell.retries.take():
--- a/src/sesameladder/dispatch/_config.py
+++ b/src/sesameladder/dispatch/_config.py
@@ -30,6 +30,9 @@
     aging_factor: float = 4.0
     """Seconds of waiting that outweigh one second of expected run time."""
 
+    patience: float = 0.25
+    """Part of the wait limit after which waiting outweighs any run time."""
+
     long_share: float = 0.5
     """Largest share of the slots that long work may hold."""
 
@@ -78,6 +81,24 @@
     full_hold_s: float = 0.5
     """Time in seconds without grants after a worker refused as full."""
 
+    @property
+    def wait_limit_s(self) -> float:
+        """Longest wait of a demand, in seconds."""
+        return self.wait_limit_ms / 1000
+
+    @property
+    def patience_s(self) -> float:
+        """Wait in seconds after which waiting outweighs any run time."""
+        return self.patience * self.wait_limit_s
+
+    def handicap_s(self, expected_ms: float) -> float:
+        """Return how much later, in seconds, a job counts as submitted.
+
+        A fixed handicap orders like expected time less aging, without
+        reordering while demands wait.
+        """
+        return min(self.aging_factor * expected_ms / 1000, self.patience_s)
+
     @classmethod
     def from_pool(cls, pool: Pool) -> "DispatcherConfig":
         """Return the settings of a pool's cells."""
--- a/src/sesameladder/dispatch/_dispatcher.py
+++ b/src/sesameladder/dispatch/_dispatcher.py
@@ -20,6 +20,7 @@
     Granted,
     GrantOutcome,
     LeavingSource,
+    OutcomeKind,
     OutstandingGrant,
     Queued,
     RefusalReason,
@@ -67,9 +68,9 @@
         self, config: DispatcherConfig, random: Random, grant_prefix: str = ""
     ) -> None:
         self.cell = CellState.create(config, random)
-        self.admission = Admission(self.cell)
-        self.forwarders = Forwarders()
         self.long_work = LongWork(self.cell)
+        self.admission = Admission(self.cell, self.long_work)
+        self.forwarders = Forwarders()
         self.placement = Placement(self.cell, self.long_work)
         self.outcomes = Outcomes(self.cell)
         self.recovery = Recovery(self.cell)
@@ -85,6 +86,7 @@
         """Queue a demand or refuse it at once; resubmission changes nothing."""
         if self.handed_over:
             return self.admission.refuse(demand, RefusalReason.HANDED_OVER)
+        self._advance(now)
         if self.forwarders.is_stale(demand.forwarder, demand.incarnation):
             return self.admission.refuse(demand, RefusalReason.FORWARDER_GONE)
         if self.forwarders.sees_new_life(demand.forwarder, demand.incarnation):
@@ -151,8 +153,11 @@
         self.recovery.begin(now)
         for reported in grants:
             grant = self.recovery.adopt(reported, now)
-            if grant is not None:
-                self._occupy(grant, now)
+            if grant is None:
+                continue
+            self._occupy(grant, now)
+            if self.forwarders.is_stale(grant.forwarder, grant.incarnation):
+                self._free_after_lease(grant, now)
 
     def apply_task_reports(self, vm: str, count_running: int, now: float) -> None:
         """Apply a worker's fresh report of its number of running tasks."""
@@ -171,9 +176,8 @@
         Its waiting demands are dropped; its slots come back after one lease.
         """
         self.forwarders.end(forwarder, incarnation)
-        due = now + self.cell.config.task_lease_s
         for grant in self.cell.grants.of_forwarder(forwarder, incarnation):
-            self.forwarders.free_at(due, grant.grant_id)
+            self._free_after_lease(grant, now)
         for item in list(self.cell.queue.by_id.values()):
             demand = item.demand
             if demand.forwarder == forwarder and demand.incarnation <= incarnation:
@@ -223,28 +227,29 @@
     def _check(
         self, demand: Demand, work_class: WorkClass, now: float
     ) -> Refused | None:
-        wait = self.admission.estimate_wait_s(work_class)
         if demand.resumed:
             return None
-        refused = self.admission.refuse_queue_full(demand)
-        if refused is None:
-            refused = self.admission.refuse_wait(demand, wait, now)
-        if refused is None:
-            refused = self.admission.refuse_retry(demand, now)
-        return refused
+        if self.recovery.is_over(now) and not self.cell.workers.any_may_serve():
+            return self.admission.refuse(demand, RefusalReason.NO_WORKER)
+        wait = self.admission.estimate_wait_s(work_class)
+        return (
+            self.admission.refuse_queue_full(demand)
+            or self.admission.refuse_wait(demand, wait, now)
+            or self.admission.refuse_retry(demand, now)
+        )
 
     def _enqueue(self, demand: Demand, work_class: WorkClass, now: float) -> Queued:
         wait = self.admission.estimate_wait_s(work_class)
         expected = self.outcomes.expected_remaining_ms(demand)
         config = self.cell.config
-        limit = float("inf") if demand.resumed else now + config.wait_limit_ms / 1000
+        limit = float("inf") if demand.resumed else now + config.wait_limit_s
         self.cell.queue.push(
             WaitingDemand(
                 demand=demand,
                 enqueued_at=now,
                 expected_ms=expected,
                 work_class=work_class,
-                key=now + config.aging_factor * expected / 1000,
+                key=now + config.handicap_s(expected),
                 expires_at=min(limit, demand.deadline),
             )
         )
@@ -254,6 +259,7 @@
         for grant_id in self.forwarders.take_due(now):
             grant = self.cell.grants.by_id.get(grant_id)
             if grant is not None:
+                self.outcomes.record(grant, GrantOutcome(OutcomeKind.CANCELLED), now)
                 self._free(grant, now)
         for worker in self.cell.workers.take_due(now):
             self.cell.refresh(worker, now)
@@ -315,6 +321,10 @@
             self.cell.refresh(worker, now)
             self.cell.workers.drop_if_unused(worker)
 
+    def _free_after_lease(self, grant: Grant, now: float) -> None:
+        due = now + self.cell.config.task_lease_s
+        self.forwarders.free_at(due, grant.grant_id)
+
     def _refresh_vm(self, vm: str, now: float) -> None:
         worker = self.cell.workers.by_vm.get(vm)
         if worker is not None:
--- a/src/sesameladder/dispatch/_estimates.py
+++ b/src/sesameladder/dispatch/_estimates.py
@@ -11,6 +11,7 @@
 CELL_WINDOW = 257
 PRIOR_WEIGHT = 0.5
 MIN_OBSERVATIONS = 3
+MIN_CELL_OBSERVATIONS = 8
 MAX_KINDS = 4096
 MIN_RUN_MS = 0.1
 
@@ -88,16 +89,19 @@
         """Return the run time from which work counts as long, in milliseconds."""
         return self.config.long_factor * self.cell_median_ms()
 
+    def knows_cell(self) -> bool:
+        """Return whether enough jobs ended to tell long work from short work."""
+        return self.cell.count() >= MIN_CELL_OBSERVATIONS
+
     def expected_ms(self, kind: str, declared_ms: float | None) -> float:
         """Return the expected run time of a job, in milliseconds."""
-        prior = declared_ms if declared_ms else self.cell_median_ms()
-        prior = max(prior, MIN_RUN_MS)
+        prior = max(declared_ms or self.cell_median_ms(), MIN_RUN_MS)
         entry = self.kinds.get(kind)
-        if entry is None:
-            return prior
-        count = entry.window.count()
-        if count == 0:
-            return max(prior, entry.lower_bound_ms)
+        count = entry.window.count() if entry is not None else 0
+        if entry is None or count == 0:
+            return max(prior, entry.lower_bound_ms if entry is not None else 0.0)
+        if declared_ms is None:
+            return entry.window.median()
         total = count * math.log(entry.window.median())
         total += PRIOR_WEIGHT * math.log(prior)
         return math.exp(total / (count + PRIOR_WEIGHT))
@@ -105,7 +109,7 @@
     def is_long(self, kind: str) -> bool:
         """Return whether a kind counts as long; unknown kinds count as short."""
         entry = self.kinds.get(kind)
-        if entry is None:
+        if entry is None or not self.knows_cell():
             return False
         if entry.window.count() < MIN_OBSERVATIONS:
             return entry.lower_bound_ms >= self.long_threshold_ms()
--- a/src/sesameladder/dispatch/_long_work.py
+++ b/src/sesameladder/dispatch/_long_work.py
@@ -45,7 +45,7 @@
     def started(self, grant: Grant) -> None:
         """Watch a new grant, which may become a straggler."""
         if not grant.long:
-            self._watch(grant)
+            self._watch(grant, grant.granted_at)
 
     def ended(self, grant: Grant) -> None:
         """Forget a grant that was removed."""
@@ -70,7 +70,17 @@
     def floor(self) -> int:
         """Return the slots that waiting long work gets before short work."""
         share = self.cell.config.long_floor_share
-        return max(1, int(self.cell.workers.serving_slots * share))
+        return int(self.cell.workers.serving_slots * share)
+
+    def goes_first(self, now: float) -> bool:
+        """Return whether waiting long work is due before short work."""
+        held = self.cell.grants.long_held()
+        if held > 0 or self.floor() > 0:
+            return held < self.floor()
+        # A small cell has no slot to set aside; waiting decides there.
+        head = self.cell.queue.by_class[WorkClass.LONG].head(lambda _: False)
+        waited = now - head.enqueued_at if head is not None else 0.0
+        return waited >= self.cell.config.patience_s
 
     def limit(self) -> int:
         """Return the slots that long work may hold."""
@@ -78,7 +88,7 @@
         mean = self.short_load.mean
         needed = mean + self.cell.config.short_headroom * math.sqrt(mean)
         most = int(slots * self.cell.config.long_share)
-        return max(self.floor(), min(most, int(slots - needed)))
+        return max(1, self.floor(), min(most, int(slots - needed)))
 
     def order_relief(self, now: float) -> list[Decision]:
         """Return orders that free slots for waiting urgent and short work."""
@@ -91,17 +101,19 @@
             orders.extend(self._order_throttles(now))
         return orders
 
-    def _watch(self, grant: Grant) -> None:
-        due = grant.granted_at + self.cell.estimates.long_threshold_ms() / 1000
+    def _watch(self, grant: Grant, since: float) -> None:
+        due = since + self.cell.estimates.long_threshold_ms() / 1000
         heapq.heappush(self.stragglers, (due, grant.grant_id))
 
     def _check_straggler(self, grant: Grant, now: float) -> None:
-        running_ms = (now - grant.granted_at) * 1000
-        if running_ms + 1e-6 < self.cell.estimates.long_threshold_ms():
-            self._watch(grant)
-            return
-        self.cell.grants.mark_long(grant)
-        self.cell.estimates.observe_running(grant.kind, running_ms)
+        estimates = self.cell.estimates
+        if not estimates.knows_cell():
+            self._watch(grant, now)
+        elif grant.granted_at + estimates.long_threshold_ms() / 1000 > now:
+            self._watch(grant, grant.granted_at)
+        else:
+            self.cell.grants.mark_long(grant)
+            estimates.observe_running(grant.kind, (now - grant.granted_at) * 1000)
 
     def _order_preempts(self, urgent: int, short: int, now: float) -> list[Decision]:
         pending = 0
--- a/src/sesameladder/dispatch/_outcomes.py
+++ b/src/sesameladder/dispatch/_outcomes.py
@@ -31,7 +31,7 @@
         if outcome.kind == OutcomeKind.SUCCEEDED:
             self._record_success(grant, ran_ms, now)
         elif outcome.kind in FAILURES:
-            self._record_failure(grant, outcome.kind)
+            self._record_failure(grant, outcome.kind, now)
         elif outcome.kind == OutcomeKind.CHECKPOINTED:
             self._record_progress(grant, ran_ms)
         elif outcome.kind == OutcomeKind.NOT_RUN_LEAVING:
@@ -53,14 +53,15 @@
         self.cell.unrunnable.record_success(grant.kind)
         self.cell.outliers.record_success(grant.vm, now)
 
-    def _record_failure(self, grant: Grant, kind: OutcomeKind) -> None:
+    def _record_failure(self, grant: Grant, kind: OutcomeKind, now: float) -> None:
         self.progress_ms.pop(grant.demand_id, None)
         unrunnable = self.cell.unrunnable
         job_to_blame = unrunnable.fails_elsewhere(grant.kind, grant.vm)
         connection = kind == OutcomeKind.CONNECTION_FAILED
         counts = connection or not (grant.failed_before or job_to_blame)
         if not connection:
-            unrunnable.record_failure(grant.kind, grant.vm)
+            first = not grant.failed_before
+            unrunnable.record_failure(grant.kind, grant.vm, first, now)
         self.cell.outliers.record_failure(grant.vm, counts)
 
     def _record_progress(self, grant: Grant, ran_ms: float) -> None:
--- a/src/sesameladder/dispatch/_outliers.py
+++ b/src/sesameladder/dispatch/_outliers.py
@@ -98,7 +98,7 @@
                 self._eject(vm, now)
         return chosen
 
-    def take_probe(self, now: float) -> str | None:
+    def due_probe(self, now: float) -> str | None:
         """Return an ejected worker whose probe is due."""
         for vm in sorted(self.ejected):
             history = self.histories[vm]
--- a/src/sesameladder/dispatch/_placement.py
+++ b/src/sesameladder/dispatch/_placement.py
@@ -26,8 +26,8 @@
 
         The caller must occupy the slot before it takes the next match.
         """
-        while self.cell.workers.has_free_slot() or self._probe_due(now):
-            item = self._next_demand()
+        while self.cell.workers.has_free_slot() or self._due_probe(now) is not None:
+            item = self._next_demand(now)
             if item is None or len(self.deferred) > MAX_DEFERRED_PER_POLL:
                 break
             worker = self._choose_worker(item, now)
@@ -40,24 +40,25 @@
             self.cell.queue.restore(item)
         self.deferred.clear()
 
-    def _probe_due(self, now: float) -> bool:
-        return self.cell.outliers.take_probe(now) is not None
+    def _due_probe(self, now: float) -> Worker | None:
+        vm = self.cell.outliers.due_probe(now)
+        worker = self.cell.workers.by_vm.get(vm) if vm is not None else None
+        return worker if worker is not None and worker.may_probe(now) else None
 
-    def _next_demand(self) -> WaitingDemand | None:
+    def _next_demand(self, now: float) -> WaitingDemand | None:
         for skip in (self.cell.exceeds_share, lambda _: False):
-            for work_class in self._class_order():
+            for work_class in self._class_order(now):
                 item = self._head(work_class, skip)
                 if item is not None:
                     return item
         return None
 
-    def _class_order(self) -> Iterator[WorkClass]:
-        held = self.cell.grants.long_held()
+    def _class_order(self, now: float) -> Iterator[WorkClass]:
         yield WorkClass.URGENT
-        if held < self.long_work.floor():
+        if self.long_work.goes_first(now):
             yield WorkClass.LONG
         yield WorkClass.SHORT
-        if held < self.long_work.limit():
+        if self.cell.grants.long_held() < self.long_work.limit():
             yield WorkClass.LONG
 
     def _head(
@@ -76,11 +77,9 @@
         return item
 
     def _choose_worker(self, item: WaitingDemand, now: float) -> Worker | None:
-        probed = self.cell.outliers.take_probe(now)
+        probed = self._due_probe(now)
         if probed is not None and self._may_probe(item):
-            worker = self.cell.workers.by_vm.get(probed)
-            if worker is not None and worker.may_probe(now):
-                return worker
+            return probed
         return self.cell.workers.choose(item.demand)
 
     def _may_probe(self, item: WaitingDemand) -> bool:
--- a/src/sesameladder/dispatch/_retries.py
+++ b/src/sesameladder/dispatch/_retries.py
@@ -8,6 +8,8 @@
 from sesameladder.dispatch._types import Demand
 
 MAX_FAILING_KINDS = 1024
+KIND_MEMORY_S = 60.0
+MIN_FAILED_REQUESTS = 3
 
 
 class RetryBudget:
@@ -44,6 +46,12 @@
     workers: set[str] = field(default_factory=set)
     """VMs on which jobs of the kind failed."""
 
+    requests: int = 0
+    """Requests of the kind that failed at their first attempt."""
+
+    last_at: float = 0.0
+    """Time of the last failure in seconds."""
+
 
 class UnrunnableJobs:
     """Recognises jobs that fail wherever they run.
@@ -62,10 +70,14 @@
         """Record that a job of a kind succeeded."""
         self.kinds.pop(kind, None)
 
-    def record_failure(self, kind: str, vm: str) -> None:
+    def record_failure(self, kind: str, vm: str, first: bool, now: float) -> None:
         """Record that a job of a kind failed on a worker."""
-        failures = self.kinds.setdefault(kind, KindFailures())
+        failures = self.kinds.get(kind)
+        if failures is None or now - failures.last_at > KIND_MEMORY_S:
+            failures = self.kinds[kind] = KindFailures()
         failures.workers.add(vm)
+        failures.requests += first
+        failures.last_at = now
         self.kinds.move_to_end(kind)
         if len(self.kinds) > MAX_FAILING_KINDS:
             self.kinds.popitem(last=False)
@@ -75,11 +87,13 @@
         failures = self.kinds.get(kind)
         return failures is not None and len(failures.workers - {vm}) >= 2
 
-    def is_unrunnable(self, demand: Demand, healthy: Callable[[str], bool]) -> bool:
+    def is_unrunnable(
+        self, demand: Demand, healthy: Callable[[str], bool], now: float
+    ) -> bool:
         """Return whether a retry is pointless on any worker.
 
-        The demand's own lineage counts, and so do other jobs of its kind as
-        long as none of them succeeded.
+        The demand's own lineage counts, and so do several other requests of
+        its kind if none succeeded since.
         """
         if demand.attempt <= 1 or demand.resumed:
             return False
@@ -87,7 +101,10 @@
         if self._enough(failed_on, healthy):
             return True
         failures = self.kinds.get(demand.kind)
-        return failures is not None and self._enough(failures.workers, healthy)
+        if failures is None or now - failures.last_at > KIND_MEMORY_S:
+            return False
+        several = failures.requests >= MIN_FAILED_REQUESTS
+        return several and self._enough(failures.workers, healthy)
 
     def _enough(self, vms: set[str], healthy: Callable[[str], bool]) -> bool:
         return sum(healthy(vm) for vm in vms) >= self.workers_needed
--- a/src/sesameladder/dispatch/_workers.py
+++ b/src/sesameladder/dispatch/_workers.py
@@ -137,6 +137,12 @@
                 return next(iter(bucket.values()))
         return max(self.suspects.values(), key=Worker.free, default=None)
 
+    def any_may_serve(self) -> bool:
+        """Return whether a worker serves or may do so without news of the VM."""
+        if self.serving_slots > 0:
+            return True
+        return any(one.listed and not one.leaving for one in self.by_vm.values())
+
     def has_free_slot(self) -> bool:
         """Return whether some serving worker has a free slot."""
         return bool(self.suspects) or any(self.buckets)
--- /dev/null
+++ b/src/sesameladder/dispatch/tests/harness.py
@@ -0,0 +1,118 @@
+"""A cell with workers that tests drive event by event."""
+
+from random import Random
+from typing import Any
+
+from sesameladder.dispatch import (
+    Decision,
+    Demand,
+    Dispatcher,
+    DispatcherConfig,
+    Granted,
+    GrantOutcome,
+    OutcomeKind,
+    Queued,
+    Refused,
+    WorkerSpec,
+)
+from sesameladder.model import Team
+
+LEASE_S = 3.0
+RACK_SIZE = 4
+
+
+def make_workers(count: int = 6, slots: int = 8) -> list[WorkerSpec]:
+    return [
+        WorkerSpec(f"w{i}", f"r{i // RACK_SIZE}", f"10.0.0.{i}:80", slots, 64)
+        for i in range(count)
+    ]
+
+
+def make_demand(demand_id: str, **changes: Any) -> Demand:
+    fields: dict[str, Any] = {
+        "forwarder": "entry-1",
+        "incarnation": 1,
+        "team": "fitting",
+        "kind": "preview",
+        "urgent": False,
+        "repeatable": True,
+        "attempt": 1,
+        "expected_ms": None,
+        "checkpointable": False,
+        "deadline": 1e9,
+        "tried_workers": (),
+        "tried_racks": (),
+        "resumed": False,
+    }
+    return Demand(demand_id, **(fields | changes))
+
+
+class Cell:
+    """A dispatcher whose recovery ended at time 0."""
+
+    def __init__(
+        self,
+        workers: int = 6,
+        slots: int = 8,
+        teams: list[Team] | None = None,
+        **config: Any,
+    ) -> None:
+        self.specs = make_workers(workers, slots)
+        self.dispatcher = Dispatcher(DispatcherConfig(**config), Random(7), "g")
+        self.dispatcher.update_teams({team.name: team for team in teams or []})
+        self.dispatcher.update_workers(self.specs, -LEASE_S)
+        self.dispatcher.recover([], -LEASE_S)
+        for spec in self.specs:
+            self.dispatcher.apply_task_reports(spec.vm, 0, 0.0)
+        self.held: dict[str, Granted] = {}
+        self.names = 0
+
+    def submit(self, now: float, **changes: Any) -> Queued | Refused:
+        self.names += 1
+        demand = make_demand(changes.pop("demand_id", f"d{self.names}"), **changes)
+        return self.dispatcher.submit(demand, now)
+
+    def submit_many(self, count: int, now: float, **changes: Any) -> None:
+        for _ in range(count):
+            self.submit(now, **changes)
+
+    def poll(self, now: float) -> list[Decision]:
+        decisions = self.dispatcher.poll(now)
+        for granted in grants_of(decisions):
+            self.held[granted.grant_id] = granted
+        self.check_slots()
+        return decisions
+
+    def run(self, now: float, **changes: Any) -> Granted:
+        """Submit one demand that must be granted at once."""
+        self.submit(now, **changes)
+        (granted,) = grants_of(self.poll(now))
+        return granted
+
+    def release(
+        self,
+        granted: Granted | str,
+        now: float,
+        kind: OutcomeKind = OutcomeKind.SUCCEEDED,
+        ran_ms: float = 100.0,
+    ) -> bool:
+        grant_id = granted if isinstance(granted, str) else granted.grant_id
+        self.held.pop(grant_id, None)
+        return self.dispatcher.release(grant_id, GrantOutcome(kind, ran_ms), now)
+
+    def teach(self, kind: str, run_ms: float, now: float = 0.0, times: int = 5) -> None:
+        """Let the dispatcher observe the run time of a kind."""
+        for _ in range(times):
+            self.release(self.run(now, kind=kind), now, ran_ms=run_ms)
+
+    def check_slots(self) -> None:
+        for spec in self.specs:
+            assert self.dispatcher.outstanding(spec.vm) <= spec.slots
+
+
+def grants_of(decisions: list[Decision]) -> list[Granted]:
+    return [one for one in decisions if isinstance(one, Granted)]
+
+
+def vms_of(decisions: list[Decision]) -> set[str]:
+    return {granted.vm for granted in grants_of(decisions)}
--- /dev/null
+++ b/src/sesameladder/dispatch/tests/test_fairness.py
@@ -0,0 +1,134 @@
+"""Fair shares of teams, share caps, admission and cancellations in waves."""
+
+from collections import Counter
+
+import pytest
+
+from sesameladder.dispatch import Queued, RefusalReason, Refused
+from sesameladder.dispatch.tests.harness import Cell, grants_of
+from sesameladder.model import Team
+
+
+def serve(cell: Cell, waves: dict[str, int], rounds: int = 40) -> Counter[str]:
+    """Keep each team's wave waiting; returns the grants by team."""
+    served: Counter[str] = Counter()
+    names = {}
+    for index in range(rounds):
+        now = index * 0.1
+        for team, size in waves.items():
+            for number in range(size):
+                name = f"{team}-{index}-{number}"
+                names[name] = team
+                cell.submit(now, demand_id=name, team=team)
+        for granted in grants_of(cell.poll(now)):
+            served[names[granted.demand_id]] += 1
+        for granted in list(cell.held.values()):
+            cell.release(granted, now + 0.09)
+    return served
+
+
+@pytest.mark.parametrize(
+    ("weights", "waves", "shares"),
+    [
+        ((1, 1), (60, 10), (38 / 48, 10 / 48)),
+        ((1, 1), (40, 40), (0.5, 0.5)),
+        ((3, 1), (60, 60), (0.75, 0.25)),
+        ((1, 5), (60, 60), (1 / 6, 5 / 6)),
+        ((1, 1), (48, 0), (1.0, 0.0)),
+    ],
+)
+def test_slots_are_shared_by_weight_when_teams_wait(weights, waves, shares):
+    """Guards against one team's wave that pushes another team out."""
+    teams = [Team("a", weights[0]), Team("b", weights[1])]
+    cell = Cell(teams=teams, queue_limit=10_000)
+    served = serve(cell, {"a": waves[0], "b": waves[1]})
+    total = sum(served.values())
+    assert served["a"] / total == pytest.approx(shares[0], abs=0.05)
+    assert served["b"] / total == pytest.approx(shares[1], abs=0.05)
+
+
+def test_returning_team_gets_no_credit_for_its_pause():
+    """Guards against a team that saves up claims and then takes every slot."""
+    cell = Cell(teams=[Team("a"), Team("b")], queue_limit=10_000)
+    serve(cell, {"a": 60})
+    served = serve(cell, {"a": 60, "b": 60}, rounds=4)
+    assert served["b"] <= 0.6 * sum(served.values())
+
+
+@pytest.mark.parametrize(("other_waits", "held"), [(True, 12), (False, 48)])
+def test_share_cap_applies_only_while_others_wait(other_waits, held):
+    """Guards against a cap that idles slots, and against a cap without effect."""
+    cell = Cell(teams=[Team("a", weight=100, share_cap=0.25), Team("b")])
+    cell.submit_many(60, 0.0, team="a")
+    if other_waits:
+        cell.submit_many(60, 0.0, team="b")
+    cell.poll(0.0)
+    assert cell.dispatcher.dump()["held_by_team"]["a"] == held
+
+
+def test_queue_is_bounded_and_refuses_with_a_retry_time():
+    """Guards against a queue that grows without limit."""
+    cell = Cell(queue_limit=10)
+    answers = [cell.submit(0.0) for _ in range(12)]
+    refused = [one for one in answers if isinstance(one, Refused)]
+    assert [one.reason for one in refused] == [RefusalReason.QUEUE_FULL] * 2
+    assert all(one.retry_after_s >= 1.0 for one in refused)
+
+
+@pytest.mark.parametrize(
+    ("wait_limit_ms", "deadline", "reason"),
+    [
+        (10_000.0, 1e9, None),
+        (400.0, 1e9, RefusalReason.WAIT_TOO_LONG),
+        (10_000.0, 0.4, RefusalReason.DEADLINE),
+    ],
+)
+def test_early_refusal_when_the_estimated_wait_is_too_long(
+    wait_limit_ms, deadline, reason
+):
+    """Guards against accepting a request that can't start in time."""
+    cell = Cell(wait_limit_ms=wait_limit_ms)
+    cell.teach("preview", 100.0)
+    cell.submit_many(48, 0.0)
+    cell.poll(0.0)
+    cell.submit_many(240, 0.0)
+    answer = cell.submit(0.0, deadline=deadline)
+    assert getattr(answer, "reason", None) == reason
+
+
+@pytest.mark.parametrize(
+    ("deadline", "at", "reason"),
+    [(1e9, 10.0, RefusalReason.WAIT_TOO_LONG), (2.0, 2.0, RefusalReason.DEADLINE)],
+)
+def test_waiting_demand_is_refused_when_its_time_is_over(deadline, at, reason):
+    """Guards against a demand that waits without an answer."""
+    cell = Cell(workers=1, slots=1)
+    cell.run(0.0)
+    cell.submit(0.0, deadline=deadline)
+    assert cell.poll(at - 0.1) == []
+    (refused,) = cell.poll(at)
+    assert refused.reason == reason
+
+
+@pytest.mark.parametrize("cancelled", [1, 250, 499, 500])
+def test_waves_of_cancellations_leave_no_trace(cancelled):
+    """Guards against slots for cancelled demands and queues full of remains."""
+    cell = Cell(workers=1, slots=1, wait_limit_ms=1e6)
+    granted = cell.run(0.0)
+    for index in range(500):
+        cell.submit(0.0, demand_id=f"wave-{index}")
+    for index in range(cancelled):
+        assert cell.dispatcher.cancel(f"wave-{index}", 0.1)
+        assert not cell.dispatcher.cancel(f"wave-{index}", 0.1)
+    cell.release(granted, 0.2)
+    survivors = [one.demand_id for one in grants_of(cell.poll(0.2))]
+    assert survivors == ([f"wave-{cancelled}"] if cancelled < 500 else [])
+    assert len(cell.dispatcher.cell.queue.expiries) <= 3 * (500 - cancelled) + 64
+
+
+def test_submitting_a_waiting_demand_again_changes_nothing():
+    """Guards against two grants when a forwarder repeats its message."""
+    cell = Cell()
+    assert isinstance(cell.submit(0.0, demand_id="same"), Queued)
+    assert isinstance(cell.submit(0.0, demand_id="same"), Queued)
+    assert len(grants_of(cell.poll(0.0))) == 1
--- /dev/null
+++ b/src/sesameladder/dispatch/tests/test_long_work.py
@@ -0,0 +1,159 @@
+"""Short and urgent work beside long work, and long work that must not starve."""
+
+import pytest
+
+from sesameladder.dispatch import OutcomeKind, Preempt, Throttle
+from sesameladder.dispatch.tests.harness import Cell, grants_of
+from sesameladder.model import Team
+
+SHORT_MS, LONG_MS = 100.0, 5_000.0
+
+
+def make_cell(**config) -> Cell:
+    cell = Cell(**config)
+    cell.teach("preview", SHORT_MS, times=20)
+    cell.teach("blend", LONG_MS)
+    return cell
+
+
+def count(cell: Cell, decisions, prefix: str) -> int:
+    return sum(one.demand_id.startswith(prefix) for one in grants_of(decisions))
+
+
+def submit(cell: Cell, number: int, kind: str, now: float, **changes) -> None:
+    for index in range(number):
+        name = f"{kind}-{now}-{index}"
+        cell.submit(now, demand_id=name, kind=kind, **changes)
+
+
+def test_long_work_leaves_slots_for_short_work():
+    """Guards against long work that occupies the whole cell."""
+    cell = make_cell()
+    submit(cell, 60, "blend", 1.0)
+    cell.poll(1.0)
+    submit(cell, 8, "preview", 1.1)
+    assert count(cell, cell.poll(1.1), "preview") == 8
+
+
+def test_long_work_is_not_starved_by_short_work():
+    """Guards against long work that never starts under a flood of short work."""
+    cell = make_cell(queue_limit=10_000)
+    submit(cell, 4, "blend", 0.0)
+    started = 0
+    for index in range(100):
+        now = 0.1 * index
+        submit(cell, 60, "preview", now)
+        started += count(cell, cell.poll(now), "blend")
+        for granted in list(cell.held.values()):
+            if not granted.demand_id.startswith("blend"):
+                cell.release(granted, now + 0.05, ran_ms=SHORT_MS)
+    assert started == 4
+
+
+def test_waiting_long_job_gets_a_slot_among_new_long_jobs_that_are_shorter():
+    """Guards against starvation within long work: waiting outweighs run time."""
+    cell = make_cell(workers=1, slots=1)
+    cell.teach("medium", 1_000.0)
+    submit(cell, 1, "blend", 0.0)
+    waited = None
+    for index in range(60):
+        now = 1.0 * index
+        submit(cell, 1, "medium", now, deadline=now + 60.0)
+        for granted in grants_of(cell.poll(now)):
+            if granted.demand_id.startswith("blend"):
+                waited = now
+            cell.release(granted, now + 0.9, ran_ms=1_000.0)
+    assert waited is not None
+
+
+@pytest.mark.parametrize(("checkpointable", "orders"), [(True, 4), (False, 0)])
+def test_urgent_work_preempts_checkpointable_long_work(checkpointable, orders):
+    """Guards against urgent work that waits for long jobs to end."""
+    cell = make_cell(workers=1, slots=8, long_share=1.0)
+    submit(cell, 8, "blend", 1.0, checkpointable=checkpointable)
+    cell.poll(1.0)
+    submit(cell, 4, "preview", 1.1, urgent=True)
+    decisions = cell.poll(1.1)
+    preempted = [one for one in decisions if isinstance(one, Preempt)]
+    assert len(preempted) == orders
+    for order in preempted:
+        cell.release(order.grant_id, 1.3, OutcomeKind.CHECKPOINTED, 300.0)
+    assert len(grants_of(cell.poll(1.3))) == orders
+
+
+def test_preempt_orders_are_not_repeated_at_once():
+    """Guards against checkpointing more jobs than the waiting work needs."""
+    cell = make_cell(workers=1, slots=8, long_share=1.0)
+    submit(cell, 8, "blend", 1.0, checkpointable=True)
+    cell.poll(1.0)
+    submit(cell, 1, "preview", 1.1, urgent=True)
+    assert len(cell.poll(1.1)) == 1
+    assert cell.poll(1.2) == []
+    assert len(cell.poll(3.2)) == 1
+
+
+def test_preempted_job_resumes_as_long_work_with_its_progress():
+    """Guards against a resumed job that counts as new short work."""
+    cell = make_cell(workers=1, slots=1)
+    granted = cell.run(1.0, demand_id="job", kind="blend", checkpointable=True)
+    cell.release(granted, 2.0, OutcomeKind.CHECKPOINTED, 4_000.0)
+    cell.submit(2.0, demand_id="job", kind="blend", resumed=True)
+    waiting = cell.dispatcher.cell.queue.by_id["job"]
+    assert waiting.work_class == "long"
+    assert waiting.expected_ms == pytest.approx(1_000.0, rel=0.2)
+
+
+def test_straggler_of_a_short_kind_counts_as_long():
+    """Guards against a long job that hides behind a short kind's run time."""
+    cell = make_cell(workers=1, slots=2)
+    granted = cell.run(1.0, kind="preview", checkpointable=True)
+    cell.run(1.0, kind="preview")
+    assert cell.dispatcher.next_wakeup(1.0) == pytest.approx(1.8)
+    cell.poll(1.9)
+    assert cell.dispatcher.dump()["long_held"] == 2
+    assert cell.dispatcher.cell.grants.by_id[granted.grant_id].long
+
+
+def test_waiting_jobs_of_an_unknown_kind_follow_its_first_straggler():
+    """Guards against a wave of an unknown long kind that counts as short."""
+    cell = make_cell(workers=1, slots=4)
+    submit(cell, 6, "settlement", 1.0)
+    cell.poll(1.0)
+    submit(cell, 1, "preview", 1.9)
+    cell.poll(1.9)
+    cell.release(next(iter(cell.held)), 2.0, OutcomeKind.CANCELLED)
+    assert count(cell, cell.poll(2.0), "preview") == 1
+
+
+def test_other_stragglers_are_throttled_while_short_work_waits():
+    """Guards against stragglers at full speed beside waiting short work."""
+    cell = make_cell(workers=1, slots=2, long_share=1.0)
+    submit(cell, 2, "blend", 1.0)
+    cell.poll(1.0)
+    submit(cell, 1, "preview", 1.1)
+    cell.poll(1.1)
+    throttled = [one for one in cell.poll(2.2) if isinstance(one, Throttle)]
+    assert len(throttled) == cell.dispatcher.dump()["long_held"] > 0
+    cell.dispatcher.cancel("preview-1.1-0", 2.3)
+    lifted = [one.share for one in cell.poll(2.3)]
+    assert lifted == [1.0] * len(throttled)
+
+
+def test_learned_times_outweigh_declared_times():
+    """Guards against ordering by declared times, which are wrong by ten times."""
+    cell = make_cell(workers=1, slots=1)
+    busy = cell.run(1.0)
+    cell.submit(1.0, demand_id="blend", kind="blend", expected_ms=LONG_MS / 10)
+    cell.submit(1.0, demand_id="preview", kind="preview", expected_ms=SHORT_MS * 10)
+    cell.release(busy, 1.1)
+    assert [one.demand_id for one in grants_of(cell.poll(1.1))] == ["preview"]
+
+
+def test_teams_without_long_work_are_not_delayed_by_another_teams_long_work():
+    """Guards against charging a team's short work for its long work."""
+    cell = make_cell(teams=[Team("a"), Team("b")])
+    submit(cell, 20, "blend", 1.0, team="a")
+    cell.poll(1.0)
+    submit(cell, 60, "preview", 1.1, team="b")
+    cell.poll(1.1)
+    assert cell.dispatcher.dump()["held_by_team"]["b"] >= 24
--- /dev/null
+++ b/src/sesameladder/dispatch/tests/test_outliers.py
@@ -0,0 +1,130 @@
+"""Workers that fail everything, die in waves, or are wrongly blamed."""
+
+from itertools import pairwise
+
+import pytest
+
+from sesameladder.dispatch import OutcomeKind
+from sesameladder.dispatch.tests.harness import Cell, grants_of, vms_of
+
+FAILED, CONNECTION = OutcomeKind.FAILED, OutcomeKind.CONNECTION_FAILED
+
+
+def run_rounds(cell: Cell, bad: set[str], rounds: int, start: float = 0.0, **demand):
+    """Submit a full load each 0.1 s; returns the requests that bad workers got."""
+    kind = demand.pop("outcome", FAILED)
+    hit = 0
+    for index in range(rounds):
+        now = start + index * 0.1
+        cell.submit_many(24, now, **demand)
+        for granted in grants_of(cell.poll(now)):
+            is_bad = granted.vm in bad
+            hit += is_bad
+            cell.release(granted, now + 0.05, kind if is_bad else OutcomeKind.SUCCEEDED)
+    return hit
+
+
+def ejected(cell: Cell) -> set[str]:
+    rows = cell.dispatcher.dump()["workers"]
+    return {row["vm"] for row in rows if row["ejected"]}
+
+
+@pytest.mark.parametrize("outcome", [FAILED, CONNECTION])
+def test_worker_that_fails_everything_is_ejected(outcome):
+    """Guards against a fast-failing worker that attracts all the load."""
+    cell = Cell()
+    hit = run_rounds(cell, {"w2"}, 9, outcome=outcome)
+    assert ejected(cell) == {"w2"}
+    assert hit <= 3 + 7
+
+
+@pytest.mark.parametrize(
+    ("workers", "bad", "most"),
+    [(6, 2, 2), (6, 3, 2), (6, 4, 2), (3, 2, 1), (2, 1, 1), (12, 6, 4)],
+)
+def test_ejection_cap(workers, bad, most):
+    """Guards against a wave of failures that empties the cell."""
+    cell = Cell(workers=workers, probe_delay_s=100.0)
+    run_rounds(cell, {f"w{i}" for i in range(bad)}, 30, repeatable=False)
+    assert len(ejected(cell)) <= most
+    if bad < workers / 2:
+        assert len(ejected(cell)) == min(bad, most)
+
+
+def test_no_worker_is_ejected_when_all_fail():
+    """Guards against ejections that can't help in a full outage."""
+    cell = Cell()
+    run_rounds(cell, {spec.vm for spec in cell.specs}, 30)
+    assert ejected(cell) == set()
+
+
+def test_dying_wave_leaves_the_other_workers_at_work():
+    """Guards against a wave of deaths that stops the surviving workers."""
+    cell = Cell(workers=12)
+    for dead in (1, 3, 5):
+        run_rounds(cell, {f"w{i}" for i in range(dead)}, 5, dead, outcome=CONNECTION)
+    cell.submit_many(24, 9.0)
+    assert len(vms_of(cell.poll(9.0)) - {f"w{i}" for i in range(5)}) >= 5
+
+
+def test_kind_that_fails_everywhere_is_not_held_against_workers():
+    """Guards against ejecting good workers because of jobs that can't run."""
+    cell = Cell()
+    for index in range(60):
+        now = index * 0.1
+        cell.release(cell.run(now, kind="broken"), now, FAILED)
+        for granted in [cell.run(now) for _ in range(6)]:
+            cell.release(granted, now)
+    assert ejected(cell) == set()
+
+
+def test_probes_are_single_and_back_off_until_one_succeeds():
+    """Guards against a worker that stays out for ever or is flooded on probation."""
+    cell = Cell(probe_delay_s=1.0)
+    run_rounds(cell, {"w2"}, 9)
+    probes = []
+    now = 1.0
+    while now < 80.0:
+        cell.submit_many(12, now)
+        for granted in grants_of(cell.poll(now)):
+            bad = granted.vm == "w2" and now < 20.0
+            if granted.vm == "w2" and ejected(cell):
+                probes.append(now)
+            cell.release(granted, now, FAILED if bad else OutcomeKind.SUCCEEDED)
+        now = round(now + 0.25, 2)
+    gaps = [later - earlier for earlier, later in pairwise(probes)]
+    assert len(probes) == len(set(probes))
+    assert all(second > first for first, second in pairwise(gaps))
+    assert ejected(cell) == set()
+
+
+@pytest.mark.parametrize(
+    "changes", [{"urgent": True}, {"repeatable": False}, {"attempt": 2}]
+)
+def test_only_ordinary_repeatable_work_probes(changes):
+    """Guards against risking work that can't be repeated on a suspect worker."""
+    cell = Cell(workers=2, slots=1)
+    for now in (0.0, 0.1, 0.2):
+        cell.submit_many(2, now)
+        for granted in grants_of(cell.poll(now)):
+            outcome = FAILED if granted.vm == "w0" else OutcomeKind.SUCCEEDED
+            cell.release(granted, now, outcome)
+    cell.dispatcher.cell.retries.tokens = 5.0
+    cell.poll(0.3)
+    assert ejected(cell) == {"w0"}
+    cell.submit_many(2, 9.0, **changes)
+    assert vms_of(cell.poll(9.0)) == {"w1"}
+    cell.submit(9.0)
+    assert vms_of(cell.poll(9.0)) == {"w0"}
+
+
+def test_probe_of_a_dead_forwarder_does_not_block_later_probes():
+    """Guards against a worker that stays ejected after its probe was lost."""
+    cell = Cell()
+    run_rounds(cell, {"w2"}, 9)
+    cell.submit(5.0, forwarder="entry-2")
+    assert vms_of(cell.poll(5.0)) == {"w2"}
+    cell.dispatcher.forget_forwarder("entry-2", 1, 5.0)
+    cell.poll(8.0)
+    cell.submit(20.0)
+    assert vms_of(cell.poll(20.0)) == {"w2"}
--- /dev/null
+++ b/src/sesameladder/dispatch/tests/test_recovery.py
@@ -0,0 +1,160 @@
+"""Recovery of a dispatcher, and forwarders that die and return."""
+
+from random import Random
+
+import pytest
+
+from sesameladder.dispatch import Dispatcher, DispatcherConfig, OutcomeKind, Queued
+from sesameladder.dispatch._types import GrantOutcome, OutstandingGrant
+from sesameladder.dispatch.tests.harness import (
+    Cell,
+    grants_of,
+    make_demand,
+    make_workers,
+)
+
+ENDED = GrantOutcome(OutcomeKind.SUCCEEDED, 10.0)
+
+
+def start(workers: int = 1) -> Dispatcher:
+    dispatcher = Dispatcher(DispatcherConfig(), Random(1), "new-")
+    dispatcher.update_workers(make_workers(workers), 0.0)
+    for index in range(20):
+        dispatcher.submit(make_demand(f"d{index}"), 0.0)
+    return dispatcher
+
+
+def reported(grant_id: str, vm: str = "w0", incarnation: int = 1) -> OutstandingGrant:
+    return OutstandingGrant(
+        grant_id, f"of-{grant_id}", "entry-1", incarnation, vm, "fitting", "preview"
+    )
+
+
+def test_nothing_is_granted_before_recovery_ends_and_the_worker_reports():
+    """Guards against a second task in a slot that an old grant still holds."""
+    dispatcher = start()
+    assert dispatcher.poll(0.0) == []
+    dispatcher.recover([], 0.0)
+    dispatcher.apply_task_reports("w0", 0, 2.9)
+    assert dispatcher.poll(2.9) == []
+    assert dispatcher.next_wakeup(2.9) == 3.0
+    assert dispatcher.poll(3.0) == []
+    assert [spec.vm for spec in dispatcher.workers_to_report(3.0)] == ["w0"]
+    dispatcher.apply_task_reports("w0", 0, 3.1)
+    assert len(grants_of(dispatcher.poll(3.1))) == 8
+
+
+@pytest.mark.parametrize(
+    ("known", "running", "granted"),
+    [(0, 0, 8), (3, 3, 5), (3, 5, 3), (0, 8, 0), (0, 11, 0), (3, 1, 5)],
+)
+def test_known_grants_and_unknown_tasks_occupy_slots(known, running, granted):
+    """Guards against more tasks on a worker than it has slots."""
+    dispatcher = start()
+    dispatcher.recover([reported(f"old-{i}") for i in range(known)], 0.0)
+    dispatcher.recover([reported("old-0")] if known else [], 1.0)
+    dispatcher.apply_task_reports("w0", running, 3.0)
+    assert len(grants_of(dispatcher.poll(3.0))) == granted
+
+
+def test_unknown_tasks_free_their_slots_when_a_report_no_longer_shows_them():
+    """Guards against slots that stay lost after a restart."""
+    dispatcher = start()
+    dispatcher.recover([], 0.0)
+    dispatcher.apply_task_reports("w0", 6, 3.0)
+    assert len(grants_of(dispatcher.poll(3.0))) == 2
+    dispatcher.apply_task_reports("w0", 4, 4.5)
+    assert len(grants_of(dispatcher.poll(4.5))) == 4
+    assert dispatcher.workers_to_report(4.5)
+    dispatcher.apply_task_reports("w0", 6, 6.0)
+    assert len(grants_of(dispatcher.poll(6.0))) == 2
+    assert not dispatcher.workers_to_report(6.0)
+
+
+def test_release_that_overtakes_the_report_of_its_grant():
+    """Guards against a slot held for ever by a grant that is released already."""
+    dispatcher = start()
+    dispatcher.recover([], 0.0)
+    assert not dispatcher.release("old-1", ENDED, 0.5)
+    dispatcher.recover([reported("old-1")], 1.0)
+    assert dispatcher.outstanding("w0") == 0
+
+
+def test_recovered_grant_of_a_forwarder_that_is_gone_returns_after_a_lease():
+    """Guards against a lost slot when the reporter died before the report."""
+    dispatcher = start()
+    dispatcher.forget_forwarder("entry-1", 1, 0.0)
+    dispatcher.recover([reported("old-1")], 1.0)
+    dispatcher.poll(3.9)
+    assert dispatcher.outstanding("w0") == 1
+    dispatcher.poll(4.0)
+    assert dispatcher.outstanding("w0") == 0
+
+
+def test_slots_of_a_dead_forwarder_return_after_one_lease():
+    """Guards against reuse of a slot while the dead forwarder's task may run."""
+    cell = Cell(workers=1, slots=1)
+    granted = cell.run(0.0)
+    cell.submit(1.0, forwarder="entry-2")
+    cell.dispatcher.forget_forwarder("entry-1", 1, 1.0)
+    assert cell.poll(3.9) == []
+    assert cell.dispatcher.next_wakeup(3.9) == 4.0
+    assert len(grants_of(cell.poll(4.0))) == 1
+    assert not cell.release(granted, 4.1)
+    assert cell.dispatcher.outstanding("w0") == 1
+
+
+def test_waiting_demands_of_a_dead_forwarder_are_dropped():
+    """Guards against grants that nobody uses."""
+    cell = Cell(workers=1, slots=1)
+    cell.run(0.0, forwarder="entry-2")
+    cell.submit_many(5, 0.0)
+    cell.dispatcher.forget_forwarder("entry-1", 1, 1.0)
+    assert cell.dispatcher.dump()["waiting"]["short"] == 0
+
+
+@pytest.mark.parametrize(
+    ("incarnation", "accepted"), [(1, False), (2, False), (3, True), (4, True)]
+)
+def test_only_later_lives_of_a_gone_forwarder_are_served(incarnation, accepted):
+    """Guards against late messages of a dead forwarder, and against its lockout."""
+    cell = Cell()
+    cell.run(0.0, incarnation=2)
+    cell.dispatcher.forget_forwarder("entry-1", 2, 0.0)
+    answer = cell.submit(1.0, incarnation=incarnation)
+    assert isinstance(answer, Queued) == accepted
+
+
+def test_a_new_incarnation_ends_the_old_one():
+    """Guards against slots that a restarted forwarder no longer knows."""
+    cell = Cell(workers=1, slots=2)
+    cell.run(0.0, incarnation=1)
+    cell.run(1.0, incarnation=2)
+    cell.poll(4.0)
+    assert cell.dispatcher.outstanding("w0") == 1
+    assert cell.submit(4.0, incarnation=1).reason == "forwarder_gone"
+
+
+def test_release_counts_once_and_unknown_grants_are_ignored():
+    """Guards against freeing another grant's slot by a repeated release."""
+    cell = Cell(workers=1, slots=2)
+    first = cell.run(0.0)
+    cell.run(0.0)
+    assert cell.release(first, 1.0)
+    assert not cell.release(first, 1.1)
+    assert not cell.release("never-granted", 1.1)
+    assert cell.dispatcher.outstanding("w0") == 1
+
+
+def test_handover_stops_grants_but_takes_releases():
+    """Guards against two dispatchers that grant the same slots."""
+    cell = Cell(workers=1, slots=1)
+    granted = cell.run(0.0)
+    cell.submit(0.0, demand_id="waiting")
+    handover = cell.dispatcher.hand_over()
+    assert [one.grant_id for one in handover.outstanding] == [granted.grant_id]
+    assert handover.queued == ["waiting"]
+    assert cell.release(granted, 1.0)
+    assert cell.poll(1.0) == []
+    assert cell.submit(1.0).reason == "handed_over"
+    assert cell.dispatcher.next_wakeup(1.0) is None
