--- /dev/null
+++ b/src/sesameladder/measure/_planning_driver.py
@@ -0,0 +1,124 @@
+"""Runs planners against the fake region, one step a second."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from sesameladder.measure._planning_region import FakeRegion
+from sesameladder.planning import (
+    Phase,
+    Planner,
+    PlannerSession,
+    RegionPlan,
+    WritePlan,
+)
+from sesameladder.platform import FakeStore
+
+STEP_S = 1.0
+
+
+@dataclass(slots=True)
+class PlannerDriver:
+    """Drives one planner without a store, for measurements."""
+
+    region: FakeRegion
+    """Region that the planner plans."""
+
+    planner: Planner
+    """Planner under measurement."""
+
+    plan: RegionPlan
+    """Plan after the last step."""
+
+    moves: int = 0
+    """Moves that were started so far."""
+
+    def run(self, seconds: float, is_done: Callable[[], bool] | None = None) -> float:
+        """Run up to some time or until a condition; returns the seconds passed."""
+        start = self.region.now
+        while self.region.now - start < seconds:
+            self.region.advance(STEP_S)
+            self.step()
+            if is_done is not None and is_done():
+                break
+        return self.region.now - start
+
+    def step(self) -> None:
+        """Run one planner step and carry out its actions."""
+        region = self.region
+        actions = self.planner.step(region.observe(self.plan), self.plan, region.now)
+        for action in actions:
+            if isinstance(action, WritePlan):
+                self.moves += count_new_moves(self.plan, action.plan)
+                self.plan = action.plan
+        region.publish(self.plan)
+        region.carry_out(actions)
+
+    def is_settled(self) -> bool:
+        """Tell whether every VM serves the pool of its configuration."""
+        vms = self.region.state.vms
+        return all(
+            row.phase is Phase.SERVING
+            and row.vm in vms
+            and vms[row.vm].pool == row.pool
+            for row in self.plan.rows.values()
+        )
+
+
+def count_new_moves(old: RegionPlan, new: RegionPlan) -> int:
+    """Return how many rows began a move between two plans."""
+    return sum(
+        row.target_pool is not None
+        and ((before := old.rows.get(row.vm)) is None or before.target_pool is None)
+        for row in new.rows.values()
+    )
+
+
+@dataclass(slots=True)
+class SessionDriver:
+    """Drives planner sessions over a fake store, for tests of failures."""
+
+    region: FakeRegion
+    """Region that the sessions plan."""
+
+    store: FakeStore
+    """Store that holds plan and role."""
+
+    revisions: list[int] = field(default_factory=list)
+    """Store revisions of the published plans."""
+
+    @property
+    def plan(self) -> RegionPlan:
+        """Return the plan in the store; empty before the first write."""
+        entry = self.store.entries.get("plan/north")
+        return (
+            RegionPlan.from_bytes(entry.value) if entry else RegionPlan.empty("north")
+        )
+
+    def run(
+        self,
+        session: PlannerSession,
+        seconds: float,
+        is_done: Callable[[RegionPlan], bool] | None = None,
+    ) -> bool:
+        """Run a session up to some time; tells whether the condition came true."""
+        end = self.region.now + seconds
+        while self.region.now < end:
+            self.region.advance(STEP_S)
+            self.step(session)
+            if is_done is not None and is_done(self.plan):
+                return True
+        return False
+
+    def step(self, session: PlannerSession) -> None:
+        """Run one step of a session and carry out its actions."""
+        actions = session.run(self.region.observe)
+        self.publish()
+        if not session.role.lost:
+            self.region.carry_out(actions)
+
+    def publish(self) -> None:
+        """Tell the dispatchers about a plan that was written."""
+        entry = self.store.entries.get("plan/north")
+        if entry is not None and entry.revision not in self.revisions[-1:]:
+            self.revisions.append(entry.revision)
+            self.region.publish(RegionPlan.from_bytes(entry.value))
--- /dev/null
+++ b/src/sesameladder/measure/_planning_region.py
@@ -0,0 +1,334 @@
+"""A small fake of a region's workers, dispatchers and VM list.
+
+It follows published plans with a lag that differs between cells, so the
+dispatchers of two pools never see a move at the same moment, and it records
+every act of the planner that breaks a promise.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field, replace
+from random import Random
+
+from sesameladder.model import FleetState
+from sesameladder.planning import (
+    Action,
+    AskCheckpoint,
+    CellReport,
+    CheckHealth,
+    DispatcherRow,
+    DrainVm,
+    HealthResult,
+    Observation,
+    Phase,
+    RaiseAlarm,
+    RebootVm,
+    RegionPlan,
+    VmRow,
+)
+from sesameladder.platform import VmState, VmStatus
+
+MIN_PLAN_LAG_S = 0.3
+PLAN_LAG_SPREAD_S = 1.4
+LIST_LAG_S = 2.0
+
+
+@dataclass(slots=True)
+class FakeVm:
+    """True state of one worker VM."""
+
+    name: str
+    """Name of the VM."""
+
+    zone: str
+    """Availability zone of the VM."""
+
+    up: bool = True
+    """Whether the worker answers."""
+
+    drained: bool = False
+    """Whether the platform told the worker to accept no task."""
+
+    returns_at: float | None = None
+    """End of the running reboot; None outside a reboot or when it never ends."""
+
+    served_by: str | None = None
+    """Cell whose dispatcher grants slots of the VM."""
+
+    busy_until: float = 0.0
+    """End of the last task after the dispatcher stopped granting."""
+
+    listed: VmStatus | None = None
+    """Row of the platform's VM list."""
+
+
+@dataclass(slots=True)
+class RegionTimes:
+    """Ranges of drain and reboot times, in seconds."""
+
+    drain_s: tuple[float, float] = (5.0, 40.0)
+    """Shortest and longest drain."""
+
+    reboot_s: tuple[float, float] = (60.0, 120.0)
+    """Shortest and longest reboot."""
+
+
+@dataclass(slots=True)
+class FakeRegion:
+    """A region under an injected clock and a seeded source of randomness."""
+
+    state: FleetState
+    """Configuration in effect."""
+
+    random: Random
+    """Source of drain and reboot times."""
+
+    entries: dict[str, tuple[str, ...]]
+    """Entry instances by zone."""
+
+    times: RegionTimes = field(default_factory=RegionTimes)
+    """Ranges of drain and reboot times."""
+
+    now: float = 1_700_000_000.0
+    """Time in seconds since the Unix epoch."""
+
+    vms: dict[str, FakeVm] = field(default_factory=dict)
+    """True states by VM."""
+
+    plans: list[tuple[float, RegionPlan]] = field(default_factory=list)
+    """Published plans with the times of publication, oldest first."""
+
+    applied: dict[str, RegionPlan] = field(default_factory=dict)
+    """Plan that each cell's dispatcher has applied, by ``pool/zone``."""
+
+    cut: set[str] = field(default_factory=set)
+    """Zones that are cut off."""
+
+    gone_entries: set[str] = field(default_factory=set)
+    """Entry instances that were killed."""
+
+    leaving_entries: set[str] = field(default_factory=set)
+    """Entry instances that are shutting down."""
+
+    never_returning: set[str] = field(default_factory=set)
+    """VMs whose next reboot does not end."""
+
+    stragglers: set[str] = field(default_factory=set)
+    """VMs whose tasks do not end by themselves."""
+
+    checkpointable: set[str] = field(default_factory=set)
+    """VMs whose stragglers end when a checkpoint is asked for."""
+
+    demand: dict[str, float] = field(default_factory=dict)
+    """Mean demand by cell, in slots."""
+
+    health: dict[str, HealthResult] = field(default_factory=dict)
+    """Latest health results by VM."""
+
+    accepted: dict[str, float] = field(default_factory=dict)
+    """Times of accepted reboots by VM."""
+
+    alarms: list[RaiseAlarm] = field(default_factory=list)
+    """Alarms so far."""
+
+    violations: list[str] = field(default_factory=list)
+    """Broken promises so far."""
+
+    lags: dict[str, float] = field(default_factory=dict)
+    """Time until a cell's dispatcher applies a plan, by cell."""
+
+    def advance(self, seconds: float) -> None:
+        """Let time pass; dispatchers and workers react."""
+        self.now += seconds
+        self._add_new_vms()
+        for vm in self.vms.values():
+            if vm.returns_at is not None and vm.returns_at <= self.now:
+                vm.up, vm.drained, vm.returns_at = True, False, None
+                self._list(vm, VmState.LIVE)
+        self._apply_plans()
+
+    def publish(self, plan: RegionPlan) -> None:
+        """Make a written plan known to the dispatchers after their lags."""
+        if not self.plans or plan is not self.plans[-1][1]:
+            self._check_follows(plan)
+            self.plans.append((self.now, plan))
+
+    def observe(self, plan: RegionPlan) -> Observation:
+        """Return what a planner sees."""
+        down = {vm.name for vm in self.vms.values() if not vm.up}
+        cut = {vm.name for vm in self.vms.values() if vm.zone in self.cut}
+        return Observation(
+            now=self.now,
+            configuration=self.state,
+            vms=self._list_rows(),
+            suspected=frozenset(down - cut),
+            unreachable=frozenset(cut),
+            cells={key: self._report(row) for key, row in plan.dispatchers.items()},
+            entries={
+                zone: tuple(name for name in names if name not in self.gone_entries)
+                for zone, names in self.entries.items()
+                if zone not in self.cut
+            },
+            leaving_entries=frozenset(self.leaving_entries),
+            health=dict(self.health),
+            accepted_reboots=dict(self.accepted),
+            checkpointable=frozenset(self.checkpointable),
+        )
+
+    def carry_out(self, actions: Iterable[Action]) -> None:
+        """Carry out a planner's actions on VMs."""
+        for action in actions:
+            match action:
+                case DrainVm(vm):
+                    self.vms[vm].drained = True
+                case RebootVm(vm):
+                    self._reboot(self.vms[vm])
+                case RaiseAlarm():
+                    self.alarms.append(action)
+                case AskCheckpoint(vm) if vm in self.checkpointable:
+                    self.vms[vm].busy_until = self.now
+                case CheckHealth(vm):
+                    self._answer(self.vms[vm])
+
+    def fail(self, names: Iterable[str]) -> None:
+        """Let VMs crash; their tasks end."""
+        for name in names:
+            vm = self.vms[name]
+            vm.up, vm.returns_at, vm.busy_until = False, None, 0.0
+
+    def repair(self, names: Iterable[str]) -> None:
+        """Let crashed VMs return."""
+        for name in names:
+            vm = self.vms[name]
+            vm.up, vm.drained = True, False
+            self._list(vm, VmState.LIVE)
+
+    def rack_vms(self, rack: str) -> list[str]:
+        """Return the VMs of a rack."""
+        return [name for name, vm in self.state.vms.items() if vm.rack == rack]
+
+    def _add_new_vms(self) -> None:
+        for name, spec in self.state.vms.items():
+            if name not in self.vms:
+                self.vms[name] = FakeVm(name, spec.zone)
+
+    def _list(self, vm: FakeVm, state: VmState) -> None:
+        vm.listed = VmStatus(vm.name, vm.zone, state, self.now)
+
+    def _list_rows(self) -> list[VmStatus]:
+        rows = [vm.listed for vm in self.vms.values() if vm.listed is not None]
+        visible = [row for row in rows if row.changed_at <= self.now - LIST_LAG_S]
+        gone = [
+            VmStatus(name, "", VmState.GONE, 0.0) for name in sorted(self.gone_entries)
+        ]
+        return visible + gone
+
+    def _report(self, row: DispatcherRow) -> CellReport:
+        key = f"{row.pool}/{row.zone}"
+        applied = self.applied.get(key)
+        owner = applied.dispatchers.get(key) if applied else None
+        is_alive = row.zone not in self.cut and row.instance not in self.gone_entries
+        if applied is None or owner is None or owner.instance != row.instance:
+            return CellReport(row.instance, 0, alive=False, granting=False)
+        outstanding = {
+            name: 1
+            for name, vm in self.vms.items()
+            if vm.zone == row.zone and self._is_busy(vm)
+        }
+        demand = self.demand.get(key, 0.0)
+        return CellReport(
+            row.instance, applied.version, outstanding, demand, alive=is_alive
+        )
+
+    def _is_busy(self, vm: FakeVm) -> bool:
+        return vm.served_by is not None or vm.busy_until > self.now
+
+    def _apply_plans(self) -> None:
+        for key in {key for _, plan in self.plans for key in plan.dispatchers}:
+            if key.rsplit("/", 1)[1] not in self.cut:
+                self._apply_to_cell(key)
+        while len(self.plans) > 1 and self.plans[1][0] < self.now - 60.0:
+            del self.plans[0]
+
+    def _apply_to_cell(self, key: str) -> None:
+        lag = self.lags.setdefault(
+            key, MIN_PLAN_LAG_S + self.random.random() * PLAN_LAG_SPREAD_S
+        )
+        seen = [plan for time, plan in self.plans if time <= self.now - lag]
+        if seen and self.applied.get(key) is not seen[-1]:
+            self.applied[key] = seen[-1]
+            self._serve_rows(key, seen[-1])
+
+    def _serve_rows(self, key: str, plan: RegionPlan) -> None:
+        pool, zone = key.rsplit("/", 1)
+        for row in plan.rows.values():
+            vm = self.vms.get(row.vm)
+            if vm is not None and vm.zone == zone:
+                is_served = row.pool == pool and row.phase is Phase.SERVING
+                self._serve(vm, key, is_served)
+        for vm in self.vms.values():
+            if vm.served_by == key and vm.name not in plan.rows:
+                self.violations.append(f"P2: {vm.name} was dropped while {key} uses it")
+
+    def _serve(self, vm: FakeVm, key: str, is_served: bool) -> None:
+        if is_served and vm.served_by not in (None, key):
+            self.violations.append(
+                f"P2: {vm.name} is served by {vm.served_by} and {key}"
+            )
+        if is_served:
+            vm.served_by = key
+        elif vm.served_by == key:
+            vm.served_by = None
+            is_stuck = vm.name in self.stragglers
+            drain = 1e9 if is_stuck else self.random.uniform(*self.times.drain_s)
+            vm.busy_until = self.now + drain if vm.up else 0.0
+
+    def _reboot(self, vm: FakeVm) -> None:
+        self.accepted[vm.name] = self.now
+        if vm.returns_at is not None or vm.name in self.never_returning:
+            vm.up = vm.returns_at is None and vm.name not in self.never_returning
+            return
+        if vm.up and self._is_busy(vm):
+            self.violations.append(f"P7: the reboot of {vm.name} cut a request")
+        vm.up = False
+        vm.returns_at = self.now + self.random.uniform(*self.times.reboot_s)
+        self._list(vm, VmState.LEAVING)
+
+    def _answer(self, vm: FakeVm) -> None:
+        if vm.zone not in self.cut:
+            healthy = vm.up and not vm.drained
+            self.health[vm.name] = HealthResult(healthy, self.now)
+
+    def _check_follows(self, plan: RegionPlan) -> None:
+        if not self.plans:
+            return
+        last = self.plans[-1][1]
+        if plan.version <= last.version or plan.fence < last.fence:
+            self.violations.append(f"plan version {plan.version} does not follow")
+        for row in plan.rows.values():
+            old = last.rows.get(row.vm)
+            if old is not None and old.phase is Phase.SERVING != row.phase:
+                self._check_budget(plan, row)
+
+    def _check_budget(self, plan: RegionPlan, row: VmRow) -> None:
+        budget = self.state.budgets.get(row.pool or "")
+        if row.phase is not Phase.LEAVING or budget is None:
+            return
+        available = sum(
+            other.pool == row.pool
+            and other.phase is Phase.SERVING
+            and self.vms[other.vm].up
+            and self.vms[other.vm].zone not in self.cut
+            for other in plan.rows.values()
+            if other.vm in self.vms
+        )
+        if available < budget.min_available:
+            self.violations.append(f"P1: stopping {row.vm} breaks {budget}")
+
+
+def reassign(state: FleetState, pools: dict[str, str]) -> FleetState:
+    """Return the next configuration with some VMs in other pools."""
+    vms = {
+        name: replace(vm, pool=pools[name]) if name in pools else vm
+        for name, vm in state.vms.items()
+    }
+    return replace(state, number=state.number + 1, vms=vms)
--- a/src/sesameladder/planning/__init__.py
+++ b/src/sesameladder/planning/__init__.py
@@ -1,7 +1,23 @@
 """Region plan: rules for stops, moves and cells, and the planner."""
 
+from sesameladder.planning._actions import (
+    Action,
+    AskCheckpoint,
+    CheckHealth,
+    DrainVm,
+    RaiseAlarm,
+    RebootVm,
+    WritePlan,
+)
+from sesameladder.planning._buffer import PoolStrength, choose_buffer
+from sesameladder.planning._cells import assign_cells, choose_instance
 from sesameladder.planning._draft import PlanDraft
 from sesameladder.planning._draft_rows import DrainReport, Situation
+from sesameladder.planning._observation import (
+    CellReport,
+    HealthResult,
+    Observation,
+)
 from sesameladder.planning._plan import PlanMalformed, RegionPlan, cell_key
 from sesameladder.planning._plan_store import (
     PlanNotWritten,
@@ -13,8 +29,9 @@
     StoredPlan,
     WriteOutcome,
 )
+from sesameladder.planning._planner import Planner
 from sesameladder.planning._refusal import PlanRefusal, RefusalReason
-from sesameladder.planning._role import RoleLease
+from sesameladder.planning._role import ROLE_LEASE_S, RoleLease
 from sesameladder.planning._rows import DispatcherRow, Phase, VmRow
 from sesameladder.planning._rules import (
     RuleOutcome,
@@ -33,10 +50,20 @@
     return_to_service,
     set_aside,
 )
+from sesameladder.planning._session import PlannerSession
+from sesameladder.planning._settings import PlannerSettings
 
 __all__ = [
+    "ROLE_LEASE_S",
+    "Action",
+    "AskCheckpoint",
+    "CellReport",
+    "CheckHealth",
     "DispatcherRow",
     "DrainReport",
+    "DrainVm",
+    "HealthResult",
+    "Observation",
     "Phase",
     "PlanDraft",
     "PlanMalformed",
@@ -47,6 +74,12 @@
     "PlanSuperseded",
     "PlanUnsettled",
     "PlanWritten",
+    "Planner",
+    "PlannerSession",
+    "PlannerSettings",
+    "PoolStrength",
+    "RaiseAlarm",
+    "RebootVm",
     "RefusalReason",
     "RegionPlan",
     "RoleLease",
@@ -55,12 +88,16 @@
     "StoredPlan",
     "VmRow",
     "WriteOutcome",
+    "WritePlan",
     "abandon_stop",
     "add_vm",
+    "assign_cells",
     "assign_dispatcher",
     "begin_check",
     "begin_reboot",
     "cell_key",
+    "choose_buffer",
+    "choose_instance",
     "join_pool",
     "mark_drained",
     "mark_failed",
--- /dev/null
+++ b/src/sesameladder/planning/_buffer.py
@@ -0,0 +1,108 @@
+"""Capacity of a pool after the loss of its largest failure domain."""
+
+from collections import Counter
+from collections.abc import Iterable
+
+from sesameladder.model import FailureDomain, FleetState, VirtualMachine
+
+
+class PoolStrength:
+    """Slots of a set of VMs by failure domain."""
+
+    __slots__ = ("count", "shares", "slots", "survive", "zone_shares")
+
+    def __init__(self, survive: FailureDomain) -> None:
+        self.survive = survive
+        self.count = 0
+        self.slots = 0
+        self.shares: Counter[str] = Counter()
+        self.zone_shares: Counter[str] = Counter()
+
+    @classmethod
+    def from_vms(
+        cls, survive: FailureDomain, vms: Iterable[VirtualMachine]
+    ) -> "PoolStrength":
+        """Return the strength of some VMs."""
+        strength = cls(survive)
+        for vm in vms:
+            strength.add(vm)
+        return strength
+
+    def add(self, vm: VirtualMachine, sign: int = 1) -> None:
+        """Add a VM, or remove it with sign -1."""
+        self.count += sign
+        self.slots += sign * vm.slots
+        self.shares[self.domain(vm)] += sign * vm.slots
+        self.zone_shares[vm.zone] += sign * vm.slots
+
+    def domain(self, vm: VirtualMachine) -> str:
+        """Return the failure domain of a VM."""
+        return vm.zone if self.survive is FailureDomain.ZONE else vm.rack
+
+    def is_improved_by(self, vm: VirtualMachine) -> bool:
+        """Tell whether a VM adds surviving slots or a further domain.
+
+        The first VM of a second domain may survive nothing by itself, but the
+        next ones need it.
+        """
+        if self.shares[self.domain(vm)] == 0:
+            return True
+        return self.surviving_slots_with(vm) > self.surviving_slots
+
+    @property
+    def surviving_slots(self) -> int:
+        """Slots that are left after the loss of the largest domain."""
+        return self.slots - max(self.shares.values(), default=0)
+
+    def surviving_slots_with(self, vm: VirtualMachine, sign: int = 1) -> int:
+        """Return the surviving slots with one more VM, or one less."""
+        self.add(vm, sign)
+        slots = self.surviving_slots
+        self.add(vm, -sign)
+        return slots
+
+
+def survive_of(state: FleetState, pool: str) -> FailureDomain:
+    """Return the failure domain whose loss a pool has to survive."""
+    budget = state.budgets.get(pool)
+    return budget.survive if budget else FailureDomain.RACK
+
+
+def choose_buffer(
+    floor_slots: int,
+    survive: FailureDomain,
+    members: Iterable[VirtualMachine],
+    candidates: Iterable[VirtualMachine],
+) -> list[VirtualMachine]:
+    """Return the VMs to add so that a pool covers its floor after a loss.
+
+    Takes one VM at a time from the domain with the least share of the pool,
+    then from the zone with the least share. The result is as short as a greedy
+    choice makes it, and ends early when no candidate helps.
+    """
+    strength = PoolStrength.from_vms(survive, members)
+    open_candidates = {vm.name: vm for vm in candidates}
+    chosen: list[VirtualMachine] = []
+    while strength.surviving_slots < floor_slots and open_candidates:
+        vm = pick_candidate(strength, open_candidates.values())
+        if not strength.is_improved_by(vm):
+            break
+        del open_candidates[vm.name]
+        strength.add(vm)
+        chosen.append(vm)
+    return chosen
+
+
+def pick_candidate(
+    strength: PoolStrength, candidates: Iterable[VirtualMachine]
+) -> VirtualMachine:
+    """Return the candidate that evens out a pool's shares best."""
+    return min(
+        candidates,
+        key=lambda vm: (
+            strength.shares[strength.domain(vm)],
+            strength.zone_shares[vm.zone],
+            -vm.slots,
+            vm.name,
+        ),
+    )
--- /dev/null
+++ b/src/sesameladder/planning/_cells.py
@@ -0,0 +1,79 @@
+"""Assignment of cells to entry instances."""
+
+from collections.abc import Iterable
+from hashlib import blake2b
+
+from sesameladder.planning._observation import CellReport
+from sesameladder.planning._plan import cell_key
+from sesameladder.planning._rows import DispatcherRow
+from sesameladder.planning._step import PlannerStep
+
+
+def choose_instance(pool: str, zone: str, instances: Iterable[str]) -> str | None:
+    """Return the instance with the highest rendezvous hash for a cell."""
+    return max(
+        instances,
+        key=lambda instance: blake2b(
+            f"{pool}/{zone}/{instance}".encode(), digest_size=8
+        ).digest(),
+        default=None,
+    )
+
+
+def assign_cells(step: PlannerStep) -> None:
+    """Give new cells an owner and replace owners that are gone or leaving."""
+    for pool, zone in sorted(step.survey.cells):
+        row = step.draft.cells.rows.get(cell_key(pool, zone))
+        if row is None:
+            _assign_new(step, pool, zone)
+        else:
+            _keep_or_replace(step, row)
+    _drop_unused(step)
+
+
+def _assign_new(step: PlannerStep, pool: str, zone: str) -> None:
+    configured = step.settings.instances.get(zone, ())
+    usable = [name for name in configured if _is_usable(step, name)]
+    instance = choose_instance(pool, zone, usable or _list_live(step, zone))
+    if instance is not None:
+        step.draft.cells.assign(pool, zone, instance, step.gone)
+
+
+def _keep_or_replace(step: PlannerStep, row: DispatcherRow) -> None:
+    key = cell_key(row.pool, row.zone)
+    report = step.observation.cells.get(key)
+    if row.previous is not None and _owner_grants(row, report):
+        step.draft.cells.settle(key)
+    if _is_usable(step, row.instance):
+        if row.previous in step.gone:
+            step.draft.cells.assign(row.pool, row.zone, row.instance, step.gone)
+        return
+    instance = choose_instance(row.pool, row.zone, _list_live(step, row.zone))
+    if instance is not None and instance != row.instance:
+        step.draft.cells.assign(row.pool, row.zone, instance, step.gone)
+
+
+def _drop_unused(step: PlannerStep) -> None:
+    """Remove cells of pools that are neither configured nor hold a VM."""
+    pools = step.draft.situation.state.pools
+    used = {cell_key(pool, zone) for pool, zone in step.survey.cells}
+    for key, row in list(step.draft.cells.rows.items()):
+        if row.pool not in pools and key not in used:
+            step.draft.cells.drop(key)
+
+
+def _owner_grants(row: DispatcherRow, report: CellReport | None) -> bool:
+    if report is None or report.instance != row.instance:
+        return False
+    return report.alive and report.granting
+
+
+def _is_usable(step: PlannerStep, instance: str) -> bool:
+    return instance not in step.gone and (
+        instance not in step.observation.leaving_entries
+    )
+
+
+def _list_live(step: PlannerStep, zone: str) -> list[str]:
+    live = step.observation.entries.get(zone, ())
+    return [name for name in live if _is_usable(step, name)]
--- /dev/null
+++ b/src/sesameladder/planning/_membership.py
@@ -0,0 +1,109 @@
+"""VMs that join or leave the plan with the configuration, and failures."""
+
+from sesameladder.planning._draft import REMOVE_PERMIT
+from sesameladder.planning._rows import Phase, VmRow
+from sesameladder.planning._step import PlannerStep
+from sesameladder.planning._survey import fraction_of
+
+# A VM that stayed well for this long starts again with the shortest backoff.
+FAILURE_MEMORY_S = 3_600.0
+
+
+def add_missing(step: PlannerStep) -> None:
+    """Add the VMs that the configuration names and the plan does not.
+
+    Their last reboot is unknown. It is set to spread the first routine reboots
+    evenly.
+    """
+    state = step.draft.situation.state
+    for vm in step.survey.missing:
+        age = fraction_of(f"first/{vm}") * step.settings.maintenance_min_s
+        step.draft.add_vm(vm, state.vms[vm].pool, max(step.now - age, 0.0))
+
+
+def stop_unnamed(step: PlannerStep) -> None:
+    """Start the removal of VMs that the configuration does not name any more."""
+    for row in step.survey.unnamed:
+        step.draft.request_stop(row.vm, REMOVE_PERMIT)
+
+
+def move_misplaced(step: PlannerStep) -> None:
+    """Start the moves of VMs whose configured pool changed.
+
+    Pools that lack the most VMs come first, since source budgets may let only
+    some of the moves start.
+    """
+    state = step.draft.situation.state
+    configured: dict[str, int] = {}
+    for row in step.survey.misplaced:
+        pool = state.vms[row.vm].pool
+        configured[pool] = configured.get(pool, 0) + 1
+    by_need = sorted(
+        step.survey.misplaced,
+        key=lambda row: (-configured[state.vms[row.vm].pool], row.vm),
+    )
+    for row in by_need:
+        step.draft.request_move(row.vm, state.vms[row.vm].pool)
+
+
+def mark_failures(step: PlannerStep) -> None:
+    """Mark VMs that are gone or stay suspected.
+
+    VMs that are only unreachable keep their phase: their zone may be cut off
+    and serve on, and would stop them when it reads the plan after it heals.
+    """
+    memory = step.memory
+    suspected = step.observation.suspected
+    for vm in [vm for vm in memory.suspected_since if vm not in suspected]:
+        del memory.suspected_since[vm]
+    for vm in suspected:
+        memory.suspected_since.setdefault(vm, step.now)
+    confirmed = [
+        vm
+        for vm, since in memory.suspected_since.items()
+        if step.now - since >= step.settings.failure_confirm_s
+        and vm not in step.observation.unreachable
+    ]
+    for vm in sorted({*confirmed, *step.gone}):
+        row = step.draft.rows.get(vm)
+        if row is not None and step.draft.mark_failed(vm) is None:
+            _count_failure(step, row)
+
+
+def _count_failure(step: PlannerStep, row: VmRow) -> None:
+    is_repetition = (
+        row.phase is Phase.SERVING and step.now - row.since < FAILURE_MEMORY_S
+    )
+    count = step.memory.failures.get(row.vm, 0) if is_repetition else 0
+    step.memory.failures[row.vm] = count + 1
+
+
+def repair(step: PlannerStep, row: VmRow) -> None:
+    """Let a failed VM return once it is healthy and its backoff is over."""
+    settings = step.settings
+    if not step.draft.is_named(row):
+        remove(step, row)
+        return
+    count = step.memory.failures.get(row.vm, 1)
+    backoff = min(
+        settings.repair_backoff_s * 2 ** (count - 1), settings.repair_backoff_limit_s
+    )
+    is_healthy = step.check_health(row, settings.slow_check_s)
+    if is_healthy and step.now - row.since >= backoff:
+        step.draft.return_to_service(row.vm)
+        step.memory.suspected_since.pop(row.vm, None)
+        step.clear_alarm("failed", row.vm)
+    elif step.now - row.since >= settings.failure_alarm_s:
+        minutes = round((step.now - row.since) / 60)
+        step.raise_alarm(
+            "failed", row.vm, f"VM {row.vm} has been failed for {minutes} minutes"
+        )
+
+
+def remove(step: PlannerStep, row: VmRow) -> None:
+    """Drop an unnamed VM once nothing can hold a grant of it."""
+    report = step.find_drain_report(row)
+    if row.vm in step.gone or row.phase is not Phase.FAILED:
+        step.draft.remove_vm(row.vm, None)
+    elif report is not None:
+        step.draft.remove_vm(row.vm, report)
--- a/src/sesameladder/planning/_plan.py
+++ b/src/sesameladder/planning/_plan.py
@@ -88,7 +88,7 @@
         row.zone,
         row.phase.value,
         round(row.since, 3),
-        round(row.maintained_at),
+        round(row.maintained_at, 3),
         row.version,
         row.target_pool,
         row.permit,
--- /dev/null
+++ b/src/sesameladder/planning/_planner.py
@@ -0,0 +1,121 @@
+"""The planner: turns what it sees into the next plan and actions."""
+
+from collections.abc import Callable
+
+from sesameladder.planning._actions import Action, WritePlan
+from sesameladder.planning._cells import assign_cells
+from sesameladder.planning._draft import PlanDraft
+from sesameladder.planning._draft_rows import Situation
+from sesameladder.planning._estimates import StopEstimates
+from sesameladder.planning._lending import lend_and_return, note_demand
+from sesameladder.planning._membership import (
+    add_missing,
+    mark_failures,
+    move_misplaced,
+    stop_unnamed,
+)
+from sesameladder.planning._observation import Observation
+from sesameladder.planning._plan import RegionPlan, cell_key
+from sesameladder.planning._rows import Phase, VmRow
+from sesameladder.planning._settings import PlannerSettings
+from sesameladder.planning._step import PlannerMemory, PlannerStep
+from sesameladder.planning._stops import advance_stops
+from sesameladder.planning._survey import Survey
+from sesameladder.planning._waves import start_routine, start_waves
+from sesameladder.platform import VmState, VmStatus
+
+STAGES: tuple[Callable[[PlannerStep], None], ...] = (
+    note_demand,
+    mark_failures,
+    advance_stops,
+    add_missing,
+    lend_and_return,
+    stop_unnamed,
+    move_misplaced,
+    start_waves,
+    start_routine,
+    assign_cells,
+)
+
+
+class Planner:
+    """Plans one region while its holder has the planner's role.
+
+    A planner keeps only estimates and timers in memory. Everything that a
+    successor needs stands in the plan.
+    """
+
+    __slots__ = ("fence", "memory", "region", "settings")
+
+    def __init__(self, region: str, fence: int, settings: PlannerSettings) -> None:
+        self.region = region
+        self.fence = fence
+        self.settings = settings
+        self.memory = PlannerMemory(
+            StopEstimates(settings.drain_prior_s, settings.reboot_prior_s)
+        )
+
+    def step(
+        self, observation: Observation, plan: RegionPlan, now: float
+    ) -> list[Action]:
+        """Return the actions that follow from a plan that stands in the store.
+
+        The list is empty when the plan has a higher fence or a newer
+        configuration. All row changes are in one ``WritePlan``.
+        """
+        observation.now = now
+        step = self._begin(observation, plan)
+        if step.draft.check_writer() is not None:
+            return []
+        for stage in STAGES:
+            stage(step)
+        if step.draft.changed or plan.fence < self.fence:
+            step.actions.append(WritePlan(step.draft.finish()))
+        return step.actions
+
+    def _begin(self, observation: Observation, plan: RegionPlan) -> PlannerStep:
+        survey = Survey.from_plan(plan, observation.configuration, self.settings)
+        gone, absent = _find_absent(observation, plan)
+        down = absent | observation.suspected | _find_dark(observation, survey)
+        situation = Situation(observation.configuration, down, observation.now)
+        draft = PlanDraft(plan, situation, self.fence)
+        return PlannerStep(
+            observation, draft, survey, self.settings, self.memory, gone, absent
+        )
+
+
+def _find_absent(
+    observation: Observation, plan: RegionPlan
+) -> tuple[set[str], set[str]]:
+    """Return the VMs listed as gone, and all that are unreachable or not live.
+
+    The list lags, so it may still show the state from before a finished reboot;
+    such rows are passed over.
+    """
+    gone: set[str] = set()
+    absent = set(observation.unreachable)
+    for status in observation.vms:
+        if status.state is VmState.LIVE:
+            continue
+        row = plan.rows.get(status.name)
+        if row is not None and _is_outdated(row, status):
+            continue
+        absent.add(status.name)
+        if status.state is VmState.GONE:
+            gone.add(status.name)
+    return gone, absent
+
+
+def _is_outdated(row: VmRow, status: VmStatus) -> bool:
+    return row.phase is Phase.SERVING and row.maintained_at > status.changed_at
+
+
+def _find_dark(observation: Observation, survey: Survey) -> set[str]:
+    """Return the VMs of cells whose dispatcher does not report."""
+    dark: set[str] = set()
+    for pool, zone in survey.cells:
+        report = observation.cells.get(cell_key(pool, zone))
+        if report is None or not report.alive:
+            rows = survey.members.get(pool, [])
+            dark.update(row.vm for row in rows if row.zone == zone)
+    return dark
--- /dev/null
+++ b/src/sesameladder/planning/_session.py
@@ -0,0 +1,93 @@
+"""The planner's loop body: role, plan store and planner put together."""
+
+from collections.abc import Callable
+
+from sesameladder.planning._actions import Action, RaiseAlarm, WritePlan
+from sesameladder.planning._observation import Observation
+from sesameladder.planning._plan import PlanMalformed, RegionPlan
+from sesameladder.planning._plan_store import (
+    PlanNotWritten,
+    PlanStore,
+    PlanStoreError,
+    PlanSuperseded,
+    PlanWritten,
+    StoredPlan,
+)
+from sesameladder.planning._planner import Planner
+from sesameladder.planning._role import RoleLease
+from sesameladder.planning._settings import PlannerSettings
+from sesameladder.platform import Store
+
+
+class PlannerSession:
+    """One instance's attempt to be the planner of a region.
+
+    ``run`` is called about once a second. It returns the actions on VMs that
+    the caller carries out; before each the caller checks ``role.lost`` again.
+    """
+
+    __slots__ = ("clock", "planner", "plans", "region", "role", "settings", "stored")
+
+    def __init__(
+        self,
+        store: Store,
+        region: str,
+        instance: str,
+        clock: Callable[[], float],
+        settings: PlannerSettings,
+    ) -> None:
+        self.region = region
+        self.clock = clock
+        self.settings = settings
+        self.role = RoleLease(store, f"roles/planner/{region}", instance, clock)
+        self.plans = PlanStore(store, region)
+        self.planner: Planner | None = None
+        self.stored: StoredPlan | None = None
+
+    def run(self, observe: Callable[[RegionPlan], Observation]) -> list[Action]:
+        """Renew or take the role, plan one step and write the plan.
+
+        Raises ``PlanMalformed`` when the stored plan can't be read.
+        """
+        planner = self._hold_role()
+        stored = self._read() if planner is not None else None
+        if planner is None or stored is None:
+            return []
+        actions = planner.step(observe(stored.plan), stored.plan, self.clock())
+        writes = [action for action in actions if isinstance(action, WritePlan)]
+        is_current = not writes or self._write(writes[0].plan, stored)
+        if is_current and not self.role.lost:
+            return [action for action in actions if not isinstance(action, WritePlan)]
+        return [action for action in actions if isinstance(action, RaiseAlarm)]
+
+    def _hold_role(self) -> Planner | None:
+        if self.role.renew():
+            return self.planner
+        self.planner = None
+        self.stored = None
+        if self.role.acquire():
+            self.planner = Planner(self.region, self.role.fence, self.settings)
+        return self.planner
+
+    def _read(self) -> StoredPlan | None:
+        if self.stored is None:
+            try:
+                self.stored = self.plans.read()
+            except PlanStoreError:
+                return None
+        return self.stored
+
+    def _write(self, plan: RegionPlan, stored: StoredPlan) -> bool:
+        """Write a plan; False when the plan that it follows may be outdated."""
+        try:
+            outcome = self.plans.write(plan, stored.revision)
+        except PlanMalformed:
+            self.stored = None
+            raise
+        if isinstance(outcome, PlanWritten):
+            self.stored = StoredPlan(plan, outcome.revision)
+        elif isinstance(outcome, PlanSuperseded):
+            self.stored = outcome.current
+        elif not isinstance(outcome, PlanNotWritten):
+            self.stored = None
+        return isinstance(outcome, PlanWritten | PlanNotWritten)
--- /dev/null
+++ b/src/sesameladder/planning/_stops.py
@@ -0,0 +1,149 @@
+"""Progress of stops and moves: each step takes a VM one phase further."""
+
+from sesameladder.model import MaintenanceWave
+from sesameladder.planning._actions import AskCheckpoint, DrainVm, RebootVm
+from sesameladder.planning._draft import MOVE_PERMIT, REMOVE_PERMIT
+from sesameladder.planning._membership import remove, repair
+from sesameladder.planning._rows import Phase, VmRow
+from sesameladder.planning._step import PlannerStep
+from sesameladder.planning._survey import destination_of, fraction_of
+
+WAVE_PERMIT_PREFIX = "wave:"
+DEFAULT_WAVE = MaintenanceWave("", (), 0.0, 0.0)
+
+
+def advance_stops(step: PlannerStep) -> None:
+    """Take every VM that is stopped, moved or failed one phase further."""
+    for row in step.survey.transient:
+        if step.draft.rows.get(row.vm) is row:
+            ADVANCE[row.phase](step, row)
+
+
+def advance_leaving(step: PlannerStep, row: VmRow) -> None:
+    """Wait for the dispatcher's confirmation, up to the straggler limit."""
+    if _withdraw(step, row):
+        return
+    report = step.find_drain_report(row)
+    if report is not None and step.draft.mark_drained(row.vm, report) is None:
+        step.memory.estimates.drain(row.pool or "").observe(step.now - row.since)
+        return
+    waited = step.now - row.since
+    if waited >= wave_of(step, row).straggler_limit_s:
+        step.draft.abandon_stop(row.vm, step.now + _retry_delay(step, row))
+    elif row.vm in step.observation.checkpointable and step.may_repeat(
+        "checkpoint", row.vm, step.settings.action_repeat_s
+    ):
+        step.actions.append(AskCheckpoint(row.vm))
+
+
+def advance_drained(step: PlannerStep, row: VmRow) -> None:
+    """Reboot, release or remove a drained VM."""
+    if _withdraw(step, row):
+        return
+    if row.permit == REMOVE_PERMIT:
+        remove(step, row)
+    elif row.target_pool is not None:
+        step.draft.release_vm(row.vm)
+    elif step.draft.begin_reboot(row.vm) is None:
+        step.memory.reboots_started[row.vm] = step.now
+
+
+def advance_released(step: PlannerStep, row: VmRow) -> None:
+    """Let a released VM join the pool that the configuration names now."""
+    if step.draft.is_named(row):
+        step.draft.join_pool(row.vm, destination_of(row, step.draft.situation.state))
+    else:
+        remove(step, row)
+
+
+def advance_rebooting(step: PlannerStep, row: VmRow) -> None:
+    """Order the reboot until the platform accepts it."""
+    if step.observation.accepted_reboots.get(row.vm, 0.0) >= row.since:
+        step.draft.begin_check(row.vm)
+    elif not _give_up(step, row) and step.may_repeat(
+        "reboot", row.vm, step.settings.action_repeat_s
+    ):
+        step.actions += [DrainVm(row.vm), RebootVm(row.vm)]
+
+
+def advance_checking(step: PlannerStep, row: VmRow) -> None:
+    """Let a VM serve again once it answers, or set it aside after its limit."""
+    if step.check_health(row, 0.0):
+        _finish_reboot(step, row)
+    else:
+        _give_up(step, row)
+
+
+def advance_set_aside(step: PlannerStep, row: VmRow) -> None:
+    """Let a VM that returned late serve again."""
+    if not step.draft.is_named(row):
+        remove(step, row)
+    elif step.check_health(row, step.settings.slow_check_s):
+        step.draft.return_to_service(row.vm)
+        step.clear_alarm("set_aside", row.vm)
+
+
+ADVANCE = {
+    Phase.LEAVING: advance_leaving,
+    Phase.DRAINED: advance_drained,
+    Phase.RELEASED: advance_released,
+    Phase.REBOOTING: advance_rebooting,
+    Phase.CHECKING: advance_checking,
+    Phase.SET_ASIDE: advance_set_aside,
+    Phase.FAILED: repair,
+}
+
+
+def wave_of(step: PlannerStep, row: VmRow) -> MaintenanceWave:
+    """Return the wave that stopped a VM, or default limits outside a wave."""
+    permit = row.permit or ""
+    name = permit.removeprefix(WAVE_PERMIT_PREFIX)
+    return step.draft.situation.state.waves.get(name, DEFAULT_WAVE)
+
+
+def _withdraw(step: PlannerStep, row: VmRow) -> bool:
+    """Return a VM to service when its stop has lost its reason or its permit."""
+    draft = step.draft
+    is_named = draft.is_named(row)
+    if row.permit == REMOVE_PERMIT:
+        is_void = is_named
+    elif row.permit == MOVE_PERMIT:
+        state = draft.situation.state
+        is_void = is_named and destination_of(row, state) == row.pool
+    else:
+        is_void = False
+    is_needed = row.vm not in draft.situation.down and (
+        draft.missing_for_budget(row.pool or "") > 0
+    )
+    return (is_void or is_needed) and draft.abandon_stop(row.vm) is None
+
+
+def _retry_delay(step: PlannerStep, row: VmRow) -> float:
+    """Return an exponential delay with jitter from half to the whole, in seconds."""
+    settings = step.settings
+    delay = min(
+        settings.stop_retry_s * 2.0 ** min(row.attempts, 16),
+        settings.stop_retry_limit_s,
+    )
+    return delay * (0.5 + fraction_of(f"{row.vm}/{row.attempts}") / 2)
+
+
+def _finish_reboot(step: PlannerStep, row: VmRow) -> None:
+    started = step.memory.reboots_started.pop(row.vm, row.since)
+    step.memory.estimates.reboot.observe(step.now - started)
+    step.draft.return_to_service(row.vm)
+
+
+def _give_up(step: PlannerStep, row: VmRow) -> bool:
+    """Set a VM aside when its phase takes longer than the wave allows."""
+    limit = wave_of(step, row).reboot_limit_s
+    if step.now - row.since < limit:
+        return False
+    step.draft.set_aside(row.vm)
+    step.memory.reboots_started.pop(row.vm, None)
+    step.raise_alarm(
+        "set_aside",
+        row.vm,
+        f"VM {row.vm} of pool {row.pool} did not return within {limit:g} s",
+    )
+    return True
--- /dev/null
+++ b/src/sesameladder/planning/_survey.py
@@ -0,0 +1,97 @@
+"""One pass over a plan's rows that sorts them by what has to be done."""
+
+from dataclasses import dataclass, field
+from hashlib import blake2b
+
+from sesameladder.model import FleetState
+from sesameladder.planning._plan import RegionPlan
+from sesameladder.planning._rows import Phase, VmRow
+from sesameladder.planning._settings import PlannerSettings
+
+
+@dataclass(slots=True)
+class Survey:
+    """Rows of a plan by what the planner has to do with them."""
+
+    transient: list[VmRow] = field(default_factory=list)
+    """Rows in any phase but serving."""
+
+    unnamed: list[VmRow] = field(default_factory=list)
+    """Serving rows that the configuration does not name any more."""
+
+    misplaced: list[VmRow] = field(default_factory=list)
+    """Serving rows whose pool is not the one that they should be in."""
+
+    missing: list[str] = field(default_factory=list)
+    """VMs of the configuration that have no row."""
+
+    members: dict[str, list[VmRow]] = field(default_factory=dict)
+    """Rows by pool; released rows are in none."""
+
+    cells: set[tuple[str, str]] = field(default_factory=set)
+    """Cells, as pool and zone, that VMs are in or move to."""
+
+    lent: list[VmRow] = field(default_factory=list)
+    """Rows that a spare pool lent."""
+
+    maintenance: list[tuple[float, VmRow]] = field(default_factory=list)
+    """Due times of routine reboots with their serving rows, earliest first."""
+
+    @classmethod
+    def from_plan(
+        cls, plan: RegionPlan, state: FleetState, settings: PlannerSettings
+    ) -> "Survey":
+        """Sort the rows of a plan."""
+        survey = cls()
+        for row in plan.rows.values():
+            survey.add(row, state)
+            if row.phase is Phase.SERVING:
+                due_at = row.maintained_at + routine_interval(row.vm, settings)
+                survey.maintenance.append((due_at, row))
+        survey.maintenance.sort(key=lambda pair: (pair[0], pair[1].vm))
+        survey.missing = [vm for vm in state.vms if vm not in plan.rows]
+        survey.cells.update(
+            (state.vms[vm].pool, state.vms[vm].zone) for vm in survey.missing
+        )
+        return survey
+
+    def add(self, row: VmRow, state: FleetState) -> None:
+        """Sort one row."""
+        if row.pool is not None:
+            self.members.setdefault(row.pool, []).append(row)
+            self.cells.add((row.pool, row.zone))
+        if row.target_pool is not None:
+            self.cells.add((row.target_pool, row.zone))
+        if row.lender is not None:
+            self.lent.append(row)
+        spec = state.vms.get(row.vm)
+        if row.phase is not Phase.SERVING:
+            self.transient.append(row)
+        elif spec is None or spec.zone != row.zone:
+            self.unnamed.append(row)
+        elif destination_of(row, state) != row.pool:
+            self.misplaced.append(row)
+
+
+def destination_of(row: VmRow, state: FleetState) -> str:
+    """Return the pool that a named VM belongs in, also while it is lent."""
+    configured = state.vms[row.vm].pool
+    if row.lender != configured or not state.pools[configured].spare:
+        return configured
+    borrower = row.target_pool or row.pool
+    return borrower if borrower in state.pools else configured
+
+
+def fraction_of(text: str) -> float:
+    """Return a number from 0 up to 1 that depends on a name only."""
+    digest = blake2b(text.encode(), digest_size=6).digest()
+    return int.from_bytes(digest, "big") / 2**48
+
+
+def routine_interval(vm: str, settings: PlannerSettings) -> float:
+    """Return the time between two routine reboots of a VM, in seconds.
+
+    It differs between VMs, so reboots spread out again after a wave.
+    """
+    width = settings.maintenance_max_s - settings.maintenance_min_s
+    return settings.maintenance_min_s + fraction_of(vm) * width
--- /dev/null
+++ b/src/sesameladder/planning/_waves.py
@@ -0,0 +1,169 @@
+"""Maintenance waves and routine reboots: which VMs to stop next."""
+
+from collections import Counter
+from collections.abc import Iterable
+
+from sesameladder.model import MaintenanceWave
+from sesameladder.planning._buffer import PoolStrength, survive_of
+from sesameladder.planning._refusal import PlanRefusal
+from sesameladder.planning._rows import Phase, VmRow
+from sesameladder.planning._step import PlannerStep
+from sesameladder.planning._stops import WAVE_PERMIT_PREFIX
+
+ROUTINE_PERMIT = "routine"
+# A new planner reports waves that ended late only within this time.
+LATE_ALARM_S = 3_600.0
+
+
+def start_waves(step: PlannerStep) -> None:
+    """Start the stops of every wave whose time has come."""
+    waves = step.draft.situation.state.waves.values()
+    for wave in sorted(waves, key=lambda wave: (wave.deadline_s, wave.id)):
+        if wave.start_s <= step.now < wave.deadline_s:
+            _start_wave(step, wave)
+        elif wave.deadline_s <= step.now < wave.deadline_s + LATE_ALARM_S:
+            _report_late(step, wave)
+
+
+def start_routine(step: PlannerStep) -> None:
+    """Start the reboots that no wave covers so that each VM has one in 4 weeks."""
+    is_quiet = _is_quiet(step)
+    overdue_s = step.settings.maintenance_overdue_s
+    by_pool: dict[str, list[VmRow]] = {}
+    for due_at, row in step.survey.maintenance:
+        if due_at > step.now:
+            break
+        if is_quiet or step.now - row.maintained_at >= overdue_s:
+            by_pool.setdefault(row.pool or "", []).append(row)
+    for pool, rows in sorted(by_pool.items()):
+        _start_stops(step, pool, rows, ROUTINE_PERMIT, len(rows))
+
+
+def _start_wave(step: PlannerStep, wave: MaintenanceWave) -> None:
+    pending = {pool: _list_pending(step, wave, pool) for pool in wave.pools}
+    budget = wave.concurrency - _count_stopped(step, wave) if wave.concurrency else None
+    for pool in sorted(wave.pools, key=lambda name: (-len(pending[name]), name)):
+        rows = [row for row in pending[pool] if row.phase is Phase.SERVING]
+        limit = len(rows) if budget is None else min(len(rows), budget)
+        if not rows or limit <= 0:
+            continue
+        if step.now + step.memory.estimates.stop_s(pool) > wave.deadline_s:
+            _report_tight(step, wave, pool, len(pending[pool]))
+            continue
+        started = _start_stops(step, pool, rows, WAVE_PERMIT_PREFIX + wave.id, limit)
+        budget = None if budget is None else budget - started
+
+
+def _list_pending(step: PlannerStep, wave: MaintenanceWave, pool: str) -> list[VmRow]:
+    """Return the VMs of a pool that were not rebooted since the wave's start."""
+    rows = step.survey.members.get(pool, [])
+    return [row for row in rows if row.maintained_at < wave.start_s]
+
+
+def _count_stopped(step: PlannerStep, wave: MaintenanceWave) -> int:
+    permit = WAVE_PERMIT_PREFIX + wave.id
+    return sum(row.permit == permit for row in step.survey.transient)
+
+
+def _start_stops(
+    step: PlannerStep, pool: str, rows: list[VmRow], permit: str, limit: int
+) -> int:
+    """Stop up to ``limit`` VMs as budget and buffer allow; returns how many."""
+    strength = _measure_strength(step, pool)
+    floor_slots = _required_slots(step, pool)
+    started = 0
+    for row in order_candidates(rows, step):
+        if started >= limit:
+            break
+        spec = step.draft.situation.state.vms.get(row.vm)
+        if spec is None or not step.draft.is_available(row):
+            continue
+        if strength.surviving_slots_with(spec, -1) < floor_slots:
+            continue
+        if not isinstance(step.draft.request_stop(row.vm, permit), PlanRefusal):
+            strength.add(spec, -1)
+            started += 1
+    return started
+
+
+def order_candidates(rows: Iterable[VmRow], step: PlannerStep) -> list[VmRow]:
+    """Order VMs so that the VMs stopped at the same time share racks.
+
+    Stopping a whole rack's share costs no more of the buffer than the loss of
+    that rack, so more VMs of a pool can stop at once.
+    """
+    state = step.draft.situation.state
+    stopped: Counter[str] = Counter(
+        state.vms[row.vm].rack for row in step.survey.transient if row.vm in state.vms
+    )
+    rows = [row for row in rows if row.vm in state.vms]
+    waiting: Counter[str] = Counter(state.vms[row.vm].rack for row in rows)
+    return sorted(
+        rows,
+        key=lambda row: (
+            -stopped[state.vms[row.vm].rack],
+            -waiting[state.vms[row.vm].rack],
+            state.vms[row.vm].rack,
+            row.vm,
+        ),
+    )
+
+
+def _measure_strength(step: PlannerStep, pool: str) -> PoolStrength:
+    state = step.draft.situation.state
+    return PoolStrength.from_vms(
+        survive_of(state, pool),
+        (
+            state.vms[row.vm]
+            for row in step.survey.members.get(pool, [])
+            if row.vm in state.vms and step.draft.is_available(step.draft.rows[row.vm])
+        ),
+    )
+
+
+def _required_slots(step: PlannerStep, pool: str) -> int:
+    """Return the slots that have to survive a loss during a wave.
+
+    It is the pool's floor demand. When even the whole pool could not keep it
+    with one VM stopped, the budget alone decides, since no stop could start.
+    """
+    state = step.draft.situation.state
+    floor_slots = state.pools[pool].floor_slots if pool in state.pools else 0
+    members = [
+        state.vms[row.vm]
+        for row in step.survey.members.get(pool, [])
+        if row.vm in state.vms
+    ]
+    whole = PoolStrength.from_vms(survive_of(state, pool), members)
+    possible = max((whole.surviving_slots_with(vm, -1) for vm in members), default=0)
+    return floor_slots if possible >= floor_slots else 0
+
+
+def _is_quiet(step: PlannerStep) -> bool:
+    hours = step.settings.quiet_hours_utc
+    if hours is None:
+        return True
+    first, end = hours
+    hour = int(step.now // 3_600) % 24
+    return first <= hour < end if first < end else hour >= first or hour < end
+
+
+def _report_tight(
+    step: PlannerStep, wave: MaintenanceWave, pool: str, pending: int
+) -> None:
+    step.raise_alarm(
+        "deadline_too_near",
+        f"{wave.id}/{pool}",
+        f"wave {wave.id} starts no more stops in pool {pool}: {pending} VMs are left"
+        f" and a stop takes up to {step.memory.estimates.stop_s(pool):.0f} s",
+    )
+
+
+def _report_late(step: PlannerStep, wave: MaintenanceWave) -> None:
+    pending = sum(len(_list_pending(step, wave, pool)) for pool in wave.pools)
+    if pending:
+        step.raise_alarm(
+            "wave_late",
+            wave.id,
+            f"wave {wave.id} ended with {pending} VMs that were not rebooted",
+        )
--- /dev/null
+++ b/src/sesameladder/planning/tests/test_role_and_store.py
@@ -0,0 +1,116 @@
+"""Role lease and plan store under lapsed leases, outages and lost answers."""
+
+import pytest
+
+from sesameladder.planning import (
+    ROLE_LEASE_S,
+    PlanNotWritten,
+    PlanStore,
+    PlanSuperseded,
+    PlanUnsettled,
+    PlanWritten,
+    RegionPlan,
+    RoleLease,
+)
+from sesameladder.platform import FakeStore
+
+
+class Clock:
+    def __init__(self):
+        self.seconds = 100.0
+
+    def __call__(self):
+        return self.seconds
+
+
+def make_leases():
+    clock = Clock()
+    store = FakeStore(clock)
+    key = "roles/planner/north"
+    leases = [RoleLease(store, key, name, clock) for name in ("a", "b")]
+    return clock, store, leases
+
+
+def test_holder_counts_the_role_lost_before_the_lease_lapses():
+    """Guards against two holders that both believe they hold the role."""
+    clock, _, (first, second) = make_leases()
+    assert first.acquire()
+    for _ in range(200):
+        clock.seconds += ROLE_LEASE_S / 100
+        if second.acquire():
+            break
+        assert clock.seconds < 100.0 + ROLE_LEASE_S
+    assert first.lost
+    assert not first.renew()
+    assert second.fence > 0
+
+
+def test_fence_increases_with_each_holder():
+    """Guards against a successor whose plan writes the old holder could undo."""
+    _, _, (first, second) = make_leases()
+    assert first.acquire()
+    fence = first.fence
+    assert not second.acquire()
+    first.release()
+    assert second.acquire()
+    assert second.fence > fence
+
+
+@pytest.mark.parametrize(
+    ("outage_s", "is_held"), [(1.0, True), (ROLE_LEASE_S + 1, False)]
+)
+def test_renewal_during_an_outage(outage_s, is_held):
+    """Guards against giving the role up at once, or keeping it past the lease."""
+    clock, store, (first, _) = make_leases()
+    first.acquire()
+    store.available = False
+    clock.seconds += outage_s
+    assert first.renew() == is_held
+
+
+def test_lost_answer_of_the_acquisition():
+    """Guards against a role that is held but that no instance uses."""
+    _, store, (first, _) = make_leases()
+    store.answers_to_lose = 1
+    assert first.acquire()
+    assert first.fence == store.entries["roles/planner/north"].revision
+
+
+@pytest.mark.parametrize(
+    ("fault", "expected"),
+    [
+        ("none", PlanWritten),
+        ("lost", PlanWritten),
+        ("down", PlanNotWritten),
+        ("conflict", PlanSuperseded),
+        ("lost_then_down", PlanUnsettled),
+    ],
+)
+def test_write_outcomes(fault, expected):
+    """Guards against a plan write whose effect the planner gets wrong."""
+    store = FakeStore(Clock())
+    plans = PlanStore(store, "north")
+    if fault == "conflict":
+        store.compare_and_swap("plan/north", 0, RegionPlan("north", 7).to_bytes())
+    store.available = fault != "down"
+    store.answers_to_lose = int(fault.startswith("lost"))
+    if fault == "lost_then_down":
+        plans.store = DownAfterWrite(store)
+    outcome = plans.write(RegionPlan("north", 1), 0)
+    assert isinstance(outcome, expected)
+    if fault == "conflict":
+        assert outcome.current.plan.version == 7
+
+
+class DownAfterWrite:
+    def __init__(self, store):
+        self.store = store
+
+    def compare_and_swap(self, *arguments):
+        try:
+            return self.store.compare_and_swap(*arguments)
+        finally:
+            self.store.available = False
+
+    def get(self, key):
+        return self.store.get(key)
