Add the operators' command

Cause: operators need to file, check and read tickets, see what is in force and follow maintenance waves. Change: one module per subcommand with help texts, documented exit codes and JSON output; JSON with comments for ticket files; duplicate keys are reported with their full path; an acceptance that was read back says so. Before there was no command. Conclusion: settings are read through a protocol until their package exists.

--- /dev/null
+++ b/src/sesameladder/client/_config.py
@@ -0,0 +1,48 @@
+"""``sesameladder config check``: check the client's settings file."""
+
+from dataclasses import dataclass
+
+import cappa
+
+from sesameladder.client._context import Context
+from sesameladder.client._exit_codes import EXIT_CODE_HELP, ExitCode
+from sesameladder.client._options import CommonOptions
+
+
+@cappa.command(
+    name="check",
+    help="Check the settings file.",
+    description="Reads the client's settings and shows them. Contacts nothing. "
+    + EXIT_CODE_HELP,
+)
+@dataclass
+class CheckConfig(CommonOptions):
+    """Check the settings file."""
+
+    def run(self, context: Context) -> ExitCode:
+        """Show the settings, which were checked when they were read."""
+        settings = context.settings
+        lines = [
+            "settings are valid",
+            f"  platform  {settings.platform_address}, called from {settings.zone}",
+            f"  author    {settings.author}",
+        ]
+        lines += [
+            f"  instance  {row.instance} in {row.zone}, admin {row.admin_address}"
+            for row in settings.instances
+        ]
+        form = {
+            "platform_address": settings.platform_address,
+            "zone": settings.zone,
+            "author": settings.author,
+            "instances": [
+                {
+                    "instance": row.instance,
+                    "zone": row.zone,
+                    "admin_address": row.admin_address,
+                }
+                for row in settings.instances
+            ],
+        }
+        context.show(lines, form)
+        return ExitCode.DONE
--- /dev/null
+++ b/src/sesameladder/client/_context.py
@@ -0,0 +1,138 @@
+"""What a subcommand works with: settings, store, instances, clock and output."""
+
+import json
+import os
+import sys
+import time
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from importlib import import_module
+from pathlib import Path
+from typing import Any, Protocol, TextIO
+
+from sesameladder.client._errors import CommandFailed
+from sesameladder.client._exit_codes import ExitCode
+from sesameladder.client._instances import fetch_json
+from sesameladder.platform import PlatformClient, Store
+from sesameladder.tickets import TicketLog
+
+SETTINGS_VARIABLE = "SESAMELADDER_SETTINGS"
+
+
+class InstanceAddress(Protocol):
+    """One entry instance of the settings."""
+
+    @property
+    def instance(self) -> str:
+        """Instance id."""
+
+    @property
+    def zone(self) -> str:
+        """Name of the instance's zone."""
+
+    @property
+    def admin_address(self) -> str:
+        """``host:port`` of the admin endpoint."""
+
+
+class Settings(Protocol):
+    """The client settings that the subcommands use."""
+
+    @property
+    def platform_address(self) -> str:
+        """``host:port`` of the platform."""
+
+    @property
+    def zone(self) -> str:
+        """Zone that the command calls from."""
+
+    @property
+    def author(self) -> str:
+        """Author of tickets whose file names none."""
+
+    @property
+    def instances(self) -> Sequence[InstanceAddress]:
+        """The entry instances."""
+
+
+@dataclass(slots=True)
+class Context:
+    """The surroundings of one run of the command."""
+
+    settings: Settings
+    """Client settings."""
+
+    store: Store
+    """The platform's store."""
+
+    fetch: Callable[[str, str], Any]
+    """Returns the JSON of an admin address and path; InstanceUnreachable."""
+
+    now: Callable[[], float]
+    """Seconds since the Unix epoch."""
+
+    sleep: Callable[[float], None]
+    """Waits for some seconds."""
+
+    output: TextIO
+    """Where results go."""
+
+    errors: TextIO
+    """Where refusals and warnings go."""
+
+    as_json: bool = False
+    """Whether results are JSON values, one a line."""
+
+    @property
+    def log(self) -> TicketLog:
+        """The ticket log of the store."""
+        return TicketLog(self.store, self.sleep)
+
+    def show(self, lines: Sequence[str], form: Any) -> None:
+        """Print a result as lines, or as its JSON form."""
+        if self.as_json:
+            print(
+                json.dumps(form, ensure_ascii=False, sort_keys=True), file=self.output
+            )
+            return
+        for line in lines:
+            print(line, file=self.output)
+
+    def warn(self, line: str) -> None:
+        """Print a warning that doesn't change the result."""
+        print(f"warning: {line}", file=self.errors)
+
+    def fail(self, failure: CommandFailed) -> ExitCode:
+        """Print why the command failed; returns the exit code."""
+        if self.as_json:
+            form = {"error": failure.message, **failure.details}
+            print(
+                json.dumps(form, ensure_ascii=False, sort_keys=True), file=self.output
+            )
+        else:
+            print(failure.message, file=self.errors)
+        return failure.code
+
+
+def find_settings_path(option: str | None) -> Path:
+    """Return the path of the settings file; raises ``CommandFailed``."""
+    text = option or os.environ.get(SETTINGS_VARIABLE)
+    if not text:
+        message = f"no settings file: give --settings or set {SETTINGS_VARIABLE}"
+        raise CommandFailed(ExitCode.UNREADABLE, message)
+    return Path(text)
+
+
+def load_client_settings(path: Path) -> Settings:
+    """Return the settings of a file; raises ``CommandFailed``."""
+    module = import_module("sesameladder.settings")
+    settings: Settings = module.ClientSettings.from_file(path)
+    return settings
+
+
+def open_context(settings: Settings) -> Context:
+    """Return the context of a run against the platform of the settings."""
+    store = PlatformClient.from_address(settings.platform_address, settings.zone)
+    return Context(
+        settings, store, fetch_json, time.time, time.sleep, sys.stdout, sys.stderr
+    )
--- /dev/null
+++ b/src/sesameladder/client/_instances.py
@@ -0,0 +1,25 @@
+"""Calls to the admin endpoints of entry instances."""
+
+from typing import Any
+
+from urllib3 import PoolManager, Retry, Timeout
+from urllib3.exceptions import HTTPError
+
+from sesameladder.client._errors import InstanceUnreachable
+
+CALL_TIMEOUT_S = 2.0
+
+
+def fetch_json(address: str, path: str) -> Any:
+    """Return the JSON answer of an admin endpoint; raises InstanceUnreachable."""
+    timeout = Timeout(connect=CALL_TIMEOUT_S, read=CALL_TIMEOUT_S)
+    http = PoolManager(timeout=timeout, retries=Retry(0), maxsize=1)
+    try:
+        response = http.request("GET", f"http://{address}{path}")
+        if response.status != 200:
+            raise InstanceUnreachable(f"{address} answered {response.status}")
+        return response.json()
+    except (HTTPError, ValueError) as error:
+        raise InstanceUnreachable(f"{address}: {error}") from error
+    finally:
+        http.clear()
--- /dev/null
+++ b/src/sesameladder/client/_options.py
@@ -0,0 +1,31 @@
+"""Options that every subcommand has."""
+
+from dataclasses import dataclass
+from typing import Annotated
+
+from cappa import Arg
+
+from sesameladder.client._context import SETTINGS_VARIABLE, Context
+from sesameladder.client._exit_codes import ExitCode
+
+
+@dataclass(kw_only=True)
+class CommonOptions:
+    """Options of every subcommand."""
+
+    settings: Annotated[
+        str | None,
+        Arg(
+            long="--settings",
+            value_name="PATH",
+            help=f"Client settings, JSON with comments; else ${SETTINGS_VARIABLE}.",
+        ),
+    ] = None
+    as_json: Annotated[
+        bool,
+        Arg(long="--json", help="Print JSON values, one a line, instead of text."),
+    ] = False
+
+    def run(self, context: Context) -> ExitCode:
+        """Run the subcommand; raises ``CommandFailed`` and log errors."""
+        raise NotImplementedError
--- /dev/null
+++ b/src/sesameladder/client/_status.py
@@ -0,0 +1,155 @@
+"""``sesameladder status``: what is in force, and which instance lags."""
+
+from collections.abc import Sequence
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from typing import Any
+
+import cappa
+
+from sesameladder.client._context import Context, InstanceAddress
+from sesameladder.client._errors import InstanceUnreachable
+from sesameladder.client._exit_codes import EXIT_CODE_HELP, ExitCode
+from sesameladder.client._options import CommonOptions
+from sesameladder.tickets import Head, TicketLogError
+
+MAX_CALLS_AT_ONCE = 16
+
+
+@dataclass(frozen=True, slots=True)
+class InstanceStatus:
+    """What one instance answers about itself."""
+
+    instance: str
+    """Instance id of the settings."""
+
+    zone: str
+    """Zone of the settings."""
+
+    number: int | None
+    """Configuration number; None when the instance gave no usable answer."""
+
+    plan_version: int | None
+    """Version of the region plan that the instance has."""
+
+    behind_since: float | None
+    """Time since which the instance knows of a higher number, Unix seconds."""
+
+    roles: tuple[str, ...]
+    """Roles and conditions, such as ``relay``, ``planner`` and ``draining``."""
+
+    problem: str = ""
+    """Why there is no answer."""
+
+
+@cappa.command(
+    name="status",
+    help="Show what is in force on which instance.",
+    description="Asks the store for the latest accepted ticket and every instance "
+    "for its number, and shows which instances are behind and for how long. "
+    + EXIT_CODE_HELP,
+)
+@dataclass
+class ShowStatus(CommonOptions):
+    """Show what is in force on which instance."""
+
+    def run(self, context: Context) -> ExitCode:
+        """Ask the store and all instances."""
+        rows = ask_instances(context, context.settings.instances)
+        head, problem = _read_head(context)
+        known = [row.number for row in rows if row.number is not None]
+        expected = head.number if head else max(known, default=0)
+        lines = [_describe_head(head, expected, problem)]
+        lines += [_describe(row, expected, context.now()) for row in rows]
+        form = {
+            "number": head.number if head else None,
+            "digest": head.digest if head else None,
+            "store_problem": problem,
+            "instances": [_encode(row, expected, context.now()) for row in rows],
+        }
+        context.show(lines, form)
+        if head is None:
+            return ExitCode.NOT_REACHED
+        in_order = all(
+            row.number is not None and row.number >= expected for row in rows
+        )
+        return ExitCode.DONE if in_order else ExitCode.NOT_IN_ORDER
+
+
+def ask_instances(
+    context: Context, instances: Sequence[InstanceAddress]
+) -> list[InstanceStatus]:
+    """Return the status of each instance, in the order of the settings."""
+    with ThreadPoolExecutor(MAX_CALLS_AT_ONCE) as pool:
+        return list(pool.map(lambda address: _ask(context, address), instances))
+
+
+def _ask(context: Context, address: InstanceAddress) -> InstanceStatus:
+    try:
+        answer = context.fetch(address.admin_address, "/-/status")
+        return _decode(address, answer)
+    except InstanceUnreachable as error:
+        problem = str(error)
+    except (KeyError, TypeError, ValueError) as error:
+        problem = f"malformed status: {error!r}"
+    return InstanceStatus(address.instance, address.zone, None, None, None, (), problem)
+
+
+def _decode(address: InstanceAddress, answer: Any) -> InstanceStatus:
+    behind = answer["behind_since"]
+    return InstanceStatus(
+        address.instance,
+        address.zone,
+        int(answer["configuration_number"]),
+        int(answer["plan_version"]),
+        None if behind is None else float(behind),
+        tuple(name for name in ("relay", "planner", "draining") if answer.get(name)),
+    )
+
+
+def _read_head(context: Context) -> tuple[Head | None, str]:
+    try:
+        return context.log.read_head(), ""
+    except TicketLogError as error:
+        return None, str(error)
+
+
+def _describe_head(head: Head | None, expected: int, problem: str) -> str:
+    if head is None:
+        return f"store not readable ({problem}); highest number known: {expected}"
+    if head.ticket is None:
+        return "no ticket was accepted yet"
+    ticket = head.ticket
+    return f"ticket {head.number} by {ticket.author}: {ticket.reason}"
+
+
+def _describe(row: InstanceStatus, expected: int, now: float) -> str:
+    start = f"  {row.instance:<16} {row.zone:<14}"
+    if row.number is None:
+        return f"{start} no usable answer: {row.problem}"
+    state = "in force" if row.number >= expected else _describe_lag(row, expected, now)
+    roles = f" [{', '.join(row.roles)}]" if row.roles else ""
+    return f"{start} {row.number:>6}  plan {row.plan_version:>6}  {state}{roles}"
+
+
+def _describe_lag(row: InstanceStatus, expected: int, now: float) -> str:
+    missing = expected - (row.number or 0)
+    if row.behind_since is None:
+        return f"behind by {missing}, not yet noticed"
+    return f"behind by {missing} for {max(0.0, now - row.behind_since):.1f} s"
+
+
+def _encode(row: InstanceStatus, expected: int, now: float) -> dict[str, Any]:
+    behind = None
+    if row.behind_since is not None:
+        behind = round(max(0.0, now - row.behind_since), 3)
+    return {
+        "instance": row.instance,
+        "zone": row.zone,
+        "number": row.number,
+        "plan_version": row.plan_version,
+        "behind_by": None if row.number is None else max(0, expected - row.number),
+        "behind_for_s": behind,
+        "roles": list(row.roles),
+        "problem": row.problem,
+    }
--- /dev/null
+++ b/src/sesameladder/client/_ticket_source.py
@@ -0,0 +1,75 @@
+"""Reading of ticket files that operators write."""
+
+import json
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import json5
+
+from sesameladder.client._errors import CommandFailed
+from sesameladder.client._exit_codes import ExitCode
+from sesameladder.tickets import (
+    JsonUnreadable,
+    Problem,
+    Ticket,
+    TicketInvalid,
+    parse_ticket,
+    read_json,
+)
+
+
+def load_ticket(
+    path: str, number: int | None, author: str, find_next: Callable[[], int]
+) -> Ticket:
+    """Return the ticket of a file, with number and author filled in if left out.
+
+    Raises ``TicketInvalid`` for a bad ticket and ``CommandFailed`` when the
+    file can't be read.
+    """
+    form = _read_form(_read_file(path))
+    if isinstance(form, dict):
+        form = _fill_in(form, number, author, find_next)
+    return parse_ticket(json.dumps(form, ensure_ascii=False).encode())
+
+
+def _read_file(path: str) -> bytes:
+    try:
+        return Path(path).read_bytes()
+    except OSError as error:
+        message = f"can't read {path}: {error.strerror}"
+        raise CommandFailed(ExitCode.UNREADABLE, message) from error
+
+
+def _read_form(raw: bytes) -> Any:
+    """Return the value of JSON, or of JSON with comments.
+
+    Plain JSON is tried first, since the reader of comments takes about a
+    second for 60 KB.
+    """
+    try:
+        return read_json(raw)
+    except JsonUnreadable:
+        pass
+    try:
+        return read_json(raw, json5.loads)
+    except JsonUnreadable as error:
+        problem = Problem("ticket", f"unreadable text ({error})", "JSON with comments")
+        raise TicketInvalid((problem,)) from error
+
+
+def _fill_in(
+    form: dict[str, Any],
+    number: int | None,
+    author: str,
+    find_next: Callable[[], int],
+) -> dict[str, Any]:
+    filled = {"author": author, **form}
+    if number is not None:
+        if form.get("number", number) != number:
+            problem = Problem("number", str(form["number"]), f"{number}, as --number")
+            raise TicketInvalid((problem,))
+        filled["number"] = number
+    if "number" not in filled:
+        filled["number"] = find_next()
+    return filled
--- /dev/null
+++ b/src/sesameladder/client/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the operators' command."""
--- /dev/null
+++ b/src/sesameladder/client/tests/session.py
@@ -0,0 +1,79 @@
+"""Runs command lines against a fake store and records what they print."""
+
+import io
+import json
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from sesameladder.client._context import Context
+from sesameladder.client._errors import InstanceUnreachable
+from sesameladder.client._main import run
+from sesameladder.platform import FakeStore
+
+NOW = 1_764_840_000.0
+
+
+@dataclass
+class Address:
+    instance: str
+    zone: str
+    admin_address: str
+
+
+@dataclass
+class Settings:
+    platform_address: str = "127.0.0.1:7000"
+    zone: str = "a"
+    author: str = "mara"
+    instances: tuple[Address, ...] = (
+        Address("entry-a-1", "a", "127.0.0.1:7101"),
+        Address("entry-a-2", "a", "127.0.0.1:7102"),
+        Address("entry-b-1", "b", "127.0.0.1:7103"),
+    )
+
+
+@dataclass
+class Session:
+    """A store, fake instances and the text of all commands so far."""
+
+    folder: Path
+    store: FakeStore = field(default_factory=lambda: FakeStore(lambda: NOW))
+    answers: dict[str, object] = field(default_factory=dict)
+    on_sleep: list = field(default_factory=list)
+    text: str = ""
+
+    def write(self, name: str, form: object) -> None:
+        content = form if isinstance(form, str) else json.dumps(form)
+        (self.folder / name).write_text(content, encoding="utf-8")
+
+    def run(self, line: str) -> int:
+        words = line.split()
+        arguments = [str(self.folder / w) if w.endswith(".json") else w for w in words]
+        output, errors = io.StringIO(), io.StringIO()
+        code = run(
+            [*arguments, "--settings", "client.jsonc"],
+            lambda path: Settings(),
+            lambda settings: Context(
+                settings,
+                self.store,
+                self.fetch,
+                lambda: NOW,
+                self.sleep,
+                output,
+                errors,
+            ),
+        )
+        self.text += f"$ sesameladder {line}\n{output.getvalue()}"
+        self.text += "".join(f"! {row}\n" for row in errors.getvalue().splitlines())
+        self.text += f"exit code {int(code)}\n\n"
+        return code
+
+    def fetch(self, address: str, path: str) -> object:
+        answer = self.answers.get(address + path)
+        if answer is None:
+            raise InstanceUnreachable(f"{address}: connection refused")
+        return answer
+
+    def sleep(self, seconds: float) -> None:
+        if self.on_sleep:
+            self.on_sleep.pop(0)()
--- a/src/sesameladder/tickets/__init__.py
+++ b/src/sesameladder/tickets/__init__.py
@@ -2,6 +2,7 @@
 
 from sesameladder.tickets._check import check_ticket
 from sesameladder.tickets._fold import fold_ticket
+from sesameladder.tickets._json import JsonUnreadable, read_json
 from sesameladder.tickets._log import TicketLog
 from sesameladder.tickets._outcomes import (
     Accepted,
@@ -38,6 +39,7 @@
     "AlreadyAccepted",
     "FileOutcome",
     "Head",
+    "JsonUnreadable",
     "LostRace",
     "NotFiled",
     "Problem",
@@ -56,4 +58,5 @@
     "encode_state",
     "fold_ticket",
     "parse_ticket",
+    "read_json",
 ]
--- a/src/sesameladder/tickets/_filing.py
+++ b/src/sesameladder/tickets/_filing.py
@@ -92,13 +92,14 @@
         the same conditional write again settles that: it succeeds, or the
         head has changed.
         """
+        accepted = Accepted(ticket.number, read_back=True)
         for attempt in range(SETTLE_ATTEMPTS):
             self.access.wait(attempt)
             try:
                 if self.reader.read_head().number >= ticket.number:
-                    return self._compare_winner(ticket, Accepted(ticket.number))
+                    return self._compare_winner(ticket, accepted)
                 if isinstance(self._send(head, ticket), Swapped):
-                    return Accepted(ticket.number)
+                    return accepted
             except (TicketLogError, PlatformError) as error:
                 reason = str(error)
         return Unsettled(reason)
--- a/src/sesameladder/tickets/_json.py
+++ b/src/sesameladder/tickets/_json.py
@@ -2,10 +2,28 @@
 
 import json
 from collections import Counter
+from collections.abc import Callable, Iterator
 from typing import Any
 
 from sesameladder.tickets._problems import Problem, TicketInvalid, shorten_value
 
+NAMED_ONCE = "each key, and so each pool, VM, budget, team and wave, named once"
+
+
+class JsonUnreadable(Exception):
+    """Bytes that are no UTF-8 JSON."""
+
+
+class JsonObject(dict[str, Any]):
+    """A JSON object that remembers which keys it had more than once."""
+
+    __slots__ = ("repeated",)
+
+    def __init__(self, pairs: list[tuple[str, Any]]) -> None:
+        super().__init__(pairs)
+        counts = Counter(key for key, _ in pairs) if len(pairs) > len(self) else {}
+        self.repeated = [key for key, count in counts.items() if count > 1]
+
 
 def encode_json(value: Any) -> bytes:
     """Return canonical JSON: sorted keys, no spaces, UTF-8."""
@@ -19,27 +37,30 @@
     return text.encode()
 
 
-def check_json(raw: bytes) -> None:
-    """Raise ``TicketInvalid`` when bytes are not JSON or repeat a key."""
-    repeated: list[str] = []
-
-    def build_object(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
-        counts = Counter(key for key, _ in pairs)
-        repeated.extend(key for key, count in counts.items() if count > 1)
-        return dict(pairs)
+def read_json(raw: bytes, load: Callable[..., Any] = json.loads) -> Any:
+    """Return the value of JSON bytes; ``load`` may read an extended syntax.
 
+    Raises ``JsonUnreadable`` for other bytes and ``TicketInvalid`` when an
+    object has a key twice.
+    """
     try:
-        json.loads(raw.decode(), object_pairs_hook=build_object)
+        value = load(raw.decode(), object_pairs_hook=JsonObject)
     except (ValueError, RecursionError) as error:
-        problem = Problem("ticket", f"bytes that are no JSON ({error})", "UTF-8 JSON")
-        raise TicketInvalid((problem,)) from error
-    if repeated:
-        raise TicketInvalid(tuple(_describe_repeat(key) for key in repeated))
+        raise JsonUnreadable(str(error)) from error
+    problems = tuple(
+        Problem(shorten_value(path), "the key more than once in one object", NAMED_ONCE)
+        for path in _find_repeated(value, "")
+    )
+    if problems:
+        raise TicketInvalid(problems)
+    return value
 
 
-def _describe_repeat(key: str) -> Problem:
-    return Problem(
-        shorten_value(key),
-        "the key more than once in one object",
-        "each key, and so each pool, VM, budget, team and wave, named once",
-    )
+def _find_repeated(value: Any, path: str) -> Iterator[str]:
+    if isinstance(value, JsonObject):
+        yield from (path + key for key in value.repeated)
+        for key, item in value.items():
+            yield from _find_repeated(item, f"{path}{key}.")
+    elif isinstance(value, list):
+        for index, item in enumerate(value):
+            yield from _find_repeated(item, f"{path}{index}.")
--- a/src/sesameladder/tickets/_outcomes.py
+++ b/src/sesameladder/tickets/_outcomes.py
@@ -13,6 +13,9 @@
     number: int
     """Number of the ticket."""
 
+    read_back: bool = False
+    """Whether an answer was lost and the outcome was found by reading back."""
+
 
 @dataclass(frozen=True, slots=True)
 class AlreadyAccepted:
--- a/src/sesameladder/tickets/_parse.py
+++ b/src/sesameladder/tickets/_parse.py
@@ -8,7 +8,7 @@
 from pydantic_core import ErrorDetails
 
 from sesameladder.platform import MAX_VALUE_BYTES
-from sesameladder.tickets._json import check_json
+from sesameladder.tickets._json import JsonUnreadable, read_json
 from sesameladder.tickets._problems import Problem, TicketInvalid, shorten_value
 from sesameladder.tickets._rows import NAME_RULE, TicketRow
 from sesameladder.tickets._sections import SECTIONS
@@ -37,6 +37,15 @@
         raise TicketInvalid(tuple(_describe(item) for item in details)) from error
 
 
+def check_json(raw: bytes) -> None:
+    """Raise ``TicketInvalid`` when bytes are not JSON or repeat a key."""
+    try:
+        read_json(raw)
+    except JsonUnreadable as error:
+        problem = Problem("ticket", f"bytes that are no JSON ({error})", "UTF-8 JSON")
+        raise TicketInvalid((problem,)) from error
+
+
 def _describe(error: ErrorDetails) -> Problem:
     location = error["loc"]
     path = ".".join(shorten_value(str(part)) for part in location) or "ticket"
