--- /dev/null
+++ b/src/sesameladder/entry/__main__.py
@@ -0,0 +1,5 @@
+"""Runs ``sesameladder-entry``."""
+
+from sesameladder.entry import main
+
+main()
--- /dev/null
+++ b/src/sesameladder/entry/_cell_runtime.py
@@ -0,0 +1,303 @@
+"""One cell that this instance dispatches, with the callers it has to answer."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from random import Random
+
+from sesameladder.dispatch import (
+    Decision,
+    Demand,
+    Dispatcher,
+    DispatcherConfig,
+    Granted,
+    GrantOutcome,
+    LeavingSource,
+    OutcomeKind,
+    OutstandingGrant,
+    Preempt,
+    Refused,
+    Throttle,
+    WorkerSpec,
+)
+from sesameladder.entry._view import FleetView
+from sesameladder.model import Pool
+from sesameladder.peering import (
+    GrantAnswer,
+    GrantItem,
+    GrantPoll,
+    Message,
+    PeerIdentity,
+    PreemptOrder,
+    Reply,
+    ThrottleOrder,
+)
+from sesameladder.planning import Phase
+from sesameladder.platform import VmState
+
+ANSWER_SECONDS = 0.5
+UNPOLLED_SECONDS = 2.0
+RECONCILE_AFTER_SECONDS = 2.0
+
+SendOrder = Callable[[str, Message], None]
+
+
+@dataclass(slots=True)
+class WaitingPoll:
+    """The latest poll of a demand that has no decision yet."""
+
+    sender: PeerIdentity
+    """Forwarder that polls."""
+
+    reply: Reply | None
+    """Answers the poll; None once it was answered with ``waiting``."""
+
+    answer_by: float
+    """Monotonic time at which the poll is answered with ``waiting``."""
+
+    polled_at: float
+    """Monotonic time of the poll."""
+
+
+@dataclass(slots=True)
+class CellRuntime:
+    """A dispatcher with the polls that wait for its decisions."""
+
+    pool: str
+    """Pool of the cell."""
+
+    zone: str
+    """Availability zone of the cell."""
+
+    epoch: int
+    """Epoch of the dispatcher row under which this instance dispatches."""
+
+    dispatcher: Dispatcher
+    """Decision logic of the cell."""
+
+    send_order: SendOrder
+    """Sends an order to a forwarder."""
+
+    polls: dict[str, WaitingPoll] = field(default_factory=dict)
+    """Waiting polls by demand id."""
+
+    granted: dict[str, GrantAnswer] = field(default_factory=dict)
+    """Answers of outstanding grants by demand id, for repeated polls."""
+
+    holders: dict[str, tuple[PeerIdentity, str]] = field(default_factory=dict)
+    """Forwarder and demand id by grant id."""
+
+    granted_at: dict[str, float] = field(default_factory=dict)
+    """Monotonic time of each outstanding grant."""
+
+    applied_plan_version: int = 0
+    """Plan version whose rows the dispatcher follows."""
+
+    @classmethod
+    def create(
+        cls,
+        pool: Pool,
+        zone: str,
+        epoch: int,
+        random: Random,
+        grant_prefix: str,
+        send_order: SendOrder,
+    ) -> "CellRuntime":
+        """Return a cell that does not grant until ``recover`` was called."""
+        dispatcher = Dispatcher(
+            DispatcherConfig.from_pool(pool), random, f"{grant_prefix}{epoch}-"
+        )
+        return cls(pool.name, zone, epoch, dispatcher, send_order)
+
+    def apply_view(self, view: FleetView, now: float) -> None:
+        """Follow the configuration, the plan and the VM list."""
+        if view.plan is None:
+            return
+        self.dispatcher.update_teams(view.state.teams)
+        rows = [
+            row
+            for row in view.plan.rows.values()
+            if row.pool == self.pool and self._is_here(view, row.vm)
+        ]
+        self.dispatcher.update_workers(
+            [_describe_worker(view, row.vm) for row in rows], now
+        )
+        for row in rows:
+            self._mark(row.vm, LeavingSource.PLAN, row.phase is Phase.SERVING, now)
+            state = view.vm_states.get(row.vm, VmState.LIVE)
+            self._mark(row.vm, LeavingSource.VM_LIST, state is VmState.LIVE, now)
+        self.applied_plan_version = view.plan.version
+
+    def poll(
+        self, sender: PeerIdentity, poll: GrantPoll, reply: Reply, now: float
+    ) -> None:
+        """Submit a demand, or note that its forwarder still waits."""
+        granted = self.granted.get(poll.demand_id)
+        if granted is not None:
+            reply(granted)
+            return
+        self.polls[poll.demand_id] = WaitingPoll(
+            sender, reply, now + ANSWER_SECONDS, now
+        )
+        outcome = self.dispatcher.submit(_build_demand(sender, poll, now), now)
+        if isinstance(outcome, Refused):
+            self._answer_refusal(outcome)
+
+    def release(self, grant_id: str, outcome: GrantOutcome, now: float) -> None:
+        """End a grant; a repeated release changes nothing."""
+        self.dispatcher.release(grant_id, outcome, now)
+        self._drop_grant(grant_id)
+
+    def cancel(self, demand_id: str, now: float) -> None:
+        """Withdraw a demand or the grant that it received."""
+        self.polls.pop(demand_id, None)
+        self.dispatcher.cancel(demand_id, now)
+        granted = self.granted.get(demand_id)
+        if granted is not None:
+            self.release(granted.grant_id, GrantOutcome(OutcomeKind.UNUSED), now)
+
+    def advance(self, now: float) -> None:
+        """Carry out due decisions and answer polls that have waited."""
+        for decision in self.dispatcher.poll(now):
+            self._carry_out(decision, now)
+        for demand_id, poll in list(self.polls.items()):
+            if poll.reply is not None and now >= poll.answer_by:
+                poll.reply(GrantAnswer("waiting", demand_id))
+                poll.reply = None
+            elif now - poll.polled_at > UNPOLLED_SECONDS:
+                self.cancel(demand_id, now)
+
+    def next_wakeup(self, now: float) -> float:
+        """Return the next monotonic time at which ``advance`` has work."""
+        times = [poll.answer_by for poll in self.polls.values() if poll.reply]
+        decision_at = self.dispatcher.next_wakeup(now)
+        if decision_at is not None:
+            times.append(decision_at)
+        return min(times, default=now + ANSWER_SECONDS)
+
+    def list_unconfirmed(self, now: float) -> dict[PeerIdentity, set[str]]:
+        """Return older grants by forwarder, to be checked with it."""
+        unconfirmed: dict[PeerIdentity, set[str]] = {}
+        for grant_id, (holder, _) in self.holders.items():
+            if now - self.granted_at[grant_id] > RECONCILE_AFTER_SECONDS:
+                unconfirmed.setdefault(holder, set()).add(grant_id)
+        return unconfirmed
+
+    def adopt(
+        self, forwarder: PeerIdentity, items: Iterable[GrantItem], now: float
+    ) -> None:
+        """Take over grants that a forwarder or the previous dispatcher reports."""
+        reported = [_describe_grant(forwarder, item) for item in items]
+        self.dispatcher.recover(reported, now)
+        for item in items:
+            self.holders.setdefault(item.grant_id, (forwarder, item.demand_id))
+            self.granted_at.setdefault(item.grant_id, now)
+
+    def _is_here(self, view: FleetView, vm: str) -> bool:
+        configured = view.state.vms.get(vm)
+        return configured is not None and configured.zone == self.zone
+
+    def _mark(self, vm: str, source: LeavingSource, serving: bool, now: float) -> None:
+        if serving:
+            self.dispatcher.mark_serving(vm, source, now)
+        else:
+            self.dispatcher.mark_leaving(vm, source, now)
+
+    def _carry_out(self, decision: Decision, now: float) -> None:
+        if isinstance(decision, Granted):
+            self._answer_grant(decision, now)
+        elif isinstance(decision, Refused):
+            self._answer_refusal(decision)
+        else:
+            self._send_order(decision)
+
+    def _answer_grant(self, decision: Granted, now: float) -> None:
+        poll = self.polls.pop(decision.demand_id, None)
+        if poll is None:
+            unused = GrantOutcome(OutcomeKind.UNUSED)
+            self.dispatcher.release(decision.grant_id, unused, now)
+            return
+        answer = GrantAnswer(
+            "granted",
+            decision.demand_id,
+            decision.grant_id,
+            decision.vm,
+            decision.rack,
+            decision.address,
+        )
+        self.granted[decision.demand_id] = answer
+        self.holders[decision.grant_id] = (poll.sender, decision.demand_id)
+        self.granted_at[decision.grant_id] = now
+        if poll.reply is not None:
+            poll.reply(answer)
+
+    def _answer_refusal(self, refused: Refused) -> None:
+        poll = self.polls.pop(refused.demand_id, None)
+        if poll is not None and poll.reply is not None:
+            poll.reply(
+                GrantAnswer(
+                    "refused",
+                    refused.demand_id,
+                    reason=refused.reason.value,
+                    retry_after_s=refused.retry_after_s,
+                )
+            )
+
+    def _send_order(self, order: Preempt | Throttle) -> None:
+        holder = self.holders.get(order.grant_id)
+        if holder is None:
+            return
+        message: Message = (
+            PreemptOrder(order.grant_id, order.vm)
+            if isinstance(order, Preempt)
+            else ThrottleOrder(order.grant_id, order.vm, order.share)
+        )
+        self.send_order(holder[0].instance, message)
+
+    def _drop_grant(self, grant_id: str) -> None:
+        self.granted_at.pop(grant_id, None)
+        holder = self.holders.pop(grant_id, None)
+        if holder is not None:
+            self.granted.pop(holder[1], None)
+
+
+def _build_demand(sender: PeerIdentity, poll: GrantPoll, now: float) -> Demand:
+    return Demand(
+        demand_id=poll.demand_id,
+        forwarder=sender.instance,
+        incarnation=sender.incarnation,
+        team=poll.team,
+        kind=poll.kind,
+        urgent=poll.urgent,
+        repeatable=poll.repeatable,
+        attempt=poll.attempt,
+        expected_ms=poll.expected_ms or None,
+        checkpointable=poll.checkpointable,
+        deadline=now + poll.deadline_ms / 1000,
+        tried_workers=poll.tried_workers,
+        tried_racks=poll.tried_racks,
+        resumed=poll.resumed,
+    )
+
+
+def _describe_worker(view: FleetView, vm: str) -> WorkerSpec:
+    configured = view.state.vms[vm]
+    return WorkerSpec(
+        vm,
+        configured.rack,
+        configured.address,
+        configured.slots,
+        configured.connections,
+    )
+
+
+def _describe_grant(forwarder: PeerIdentity, item: GrantItem) -> OutstandingGrant:
+    return OutstandingGrant(
+        grant_id=item.grant_id,
+        demand_id=item.demand_id,
+        forwarder=forwarder.instance,
+        incarnation=forwarder.incarnation,
+        vm=item.vm,
+        team=item.team,
+        kind=item.kind,
+        checkpointable=item.checkpointable,
+    )
--- /dev/null
+++ b/src/sesameladder/entry/_command.py
@@ -0,0 +1,72 @@
+"""Command line of ``sesameladder-entry``."""
+
+import signal
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+from threading import Event
+from typing import Annotated
+
+import cappa
+
+from sesameladder.entry._logging import configure_logging
+from sesameladder.entry._process import EntryProcess
+from sesameladder.settings import EntrySettings, SettingsInvalid
+
+EXIT_OK = 0
+EXIT_REQUESTS_LEFT = 1
+EXIT_SETTINGS = 2
+EXIT_ADDRESS = 3
+
+
+@cappa.command(
+    name="sesameladder-entry",
+    help="Serve callers on an entry VM.",
+    description=(
+        "Exit codes: 0 stopped gracefully, 1 requests were left at the shutdown "
+        "limit, 2 the settings are invalid, 3 an address can't be bound."
+    ),
+)
+@dataclass(frozen=True, slots=True)
+class EntryCommand:
+    """Arguments of the program."""
+
+    settings: Annotated[
+        Path, cappa.Arg(short=True, long=True, help="Settings file, JSON with comments")
+    ]
+    check: Annotated[bool, cappa.Arg(long=True, help="Check the settings and exit")] = (
+        False
+    )
+
+
+def main(arguments: list[str] | None = None) -> None:
+    """Run the program and exit with its code."""
+    sys.exit(run(cappa.parse(EntryCommand, argv=arguments)))
+
+
+def run(command: EntryCommand) -> int:
+    """Serve until SIGTERM or SIGINT; returns the exit code."""
+    try:
+        settings = EntrySettings.from_file(command.settings)
+    except SettingsInvalid as error:
+        sys.stderr.write(f"{error}\n")
+        return EXIT_SETTINGS
+    if command.check:
+        sys.stdout.write(f"{command.settings}: ok\n")
+        return EXIT_OK
+    configure_logging(settings.log_level, "sesameladder-entry", settings.instance)
+    return _serve(settings)
+
+
+def _serve(settings: EntrySettings) -> int:
+    stop = Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: stop.set())
+    try:
+        process = EntryProcess(settings)
+        process.start()
+    except OSError as error:
+        sys.stderr.write(f"an address can't be bound: {error}\n")
+        return EXIT_ADDRESS
+    stop.wait()
+    return EXIT_OK if process.shut_down() else EXIT_REQUESTS_LEFT
--- /dev/null
+++ b/src/sesameladder/entry/_configuration_task.py
@@ -0,0 +1,387 @@
+"""The task that owns the configuration replica, the plan and the VM list."""
+
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import singledispatchmethod
+from queue import Empty, SimpleQueue
+from threading import Thread
+from time import time
+
+from sesameladder.configuration import (
+    Applied,
+    ConfigurationReplica,
+    Conflicting,
+    Declined,
+    Gap,
+    Malformed,
+    OfferOutcome,
+    RelayRules,
+    SendTickets,
+)
+from sesameladder.entry._view import FleetView
+from sesameladder.peering import (
+    Failure,
+    Heartbeat,
+    Message,
+    PeerIdentity,
+    Peers,
+    PlanUpdate,
+    PullConfiguration,
+    PullPlan,
+    Reply,
+    Snapshot,
+    TicketItem,
+    Tickets,
+    VmItem,
+    VmListUpdate,
+)
+from sesameladder.planning import PlanMalformed, RegionPlan
+from sesameladder.platform import VmState, VmStatus
+from sesameladder.tickets import Ticket
+
+TICK_SECONDS = 0.25
+
+logger = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class PeerMessage:
+    """A message of a peer for this task."""
+
+    sender: PeerIdentity
+    message: Message
+    reply: Reply
+
+
+@dataclass(frozen=True, slots=True)
+class PullAnswered:
+    """A peer's answer to a pull; None when none came."""
+
+    answer: Message | None
+
+
+@dataclass(frozen=True, slots=True)
+class TicketsRead:
+    """Accepted tickets in order, as the store holds them."""
+
+    tickets: tuple[Ticket, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class SnapshotRead:
+    """The folded state after a ticket, as read from the store."""
+
+    number: int
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class RelayRoleChanged:
+    """Whether this instance holds its zone's relay role."""
+
+    held: bool
+
+
+@dataclass(frozen=True, slots=True)
+class PlanRead:
+    """The region's plan as the store holds it."""
+
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class VmListRead:
+    """The platform's VM list, as this zone's relay read it."""
+
+    rows: tuple[VmStatus, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Stop:
+    """Ends the task."""
+
+
+ConfigurationMessage = (
+    PeerMessage
+    | PullAnswered
+    | TicketsRead
+    | SnapshotRead
+    | RelayRoleChanged
+    | PlanRead
+    | VmListRead
+    | Stop
+)
+
+
+class ConfigurationTask:
+    """Applies what peers and the store offer, and passes it on.
+
+    Other tasks read ``heartbeat_peers`` and ``hears_relay``, which are replaced
+    after each step, since the rules are not safe to share by threads.
+    """
+
+    __slots__ = (
+        "behind_since",
+        "hears_relay",
+        "heartbeat_peers",
+        "inbox",
+        "peers",
+        "plan_bytes",
+        "plan_pull_peer",
+        "replica",
+        "rules",
+        "view",
+        "zones",
+    )
+
+    def __init__(
+        self, peers: Peers, view: FleetView, zone: str, now: Callable[[], float]
+    ) -> None:
+        self.peers = peers
+        self.view = view
+        self.zones = {a.instance: a.zone for a in peers.addresses.values()}
+        self.replica = ConfigurationReplica()
+        self.rules = RelayRules(peers.identity.instance, zone, now)
+        self.plan_bytes = b""
+        self.plan_pull_peer = ""
+        self.behind_since = 0.0
+        self.hears_relay = False
+        self.heartbeat_peers = self.rules.choose_heartbeat_peers(self.zones)
+        self.inbox: SimpleQueue[ConfigurationMessage] = SimpleQueue()
+
+    def start(self) -> None:
+        """Start the task."""
+        Thread(target=self._run, name="configuration", daemon=True).start()
+
+    def post(self, message: ConfigurationMessage) -> None:
+        """Queue a message; safe from any thread."""
+        self.inbox.put(message)
+
+    def dump(self) -> dict[str, object]:
+        """Return numbers and versions as JSON-ready data."""
+        plan = self.view.plan
+        return {
+            "replica": self.replica.dump(),
+            "plan_version": plan.version if plan else 0,
+            "vm_list_sequence": self.view.vm_list_sequence,
+            "behind_since": self.behind_since,
+            "relay": self.rules.relay,
+        }
+
+    def _run(self) -> None:
+        while True:
+            try:
+                message = self.inbox.get(timeout=TICK_SECONDS)
+            except Empty:
+                message = None
+            if isinstance(message, Stop):
+                return
+            try:
+                if message is not None:
+                    self._receive(message)
+                self._pull_if_behind()
+                self._publish_rules()
+            except Exception:
+                logger.exception(
+                    "configuration step failed", extra={"event": "configuration_error"}
+                )
+
+    @singledispatchmethod
+    def _receive(self, message: object) -> None:
+        raise TypeError(f"unexpected message {message!r}")
+
+    @_receive.register
+    def _(self, message: PeerMessage) -> None:
+        self._receive_from_peer(message.message, message.sender, message.reply)
+
+    @_receive.register
+    def _(self, message: PullAnswered) -> None:
+        self.rules.end_pull()
+        answer = message.answer
+        if isinstance(answer, Tickets | Snapshot | PlanUpdate):
+            self._receive_from_peer(answer, self.peers.identity, _ignore)
+
+    @_receive.register
+    def _(self, message: TicketsRead) -> None:
+        for ticket in message.tickets:
+            self._note(self.replica.offer_ticket(ticket.number, ticket, ticket.digest))
+
+    @_receive.register
+    def _(self, message: SnapshotRead) -> None:
+        self._note(self.replica.offer_snapshot(message.number, message.data))
+
+    @_receive.register
+    def _(self, message: RelayRoleChanged) -> None:
+        self.rules.relay = message.held
+
+    @_receive.register
+    def _(self, message: PlanRead) -> None:
+        self._offer_plan(message.data)
+
+    @_receive.register
+    def _(self, message: VmListRead) -> None:
+        items = tuple(
+            VmItem(row.name, row.zone, row.state.value, row.changed_at)
+            for row in message.rows
+        )
+        states = {row.name: row.state for row in message.rows}
+        if states == self.view.vm_states:
+            return
+        sequence = int(time() * 1000)
+        self._apply_vm_list(VmListUpdate(sequence, items))
+        for instance in self._list_receivers():
+            self.peers.send(instance, VmListUpdate(sequence, items))
+
+    @singledispatchmethod
+    def _receive_from_peer(
+        self, message: object, sender: PeerIdentity, reply: Reply
+    ) -> None:
+        del sender
+        reply(Failure(f"unexpected message {type(message).__name__}"))
+
+    @_receive_from_peer.register
+    def _(self, message: Heartbeat, sender: PeerIdentity, reply: Reply) -> None:
+        del reply
+        self.rules.note_heartbeat(
+            sender.instance, message.zone, message.configuration_number, message.relay
+        )
+        if message.plan_version > self._plan_version():
+            self.plan_pull_peer = sender.instance
+
+    @_receive_from_peer.register
+    def _(self, message: Tickets, sender: PeerIdentity, reply: Reply) -> None:
+        del sender, reply
+        for item in message.items:
+            outcome = self.replica.offer_bytes(item.number, item.data, item.digest)
+            self._note(outcome)
+            if isinstance(outcome, Gap):
+                self.behind_since = self.behind_since or time()
+
+    @_receive_from_peer.register
+    def _(self, message: Snapshot, sender: PeerIdentity, reply: Reply) -> None:
+        del sender, reply
+        self._note(self.replica.offer_snapshot(message.number, message.data))
+
+    @_receive_from_peer.register
+    def _(self, message: PlanUpdate, sender: PeerIdentity, reply: Reply) -> None:
+        del sender, reply
+        if message.region == self.view.region and message.data:
+            self._offer_plan(message.data)
+
+    @_receive_from_peer.register
+    def _(self, message: VmListUpdate, sender: PeerIdentity, reply: Reply) -> None:
+        del sender, reply
+        self._apply_vm_list(message)
+
+    @_receive_from_peer.register
+    def _(self, message: PullConfiguration, sender: PeerIdentity, reply: Reply) -> None:
+        del sender
+        transfer = self.rules.answer_pull(message.after, self.replica)
+        if isinstance(transfer, Declined):
+            reply(Failure("the byte allowance is used up"))
+        elif isinstance(transfer, SendTickets):
+            items = tuple(
+                TicketItem(ticket.number, ticket.digest, ticket.raw)
+                for ticket in transfer.tickets
+            )
+            reply(Tickets(items))
+        else:
+            reply(Snapshot(transfer.number, "", transfer.state_bytes))
+
+    @_receive_from_peer.register
+    def _(self, message: PullPlan, sender: PeerIdentity, reply: Reply) -> None:
+        del sender
+        version = self._plan_version()
+        wanted = message.region == self.view.region and version > message.after
+        data = self.plan_bytes if wanted else b""
+        reply(PlanUpdate(self.view.region, version, data))
+
+    def _note(self, outcome: OfferOutcome) -> None:
+        if isinstance(outcome, Applied):
+            self._publish_configuration()
+        elif isinstance(outcome, Conflicting | Malformed):
+            logger.error(
+                "refused an offered ticket",
+                extra={"event": "ticket_refused", "reason": outcome.reason},
+            )
+
+    def _publish_configuration(self) -> None:
+        self.view.state = self.replica.state
+        self.behind_since = 0.0
+        logger.info(
+            "configuration in effect",
+            extra={"event": "configuration_applied", "ticket": self.replica.number},
+        )
+        for instance, ticket in self.rules.plan_push(self.replica, self.zones):
+            item = TicketItem(ticket.number, ticket.digest, ticket.raw)
+            self.peers.send(instance, Tickets((item,)))
+        self.view.notify()
+
+    def _offer_plan(self, data: bytes) -> None:
+        try:
+            plan = RegionPlan.from_bytes(data)
+        except PlanMalformed as error:
+            logger.error(
+                "refused an offered plan",
+                extra={"event": "plan_refused", "reason": str(error)},
+            )
+            return
+        if plan.region != self.view.region or plan.version <= self._plan_version():
+            return
+        self.view.plan = plan
+        self.plan_bytes = data
+        update = PlanUpdate(plan.region, plan.version, data)
+        for instance in self._list_receivers():
+            self.peers.send(instance, update)
+        self.view.notify()
+
+    def _list_receivers(self) -> list[str]:
+        """Return whom a relay pushes plans and VM lists to."""
+        if not self.rules.relay:
+            return []
+        return self.heartbeat_peers
+
+    def _apply_vm_list(self, update: VmListUpdate) -> None:
+        if update.sequence <= self.view.vm_list_sequence:
+            return
+        try:
+            states = {item.name: VmState(item.state) for item in update.items}
+        except ValueError as error:
+            logger.error(
+                "refused a VM list",
+                extra={"event": "vm_list_refused", "reason": str(error)},
+            )
+            return
+        self.view.vm_states = states
+        self.view.vm_list_sequence = update.sequence
+        self.view.notify()
+
+    def _publish_rules(self) -> None:
+        self.hears_relay = self.rules.hears_relay()
+        self.heartbeat_peers = self.rules.choose_heartbeat_peers(self.zones)
+
+    def _plan_version(self) -> int:
+        return self.view.plan.version if self.view.plan else 0
+
+    def _pull_if_behind(self) -> None:
+        pull = self.rules.choose_pull(self.replica.number)
+        if pull is not None:
+            self.behind_since = self.behind_since or time()
+            self._ask(pull.peer, PullConfiguration(pull.after))
+        if self.plan_pull_peer:
+            peer = self.plan_pull_peer
+            self.plan_pull_peer = ""
+            self._ask(peer, PullPlan(self.view.region, self._plan_version()))
+
+    def _ask(self, peer: str, message: Message) -> None:
+        future = self.peers.request(peer, message)
+        future.add_done_callback(
+            lambda done: self.post(
+                PullAnswered(None if done.exception() else done.result())
+            )
+        )
+
+
+def _ignore(_message: Message) -> None:
+    """Drop the reply to a one-way message."""
--- /dev/null
+++ b/src/sesameladder/entry/_dispatch_messages.py
@@ -0,0 +1,81 @@
+"""Messages to the dispatch task."""
+
+from dataclasses import dataclass
+
+from sesameladder.peering import (
+    GrantItem,
+    HandOverAnswer,
+    Message,
+    PeerIdentity,
+    Reply,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class PeerMessage:
+    """A message of a peer for this task."""
+
+    sender: PeerIdentity
+    message: Message
+    reply: Reply
+
+
+@dataclass(frozen=True, slots=True)
+class ViewChanged:
+    """The configuration, the plan or the VM list changed."""
+
+
+@dataclass(frozen=True, slots=True)
+class GrantsReported:
+    """A forwarder's grants in a cell, as it reports them."""
+
+    cell: str
+    epoch: int
+    forwarder: PeerIdentity
+    items: tuple[GrantItem, ...]
+    demand_ids: tuple[str, ...]
+    asked: frozenset[str]
+
+
+@dataclass(frozen=True, slots=True)
+class TasksReported:
+    """Number of tasks that a worker runs, as it reports them."""
+
+    cell: str
+    epoch: int
+    vm: str
+    count: int
+
+
+@dataclass(frozen=True, slots=True)
+class HandOverAnswered:
+    """The previous dispatcher's answer; None when none came."""
+
+    cell: str
+    epoch: int
+    previous: str
+    answer: HandOverAnswer | None
+
+
+@dataclass(frozen=True, slots=True)
+class InstanceGone:
+    """All lives of an instance up to an incarnation are over."""
+
+    instance: str
+    incarnation: int
+
+
+@dataclass(frozen=True, slots=True)
+class Stop:
+    """Ends the task."""
+
+
+DispatchMessage = (
+    PeerMessage
+    | ViewChanged
+    | GrantsReported
+    | TasksReported
+    | HandOverAnswered
+    | InstanceGone
+    | Stop
+)
--- /dev/null
+++ b/src/sesameladder/entry/_dispatch_task.py
@@ -0,0 +1,396 @@
+"""The task that owns all cells which this instance dispatches."""
+
+import logging
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from functools import singledispatchmethod
+from queue import Empty, SimpleQueue
+from random import Random
+from threading import Thread
+
+from sesameladder.dispatch import GrantOutcome, OutcomeKind
+from sesameladder.entry._cell_runtime import CellRuntime
+from sesameladder.entry._dispatch_messages import (
+    DispatchMessage,
+    GrantsReported,
+    HandOverAnswered,
+    InstanceGone,
+    PeerMessage,
+    Stop,
+    TasksReported,
+    ViewChanged,
+)
+from sesameladder.entry._view import FleetView
+from sesameladder.peering import (
+    CellQuery,
+    CellReport,
+    CellReports,
+    DemandCancel,
+    Failure,
+    GrantAnswer,
+    GrantList,
+    GrantPoll,
+    GrantQuery,
+    GrantRelease,
+    HandOverAnswer,
+    HandOverRequest,
+    PeerIdentity,
+    PeeringError,
+    Peers,
+    Reply,
+    VmGrants,
+)
+from sesameladder.planning import DispatcherRow, cell_key
+from sesameladder.platform import WorkerTasks, WorkerUnavailable
+
+MAX_IDLE_SECONDS = 0.5
+RECONCILE_SECONDS = 1.0
+QUERY_TIMEOUT_S = 1.0
+CALL_THREADS = 4
+MEAN_DEMAND_TIME_CONSTANT_S = 60.0
+
+logger = logging.getLogger(__name__)
+
+
+class DispatchTask:
+    """Runs the cells of this instance from one inbox."""
+
+    __slots__ = (
+        "awaiting",
+        "cells",
+        "demand",
+        "draining",
+        "executor",
+        "given_away",
+        "inbox",
+        "next_reconcile",
+        "now",
+        "peers",
+        "random",
+        "tasks",
+        "unconfirmed",
+        "view",
+    )
+
+    def __init__(
+        self,
+        peers: Peers,
+        view: FleetView,
+        tasks: WorkerTasks,
+        now: Callable[[], float],
+        random: Random,
+    ) -> None:
+        self.peers = peers
+        self.view = view
+        self.tasks = tasks
+        self.now = now
+        self.random = random
+        self.inbox: SimpleQueue[DispatchMessage] = SimpleQueue()
+        self.cells: dict[str, CellRuntime] = {}
+        self.awaiting: dict[str, DispatcherRow] = {}
+        self.given_away: dict[str, int] = {}
+        # Cells given away whose new owner has not asked for them yet.
+        self.unconfirmed: set[str] = set()
+        self.draining = False
+        self.demand: dict[str, float] = {}
+        self.executor = ThreadPoolExecutor(CALL_THREADS, "dispatch-call")
+        self.next_reconcile = 0.0
+
+    def start(self) -> None:
+        """Start the task."""
+        Thread(target=self._run, name="dispatch", daemon=True).start()
+
+    def post(self, message: DispatchMessage) -> None:
+        """Queue a message; safe from any thread."""
+        self.inbox.put(message)
+
+    def dump(self) -> dict[str, object]:
+        """Return the state of all cells as JSON-ready data."""
+        return {
+            key: {"epoch": cell.epoch, **cell.dispatcher.dump()}
+            for key, cell in list(self.cells.items())
+        }
+
+    def _run(self) -> None:
+        while True:
+            message = self._next_message()
+            if isinstance(message, Stop):
+                self.executor.shutdown(wait=False, cancel_futures=True)
+                return
+            try:
+                if message is not None:
+                    self._receive(message)
+                self._advance()
+            except Exception:
+                logger.exception(
+                    "dispatch step failed", extra={"event": "dispatch_error"}
+                )
+
+    def _next_message(self) -> DispatchMessage | None:
+        now = self.now()
+        wakeups = [cell.next_wakeup(now) for cell in self.cells.values()]
+        timeout = min([*wakeups, now + MAX_IDLE_SECONDS]) - now
+        try:
+            return self.inbox.get(timeout=max(0.0, timeout))
+        except Empty:
+            return None
+
+    def _advance(self) -> None:
+        now = self.now()
+        for cell in self.cells.values():
+            cell.advance(now)
+        if now >= self.next_reconcile:
+            self.next_reconcile = now + RECONCILE_SECONDS
+            for key, cell in self.cells.items():
+                self._reconcile(key, cell, now)
+                self._update_mean_demand(key, cell)
+                self._request_task_reports(key, cell, now)
+
+    @singledispatchmethod
+    def _receive(self, message: object) -> None:
+        raise TypeError(f"unexpected message {message!r}")
+
+    @_receive.register
+    def _(self, message: PeerMessage) -> None:
+        self._receive_from_peer(message.message, message.sender, message.reply)
+
+    @_receive.register
+    def _(self, _message: ViewChanged) -> None:
+        plan = self.view.plan
+        if plan is None:
+            return
+        own = self.peers.identity.instance
+        rows = {k: row for k, row in plan.dispatchers.items() if row.instance == own}
+        for key in [key for key in self.cells if key not in rows]:
+            self._give_away(key, self.cells[key].epoch + 1)
+        for key, row in rows.items():
+            self._adopt(key, row)
+        now = self.now()
+        for cell in self.cells.values():
+            cell.apply_view(self.view, now)
+
+    @_receive.register
+    def _(self, message: GrantsReported) -> None:
+        cell = self._find_epoch(message.cell, message.epoch)
+        if cell is None:
+            return
+        now = self.now()
+        held = {item.grant_id for item in message.items}
+        for grant_id in message.asked - held:
+            holder = cell.holders.get(grant_id)
+            if holder is not None and holder[1] not in message.demand_ids:
+                cell.release(grant_id, GrantOutcome(OutcomeKind.UNUSED), now)
+        cell.adopt(message.forwarder, message.items, now)
+
+    @_receive.register
+    def _(self, message: TasksReported) -> None:
+        cell = self._find_epoch(message.cell, message.epoch)
+        if cell is not None:
+            cell.dispatcher.apply_task_reports(message.vm, message.count, self.now())
+
+    @_receive.register
+    def _(self, message: HandOverAnswered) -> None:
+        row = self.awaiting.get(message.cell)
+        if row is None or row.epoch != message.epoch:
+            return
+        if message.answer is not None and message.answer.accepted:
+            del self.awaiting[message.cell]
+            self._start_recovery(message.cell)
+
+    @_receive.register
+    def _(self, message: InstanceGone) -> None:
+        now = self.now()
+        for cell in self.cells.values():
+            cell.dispatcher.forget_forwarder(message.instance, message.incarnation, now)
+
+    @singledispatchmethod
+    def _receive_from_peer(
+        self, message: object, sender: PeerIdentity, reply: Reply
+    ) -> None:
+        del sender
+        reply(Failure(f"unexpected message {type(message).__name__}"))
+
+    @_receive_from_peer.register
+    def _(self, message: GrantPoll, sender: PeerIdentity, reply: Reply) -> None:
+        key = cell_key(message.pool, message.zone)
+        cell = self.cells.get(key)
+        if cell is not None and message.epoch > cell.epoch:
+            # A newer owner exists: this instance has an old plan.
+            self._give_away(key, message.epoch)
+            cell = None
+        if cell is None or message.epoch != cell.epoch:
+            reason = "this instance does not dispatch the cell in this epoch"
+            reply(GrantAnswer("refused", message.demand_id, reason=reason))
+            return
+        cell.poll(sender, message, reply, self.now())
+
+    @_receive_from_peer.register
+    def _(self, message: GrantRelease, sender: PeerIdentity, reply: Reply) -> None:
+        del sender, reply
+        cell = self.cells.get(cell_key(message.pool, message.zone))
+        if cell is not None:
+            outcome = GrantOutcome(OutcomeKind(message.outcome), message.ran_ms)
+            cell.release(message.grant_id, outcome, self.now())
+
+    @_receive_from_peer.register
+    def _(self, message: DemandCancel, sender: PeerIdentity, reply: Reply) -> None:
+        del sender, reply
+        cell = self.cells.get(cell_key(message.pool, message.zone))
+        if cell is not None:
+            cell.cancel(message.demand_id, self.now())
+
+    @_receive_from_peer.register
+    def _(self, message: HandOverRequest, sender: PeerIdentity, reply: Reply) -> None:
+        del sender
+        key = cell_key(message.pool, message.zone)
+        cell = self.cells.get(key)
+        if cell is not None and cell.epoch < message.epoch:
+            self._give_away(key, message.epoch)
+        if key in self.cells:
+            reply(HandOverAnswer(False))
+            return
+        self.given_away[key] = max(message.epoch, self.given_away.get(key, 0))
+        self.unconfirmed.discard(key)
+        reply(HandOverAnswer(True))
+
+    @_receive_from_peer.register
+    def _(self, message: CellQuery, sender: PeerIdentity, reply: Reply) -> None:
+        del message, sender
+        reply(
+            CellReports(
+                self.draining,
+                tuple(self._report(key, cell) for key, cell in self.cells.items()),
+            )
+        )
+
+    def _report(self, key: str, cell: CellRuntime) -> CellReport:
+        workers = cell.dispatcher.cell.workers.by_vm
+        suspected = cell.dispatcher.cell.outliers.ejected
+        vms = tuple(
+            VmGrants(vm, cell.dispatcher.outstanding(vm), vm in suspected)
+            for vm in sorted(workers)
+        )
+        return CellReport(
+            cell.pool,
+            cell.zone,
+            cell.applied_plan_version,
+            cell.epoch,
+            self.demand.get(key, 0.0),
+            cell.dispatcher.recovery.is_over(self.now()),
+            vms,
+        )
+
+    def _adopt(self, key: str, row: DispatcherRow) -> None:
+        if self.given_away.get(key, 0) > row.epoch:
+            return
+        cell = self.cells.get(key)
+        if cell is not None and cell.epoch == row.epoch:
+            return
+        pool = self.view.state.pools.get(row.pool)
+        if pool is None:
+            return
+        prefix = f"{self.peers.identity.incarnation:x}-"
+        self.cells[key] = CellRuntime.create(
+            pool, row.zone, row.epoch, self.random, prefix, self.peers.send
+        )
+        logger.info(
+            "dispatching a cell",
+            extra={
+                "event": "cell_adopted",
+                "pool": row.pool,
+                "zone": row.zone,
+                "epoch": row.epoch,
+            },
+        )
+        if row.previous is not None and not row.previous_gone:
+            self.awaiting[key] = row
+            self._request_hand_over(key, row)
+        else:
+            self._start_recovery(key)
+
+    def _give_away(self, key: str, epoch: int) -> None:
+        cell = self.cells.pop(key)
+        self.awaiting.pop(key, None)
+        handed = cell.dispatcher.hand_over()
+        for demand_id in handed.queued:
+            poll = cell.polls.pop(demand_id, None)
+            if poll is not None and poll.reply is not None:
+                poll.reply(GrantAnswer("refused", demand_id, reason="handed_over"))
+        self.given_away[key] = epoch
+        self.unconfirmed.add(key)
+
+    def _start_recovery(self, key: str) -> None:
+        cell = self.cells[key]
+        cell.dispatcher.recover([], self.now())
+        for instance in self.peers.addresses:
+            self._query_grants(key, cell, instance, frozenset())
+
+    def _reconcile(self, key: str, cell: CellRuntime, now: float) -> None:
+        row = self.awaiting.get(key)
+        if row is not None:
+            self._request_hand_over(key, row)
+        for holder, grant_ids in cell.list_unconfirmed(now).items():
+            self._query_grants(key, cell, holder.instance, frozenset(grant_ids))
+
+    def _query_grants(
+        self, key: str, cell: CellRuntime, instance: str, asked: frozenset[str]
+    ) -> None:
+        epoch = cell.epoch
+        query = GrantQuery(cell.pool, cell.zone)
+
+        def ask() -> None:
+            try:
+                answer = self.peers.call(instance, query, QUERY_TIMEOUT_S)
+            except PeeringError:
+                return
+            if isinstance(answer, GrantList) and answer.complete:
+                forwarder = PeerIdentity(instance, answer.incarnation)
+                self.post(
+                    GrantsReported(
+                        key, epoch, forwarder, answer.items, answer.demand_ids, asked
+                    )
+                )
+
+        self.executor.submit(ask)
+
+    def _request_hand_over(self, key: str, row: DispatcherRow) -> None:
+        plan = self.view.plan
+        request = HandOverRequest(
+            row.pool, row.zone, row.epoch, plan.version if plan else 0
+        )
+        previous = row.previous or ""
+
+        def ask() -> None:
+            try:
+                answer = self.peers.call(previous, request, QUERY_TIMEOUT_S)
+            except PeeringError:
+                return
+            if isinstance(answer, HandOverAnswer):
+                self.post(HandOverAnswered(key, row.epoch, previous, answer))
+
+        self.executor.submit(ask)
+
+    def _request_task_reports(self, key: str, cell: CellRuntime, now: float) -> None:
+        for worker in cell.dispatcher.workers_to_report(now):
+            self.executor.submit(
+                self._read_tasks, key, cell.epoch, worker.vm, worker.address
+            )
+
+    def _read_tasks(self, key: str, epoch: int, vm: str, address: str) -> None:
+        try:
+            reports = self.tasks.report(address)
+        except WorkerUnavailable:
+            return
+        self.post(TasksReported(key, epoch, vm, len(reports)))
+
+    def _update_mean_demand(self, key: str, cell: CellRuntime) -> None:
+        current = len(cell.dispatcher.outstanding_grants()) + len(cell.polls)
+        mean = self.demand.get(key, 0.0)
+        weight = RECONCILE_SECONDS / MEAN_DEMAND_TIME_CONSTANT_S
+        self.demand[key] = mean + weight * (current - mean)
+
+    def _find_epoch(self, key: str, epoch: int) -> CellRuntime | None:
+        cell = self.cells.get(key)
+        if cell is None or cell.epoch != epoch:
+            return None
+        return cell
--- /dev/null
+++ b/src/sesameladder/entry/_front_end.py
@@ -0,0 +1,215 @@
+"""The HTTP server for callers."""
+
+import logging
+from collections.abc import Callable, Iterable
+from itertools import count
+from threading import Condition
+from typing import Any
+
+from cheroot.wsgi import Server
+
+from sesameladder.entry._request import (
+    OUTCOME_HEADER,
+    REQUEST_ID_HEADER,
+    CallerRequest,
+    RequestInvalid,
+    build_request,
+)
+from sesameladder.entry._responses import HttpAnswer, build_answer
+from sesameladder.idempotency import Outcome, Unknown
+from sesameladder.peering import split_address
+
+HEALTH_PATH = "/-/health"
+TOKEN_PATH = "/-/tokens"
+ACCEPT_BACKLOG = 128
+MAX_HEADER_BYTES = 64 * 1024
+IDLE_TIMEOUT_S = 10
+STOP_LIMIT_S = 2
+
+logger = logging.getLogger(__name__)
+
+StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+Environ = dict[str, Any]
+
+REASON_PHRASES = {
+    200: "OK",
+    201: "Created",
+    400: "Bad Request",
+    404: "Not Found",
+    413: "Content Too Large",
+    429: "Too Many Requests",
+    500: "Internal Server Error",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+
+
+class FrontEnd:
+    """Reads callers' requests, has them served and writes the answers."""
+
+    __slots__ = (
+        "default_deadline_ms",
+        "draining",
+        "idle",
+        "in_flight",
+        "issue_token",
+        "max_body_bytes",
+        "numbers",
+        "prefix",
+        "serve_request",
+        "server",
+    )
+
+    def __init__(
+        self,
+        address: str,
+        threads: int,
+        prefix: str,
+        max_body_bytes: int,
+        default_deadline_ms: float,
+        serve_request: Callable[[CallerRequest], Outcome],
+        issue_token: Callable[[], str],
+    ) -> None:
+        self.prefix = prefix
+        self.max_body_bytes = max_body_bytes
+        self.default_deadline_ms = default_deadline_ms
+        self.serve_request = serve_request
+        self.issue_token = issue_token
+        self.numbers = count(1)
+        self.draining = False
+        self.in_flight = 0
+        self.idle = Condition()
+        self.server = Server(
+            split_address(address),
+            self._handle,
+            numthreads=threads,
+            max=threads,
+            request_queue_size=ACCEPT_BACKLOG,
+            timeout=IDLE_TIMEOUT_S,
+        )
+        self.server.max_request_header_size = MAX_HEADER_BYTES
+        self.server.max_request_body_size = max_body_bytes
+
+    def prepare(self) -> None:
+        """Bind the address; raises ``OSError``."""
+        self.server.prepare()
+
+    def serve(self) -> None:
+        """Serve until ``stop``."""
+        self.server.serve()
+
+    def start_draining(self) -> None:
+        """Answer health checks with 503 and close connections after use."""
+        self.draining = True
+
+    def wait_until_idle(self, limit_s: float) -> bool:
+        """Wait for requests in flight; False when some are left at the limit."""
+        with self.idle:
+            return self.idle.wait_for(lambda: self.in_flight == 0, limit_s)
+
+    def stop(self, limit_s: int = STOP_LIMIT_S) -> None:
+        """Close the listener and end the threads; answers in writing get a limit."""
+        self.server.shutdown_timeout = limit_s
+        self.server.stop()
+
+    def _handle(
+        self, environ: Environ, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        with self.idle:
+            self.in_flight += 1
+        try:
+            answer = self._answer(environ)
+        finally:
+            with self.idle:
+                self.in_flight -= 1
+                self.idle.notify_all()
+        return self._write(answer, start_response)
+
+    def _answer(self, environ: Environ) -> HttpAnswer:
+        request_id = f"{self.prefix}-{next(self.numbers)}"
+        path = environ["PATH_INFO"]
+        if path == HEALTH_PATH:
+            return self._answer_health()
+        if path == TOKEN_PATH:
+            return self._answer_token(environ["REQUEST_METHOD"])
+        try:
+            request = self._read_request(request_id, environ)
+        except RequestInvalid as error:
+            return _refuse_invalid(str(error), request_id)
+        try:
+            return build_answer(self.serve_request(request), request_id)
+        except Exception:
+            logger.exception(
+                "request failed inside the entry instance",
+                extra={"event": "request_error", "request": request_id},
+            )
+            return build_answer(Unknown("internal error"), request_id)
+
+    def _answer_health(self) -> HttpAnswer:
+        if self.draining:
+            return _plain(503, "draining\n")
+        return _plain(200, "ok\n")
+
+    def _answer_token(self, method: str) -> HttpAnswer:
+        if method != "POST":
+            return _plain(400, "send POST to receive a token\n")
+        if self.draining:
+            return _plain(503, "draining\n")
+        return _plain(201, self.issue_token())
+
+    def _read_request(self, request_id: str, environ: Environ) -> CallerRequest:
+        target = environ["REQUEST_URI"]
+        if isinstance(target, bytes):
+            target = target.decode("latin-1")
+        body = environ["wsgi.input"].read()
+        if len(body) > self.max_body_bytes:
+            raise RequestInvalid(
+                f"body of {len(body)} bytes; send at most {self.max_body_bytes}"
+            )
+        return build_request(
+            request_id,
+            environ["REQUEST_METHOD"],
+            target,
+            _list_headers(environ),
+            body,
+            self.default_deadline_ms,
+        )
+
+    def _write(
+        self, answer: HttpAnswer, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        headers = [
+            *answer.headers,
+            ("Content-Length", str(len(answer.body))),
+        ]
+        if self.draining:
+            headers.append(("Connection", "close"))
+        phrase = REASON_PHRASES.get(answer.status, "Status")
+        start_response(f"{answer.status} {phrase}", headers)
+        return [answer.body]
+
+
+def _list_headers(environ: Environ) -> list[tuple[str, str]]:
+    headers = [
+        (name.removeprefix("HTTP_").replace("_", "-").title(), value)
+        for name, value in environ.items()
+        if name.startswith("HTTP_")
+    ]
+    content_type = environ.get("CONTENT_TYPE")
+    if content_type:
+        headers.append(("Content-Type", content_type))
+    return headers
+
+
+def _refuse_invalid(reason: str, request_id: str) -> HttpAnswer:
+    headers = (
+        ("Content-Type", "text/plain"),
+        (OUTCOME_HEADER, "not-run"),
+        (REQUEST_ID_HEADER, request_id),
+    )
+    return HttpAnswer(400, headers, f"not run: {reason}\n".encode())
+
+
+def _plain(status: int, text: str) -> HttpAnswer:
+    return HttpAnswer(status, (("Content-Type", "text/plain"),), text.encode())
--- /dev/null
+++ b/src/sesameladder/entry/_grant_client.py
@@ -0,0 +1,212 @@
+"""Asks dispatchers for slots and returns them."""
+
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+from uuid import uuid4
+
+from sesameladder.dispatch import OutcomeKind, RefusalReason
+from sesameladder.entry._held_grants import HeldGrant, HeldGrants
+from sesameladder.entry._request import CallerRequest
+from sesameladder.entry._view import FleetView
+from sesameladder.peering import (
+    DemandCancel,
+    GrantAnswer,
+    GrantPoll,
+    GrantRelease,
+    PeeringError,
+    Peers,
+)
+from sesameladder.planning import DispatcherRow
+
+POLL_SECONDS = 0.5
+POLL_MARGIN_SECONDS = 0.5
+START_BY_SECONDS = 1.0
+SUSPECT_SECONDS = 2.0
+DEFAULT_RETRY_AFTER_S = 1.0
+
+# Refusals that another zone's dispatcher would repeat.
+FINAL_REASONS = frozenset(
+    {RefusalReason.NEVER_RUNS.value, RefusalReason.UNKNOWN_TEAM.value}
+)
+
+logger = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class NoGrant:
+    """No dispatcher gave a slot; nothing was sent to a worker."""
+
+    reason: str
+    """Reason of the last refusal."""
+
+    retry_after_s: float
+    """Seconds after which the caller may try again."""
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptHistory:
+    """What earlier attempts of the same request met."""
+
+    attempt: int = 1
+    """Number of the attempt, from 1."""
+
+    tried_workers: tuple[str, ...] = ()
+    """VMs of earlier attempts."""
+
+    tried_racks: tuple[str, ...] = ()
+    """Racks of earlier attempts."""
+
+    resumed: bool = False
+    """Whether the attempt continues checkpointed work."""
+
+
+class GrantClient:
+    """Places demands with the dispatcher of the own zone, then of other zones."""
+
+    __slots__ = ("held", "now", "peers", "suspects", "view", "zones")
+
+    def __init__(
+        self,
+        peers: Peers,
+        view: FleetView,
+        held: HeldGrants,
+        zones: list[str],
+        now: Callable[[], float],
+    ) -> None:
+        self.peers = peers
+        self.view = view
+        self.held = held
+        self.zones = zones
+        self.now = now
+        self.suspects: dict[str, float] = {}
+
+    def acquire(
+        self, request: CallerRequest, history: AttemptHistory, deadline: float
+    ) -> HeldGrant | NoGrant:
+        """Return a grant, or why there is none before the deadline."""
+        refusal = NoGrant("no dispatcher is known for the pool", DEFAULT_RETRY_AFTER_S)
+        for zone in self._order_zones(request.pool):
+            outcome = self._acquire_in_zone(request, history, zone, deadline)
+            if isinstance(outcome, HeldGrant):
+                return outcome
+            refusal = outcome
+            if refusal.reason in FINAL_REASONS or self.now() >= deadline:
+                break
+        return refusal
+
+    def release(self, grant: HeldGrant, outcome: OutcomeKind, ran_ms: float) -> None:
+        """Return a slot; a lost message is made up by the dispatcher's query."""
+        self.held.remove(grant.grant_id)
+        message = GrantRelease(
+            grant.pool, grant.zone, grant.grant_id, outcome.value, ran_ms
+        )
+        self.peers.send(grant.dispatcher, message)
+
+    def _order_zones(self, pool: str) -> list[str]:
+        known = self.view.list_cell_zones(pool)
+        ordered = [zone for zone in self.zones if zone in known]
+        now = self.now()
+        return sorted(ordered, key=lambda zone: self._is_suspect(pool, zone, now))
+
+    def _is_suspect(self, pool: str, zone: str, now: float) -> bool:
+        row = self.view.find_dispatcher(pool, zone)
+        return row is None or self.suspects.get(row.instance, 0.0) > now
+
+    def _acquire_in_zone(
+        self,
+        request: CallerRequest,
+        history: AttemptHistory,
+        zone: str,
+        deadline: float,
+    ) -> HeldGrant | NoGrant:
+        row = self.view.find_dispatcher(request.pool, zone)
+        if row is None:
+            return NoGrant("the cell has no dispatcher", DEFAULT_RETRY_AFTER_S)
+        demand_id = uuid4().hex
+        self.held.start_waiting(demand_id, request.pool, zone)
+        try:
+            return self._poll(request, history, row, demand_id, deadline)
+        except PeeringError as error:
+            self.suspects[row.instance] = self.now() + SUSPECT_SECONDS
+            self._cancel(row.instance, request.pool, zone, demand_id)
+            return NoGrant(f"dispatcher unreachable: {error}", DEFAULT_RETRY_AFTER_S)
+        finally:
+            self.held.stop_waiting(demand_id)
+
+    def _poll(
+        self,
+        request: CallerRequest,
+        history: AttemptHistory,
+        row: DispatcherRow,
+        demand_id: str,
+        deadline: float,
+    ) -> HeldGrant | NoGrant:
+        while (polled_at := self.now()) < deadline:
+            left_ms = (deadline - polled_at) * 1000
+            poll = _build_poll(request, history, row, demand_id, left_ms)
+            answer = self.peers.call(
+                row.instance, poll, POLL_SECONDS + POLL_MARGIN_SECONDS
+            )
+            if not isinstance(answer, GrantAnswer):
+                break
+            if answer.status == "refused":
+                return NoGrant(answer.reason, answer.retry_after_s)
+            if answer.status == "granted":
+                grant = _hold(request, row, answer, self.now())
+                if self.now() - polled_at <= START_BY_SECONDS:
+                    self.held.add(grant)
+                    return grant
+                self.release(grant, OutcomeKind.UNUSED, 0.0)
+                return NoGrant("the grant came too late", DEFAULT_RETRY_AFTER_S)
+        self._cancel(row.instance, request.pool, row.zone, demand_id)
+        return NoGrant("no slot before the deadline", DEFAULT_RETRY_AFTER_S)
+
+    def _cancel(self, instance: str, pool: str, zone: str, demand_id: str) -> None:
+        self.peers.send(instance, DemandCancel(pool, zone, demand_id))
+
+
+def _build_poll(
+    request: CallerRequest,
+    history: AttemptHistory,
+    row: DispatcherRow,
+    demand_id: str,
+    left_ms: float,
+) -> GrantPoll:
+    return GrantPoll(
+        pool=request.pool,
+        zone=row.zone,
+        epoch=row.epoch,
+        demand_id=demand_id,
+        team=request.team,
+        kind=request.kind,
+        urgent=request.urgent,
+        repeatable=request.repeatable,
+        attempt=history.attempt,
+        expected_ms=request.expected_ms,
+        checkpointable=request.checkpointable,
+        deadline_ms=left_ms,
+        tried_workers=history.tried_workers,
+        tried_racks=history.tried_racks,
+        resumed=history.resumed,
+    )
+
+
+def _hold(
+    request: CallerRequest, row: DispatcherRow, answer: GrantAnswer, now: float
+) -> HeldGrant:
+    return HeldGrant(
+        grant_id=answer.grant_id,
+        demand_id=answer.demand_id,
+        pool=request.pool,
+        zone=row.zone,
+        dispatcher=row.instance,
+        vm=answer.vm,
+        rack=answer.rack,
+        address=answer.address,
+        kind=request.kind,
+        team=request.team,
+        urgent=request.urgent,
+        checkpointable=request.checkpointable,
+        started_at=now,
+    )
--- /dev/null
+++ b/src/sesameladder/entry/_membership.py
@@ -0,0 +1,139 @@
+"""Heartbeats between instances and who is live among them."""
+
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+from threading import Event, Lock, Thread
+
+from sesameladder.entry._configuration_task import ConfigurationTask
+from sesameladder.entry._view import FleetView
+from sesameladder.peering import Heartbeat, PeerIdentity, Peers
+
+HEARTBEAT_SECONDS = 1.0
+SILENCE_SECONDS = 3.0
+
+logger = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class LivePeer:
+    """What the last heartbeat of a peer said."""
+
+    identity: PeerIdentity
+    """Instance and incarnation."""
+
+    heartbeat: Heartbeat
+    """Content of the heartbeat."""
+
+    heard_at: float
+    """Monotonic time of its arrival in seconds."""
+
+
+class Membership:
+    """Sends heartbeats and keeps the latest one of each peer."""
+
+    __slots__ = (
+        "configuration",
+        "draining",
+        "latest",
+        "lock",
+        "now",
+        "on_new_incarnation",
+        "peers",
+        "stopping",
+        "view",
+        "zone",
+    )
+
+    def __init__(
+        self,
+        peers: Peers,
+        view: FleetView,
+        configuration: ConfigurationTask,
+        zone: str,
+        now: Callable[[], float],
+        on_new_incarnation: Callable[[PeerIdentity], None],
+    ) -> None:
+        self.peers = peers
+        self.view = view
+        self.configuration = configuration
+        self.zone = zone
+        self.now = now
+        self.on_new_incarnation = on_new_incarnation
+        self.draining = False
+        self.latest: dict[str, LivePeer] = {}
+        self.lock = Lock()
+        self.stopping = Event()
+
+    def start(self) -> None:
+        """Start to send heartbeats."""
+        Thread(target=self._run, name="membership", daemon=True).start()
+
+    def stop(self) -> None:
+        """End the sending task."""
+        self.stopping.set()
+
+    def note(self, sender: PeerIdentity, heartbeat: Heartbeat) -> None:
+        """Record a heartbeat; reports a peer's new incarnation once."""
+        with self.lock:
+            known = self.latest.get(sender.instance)
+            if known is not None and known.identity.incarnation > sender.incarnation:
+                return
+            self.latest[sender.instance] = LivePeer(sender, heartbeat, self.now())
+        if known is not None and known.identity != sender:
+            self.on_new_incarnation(sender)
+
+    def list_live(self) -> list[LivePeer]:
+        """Return the peers that were heard of lately."""
+        horizon = self.now() - SILENCE_SECONDS
+        with self.lock:
+            return [peer for peer in self.latest.values() if peer.heard_at >= horizon]
+
+    def find_live(self, instance: str) -> LivePeer | None:
+        """Return a peer if it was heard of lately."""
+        peers = {peer.identity.instance: peer for peer in self.list_live()}
+        return peers.get(instance)
+
+    def choose_zone_peer(self) -> PeerIdentity | None:
+        """Return a live peer of the zone that does not shut down, or None."""
+        candidates = [
+            peer.identity
+            for peer in self.list_live()
+            if peer.heartbeat.zone == self.zone and not peer.heartbeat.draining
+        ]
+        return min(candidates, key=lambda peer: peer.instance, default=None)
+
+    def dump(self) -> dict[str, object]:
+        """Return the age of each peer's last heartbeat as JSON-ready data."""
+        now = self.now()
+        with self.lock:
+            latest = dict(self.latest)
+        return {
+            instance: {
+                "age_s": round(now - peer.heard_at, 3),
+                "incarnation": peer.identity.incarnation,
+                "configuration_number": peer.heartbeat.configuration_number,
+                "draining": peer.heartbeat.draining,
+                "relay": peer.heartbeat.relay,
+            }
+            for instance, peer in latest.items()
+        }
+
+    def _run(self) -> None:
+        while True:
+            self.send_heartbeats()
+            if self.stopping.wait(HEARTBEAT_SECONDS):
+                return
+
+    def send_heartbeats(self) -> None:
+        """Send one heartbeat to each chosen peer."""
+        heartbeat = Heartbeat(
+            zone=self.zone,
+            configuration_number=self.view.state.number,
+            plan_version=self.view.plan.version if self.view.plan else 0,
+            draining=self.draining,
+            relay=self.configuration.rules.relay,
+            vm_list_sequence=self.view.vm_list_sequence,
+        )
+        for instance in self.configuration.heartbeat_peers:
+            self.peers.send(instance, heartbeat)
--- /dev/null
+++ b/src/sesameladder/entry/_process.py
@@ -0,0 +1,337 @@
+"""The parts of an entry instance and their order of start and stop."""
+
+import logging
+import time
+from pathlib import Path
+from random import Random, SystemRandom
+from threading import Event, Thread
+
+from sesameladder.entry._admin import AdminEndpoint
+from sesameladder.entry._configuration_task import ConfigurationTask
+from sesameladder.entry._configuration_task import Stop as StopConfiguration
+from sesameladder.entry._dispatch_messages import InstanceGone, ViewChanged
+from sesameladder.entry._dispatch_messages import Stop as StopDispatch
+from sesameladder.entry._dispatch_task import DispatchTask
+from sesameladder.entry._front_end import FrontEnd
+from sesameladder.entry._grant_client import GrantClient
+from sesameladder.entry._held_grants import HeldGrants
+from sesameladder.entry._membership import Membership
+from sesameladder.entry._planner_task import PlannerTask
+from sesameladder.entry._relay_task import RelayTask
+from sesameladder.entry._request import CallerRequest
+from sesameladder.entry._request_path import RequestPath
+from sesameladder.entry._router import Router
+from sesameladder.entry._task_keeper import TaskKeeper
+from sesameladder.entry._token_path import TokenPath
+from sesameladder.entry._upstream import UpstreamClient
+from sesameladder.entry._view import FleetView
+from sesameladder.idempotency import (
+    ClaimBinder,
+    HomeTable,
+    Outcome,
+    TokenIssuer,
+    WitnessTable,
+)
+from sesameladder.peering import (
+    PeerAddress,
+    PeerIdentity,
+    PeeringError,
+    Peers,
+    TokenHandOver,
+)
+from sesameladder.platform import HttpWorkerTasks, PlatformClient
+from sesameladder.settings import EntrySettings
+
+WORKER_CONNECTIONS = 64
+WORKER_SLOTS = 8
+HAND_OVER_TIMEOUT_S = 2.0
+# Without planner or store nobody takes the cells; other zones serve meanwhile.
+HAND_OVER_LIMIT_S = 8.0
+STEP_SECONDS = 0.1
+INCARNATION_RANDOM_BITS = 10
+
+logger = logging.getLogger(__name__)
+
+
+def draw_incarnation() -> int:
+    """Return a number that grows from one process of an instance to the next."""
+    microseconds = time.time_ns() // 1000
+    noise = SystemRandom().getrandbits(INCARNATION_RANDOM_BITS)
+    return (microseconds << INCARNATION_RANDOM_BITS) | noise
+
+
+class EntryProcess:
+    """One entry instance; the only place that knows all parts."""
+
+    __slots__ = (
+        "admin",
+        "configuration",
+        "dispatch",
+        "front_end",
+        "held",
+        "keeper",
+        "membership",
+        "path",
+        "peers",
+        "planner",
+        "relay",
+        "router",
+        "settings",
+        "stopped",
+        "tokens",
+        "upstream",
+        "view",
+    )
+
+    def __init__(self, settings: EntrySettings) -> None:
+        self.settings = settings
+        self.stopped = Event()
+        now = time.monotonic
+        random = Random(SystemRandom().getrandbits(64))
+        identity = PeerIdentity(settings.instance, draw_incarnation())
+        self.router = Router(identity, settings.http_threads, now)
+        addresses = [
+            PeerAddress(item.instance, item.zone, item.peer_address)
+            for item in settings.instances
+        ]
+        self.peers = Peers(settings.deployment, identity, addresses, self.router)
+        platform = PlatformClient.from_address(settings.platform_address, settings.zone)
+        tasks = HttpWorkerTasks.create()
+        self.view = FleetView(settings.region)
+        self.configuration = ConfigurationTask(
+            self.peers, self.view, settings.zone, now
+        )
+        self.membership = Membership(
+            self.peers,
+            self.view,
+            self.configuration,
+            settings.zone,
+            now,
+            self._note_new_incarnation,
+        )
+        self.dispatch = DispatchTask(self.peers, self.view, tasks, now, random)
+        self.relay = RelayTask(
+            self.configuration, platform, settings.region, settings.zone, now, random
+        )
+        self.planner = PlannerTask(
+            self.peers,
+            self.view,
+            self.configuration,
+            self.membership,
+            platform,
+            tasks,
+            _list_region_zones(settings),
+            now,
+        )
+        self.held = HeldGrants()
+        grants = GrantClient(
+            self.peers, self.view, self.held, _order_zones(settings), now
+        )
+        self.keeper = TaskKeeper(grants, tasks, now)
+        self.upstream = UpstreamClient(_limit_idle_connections(settings))
+        self.path = RequestPath(
+            grants, self.upstream, self.keeper, now, time.sleep, random
+        )
+        self.tokens = TokenPath(
+            self.peers,
+            self.membership,
+            self.path,
+            ClaimBinder(platform),
+            HomeTable(identity.instance, identity.incarnation),
+            WitnessTable(identity.instance, identity.incarnation),
+            TokenIssuer(identity.instance, identity.incarnation),
+            now,
+        )
+        self.front_end = FrontEnd(
+            settings.http_address,
+            settings.http_threads,
+            f"{settings.instance}-{identity.incarnation:x}",
+            settings.max_body_bytes,
+            settings.request_timeout_ms,
+            self._serve,
+            lambda: self.tokens.issue().to_text(),
+        )
+        self.admin = AdminEndpoint(
+            settings.admin_address,
+            self.read_status,
+            self.read_dump,
+            self._cut_zones,
+        )
+        self._attach()
+
+    @classmethod
+    def from_file(cls, path: Path) -> "EntryProcess":
+        """Return a process with the settings in a file."""
+        return cls(EntrySettings.from_file(path))
+
+    def start(self) -> None:
+        """Bind all addresses and start all tasks; raises ``OSError``."""
+        self.front_end.prepare()
+        self.admin.prepare()
+        self.peers.start()
+        self.configuration.start()
+        self.dispatch.start()
+        self.membership.start()
+        self.relay.start()
+        self.planner.start()
+        self.keeper.start()
+        Thread(target=self.admin.serve, name="admin", daemon=True).start()
+        Thread(target=self.front_end.serve, name="front-end", daemon=True).start()
+        logger.info("entry instance started", extra={"event": "started"})
+
+    def shut_down(self) -> bool:
+        """Stop gracefully; False when requests were left at the limit."""
+        logger.info("shutting down", extra={"event": "shutdown_started"})
+        limit = time.monotonic() + self.settings.shutdown_limit_s
+        self.front_end.start_draining()
+        self.membership.draining = True
+        self.dispatch.draining = True
+        self.membership.send_heartbeats()
+        self.planner.stop()
+        time.sleep(self.settings.drain_delay_ms / 1000)
+        self._wait_for_hand_over(limit)
+        finished = self.front_end.wait_until_idle(limit - time.monotonic())
+        finished = self._wait_for_grants(limit) and finished
+        self.front_end.stop()
+        self._hand_over_tokens()
+        self._stop_tasks()
+        logger.info(
+            "shut down", extra={"event": "shutdown_finished", "clean": finished}
+        )
+        return finished
+
+    def kill(self) -> None:
+        """Stop at once, as a lost VM would, for tests in one process."""
+        self.relay.stopping.set()
+        self.planner.stopping.set()
+        self.membership.stop()
+        self.peers.stop()
+        self.dispatch.post(StopDispatch())
+        self.configuration.post(StopConfiguration())
+        self.keeper.stop()
+        self.front_end.stop(0)
+        self.admin.stop()
+        self.stopped.set()
+
+    def read_status(self) -> dict[str, object]:
+        """Return what the operators' client shows of an instance."""
+        plan = self.view.plan
+        return {
+            "instance": self.settings.instance,
+            "incarnation": self.peers.identity.incarnation,
+            "zone": self.settings.zone,
+            "configuration_number": self.view.state.number,
+            "plan_version": plan.version if plan else 0,
+            "behind_since": self.configuration.behind_since,
+            "draining": self.membership.draining,
+            "cells": sorted(self.dispatch.cells),
+            "relay": self.relay.held,
+            "planner": self.planner.planner is not None,
+        }
+
+    def read_dump(self) -> dict[str, object]:
+        """Return the state of all parts as JSON-ready data."""
+        now = time.monotonic()
+        return {
+            "status": self.read_status(),
+            "configuration": self.configuration.dump(),
+            "membership": self.membership.dump(),
+            "cells": self.dispatch.dump(),
+            "planner": self.planner.dump(),
+            "home": self.tokens.home.dump(),
+            "witness": self.tokens.witness.dump(),
+            "requests_in_flight": self.front_end.in_flight,
+            "grants": [
+                {"grant": g.grant_id, "vm": g.vm, "age_s": round(now - g.started_at, 3)}
+                for g in self.held.list_held()
+            ],
+        }
+
+    def _attach(self) -> None:
+        self.router.configuration = self.configuration
+        self.router.dispatch = self.dispatch
+        self.router.held = self.held
+        self.router.keeper = self.keeper
+        self.router.membership = self.membership
+        self.router.tokens = self.tokens
+        self.view.listeners.append(lambda: self.dispatch.post(ViewChanged()))
+
+    def _serve(self, request: CallerRequest) -> Outcome:
+        deadline = time.monotonic() + request.deadline_ms / 1000
+        if request.key:
+            return self.tokens.serve(request, deadline)
+        return self.path.execute(request, deadline)
+
+    def _note_new_incarnation(self, peer: PeerIdentity) -> None:
+        self.dispatch.post(InstanceGone(peer.instance, peer.incarnation - 1))
+
+    def _cut_zones(self, zones: frozenset[str]) -> None:
+        self.peers.blocked_zones = zones
+
+    def _wait_for_hand_over(self, limit: float) -> None:
+        """Wait until other instances have taken this one's cells, if any can."""
+        end = min(limit, time.monotonic() + HAND_OVER_LIMIT_S)
+        while self.dispatch.cells or self.dispatch.unconfirmed:
+            if time.monotonic() >= end or not self.membership.list_live():
+                return
+            time.sleep(STEP_SECONDS)
+
+    def _wait_for_grants(self, limit: float) -> bool:
+        while self.held.list_held():
+            if time.monotonic() >= limit:
+                return False
+            time.sleep(STEP_SECONDS)
+        return True
+
+    def _hand_over_tokens(self) -> None:
+        peer = self.membership.choose_zone_peer()
+        if peer is None:
+            return
+        identity = self.peers.identity
+        for part in self.tokens.home.export():
+            message = TokenHandOver(identity.instance, identity.incarnation, part)
+            try:
+                self.peers.call(peer.instance, message, HAND_OVER_TIMEOUT_S)
+            except PeeringError as error:
+                logger.warning(
+                    "token table was not handed over",
+                    extra={"event": "token_hand_over_failed", "reason": str(error)},
+                )
+                return
+
+    def _stop_tasks(self) -> None:
+        self.relay.stop()
+        self.membership.stop()
+        self.keeper.stop()
+        self.router.stop()
+        self.dispatch.post(StopDispatch())
+        self.configuration.post(StopConfiguration())
+        self.peers.stop()
+        self.admin.stop()
+        self.upstream.close()
+        self.stopped.set()
+
+
+def _list_region_zones(settings: EntrySettings) -> tuple[str, ...]:
+    for region in settings.regions:
+        if region.name == settings.region:
+            return region.zones
+    return (settings.zone,)
+
+
+def _order_zones(settings: EntrySettings) -> list[str]:
+    """Return the region's zones, the own one first, then by delay."""
+    delays = {settings.zone: -1.0}
+    for link in settings.links:
+        ends = (link.first_zone, link.second_zone)
+        if settings.zone in ends:
+            other = ends[0] if ends[1] == settings.zone else ends[1]
+            delays[other] = link.delay_ms
+    zones = _list_region_zones(settings)
+    return sorted(zones, key=lambda zone: (delays.get(zone, float("inf")), zone))
+
+
+def _limit_idle_connections(settings: EntrySettings) -> int:
+    region = _list_region_zones(settings)
+    members = [item for item in settings.instances if item.zone in region]
+    return (WORKER_CONNECTIONS - WORKER_SLOTS) // max(1, len(members))
--- /dev/null
+++ b/src/sesameladder/entry/_request.py
@@ -0,0 +1,191 @@
+"""A caller's HTTP request and the headers that steer it."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+POOL_HEADER = "Sesameladder-Pool"
+TEAM_HEADER = "Sesameladder-Team"
+KIND_HEADER = "Sesameladder-Kind"
+URGENT_HEADER = "Sesameladder-Urgent"
+DEADLINE_HEADER = "Sesameladder-Deadline-Ms"
+EXPECTED_HEADER = "Sesameladder-Expected-Ms"
+CHECKPOINTABLE_HEADER = "Sesameladder-Checkpointable"
+REPEATABLE_HEADER = "Sesameladder-Repeatable"
+ATTEMPT_HEADER = "Sesameladder-Attempt"
+KEY_HEADER = "Idempotency-Key"
+OUTCOME_HEADER = "Sesameladder-Outcome"
+REQUEST_ID_HEADER = "Sesameladder-Request-Id"
+
+POOL_PATH_PREFIX = "/pools/"
+REPEATABLE_METHODS = frozenset({"GET", "HEAD", "PUT", "DELETE", "OPTIONS"})
+MAX_KEY_CHARACTERS = 1024
+MAX_DURATION_MS = 86_400_000.0
+HOP_BY_HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "content-length",
+        "expect",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+
+class RequestInvalid(Exception):
+    """A request header has a value that is not accepted."""
+
+
+@dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """One attempt of a caller, as an entry instance received it."""
+
+    request_id: str
+    """Identity of the attempt, drawn by the entry instance."""
+
+    method: str
+    """HTTP method in upper case."""
+
+    target: str
+    """Path and query as the caller sent them."""
+
+    path: str
+    """Path and query for the upstream, without the pool prefix."""
+
+    headers: tuple[tuple[str, str], ...]
+    """End-to-end headers for the upstream."""
+
+    body: bytes
+    """Whole body."""
+
+    pool: str
+    """Name of the pool."""
+
+    team: str
+    """Name of the team, or empty."""
+
+    kind: str
+    """Kind of work; run times are learned by kind."""
+
+    urgent: bool
+    """Whether the request goes before other work."""
+
+    repeatable: bool
+    """Whether the request may run more than once."""
+
+    checkpointable: bool
+    """Whether the upstream can save the work's state and go on later."""
+
+    attempt_number: int
+    """Number of the attempt that the caller states, from 1, or 0."""
+
+    key: str
+    """Idempotency token or key, or empty."""
+
+    deadline_ms: float
+    """Time that the caller waits for the answer, in milliseconds."""
+
+    expected_ms: float
+    """Declared run time in milliseconds, or 0."""
+
+    @property
+    def first_attempt(self) -> bool:
+        """Whether the caller states that no attempt was made before."""
+        return self.attempt_number == 1
+
+
+def build_request(
+    request_id: str,
+    method: str,
+    target: str,
+    headers: Iterable[tuple[str, str]],
+    body: bytes,
+    default_deadline_ms: float,
+) -> CallerRequest:
+    """Return the request; raises ``RequestInvalid`` naming header and value."""
+    end_to_end = tuple(
+        (name, value)
+        for name, value in headers
+        if name.lower() not in HOP_BY_HOP_HEADERS
+    )
+    lookup = {name.lower(): value for name, value in end_to_end}
+    pool, path = _split_pool(target, lookup)
+    repeatable = method in REPEATABLE_METHODS
+    return CallerRequest(
+        request_id=request_id,
+        method=method,
+        target=target,
+        path=path,
+        headers=end_to_end,
+        body=body,
+        pool=pool,
+        team=lookup.get(TEAM_HEADER.lower(), ""),
+        kind=lookup.get(KIND_HEADER.lower(), method),
+        urgent=_read_flag(lookup, URGENT_HEADER, False),
+        repeatable=_read_flag(lookup, REPEATABLE_HEADER, repeatable),
+        checkpointable=_read_flag(lookup, CHECKPOINTABLE_HEADER, False),
+        attempt_number=_read_attempt(lookup),
+        key=_read_key(lookup),
+        deadline_ms=_read_duration(lookup, DEADLINE_HEADER, default_deadline_ms),
+        expected_ms=_read_duration(lookup, EXPECTED_HEADER, 0.0),
+    )
+
+
+def _split_pool(target: str, lookup: Mapping[str, str]) -> tuple[str, str]:
+    named = lookup.get(POOL_HEADER.lower())
+    if named:
+        return named, target
+    if target.startswith(POOL_PATH_PREFIX):
+        pool, _, rest = target.removeprefix(POOL_PATH_PREFIX).partition("/")
+        if pool:
+            return pool, "/" + rest
+    raise RequestInvalid(
+        f"no pool: send header {POOL_HEADER} or a path {POOL_PATH_PREFIX}<pool>/..."
+    )
+
+
+def _read_flag(lookup: Mapping[str, str], name: str, default: bool) -> bool:
+    value = lookup.get(name.lower())
+    if value is None:
+        return default
+    if value.lower() not in ("true", "false"):
+        raise RequestInvalid(f"header {name} is {value!r}; send true or false")
+    return value.lower() == "true"
+
+
+def _read_duration(lookup: Mapping[str, str], name: str, default: float) -> float:
+    value = lookup.get(name.lower())
+    if value is None:
+        return default
+    if not value.isascii() or not value.isdigit() or len(value) > 9:
+        raise RequestInvalid(f"header {name} is {value!r}; send whole milliseconds")
+    duration = float(value)
+    if not 0 < duration <= MAX_DURATION_MS:
+        raise RequestInvalid(
+            f"header {name} is {value!r}; send 1 to {MAX_DURATION_MS:.0f}"
+        )
+    return duration
+
+
+def _read_attempt(lookup: Mapping[str, str]) -> int:
+    value = lookup.get(ATTEMPT_HEADER.lower(), "0")
+    if not value.isascii() or not value.isdigit() or len(value) > 6:
+        raise RequestInvalid(
+            f"header {ATTEMPT_HEADER} is {value!r}; send a whole number from 1"
+        )
+    return int(value)
+
+
+def _read_key(lookup: Mapping[str, str]) -> str:
+    key = lookup.get(KEY_HEADER.lower(), "")
+    if len(key) > MAX_KEY_CHARACTERS:
+        raise RequestInvalid(
+            f"header {KEY_HEADER} has {len(key)} characters; "
+            f"send at most {MAX_KEY_CHARACTERS}"
+        )
+    return key
--- /dev/null
+++ b/src/sesameladder/entry/_upstream.py
@@ -0,0 +1,154 @@
+"""Calls workers over HTTP and tells what an answer or a failure means."""
+
+from dataclasses import dataclass
+from threading import Lock
+
+from urllib3 import BaseHTTPResponse, HTTPConnectionPool, Retry, Timeout
+from urllib3.exceptions import (
+    ConnectTimeoutError,
+    HTTPError,
+    NewConnectionError,
+    ReadTimeoutError,
+)
+
+from sesameladder.dispatch import OutcomeKind
+from sesameladder.entry._held_grants import HeldGrant
+from sesameladder.entry._request import HOP_BY_HOP_HEADERS, CallerRequest
+from sesameladder.idempotency import Done
+from sesameladder.peering import split_address
+
+CONNECT_TIMEOUT_S = 0.5
+TASK_LEASE_MS = 3_000
+CHECKPOINT_STATUS = 202
+CHECKPOINT_HEADER = "Task-Checkpoint"
+WORKER_STATE_HEADER = "Worker-State"
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """The worker ran the request and its whole answer arrived."""
+
+    answer: Done
+    """The answer for the caller."""
+
+    failed: bool
+    """Whether the status says that the worker failed (5xx)."""
+
+
+@dataclass(frozen=True, slots=True)
+class Checkpointed:
+    """The worker saved the work's state and ended the task."""
+
+    checkpoint: str
+    """Opaque text with which the work goes on."""
+
+
+@dataclass(frozen=True, slots=True)
+class NotSent:
+    """The request did not run."""
+
+    kind: OutcomeKind
+    """Why: leaving, full, or no connection."""
+
+
+@dataclass(frozen=True, slots=True)
+class Lost:
+    """The request was sent; it may have run."""
+
+    reason: str
+    """What failed."""
+
+    timed_out: bool
+    """Whether the deadline passed."""
+
+
+UpstreamResult = Answered | Checkpointed | NotSent | Lost
+
+
+class UpstreamClient:
+    """Keeps a bounded number of idle connections to each worker."""
+
+    __slots__ = ("idle_connections", "lock", "pools")
+
+    def __init__(self, idle_connections: int) -> None:
+        self.idle_connections = idle_connections
+        self.pools: dict[str, HTTPConnectionPool] = {}
+        self.lock = Lock()
+
+    def call(
+        self,
+        grant: HeldGrant,
+        request: CallerRequest,
+        checkpoint: str,
+        timeout_s: float,
+    ) -> UpstreamResult:
+        """Send the request to the granted worker and wait for its answer."""
+        timeout = Timeout(connect=min(CONNECT_TIMEOUT_S, timeout_s), read=timeout_s)
+        try:
+            response = self._find_pool(grant.address).urlopen(
+                request.method,
+                request.path,
+                body=request.body or None,
+                headers=self._build_headers(grant, request, checkpoint),
+                timeout=timeout,
+                retries=Retry(0, redirect=0, raise_on_redirect=False),
+                redirect=False,
+            )
+        except HTTPError as error:
+            return _classify_error(error)
+        return _classify_response(response)
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        with self.lock:
+            for pool in self.pools.values():
+                pool.close()
+            self.pools.clear()
+
+    def _find_pool(self, address: str) -> HTTPConnectionPool:
+        with self.lock:
+            pool = self.pools.get(address)
+            if pool is None:
+                host, port = split_address(address)
+                size = max(1, self.idle_connections)
+                pool = HTTPConnectionPool(host, port, maxsize=size)
+                self.pools[address] = pool
+            return pool
+
+    def _build_headers(
+        self, grant: HeldGrant, request: CallerRequest, checkpoint: str
+    ) -> dict[str, str]:
+        headers = dict(request.headers)
+        headers["Task-Id"] = grant.grant_id
+        headers["Task-Lease-Ms"] = str(TASK_LEASE_MS)
+        headers["Sesameladder-Request-Id"] = request.request_id
+        if checkpoint:
+            headers["Task-Resume"] = checkpoint
+        if self.idle_connections == 0:
+            headers["Connection"] = "close"
+        return headers
+
+
+def _classify_error(error: HTTPError) -> UpstreamResult:
+    cause = getattr(error, "reason", None) or error
+    if isinstance(cause, NewConnectionError | ConnectTimeoutError):
+        return NotSent(OutcomeKind.CONNECTION_FAILED)
+    return Lost(str(cause), isinstance(cause, ReadTimeoutError))
+
+
+def _classify_response(response: BaseHTTPResponse) -> UpstreamResult:
+    state = response.headers.get(WORKER_STATE_HEADER)
+    if response.status == 503 and state == "leaving":
+        return NotSent(OutcomeKind.NOT_RUN_LEAVING)
+    if response.status == 503 and state == "full":
+        return NotSent(OutcomeKind.NOT_RUN_FULL)
+    checkpoint = response.headers.get(CHECKPOINT_HEADER)
+    if response.status == CHECKPOINT_STATUS and checkpoint:
+        return Checkpointed(checkpoint)
+    headers = tuple(
+        (name, value)
+        for name, value in response.headers.iteritems()
+        if name.lower() not in HOP_BY_HOP_HEADERS
+    )
+    done = Done(response.status, headers, response.data)
+    return Answered(done, response.status >= 500)
--- /dev/null
+++ b/src/sesameladder/measure/_deployment.py
@@ -0,0 +1,300 @@
+"""A small deployment on loopback in one process, for demos and trials."""
+
+import json
+import socket
+import time
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass, field, replace
+
+from urllib3 import PoolManager, Retry, Timeout
+
+from sesameladder.entry import EntryProcess
+from sesameladder.model import Link, Region
+from sesameladder.platform import PlatformClient
+from sesameladder.settings import (
+    EntrySettings,
+    InstanceSettings,
+    PlatformStandinSettings,
+    UpstreamSettings,
+    UpstreamStandinSettings,
+    VmRow,
+)
+from sesameladder.standins.platform import PlatformStandin
+from sesameladder.standins.upstream import UpstreamStandin
+from sesameladder.tickets import FileOutcome, TicketLog, parse_ticket
+
+ENTRIES_PER_ZONE = 3
+WAIT_STEP_S = 0.05
+STOP_THREADS = 16
+VMS_PER_POOL = 6
+WORKERS_PER_RACK = 4
+FIRST_TICKET_BUDGET = {"min_available": 4, "max_unavailable": 1, "survive": "rack"}
+REBOOT_MS = 1_500
+
+
+@dataclass(frozen=True, slots=True)
+class Scenario:
+    """Names and delays of one user's deployment."""
+
+    deployment: str
+    """Name of the deployment."""
+
+    region: str
+    """Name of the region."""
+
+    zones: tuple[str, ...]
+    """Names of the availability zones."""
+
+    link_delay_ms: float
+    """Delay between two zones in milliseconds."""
+
+    pools: tuple[str, ...]
+    """Names of the pools; the last one is the spare pool."""
+
+    teams: tuple[str, ...]
+    """Names of the teams."""
+
+
+SCENARIOS = {
+    "coral-strand": Scenario(
+        "coral-strand",
+        "queensland",
+        ("qld-a", "qld-b", "qld-c"),
+        0.5,
+        ("scalp-maps", "base-caps", "colour-blends", "orders", "clinic-desk"),
+        ("chair", "workshop"),
+    ),
+    "pfennigblatt": Scenario(
+        "pfennigblatt",
+        "bavaria",
+        ("by-a", "by-b", "by-c"),
+        1.5,
+        ("issuance", "redemption", "catalogue", "settlement", "staff-tools"),
+        ("schools", "bookshops"),
+    ),
+}
+
+
+@dataclass(slots=True)
+class Deployment:
+    """Stand-ins and entry instances that talk over real sockets."""
+
+    scenario: Scenario
+    """Names and delays."""
+
+    platform: PlatformStandin
+    """Stand-in of the platform."""
+
+    upstreams: dict[str, UpstreamStandin]
+    """Upstream stand-ins by VM name."""
+
+    entries: dict[str, EntryProcess]
+    """Entry instances by id."""
+
+    instances: tuple[InstanceSettings, ...]
+    """Addresses of all entry instances."""
+
+    vms: dict[str, dict[str, object]]
+    """VM objects as tickets carry them."""
+
+    http: PoolManager = field(
+        default_factory=lambda: PoolManager(
+            maxsize=64,
+            timeout=Timeout(connect=1.0, read=60.0),
+            retries=Retry(0, redirect=0),
+        )
+    )
+    """Connections of the demo's callers."""
+
+    @classmethod
+    def create(cls, scenario: Scenario) -> "Deployment":
+        """Return a deployment whose stand-ins run and whose entries do not."""
+        upstreams = _start_upstreams(scenario)
+        vms = _describe_vms(scenario, upstreams)
+        instances = _place_instances(scenario)
+        platform = _start_platform(instances, vms)
+        return cls(scenario, platform, upstreams, {}, instances, vms)
+
+    def start_entries(self) -> None:
+        """Start all entry instances."""
+        for item in self.instances:
+            self.start_entry(item.instance)
+
+    def start_entry(self, instance: str) -> EntryProcess:
+        """Start one entry instance, blank."""
+        process = EntryProcess(self._build_settings(instance))
+        process.start()
+        self.entries[instance] = process
+        return process
+
+    def stop(self) -> None:
+        """Stop everything at once."""
+        with ThreadPoolExecutor(STOP_THREADS) as executor:
+            for entry in self.list_running():
+                executor.submit(entry.kill)
+            for upstream in self.upstreams.values():
+                executor.submit(upstream.stop)
+        self.platform.stop()
+
+    def read_platform(self) -> PlatformClient:
+        """Return a client as the operators' command uses it."""
+        zone = self.scenario.zones[0]
+        return PlatformClient.from_address(self.platform.address, zone)
+
+    def file_ticket(self, content: dict[str, object]) -> FileOutcome:
+        """File a ticket under the next number."""
+        log = TicketLog(self.read_platform())
+        number = log.read_head().number + 1
+        ticket = {"author": "demo", "reason": "demo", "number": number, **content}
+        return log.file_ticket(parse_ticket(json.dumps(ticket).encode()))
+
+    def first_ticket(self) -> dict[str, object]:
+        """Return the ticket with all pools, VMs, budgets and teams."""
+        scenario = self.scenario
+        spare = scenario.pools[-1]
+        return {
+            "pools": {
+                pool: {"service": pool, "floor_slots": 24, "spare": pool == spare}
+                for pool in scenario.pools
+            },
+            "vms": self.vms,
+            "budgets": dict.fromkeys(scenario.pools, FIRST_TICKET_BUDGET),
+            "teams": {
+                team: {"weight": 1, "share_cap": 1.0, "urgent_allowed": True}
+                for team in scenario.teams
+            },
+        }
+
+    def wait_for(self, condition: Callable[[], bool], limit_s: float) -> bool:
+        """Wait until a condition holds; False at the limit."""
+        end = time.monotonic() + limit_s
+        while not condition():
+            if time.monotonic() >= end:
+                return False
+            time.sleep(WAIT_STEP_S)
+        return True
+
+    def list_running(self) -> list[EntryProcess]:
+        """Return the entry instances that run."""
+        return [e for e in self.entries.values() if not e.stopped.is_set()]
+
+    def _build_settings(self, instance: str) -> EntrySettings:
+        scenario = self.scenario
+        item = next(item for item in self.instances if item.instance == instance)
+        http_port = int(item.admin_address.rpartition(":")[2]) - 1
+        return EntrySettings(
+            deployment=scenario.deployment,
+            region=scenario.region,
+            zone=item.zone,
+            instance=instance,
+            http_address=f"127.0.0.1:{http_port}",
+            admin_address=item.admin_address,
+            peer_address=item.peer_address,
+            platform_address=self.platform.address,
+            regions=(Region(scenario.region, scenario.zones),),
+            links=_list_links(scenario),
+            instances=self.instances,
+            http_threads=32,
+            drain_delay_ms=200,
+            shutdown_limit_s=30,
+        )
+
+
+def _start_upstreams(scenario: Scenario) -> dict[str, UpstreamStandin]:
+    names = [
+        f"{pool}-{index}" for pool in scenario.pools for index in range(VMS_PER_POOL)
+    ]
+    settings = UpstreamStandinSettings(
+        upstreams=tuple(UpstreamSettings(name, "127.0.0.1:0") for name in names),
+        reboot_ms=REBOOT_MS,
+    )
+    standins = {
+        upstream.name: UpstreamStandin(upstream, settings)
+        for upstream in settings.upstreams
+    }
+    for standin in standins.values():
+        standin.start()
+    return standins
+
+
+def _describe_vms(
+    scenario: Scenario, upstreams: dict[str, UpstreamStandin]
+) -> dict[str, dict[str, object]]:
+    """Spread each pool over the zones, two workers a zone, four to a rack."""
+    per_zone: dict[str, int] = {}
+    vms: dict[str, dict[str, object]] = {}
+    for name, standin in upstreams.items():
+        pool, _, index = name.rpartition("-")
+        zone = scenario.zones[int(index) % len(scenario.zones)]
+        rack = per_zone.get(zone, 0) // WORKERS_PER_RACK
+        per_zone[zone] = per_zone.get(zone, 0) + 1
+        vms[name] = {
+            "pool": pool,
+            "zone": zone,
+            "rack": f"{zone}-rack-{rack}",
+            "address": standin.address,
+            "slots": 8,
+            "connections": 64,
+        }
+    return vms
+
+
+def _place_instances(scenario: Scenario) -> tuple[InstanceSettings, ...]:
+    instances = []
+    for zone in scenario.zones:
+        for index in range(ENTRIES_PER_ZONE):
+            admin_port = _find_free_ports()
+            instances.append(
+                InstanceSettings(
+                    f"{zone}-entry-{index}",
+                    zone,
+                    f"127.0.0.1:{admin_port + 1}",
+                    f"127.0.0.1:{admin_port}",
+                )
+            )
+    return tuple(instances)
+
+
+def _find_free_ports() -> int:
+    """Return a port that is free together with both of its neighbours."""
+    while True:
+        with socket.create_server(("127.0.0.1", 0)) as middle:
+            port = int(middle.getsockname()[1])
+            try:
+                for neighbour in (port - 1, port + 1):
+                    socket.create_server(("127.0.0.1", neighbour)).close()
+            except OSError:
+                continue
+            if port not in _taken and not {port - 1, port + 1} & _taken:
+                _taken.update((port - 1, port, port + 1))
+                return port
+
+
+_taken: set[int] = set()
+
+
+def _start_platform(
+    instances: tuple[InstanceSettings, ...], vms: dict[str, dict[str, object]]
+) -> PlatformStandin:
+    rows = [
+        VmRow(item.instance, item.zone, item.admin_address, "entry")
+        for item in instances
+    ]
+    rows += [
+        VmRow(name, str(vm["zone"]), str(vm["address"]), "upstream")
+        for name, vm in vms.items()
+    ]
+    settings = PlatformStandinSettings(address="127.0.0.1:0")
+    platform = PlatformStandin(replace(settings, vms=tuple(rows)))
+    platform.start()
+    return platform
+
+
+def _list_links(scenario: Scenario) -> tuple[Link, ...]:
+    zones = scenario.zones
+    return tuple(
+        Link(first, second, scenario.link_delay_ms)
+        for index, first in enumerate(zones)
+        for second in zones[index + 1 :]
+    )
--- a/src/sesameladder/peering/_messages.py
+++ b/src/sesameladder/peering/_messages.py
@@ -107,6 +107,7 @@
 
     pool: str
     zone: str
+    epoch: int
     demand_id: str
     team: str
     kind: str
@@ -199,6 +200,7 @@
     """All grants and waiting demands of a forwarder in a cell."""
 
     complete: bool
+    incarnation: int
     items: tuple[GrantItem, ...]
     demand_ids: tuple[str, ...]
 
@@ -228,6 +230,7 @@
     plan_version: int
     epoch: int
     mean_demand_slots: float
+    granting: bool
     vms: tuple[VmGrants, ...]
 
 
@@ -235,6 +238,7 @@
 class CellReports:
     """Reports on all cells of an instance."""
 
+    draining: bool
     items: tuple[CellReport, ...]
 
 
@@ -250,10 +254,9 @@
 
 @dataclass(frozen=True, slots=True)
 class HandOverAnswer:
-    """The previous dispatcher's outstanding grants, if it has stopped."""
+    """Whether the previous dispatcher has stopped to grant."""
 
     accepted: bool
-    items: tuple[GrantItem, ...]
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/sesameladder/peering/peer.capnp
+++ b/src/sesameladder/peering/peer.capnp
@@ -81,6 +81,8 @@
   triedWorkers @11 :List(Text);
   triedRacks @12 :List(Text);
   resumed @13 :Bool;
+  # Epoch of the dispatcher row that the forwarder follows.
+  epoch @14 :UInt64;
 }
 
 struct GrantAnswer {
@@ -117,7 +119,12 @@
   checkpointable @6 :Bool;
   ranMs @7 :Float64;
 }
-struct GrantList { complete @0 :Bool; items @1 :List(GrantItem); demandIds @2 :List(Text); }
+struct GrantList {
+  complete @0 :Bool;
+  incarnation @1 :UInt64;
+  items @2 :List(GrantItem);
+  demandIds @3 :List(Text);
+}
 
 struct CellQuery { zones @0 :List(Text); }
 struct VmGrants { vm @0 :Text; outstanding @1 :UInt32; suspected @2 :Bool; }
@@ -127,12 +134,13 @@
   planVersion @2 :UInt64;
   epoch @3 :UInt64;
   meanDemandSlots @4 :Float64;
-  vms @5 :List(VmGrants);
+  granting @5 :Bool;
+  vms @6 :List(VmGrants);
 }
-struct CellReports { items @0 :List(CellReport); }
+struct CellReports { draining @0 :Bool; items @1 :List(CellReport); }
 
 struct HandOverRequest { pool @0 :Text; zone @1 :Text; epoch @2 :UInt64; planVersion @3 :UInt64; }
-struct HandOverAnswer { accepted @0 :Bool; items @1 :List(GrantItem); }
+struct HandOverAnswer { accepted @0 :Bool; }
 
 struct Header { name @0 :Text; value @1 :Text; }
 struct ForwardedRequest {
--- a/src/sesameladder/peering/tests/test_codec.py
+++ b/src/sesameladder/peering/tests/test_codec.py
@@ -26,7 +26,9 @@
 MESSAGES: list[Message] = [
     Heartbeat("zone-a", 7, 9, False, True, 3),
     Tickets((TicketItem(1, "d", b"{}"), TicketItem(2, "e", b""))),
-    CellReports((CellReport("p", "z", 1, 2, 3.5, (VmGrants("vm", 1, True),)),)),
+    CellReports(
+        True, (CellReport("p", "z", 1, 2, 3.5, True, (VmGrants("vm", 1, True),)),)
+    ),
     GrantAnswer("granted", "d-1", "g-1", "vm", "rack", "127.0.0.1:1"),
     WitnessAnswer("finished", ANSWER),
 ]
