--- /dev/null
+++ b/src/sesameladder/measure/_monitor.py
@@ -0,0 +1,79 @@
+"""Watches a running deployment for states that must never be seen."""
+
+from threading import Event, Thread
+
+from sesameladder.measure._deployment import Deployment
+from sesameladder.planning import Phase, RegionPlan
+
+SAMPLE_S = 0.05
+
+
+class Monitor:
+    """Samples all entry instances from its own thread."""
+
+    __slots__ = (
+        "budget_breaks",
+        "deployment",
+        "double_pools",
+        "numbers",
+        "reverted",
+        "stopping",
+        "thread",
+    )
+
+    def __init__(self, deployment: Deployment) -> None:
+        self.deployment = deployment
+        self.numbers: dict[tuple[str, int], int] = {}
+        self.reverted = 0
+        self.double_pools = 0
+        self.budget_breaks = 0
+        self.stopping = Event()
+        self.thread = Thread(target=self._run, daemon=True)
+
+    def start(self) -> None:
+        """Start sampling."""
+        self.thread.start()
+
+    def stop(self) -> None:
+        """Stop sampling."""
+        self.stopping.set()
+        self.thread.join()
+
+    def _run(self) -> None:
+        while not self.stopping.wait(SAMPLE_S):
+            self._sample_numbers()
+            self._sample_pools()
+            self._sample_budgets()
+
+    def _sample_numbers(self) -> None:
+        for entry in self.deployment.list_running():
+            key = (entry.settings.instance, entry.peers.identity.incarnation)
+            number = entry.view.state.number
+            if number < self.numbers.get(key, 0):
+                self.reverted += 1
+            self.numbers[key] = number
+
+    def _sample_pools(self) -> None:
+        """Count VMs that the dispatchers of two pools would grant at once."""
+        pools: dict[str, set[str]] = {}
+        for entry in self.deployment.list_running():
+            for cell in list(entry.dispatch.cells.values()):
+                for vm, worker in list(cell.dispatcher.cell.workers.by_vm.items()):
+                    if worker.listed and not cell.dispatcher.handed_over:
+                        pools.setdefault(vm, set()).add(cell.pool)
+        self.double_pools += sum(len(names) > 1 for names in pools.values())
+
+    def _sample_budgets(self) -> None:
+        entry = self.deployment.list_running()[0]
+        plan = entry.view.plan
+        if plan is None or plan.version <= 1:
+            return
+        for pool, budget in entry.view.state.budgets.items():
+            if _count_stopped(plan, pool) > budget.max_unavailable:
+                self.budget_breaks += 1
+
+
+def _count_stopped(plan: RegionPlan, pool: str) -> int:
+    """Return the VMs of a pool that are out by a planned stop."""
+    stopped = (Phase.LEAVING, Phase.DRAINED, Phase.REBOOTING, Phase.CHECKING)
+    return sum(row.pool == pool and row.phase in stopped for row in plan.rows.values())
