Check the at-most-once path over seeded schedules and measure it

Cause: P4 and P5 need proof against crashes, pauses, lost, late and doubled messages, store faults and handovers acting together.

Change: a schedule driver in the measure package carries messages between the product's tables and procedures under virtual time and counts runs at a fake upstream. StartProcedure holds the home's side of the decision. A late or second answer of the witness could have turned a running token into a false "not run"; the procedure now rejoins the table instead. Twelve variants with one rule left out each stay as tests.

Every variant is found within 400 seeds.

--- a/src/sesameladder/idempotency/__init__.py
+++ b/src/sesameladder/idempotency/__init__.py
@@ -17,6 +17,7 @@
     begin_outcome,
 )
 from sesameladder.idempotency._claims import (
+    CLAIM_LEASE_SHARE_SECONDS,
     CLAIM_RETENTION_SECONDS,
     KEY_LIFETIME_SECONDS,
     BindRefused,
@@ -45,6 +46,7 @@
     Outcome,
     Unknown,
     UnknownReason,
+    refuse_unsent,
 )
 from sesameladder.idempotency._resolver import (
     Answer,
@@ -62,6 +64,14 @@
     WitnessAnswered,
     WitnessUnreachable,
 )
+from sesameladder.idempotency._start import (
+    RecordStart,
+    SendBack,
+    SendToWorker,
+    StartProcedure,
+    StartStep,
+    WaitForRun,
+)
 from sesameladder.idempotency._token import (
     PeerIdentity,
     Token,
@@ -76,6 +86,7 @@
 )
 
 __all__ = [
+    "CLAIM_LEASE_SHARE_SECONDS",
     "CLAIM_RETENTION_SECONDS",
     "KEY_LIFETIME_SECONDS",
     "TOKEN_LIFETIME_SECONDS",
@@ -110,9 +121,14 @@
     "NotWitness",
     "Outcome",
     "PeerIdentity",
+    "RecordStart",
     "RefusedVoid",
     "RunHere",
+    "SendBack",
+    "SendToWorker",
     "StartAllowed",
+    "StartProcedure",
+    "StartStep",
     "Started",
     "Step",
     "Token",
@@ -121,6 +137,7 @@
     "TokenState",
     "Unknown",
     "UnknownReason",
+    "WaitForRun",
     "WitnessAnswered",
     "WitnessTable",
     "WitnessUnreachable",
@@ -128,4 +145,5 @@
     "begin_outcome",
     "claim_key",
     "is_token_text",
+    "refuse_unsent",
 ]
--- a/src/sesameladder/idempotency/_home.py
+++ b/src/sesameladder/idempotency/_home.py
@@ -137,12 +137,14 @@
             record.state = TokenState.RUNNING
             return True
 
-    def refuse_start(self, token: Token) -> None:
-        """Void a starting token whose witness did not record the start."""
+    def refuse_start(self, token: Token) -> bool:
+        """Void a token whose start was not recorded, if it is still starting."""
         with self._lock:
             record = self._active.get(token)
-            if record is not None and record.state is TokenState.STARTING:
-                self._void(token, record)
+            if record is None or record.state is not TokenState.STARTING:
+                return False
+            self._void(token, record)
+            return True
 
     def finish(self, token: Token, outcome: Outcome, now: float) -> Outcome:
         """End a starting or running token; returns the outcome that counts.
--- a/src/sesameladder/idempotency/_outcome.py
+++ b/src/sesameladder/idempotency/_outcome.py
@@ -74,3 +74,16 @@
         return len(outcome.reason)
     headers = sum(len(name) + len(value) for name, value in outcome.headers)
     return headers + len(outcome.body)
+
+
+def refuse_unsent(
+    reason: str, first_attempt: bool, retry_after_s: float | None = None
+) -> NotRun | Unknown:
+    """Return the refusal of a keyed request by an entry that never forwarded it.
+
+    "Not run" also covers the earlier attempts of the token or key, about which
+    such an entry knows nothing unless the caller states that there were none.
+    """
+    if first_attempt:
+        return NotRun(reason, retry_after_s)
+    return Unknown(reason)
--- /dev/null
+++ b/src/sesameladder/idempotency/tests/faulty_variants.py
@@ -0,0 +1,145 @@
+"""Variants of the at-most-once path with one rule left out each."""
+
+from dataclasses import replace
+
+from sesameladder.idempotency import (
+    ClaimBinder,
+    HomeTable,
+    NeverStarted,
+    Token,
+    Unknown,
+    WitnessTable,
+)
+from sesameladder.measure._schedule_process import Variant
+from sesameladder.measure.at_most_once import WithoutWitnessRule
+from sesameladder.platform import StoreAnswerLost, StoreEntry
+
+SMALL_TABLE_BYTES = 1500
+
+
+class SmallHome(HomeTable):
+    """A correct home that keeps two ended records."""
+
+    def __init__(self, instance: str, incarnation: int) -> None:
+        super().__init__(instance, incarnation, max_bytes=SMALL_TABLE_BYTES)
+
+
+class SmallWitness(WitnessTable):
+    """A correct witness that keeps two records."""
+
+    def __init__(self, instance: str, incarnation: int) -> None:
+        super().__init__(instance, incarnation, max_bytes=SMALL_TABLE_BYTES)
+
+
+class VoidNotRecorded(WitnessTable):
+    """Answers "never started" without keeping the home from starting later."""
+
+    def void(self, token: Token, now: float):
+        known = self._records.get(token)
+        return super().void(token, now) if known else NeverStarted()
+
+
+class BlankWitness(WitnessTable):
+    """Answers for the tokens of the process that it replaced."""
+
+    def _mine(self, token: Token) -> Token:
+        return replace(token, witness_incarnation=self.identity.incarnation)
+
+    def void(self, token: Token, now: float):
+        return super().void(self._mine(token), now)
+
+    def record_start(self, token: Token, now: float) -> bool:
+        return super().record_start(self._mine(token), now)
+
+
+class DroppedWitnessRecords(SmallWitness):
+    """Takes a dropped record for a token that never started."""
+
+    def void(self, token: Token, now: float):
+        self._records._floors.clear()
+        return super().void(token, now)
+
+
+class DroppedHomeRecords(SmallHome):
+    """Takes a dropped record for a token that was never used."""
+
+    def begin(self, *arguments):
+        self._ended._floors.clear()
+        return super().begin(*arguments)
+
+
+class BlankHome(HomeTable):
+    """Answers for every incarnation of its instance id."""
+
+    def answers_for(self, home) -> bool:
+        return home.instance == self.identity.instance or super().answers_for(home)
+
+    def _may_start(self, token: Token) -> bool:
+        return token.home == self.identity.instance and not self.sealed
+
+
+class StartsAdoptedTokens(HomeTable):
+    """Starts unused tokens of a home whose table it took over."""
+
+    def _may_start(self, token: Token) -> bool:
+        return True
+
+
+class SealedHomeStarts(HomeTable):
+    """Starts tokens after its table was handed over."""
+
+    def _may_start(self, token: Token) -> bool:
+        return token.home_identity == self.identity
+
+
+class ReopensForEarlierAttempts(HomeTable):
+    """Lets a late message of a refused attempt start the token."""
+
+    def _begin_again(self, token, record, digest, now, attempt):
+        record.refused_through = -1
+        return super()._begin_again(token, record, digest, now, attempt)
+
+
+class RetriesAfterUnknown(HomeTable):
+    """Lets a retry run after a run whose answer was lost."""
+
+    def begin(self, token, request_digest, now, attempt=0):
+        record = self._ended.get(token)
+        if record is not None and isinstance(record.outcome, Unknown):
+            self._ended.pop(token)
+        return super().begin(token, request_digest, now, attempt)
+
+
+class ClaimNotReadBack(ClaimBinder):
+    """Takes a claim whose answer was lost for its own."""
+
+    def _try_create(self, path, value, now):
+        try:
+            return super()._try_create(path, value, now)
+        except StoreAnswerLost:
+            return StoreEntry(path, value, 0)
+
+
+class NotRunWithoutStatement(ClaimBinder):
+    """Says "not run" to a retry while the store is down."""
+
+    def bind(self, key, token, first_attempt, now, *arguments):
+        return super().bind(key, token, True, now, *arguments)
+
+
+SMALL_TABLES = Variant(home=SmallHome, witness=SmallWitness)
+
+FAULTY = [
+    Variant(resolver=WithoutWitnessRule),
+    Variant(witness=VoidNotRecorded),
+    Variant(witness=BlankWitness),
+    Variant(witness=DroppedWitnessRecords),
+    Variant(home=DroppedHomeRecords),
+    Variant(home=BlankHome),
+    Variant(home=StartsAdoptedTokens),
+    Variant(home=SealedHomeStarts),
+    Variant(home=ReopensForEarlierAttempts),
+    Variant(home=RetriesAfterUnknown),
+    Variant(binder=ClaimNotReadBack),
+    Variant(binder=NotRunWithoutStatement),
+]
--- /dev/null
+++ b/src/sesameladder/idempotency/tests/test_schedules.py
@@ -0,0 +1,74 @@
+"""The at-most-once path under seeded schedules of faults.
+
+Each schedule injects crashes, blank replacements, pauses, lost, late and
+doubled messages, retries at other entries, store faults and handovers.
+"""
+
+from collections import Counter
+
+import pytest
+
+from sesameladder.idempotency.tests.faulty_variants import FAULTY, SMALL_TABLES
+from sesameladder.measure._schedule_process import Variant
+from sesameladder.measure._schedule_run import Load, run_schedule
+
+BATCH = 100
+SEARCHED_SEEDS = 400
+
+
+def run_batch(first_seed: int, variant: Variant) -> Counter[str]:
+    """Run a batch and stop at the first broken promise, naming its seed."""
+    totals: Counter[str] = Counter()
+    for seed in range(first_seed, first_seed + BATCH):
+        findings = run_schedule(seed, variant)
+        assert findings.is_clean(), f"seed {seed}: {findings}"
+        totals.update(findings.answers)
+        totals.update(findings.faults)
+    return totals
+
+
+@pytest.mark.parametrize("first_seed", range(0, 1000, BATCH))
+def test_no_double_run_and_no_false_not_run(first_seed: int) -> None:
+    """Guards against runs and answers that break P3, P4 or P5."""
+    totals = run_batch(first_seed, Variant())
+    kinds = ("Done", "NotRun", "Unknown", "crash", "pause", "handover", "store")
+    assert all(totals[kind] > 0 for kind in kinds)
+
+
+@pytest.mark.parametrize("first_seed", range(1000, 1300, BATCH))
+def test_small_tables_stay_truthful(first_seed: int) -> None:
+    """Guards against dropped records that count as never started."""
+    run_batch(first_seed, SMALL_TABLES)
+
+
+def variant_name(variant: Variant) -> str:
+    classes = (variant.resolver, variant.home, variant.witness, variant.binder)
+    return next(c.__name__ for c in classes if c.__module__ not in CORRECT)
+
+
+CORRECT = {
+    cls.__module__
+    for cls in (Variant().resolver, Variant().home, Variant().witness, Variant().binder)
+}
+
+
+@pytest.mark.parametrize("variant", FAULTY, ids=variant_name)
+def test_schedules_find_a_missing_rule(variant: Variant) -> None:
+    """Guards against schedules that are too tame to break a faulty variant."""
+    seeds = range(SEARCHED_SEEDS)
+    assert any(not run_schedule(seed, variant).is_clean() for seed in seeds)
+
+
+@pytest.mark.parametrize("instances", [1, 2, 3])
+def test_everything_is_done_without_faults(instances: int) -> None:
+    """Guards against rules that keep promises by refusing all work."""
+    load = Load(process_faults=0, has_call_faults=False, instances=instances)
+    for seed in range(20):
+        findings = run_schedule(seed, load=load)
+        assert findings.is_clean()
+        assert set(findings.answers) == {"Done"}, f"seed {seed}: {findings}"
+
+
+def test_schedule_is_reproducible() -> None:
+    """Guards against seeds that do not lead back to a failure."""
+    assert run_schedule(7) == run_schedule(7)
--- /dev/null
+++ b/src/sesameladder/measure/_schedule_run.py
@@ -0,0 +1,171 @@
+"""One seeded schedule of the at-most-once path in one zone."""
+
+import random
+from dataclasses import dataclass
+
+from sesameladder.idempotency import PeerIdentity
+from sesameladder.measure._schedule_caller import Caller, Findings, Monitor
+from sesameladder.measure._schedule_network import (
+    FaultRates,
+    Network,
+    Schedule,
+    ScheduleStore,
+)
+from sesameladder.measure._schedule_process import (
+    WRITES_PER_SECOND,
+    Process,
+    Upstream,
+    Variant,
+)
+
+QUIET_SECONDS = 80.0
+MAX_OUTAGE_SECONDS = 4.0
+SHUTDOWN_WAIT_SECONDS = 2.0
+NO_FAULTS = FaultRates(lose=0.0, double=0.0, delay=0.0, store=0.0, refuse=0.0)
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """What a schedule goes through."""
+
+    callers: int = 6
+    """Logical requests."""
+
+    seconds: float = 12.0
+    """Time in which requests and faults begin."""
+
+    process_faults: int = 8
+    """Crashes, pauses, shutdowns and store outages."""
+
+    has_call_faults: bool = True
+    """Whether messages and store calls fail at the drawn rates."""
+
+    uses_keys: bool | None = None
+    """Whether callers use own keys; None draws it for each caller."""
+
+    instances: int | None = None
+    """Entry instances; None draws one to four."""
+
+
+class Zone:
+    """The entry instances of one zone, their store and their faults."""
+
+    def __init__(self, seed: int, variant: Variant, load: Load) -> None:
+        source = random.Random(seed)
+        rates = _draw_rates(source) if load.has_call_faults else NO_FAULTS
+        self.load = load
+        self.schedule = Schedule(source, rates)
+        self.variant = variant
+        self.monitor = Monitor()
+        self.network: Network[Process] = Network(self.schedule)
+        self.store = ScheduleStore.from_schedule(self.schedule)
+        self.upstream = Upstream(self.monitor.saw_run)
+        self.incarnations = 0
+        for number in range(load.instances or source.choice((1, 2, 3, 3, 3, 4))):
+            self.start_process(f"entry-{number}")
+
+    def start_process(self, instance: str) -> None:
+        """Start a blank process under an instance id."""
+        self.incarnations += 1
+        identity = PeerIdentity(instance, self.incarnations)
+        binder = self.variant.binder(self.store, WRITES_PER_SECOND)
+        self.network.processes[instance] = (
+            identity,
+            Process(identity, self.network, binder, self.variant, self.upstream),
+        )
+
+    def run(self) -> Findings:
+        """Run callers and faults to the end and return what they showed."""
+        callers = [
+            Caller(
+                number,
+                self.schedule,
+                self.monitor,
+                self.network.processes,
+                self.load.uses_keys,
+            )
+            for number in range(self.load.callers)
+        ]
+        for caller in callers:
+            self.schedule.after(self._moment(), None, caller.step)
+        for _ in range(self.load.process_faults):
+            self.schedule.after(self._moment(), None, self._inject)
+        self.schedule.run(self.load.seconds + QUIET_SECONDS)
+        findings = self.monitor.findings
+        findings.unanswered = sum(caller.count_unanswered() for caller in callers)
+        return findings
+
+    def _moment(self) -> float:
+        return self.schedule.random.uniform(0.0, self.load.seconds)
+
+    def _inject(self) -> None:
+        instance = self.schedule.random.choice(sorted(self.network.processes))
+        identity, process = self.network.processes[instance]
+        kind = self.schedule.random.choice(
+            ("crash", "crash", "pause", "pause", "handover", "store")
+        )
+        self.monitor.findings.count_fault(kind)
+        if kind == "store":
+            self._take_store_down()
+        elif not process.alive:
+            return
+        elif kind == "crash":
+            self._replace(identity, process)
+        elif kind == "pause":
+            process.paused_until = self.schedule.now + self._outage()
+        else:
+            self._shut_down(identity, process)
+
+    def _outage(self) -> float:
+        return self.schedule.random.uniform(0.1, MAX_OUTAGE_SECONDS)
+
+    def _take_store_down(self) -> None:
+        self.store.available = False
+
+        def restore() -> None:
+            self.store.available = True
+
+        self.schedule.after(self._outage(), None, restore)
+
+    def _replace(self, identity: PeerIdentity, process: Process) -> None:
+        """End a process; a blank one follows under the same instance id."""
+        if not process.alive:
+            return
+        process.alive = False
+        self.schedule.after(
+            self._outage(), None, lambda: self.start_process(identity.instance)
+        )
+
+    def _shut_down(self, identity: PeerIdentity, process: Process) -> None:
+        """Hand the table to one peer, or to two as after a lost answer."""
+        others = [
+            other
+            for name, (_, other) in sorted(self.network.processes.items())
+            if other.alive and name != identity.instance
+        ]
+        count = min(len(others), self.schedule.random.choice((1, 1, 2)))
+        peers = self.schedule.random.sample(others, count)
+        wait = self.schedule.random.uniform(0.0, SHUTDOWN_WAIT_SECONDS)
+        self.schedule.after(
+            wait,
+            process,
+            lambda: process.hand_over(peers, lambda: self._replace(identity, process)),
+        )
+
+
+def _draw_rates(source: random.Random) -> FaultRates:
+    intensity = source.choice((0.0, 0.02, 0.1, 0.2))
+    return FaultRates(
+        lose=intensity,
+        double=intensity,
+        delay=2 * intensity,
+        store=intensity,
+        refuse=source.choice((0.0, 0.1, 0.3)),
+    )
+
+
+def run_schedule(
+    seed: int, variant: Variant | None = None, load: Load | None = None
+) -> Findings:
+    """Run one schedule; the same arguments give the same findings."""
+    return Zone(seed, variant or Variant(), load or Load()).run()
--- /dev/null
+++ b/src/sesameladder/measure/at_most_once.py
@@ -0,0 +1,143 @@
+"""Measures the at-most-once path: promises under faults, and its cost.
+
+The promises are counted over seeded schedules with process, message and store
+faults. The cost is counted in platform calls per request without faults.
+"""
+
+import zlib
+from collections import Counter
+
+from sesameladder.idempotency import (
+    CLAIM_LEASE_SHARE_SECONDS,
+    Answer,
+    AttemptResolver,
+    NotRun,
+    NotRunReason,
+    Unknown,
+    UnknownReason,
+)
+from sesameladder.measure._entry import MeasureEntry
+from sesameladder.measure._schedule_process import Variant
+from sesameladder.measure._schedule_run import Load, Zone, run_schedule
+
+SCHEDULES = 1000
+COST_REQUESTS = 3000
+COST_SECONDS = 3600.0
+INSTANCES = {"coral-strand": 9, "pfennigblatt": 8}
+
+
+class WithoutWitnessRule(AttemptResolver):
+    """Baseline that takes an unreachable home for one that did not run."""
+
+    def _ask_witness(self) -> Answer:
+        return Answer(NotRun(NotRunReason.HOME_UNREACHABLE))
+
+
+class UnknownWithoutHome(AttemptResolver):
+    """Baseline that answers unknown whenever the home is gone."""
+
+    def _ask_witness(self) -> Answer:
+        return Answer(Unknown(UnknownReason.HOME_LOST))
+
+
+def measure(deployment: str, seed: int) -> list[MeasureEntry]:
+    """Return the entries of one deployment."""
+    product = _run_schedules(deployment, seed, Variant())
+    no_witness = _run_schedules(deployment, seed, Variant(resolver=WithoutWitnessRule))
+    no_question = _run_schedules(deployment, seed, Variant(resolver=UnknownWithoutHome))
+    return [
+        _zero_entry("double_runs", deployment, product, no_witness),
+        _zero_entry("false_not_run", deployment, product, no_witness),
+        MeasureEntry(
+            name="unknown_share",
+            deployment=deployment,
+            unit="ratio",
+            value=_unknown_share(product),
+            baseline=_unknown_share(no_question),
+            bound=None,
+            target="",
+            met=None,
+        ),
+        *_cost_entries(deployment, seed),
+    ]
+
+
+def _run_schedules(deployment: str, seed: int, variant: Variant) -> Counter[str]:
+    base = zlib.crc32(f"{deployment}/{seed}".encode())
+    totals: Counter[str] = Counter()
+    for number in range(SCHEDULES):
+        findings = run_schedule(base + number, variant)
+        totals.update(findings.answers)
+        totals["double_runs"] += findings.double_runs
+        totals["false_not_run"] += findings.false_not_run
+    return totals
+
+
+def _zero_entry(
+    name: str, deployment: str, product: Counter[str], baseline: Counter[str]
+) -> MeasureEntry:
+    return MeasureEntry(
+        name=name,
+        deployment=deployment,
+        unit=f"count in {SCHEDULES} schedules",
+        value=float(product[name]),
+        baseline=float(baseline[name]),
+        bound=0.0,
+        target="value == 0",
+        met=product[name] == 0,
+    )
+
+
+def _unknown_share(totals: Counter[str]) -> float:
+    answers = sum(totals[kind] for kind in ("Done", "NotRun", "Unknown"))
+    return totals["Unknown"] / answers
+
+
+def _cost_entries(deployment: str, seed: int) -> list[MeasureEntry]:
+    """Return the platform calls per attempt in an hour without faults.
+
+    The baseline claims the tokens' requests in the store as well. The bound
+    for keys is one call per attempt and one lease per instance and hour.
+    """
+    by_token, _ = _calls_per_attempt(deployment, seed, uses_keys=False)
+    by_key, attempts = _calls_per_attempt(deployment, seed, uses_keys=True)
+    leases = INSTANCES[deployment] * (COST_SECONDS / CLAIM_LEASE_SHARE_SECONDS + 1)
+    bound = 1.0 + leases / attempts
+    return [
+        MeasureEntry(
+            name="platform_calls_per_token_attempt",
+            deployment=deployment,
+            unit="calls",
+            value=by_token,
+            baseline=by_key,
+            bound=0.0,
+            target="value == 0",
+            met=by_token == 0.0,
+        ),
+        MeasureEntry(
+            name="platform_calls_per_key_attempt",
+            deployment=deployment,
+            unit="calls",
+            value=by_key,
+            baseline=None,
+            bound=bound,
+            target="value <= bound",
+            met=by_key <= bound,
+        ),
+    ]
+
+
+def _calls_per_attempt(
+    deployment: str, seed: int, uses_keys: bool
+) -> tuple[float, int]:
+    load = Load(
+        callers=COST_REQUESTS,
+        seconds=COST_SECONDS,
+        process_faults=0,
+        has_call_faults=False,
+        uses_keys=uses_keys,
+        instances=INSTANCES[deployment],
+    )
+    zone = Zone(seed, Variant(), load)
+    attempts = sum(zone.run().answers.values())
+    return sum(zone.store.calls.values()) / attempts, attempts
