Add table tests for home, witness and claims

Change: tables for the home's states, handover in parts, witness verdicts, the start procedure and claims under store faults. The claims' write allowance did not refill when its first use was at time 0; it now does.

--- a/src/sesameladder/idempotency/_claims.py
+++ b/src/sesameladder/idempotency/_claims.py
@@ -65,8 +65,9 @@
 
     def take(self, now: float) -> bool:
         """Take one write if the allowance has one."""
-        elapsed = max(0.0, now - self.refilled_at) if self.refilled_at else 0.0
-        self.available = min(self.burst, self.available + elapsed * self.rate)
+        if self.refilled_at is not None:
+            gained = max(0.0, now - self.refilled_at) * self.rate
+            self.available = min(self.burst, self.available + gained)
         self.refilled_at = now
         if self.available < 1.0:
             return False
--- /dev/null
+++ b/src/sesameladder/idempotency/tests/test_claims.py
@@ -0,0 +1,203 @@
+"""Claims of callers' own keys under store faults."""
+
+from collections.abc import Callable
+
+import pytest
+
+from sesameladder.idempotency import (
+    CLAIM_LEASE_SHARE_SECONDS,
+    KEY_LIFETIME_SECONDS,
+    BindRefused,
+    Bound,
+    ClaimBinder,
+    HomeTable,
+    NotRunReason,
+    Token,
+    TokenIssuer,
+    UnknownReason,
+    claim_key,
+)
+from sesameladder.platform import FakeStore, StoreAnswerLost
+
+HOUR = 3600.0
+
+
+class ReplaceableStore(FakeStore):
+    """A fake store whose operations a test can replace."""
+
+
+class Setup:
+    """Two instances on one store and one clock."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self.store = ReplaceableStore(lambda: self.now)
+        self.issuers = [TokenIssuer("a", 1), TokenIssuer("b", 1)]
+        self.binders = [ClaimBinder(self.store), ClaimBinder(self.store)]
+
+    def token(self, instance: int = 0) -> Token:
+        return self.issuers[instance].issue(None, self.now)
+
+    def bind(self, instance: int = 0, key: str = "order", **statements):
+        token = self.token(instance)
+        first = statements.pop("first", False)
+        binder = self.binders[instance]
+        return binder.bind(key, token, first, self.now, **statements)
+
+
+def test_second_attempt_follows_the_first_claim() -> None:
+    """Guards against one key with two tokens."""
+    setup = Setup()
+    first = setup.bind(0, first=True)
+    assert isinstance(first, Bound) and first.is_mine
+    assert setup.bind(1) == Bound(first.token, is_mine=False)
+    assert setup.bind(1, is_retry=True) == Bound(first.token, is_mine=False)
+
+
+@pytest.mark.parametrize(
+    ("statements", "calls"),
+    [
+        ({"first": True}, {"compare_and_swap": 1}),
+        ({}, {"compare_and_swap": 1}),
+        ({"is_retry": True}, {"get": 1}),
+    ],
+)
+def test_calls_per_attempt(statements, calls) -> None:
+    """Guards against a cost above one write per request and one read per retry."""
+    setup = Setup()
+    setup.bind(0, first=True)
+    setup.store.calls.clear()
+    setup.bind(0, key="order" if statements.get("is_retry") else "other", **statements)
+    assert setup.store.calls == calls
+
+
+def test_lost_answer_is_read_back() -> None:
+    """Guards against a claim that its own writer does not recognise."""
+    setup = Setup()
+    setup.store.answers_to_lose = 1
+    bound = setup.bind(0)
+    assert isinstance(bound, Bound) and bound.is_mine
+
+
+def test_lost_answer_of_a_write_that_comes_late() -> None:
+    """Guards against a late write that replaces or doubles a claim."""
+    setup = Setup()
+    late: list[Callable[[], object]] = []
+    write = setup.store.compare_and_swap
+
+    def delay_first(*arguments):
+        if not late:
+            late.append(lambda: write(*arguments))
+            raise StoreAnswerLost("delayed")
+        late[0]()
+        return write(*arguments)
+
+    setup.store.compare_and_swap = delay_first
+    bound = setup.bind(0)
+    assert isinstance(bound, Bound) and bound.is_mine
+    assert setup.store.get(claim_key("order")).value == bound.token.to_text().encode()
+
+
+@pytest.mark.parametrize(
+    ("statements", "not_run"),
+    [({"first": True}, True), ({}, False), ({"is_retry": True}, False)],
+)
+def test_store_down(statements, not_run) -> None:
+    """Guards against "not run" for a key that an earlier attempt may have used."""
+    setup = Setup()
+    setup.store.available = False
+    refused = setup.bind(0, **statements)
+    assert refused == BindRefused(not_run, NotRunReason.STORE_UNAVAILABLE)
+
+
+def test_unread_claim_is_not_taken_for_its_own() -> None:
+    """Guards against a start under another entry's claim."""
+    setup = Setup()
+    setup.bind(1)
+    write = setup.store.compare_and_swap
+
+    def lose(*arguments):
+        write(*arguments)
+        setup.store.available = False
+        raise StoreAnswerLost("lost")
+
+    setup.store.compare_and_swap = lose
+    assert isinstance(setup.bind(0), BindRefused)
+
+
+def test_write_rate_is_limited() -> None:
+    """Guards against claims that use up the store's writes."""
+    setup = Setup()
+    binder = ClaimBinder(setup.store, writes_per_second=2.0)
+    results = [
+        binder.bind(str(number), setup.token(), True, setup.now) for number in range(6)
+    ]
+    refused = BindRefused(True, NotRunReason.CLAIM_RATE)
+    assert [result == refused for result in results] == [False] * 4 + [True] * 2
+    again = binder.bind("later", setup.token(), True, setup.now + 1.0)
+    assert isinstance(again, Bound)
+
+
+def test_one_lease_per_hour() -> None:
+    """Guards against a lease for every claim."""
+    setup = Setup()
+    for minute in range(0, 180, 10):
+        setup.now = minute * 60.0
+        setup.bind(0, key=str(minute))
+    assert setup.store.calls["grant_lease"] == 3
+
+
+def test_failed_lease_is_granted_again() -> None:
+    """Guards against an instance that binds nothing after a lost lease."""
+    setup = Setup()
+    setup.bind(0, key="before")
+    setup.store.leases.clear()
+    assert isinstance(setup.bind(0), Bound)
+
+
+@pytest.mark.parametrize("age_of_lease", [0.0, CLAIM_LEASE_SHARE_SECONDS - 1])
+def test_claim_stands_as_long_as_its_token(age_of_lease) -> None:
+    """Guards against two tokens of one key that may start at the same time."""
+    setup = Setup()
+    setup.bind(0, key="opens the lease")
+    setup.now += age_of_lease
+    first = setup.bind(0)
+    setup.now += KEY_LIFETIME_SECONDS - 1
+    assert setup.bind(1, is_retry=True) == Bound(first.token, is_mine=False)
+    setup.now += HOUR + 1
+    second = setup.bind(1)
+    assert second.is_mine
+    begin = HomeTable("a", 1).begin(first.token, b"", setup.now)
+    assert type(begin).__name__ == "Expired"
+
+
+@pytest.mark.parametrize("is_retry", [False, True])
+def test_retry_after_the_claim_lapsed_is_refused(is_retry) -> None:
+    """Guards against a second run when a caller retries for over a day."""
+    setup = Setup()
+    setup.bind(0)
+    setup.now += 26 * HOUR
+    refused = setup.bind(1, is_retry=is_retry, first_attempt_age=26 * HOUR)
+    assert refused == BindRefused(False, UnknownReason.KEY_TOO_OLD)
+
+
+def test_unreadable_claim_is_unknown() -> None:
+    """Guards against a start beside a claim that nobody can read."""
+    setup = Setup()
+    setup.store.compare_and_swap(claim_key("order"), 0, b"\xff")
+    refused = setup.bind(0, first=True)
+    assert refused == BindRefused(False, UnknownReason.CLAIM_UNREADABLE)
+
+
+def test_store_that_never_answers_writes() -> None:
+    """Guards against endless writes while every answer is lost."""
+    setup = Setup()
+    tries: list[int] = []
+
+    def lose(*arguments):
+        tries.append(1)
+        raise StoreAnswerLost("lost")
+
+    setup.store.compare_and_swap = lose
+    assert isinstance(setup.bind(0, first=True), BindRefused)
+    assert 1 < len(tries) <= 3
--- /dev/null
+++ b/src/sesameladder/idempotency/tests/test_home.py
@@ -0,0 +1,219 @@
+"""The home's table, call by call."""
+
+import pytest
+
+from sesameladder.idempotency import (
+    DigestMismatch,
+    Done,
+    Expired,
+    Finished,
+    Forgotten,
+    HandoverMalformed,
+    HomeTable,
+    InProgress,
+    NotHome,
+    NotRun,
+    PeerIdentity,
+    RefusedVoid,
+    StartAllowed,
+    Token,
+    Unknown,
+)
+from sesameladder.idempotency._handover import CHUNK_BYTES
+
+DONE = Done(200, (("Content-Type", "text/plain"),), b"order 1")
+QUEUE_FULL = NotRun("queue-limit", 2.0)
+LOST = Unknown("worker-answer-lost")
+DIGEST = b"digest"
+
+
+def make_token(sequence: int = 1, incarnation: int = 1) -> Token:
+    return Token("a", incarnation, "b", 1, sequence, 100.0)
+
+
+def make_home(**limits: int) -> HomeTable:
+    return HomeTable("a", 1, **limits)
+
+
+def start(home: HomeTable, token: Token, attempt: int = 0) -> None:
+    assert home.begin(token, DIGEST, 0.0, attempt) == StartAllowed()
+    assert home.confirm_start(token)
+
+
+def end(home: HomeTable, token: Token, outcome) -> None:
+    start(home, token)
+    home.finish(token, outcome, 0.0)
+
+
+@pytest.mark.parametrize(
+    ("outcome", "attempts", "retry", "expected"),
+    [
+        (DONE, 1, 2, Finished(DONE)),
+        # A run whose answer was lost must never be repeated.
+        (LOST, 1, 2, Finished(LOST)),
+        # A late message of a refused attempt must not run.
+        (QUEUE_FULL, 1, 1, Finished(QUEUE_FULL)),
+        (QUEUE_FULL, 0, 0, Finished(QUEUE_FULL)),
+        (QUEUE_FULL, 3, 2, Finished(QUEUE_FULL)),
+        (QUEUE_FULL, 1, 2, StartAllowed()),
+    ],
+)
+def test_retry_after_an_end(outcome, attempts, retry, expected) -> None:
+    """Guards against a second run, and a run after "not run"."""
+    home = make_home()
+    start(home, make_token(), attempts)
+    home.finish(make_token(), outcome, 1.0)
+    assert home.begin(make_token(), DIGEST, 2.0, retry) == expected
+
+
+def test_only_one_attempt_starts() -> None:
+    """Guards against two attempts that both reach a worker."""
+    home = make_home()
+    assert home.begin(make_token(), DIGEST, 0.0) == StartAllowed()
+    assert home.begin(make_token(), DIGEST, 0.0) == InProgress()
+    assert home.confirm_start(make_token())
+    assert not home.confirm_start(make_token())
+    assert home.begin(make_token(), DIGEST, 0.0) == InProgress()
+
+
+def test_refusal_covers_attempts_that_waited() -> None:
+    """Guards against a run for an attempt that shared a refusal."""
+    home = make_home()
+    start(home, make_token(), 1)
+    assert home.begin(make_token(), DIGEST, 0.0, 2) == InProgress()
+    home.finish(make_token(), QUEUE_FULL, 0.0)
+    assert home.begin(make_token(), DIGEST, 0.0, 2) == Finished(QUEUE_FULL)
+
+
+def test_refused_start_is_void_for_good() -> None:
+    """Guards against a late witness answer that revives a refused start."""
+    home = make_home()
+    home.begin(make_token(), DIGEST, 0.0, 1)
+    assert home.refuse_start(make_token())
+    assert not home.confirm_start(make_token())
+    assert home.begin(make_token(), DIGEST, 0.0, 2) == RefusedVoid()
+
+
+def test_running_token_can_not_be_refused() -> None:
+    """Guards against "not run" for a token that a worker already has."""
+    home = make_home()
+    start(home, make_token())
+    assert not home.refuse_start(make_token())
+    assert home.begin(make_token(), DIGEST, 0.0) == InProgress()
+
+
+@pytest.mark.parametrize(
+    ("token", "digest", "now", "expected"),
+    [
+        (make_token(), b"other", 0.0, DigestMismatch()),
+        (make_token(2), DIGEST, 100.0, Expired()),
+        (make_token(), DIGEST, 100.0, Finished(DONE)),
+        (make_token(3, incarnation=2), DIGEST, 0.0, NotHome()),
+    ],
+)
+def test_begin_with_unusual_tokens(token, digest, now, expected) -> None:
+    """Guards against answers to another request or by a blank home."""
+    home = make_home()
+    end(home, make_token(), DONE)
+    assert home.begin(token, digest, now) == expected
+
+
+def test_dropped_record_never_runs_again() -> None:
+    """Guards against a second run after memory pressure."""
+    home = make_home(max_bytes=2000)
+    for sequence in range(1, 6):
+        end(home, make_token(sequence), DONE)
+    assert home.begin(make_token(1), DIGEST, 0.0) == Forgotten()
+    assert home.begin(make_token(5), DIGEST, 0.0) == Finished(DONE)
+    assert home.begin(make_token(6), DIGEST, 0.0) == StartAllowed()
+
+
+def test_running_tokens_are_not_dropped() -> None:
+    """Guards against a dropped record of a token that is still running."""
+    home = make_home(max_bytes=2000)
+    start(home, make_token(1))
+    for sequence in range(2, 9):
+        end(home, make_token(sequence), DONE)
+    assert home.begin(make_token(1), DIGEST, 0.0) == InProgress()
+    assert home.finish(make_token(1), DONE, 0.0) == DONE
+
+
+def test_records_over_age_are_dropped() -> None:
+    """Guards against a table that grows with every token ever used."""
+    home = make_home(retention=50)
+    end(home, make_token(1), DONE)
+    assert home.begin(make_token(2), DIGEST, 60.0) == StartAllowed()
+    home.finish(make_token(2), DONE, 60.0)
+    assert home.dump()["ended"] == 1
+
+
+def hand_over(source: HomeTable, target: HomeTable) -> frozenset[PeerIdentity]:
+    adopted: frozenset[PeerIdentity] = frozenset()
+    for part in source.export():
+        adopted |= target.import_from(part)
+    return adopted
+
+
+@pytest.mark.parametrize("outcome", [DONE, LOST, QUEUE_FULL])
+def test_successor_answers_ended_tokens(outcome) -> None:
+    """Guards against answers that graceful shutdown loses."""
+    home, successor = make_home(), HomeTable("c", 1)
+    end(home, make_token(), outcome)
+    assert hand_over(home, successor) == {PeerIdentity("a", 1)}
+    assert successor.begin(make_token(), DIGEST, 0.0) == Finished(outcome)
+
+
+def test_no_table_starts_tokens_after_a_handover() -> None:
+    """Guards against two processes that start one token after a handover."""
+    home, first, second = make_home(), HomeTable("c", 1), HomeTable("d", 1)
+    home.begin(make_token(1), DIGEST, 0.0)
+    start(home, make_token(2))
+    hand_over(home, first)
+    hand_over(home, second)
+    assert not home.confirm_start(make_token(1))
+    for table in (home, first, second):
+        assert table.begin(make_token(1), DIGEST, 0.0) == RefusedVoid()
+        assert table.begin(make_token(3), DIGEST, 0.0) == RefusedVoid()
+    running = first.begin(make_token(2), DIGEST, 0.0)
+    assert isinstance(running, Finished) and isinstance(running.outcome, Unknown)
+
+
+def test_second_export_brings_the_answer_of_a_running_token() -> None:
+    """Guards against an unknown outcome that hides a known answer."""
+    home, successor = make_home(), HomeTable("c", 1)
+    start(home, make_token())
+    hand_over(home, successor)
+    home.finish(make_token(), DONE, 1.0)
+    hand_over(home, successor)
+    assert successor.begin(make_token(), DIGEST, 1.0) == Finished(DONE)
+
+
+def test_partial_handover_adopts_nothing() -> None:
+    """Guards against "not run" for a token in a part that never arrived."""
+    home, successor = make_home(), HomeTable("c", 1)
+    body = bytes(CHUNK_BYTES // 3)
+    for sequence in range(1, 6):
+        end(home, make_token(sequence), Done(200, (), body))
+    parts = home.export()
+    assert len(parts) > 1
+    other_export = home.export()
+    for part in [*parts[:-1], other_export[-1]]:
+        assert successor.import_from(part) == frozenset()
+    assert successor.begin(make_token(), DIGEST, 0.0) == NotHome()
+    assert hand_over(home, successor) == {PeerIdentity("a", 1)}
+
+
+def test_handover_keeps_dropped_tokens_unknown() -> None:
+    """Guards against "not run" for a token dropped before the handover."""
+    home, successor = make_home(max_bytes=1000), HomeTable("c", 1)
+    end(home, make_token(1), DONE)
+    end(home, make_token(2), DONE)
+    hand_over(home, successor)
+    assert successor.begin(make_token(1), DIGEST, 0.0) == Forgotten()
+
+
+@pytest.mark.parametrize("data", [b"", b"{}", b"[]", b'{"sender":["a",1]}'])
+def test_malformed_handover_is_refused(data) -> None:
+    """Guards against a table adopted from damaged bytes."""
+    with pytest.raises(HandoverMalformed):
+        make_home().import_from(data)
--- /dev/null
+++ b/src/sesameladder/idempotency/tests/test_witness.py
@@ -0,0 +1,147 @@
+"""The witness's table and the home's procedure that asks it."""
+
+import pytest
+
+from sesameladder.idempotency import (
+    Answer,
+    Done,
+    Finished,
+    HomeTable,
+    NeverStarted,
+    NotRun,
+    NotRunReason,
+    NotWitness,
+    RecordStart,
+    SendBack,
+    SendToWorker,
+    Started,
+    StartProcedure,
+    Token,
+    Unknown,
+    WaitForRun,
+    WitnessTable,
+)
+from sesameladder.idempotency._witness import MAX_ANSWER_BYTES
+
+DONE = Done(200, (), b"order 1")
+
+
+def make_token(sequence: int = 1, witness_incarnation: int = 1) -> Token:
+    return Token("a", 1, "b", witness_incarnation, sequence, 100.0)
+
+
+TOKEN = make_token()
+
+
+@pytest.mark.parametrize(
+    ("calls", "verdict", "may_start"),
+    [
+        ([], NeverStarted(), False),
+        (["start"], Started(), True),
+        # A resumed home comes after the void.
+        (["void", "start"], NeverStarted(), False),
+        (["void", "void"], NeverStarted(), False),
+        # A doubled message of the home.
+        (["start", "start"], Started(), True),
+        (["start", DONE], Finished(DONE), False),
+        # A late refusal of an earlier attempt must not hide a later start.
+        (["start", NotRun("queue-limit")], Started(), True),
+        (["start", Unknown("lost")], Started(), True),
+        # An answer without a start is a stray message.
+        ([DONE], NeverStarted(), False),
+        (["void", DONE], NeverStarted(), False),
+        (["start", Done(200, (), bytes(MAX_ANSWER_BYTES + 1))], Started(), True),
+    ],
+)
+def test_verdict(calls, verdict, may_start) -> None:
+    """Guards against a void and a start that both count."""
+    table = WitnessTable("b", 1)
+    for call in calls:
+        if call == "start":
+            table.record_start(TOKEN, 0.0)
+        elif call == "void":
+            table.void(TOKEN, 0.0)
+        else:
+            table.record_answer(TOKEN, call)
+    assert table.void(TOKEN, 1.0) == verdict
+    assert table.record_start(TOKEN, 1.0) == may_start
+
+
+def test_blank_witness_neither_voids_nor_records() -> None:
+    """Guards against a verdict by a process that lost the records."""
+    table = WitnessTable("b", 2)
+    assert table.void(TOKEN, 0.0) == NotWitness()
+    assert not table.record_start(TOKEN, 0.0)
+
+
+@pytest.mark.parametrize("first_call", ["start", "void"])
+def test_dropped_record_counts_as_started_and_void(first_call) -> None:
+    """Guards against a dropped start that turns into "not run"."""
+    table = WitnessTable("b", 1, max_bytes=1300)
+    if first_call == "start":
+        table.record_start(TOKEN, 0.0)
+    else:
+        table.void(TOKEN, 0.0)
+    for sequence in range(2, 5):
+        table.record_start(make_token(sequence), 0.0)
+    assert table.void(TOKEN, 0.0) == Started()
+    assert not table.record_start(TOKEN, 0.0)
+    assert table.void(make_token(5), 0.0) == NeverStarted()
+
+
+def make_procedure(token: Token = TOKEN, attempt: int = 1) -> StartProcedure:
+    return StartProcedure(HomeTable("a", 1), token, b"d", attempt)
+
+
+def test_start_waits_for_the_witness() -> None:
+    """Guards against a run that the witness does not know of."""
+    procedure = make_procedure()
+    assert procedure.begin(0.0) == RecordStart(TOKEN.witness_identity)
+    assert procedure.witness_answered(True, 0.0) == SendToWorker()
+    assert procedure.ended(DONE, 0.0) == Answer(DONE)
+
+
+def test_start_without_a_witness() -> None:
+    """Guards against a lone instance that serves no tokens."""
+    assert make_procedure(Token("a", 1, None, 0, 1, 9.0)).begin(0.0) == SendToWorker()
+
+
+@pytest.mark.parametrize(
+    ("end", "reason"),
+    [
+        (lambda p: p.witness_answered(False, 0.0), NotRunReason.TOKEN_VOID),
+        (lambda p: p.witness_unreachable(0.0), NotRunReason.WITNESS_UNAVAILABLE),
+    ],
+)
+def test_unrecorded_start_is_not_run(end, reason) -> None:
+    """Guards against a home that runs without its witness."""
+    procedure = make_procedure()
+    procedure.begin(0.0)
+    assert end(procedure) == Answer(NotRun(reason))
+    assert procedure.witness_answered(True, 0.0) == Answer(
+        NotRun(NotRunReason.TOKEN_VOID)
+    )
+
+
+@pytest.mark.parametrize(
+    "late",
+    [
+        lambda p: p.witness_answered(True, 0.0),
+        lambda p: p.witness_answered(False, 0.0),
+        lambda p: p.witness_unreachable(0.0),
+    ],
+)
+def test_late_witness_message_does_not_deny_a_run(late) -> None:
+    """Guards against "not run" or a second run while a worker has the request."""
+    procedure = make_procedure()
+    procedure.begin(0.0)
+    procedure.witness_answered(True, 0.0)
+    assert late(procedure) == WaitForRun()
+    procedure.ended(DONE, 0.0)
+    assert late(procedure) == Answer(DONE)
+
+
+def test_other_homes_token_is_sent_back() -> None:
+    """Guards against a blank home that starts its predecessor's token."""
+    token = Token("a", 9, "b", 1, 1, 100.0)
+    assert make_procedure(token).begin(0.0) == SendBack()
