--- /dev/null
+++ b/src/sesameladder/measure/_planning_buffer.py
@@ -0,0 +1,73 @@
+"""Cost of the buffer that the spare pool lends to short pools."""
+
+from dataclasses import replace
+from random import Random
+
+from sesameladder.measure._entry import MeasureEntry
+from sesameladder.measure._planning_driver import start_driver
+from sesameladder.measure._planning_fleet import SLOTS, build_fleet
+from sesameladder.model import AvailabilityBudget, FleetState
+
+HOURS = 2
+SPARE_POOL = "pool04"
+# VMs that the floor demand of each pool needs.
+FLOOR_VMS = {"pool00": 3, "pool01": 2, "pool02": 4, "pool03": 3}
+ZONES = 3
+
+
+def measure_buffer(deployment: str, seed: int) -> list[MeasureEntry]:
+    """Return the VM-hours beyond the floor demand once the buffer is placed."""
+    state = build_floor_fleet()
+    driver = start_driver(state, Random(seed))
+    driver.run(20_000.0, driver.is_settled)
+    driver.run(600.0)
+    vm_seconds = 0.0
+    for _ in range(HOURS * 3_600):
+        driver.run(1.0)
+        members = sum(row.pool != SPARE_POOL for row in driver.plan.rows.values())
+        vm_seconds += members - sum(FLOOR_VMS.values())
+    value = vm_seconds / 3_600
+    racks = len({vm.rack for vm in state.vms.values()})
+    bound = HOURS * sum(least_buffer(need, racks) for need in FLOOR_VMS.values())
+    baseline = HOURS * sum(least_buffer(need, ZONES) for need in FLOOR_VMS.values())
+    return [
+        MeasureEntry(
+            "buffer_vm_hours",
+            deployment,
+            "VM h",
+            value,
+            baseline,
+            bound,
+            "value <= 1.1 * bound",
+            value <= 1.1 * bound and not driver.region.violations,
+        )
+    ]
+
+
+def build_floor_fleet() -> FleetState:
+    """Return today's fleet with pools that hold their floor and no buffer."""
+    state = build_fleet(30, 5)
+    vms = dict(state.vms)
+    for pool, need in FLOOR_VMS.items():
+        for vm in state.list_pool_vms(pool)[need:]:
+            vms[vm.name] = replace(vm, pool=SPARE_POOL)
+    pools = {
+        name: replace(pool, floor_slots=FLOOR_VMS.get(name, 0) * SLOTS)
+        for name, pool in state.pools.items()
+    }
+    budgets = {
+        name: AvailabilityBudget(name, need - 1, 1) for name, need in FLOOR_VMS.items()
+    }
+    budgets[SPARE_POOL] = AvailabilityBudget(SPARE_POOL, 0, 4)
+    return replace(state, vms=vms, pools=pools, budgets=budgets)
+
+
+def least_buffer(need: int, domains: int) -> int:
+    """Return the least VMs beyond the need that survive the loss of one domain.
+
+    The VMs are spread evenly, as if any VM of the fleet could join the pool.
+    """
+    count = need
+    while count - -(-count // domains) < need:
+        count += 1
+    return count - need
--- a/src/sesameladder/measure/_planning_driver.py
+++ b/src/sesameladder/measure/_planning_driver.py
@@ -2,18 +2,24 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from random import Random
 
-from sesameladder.measure._planning_region import FakeRegion
+from sesameladder.measure._planning_fleet import entry_names
+from sesameladder.measure._planning_region import FakeRegion, RegionTimes
+from sesameladder.model import FleetState
 from sesameladder.planning import (
     Phase,
     Planner,
     PlannerSession,
+    PlannerSettings,
     RegionPlan,
+    VmRow,
     WritePlan,
 )
 from sesameladder.platform import FakeStore
 
 STEP_S = 1.0
+FIRST_PLAN_S = 10.0
 
 
 @dataclass(slots=True)
@@ -29,8 +35,11 @@
     plan: RegionPlan
     """Plan after the last step."""
 
+    moves_started: int = 0
+    """Moves that were started so far, also those that were withdrawn."""
+
     moves: int = 0
-    """Moves that were started so far."""
+    """VMs that left a pool for another one so far."""
 
     def run(self, seconds: float, is_done: Callable[[], bool] | None = None) -> float:
         """Run up to some time or until a condition; returns the seconds passed."""
@@ -48,7 +57,8 @@
         actions = self.planner.step(region.observe(self.plan), self.plan, region.now)
         for action in actions:
             if isinstance(action, WritePlan):
-                self.moves += count_new_moves(self.plan, action.plan)
+                self.moves_started += _count_new(self.plan, action.plan, _is_moving)
+                self.moves += _count_new(self.plan, action.plan, _is_released)
                 self.plan = action.plan
         region.publish(self.plan)
         region.carry_out(actions)
@@ -64,11 +74,32 @@
         )
 
 
-def count_new_moves(old: RegionPlan, new: RegionPlan) -> int:
-    """Return how many rows began a move between two plans."""
+def start_driver(
+    state: FleetState, random: Random, times: RegionTimes | None = None
+) -> PlannerDriver:
+    """Return a driver whose region has its first plan in effect."""
+    entries = entry_names(state)
+    region = FakeRegion(state, random, entries, times or RegionTimes())
+    planner = Planner("north", 1, PlannerSettings(instances=entries))
+    driver = PlannerDriver(region, planner, RegionPlan.empty("north"))
+    driver.run(FIRST_PLAN_S)
+    return driver
+
+
+def _is_moving(row: VmRow | None) -> bool:
+    return row is not None and row.target_pool is not None
+
+
+def _is_released(row: VmRow | None) -> bool:
+    return row is not None and row.phase is Phase.RELEASED
+
+
+def _count_new(
+    old: RegionPlan, new: RegionPlan, is_counted: Callable[[VmRow | None], bool]
+) -> int:
+    """Return how many rows of a plan have a property that they had not before."""
     return sum(
-        row.target_pool is not None
-        and ((before := old.rows.get(row.vm)) is None or before.target_pool is None)
+        is_counted(row) and not is_counted(old.rows.get(row.vm))
         for row in new.rows.values()
     )
 
--- /dev/null
+++ b/src/sesameladder/measure/_planning_moves.py
@@ -0,0 +1,100 @@
+"""Moves that tickets and alternating demand cause."""
+
+from random import Random
+
+from sesameladder.measure._entry import MeasureEntry
+from sesameladder.measure._planning_driver import start_driver
+from sesameladder.measure._planning_fleet import build_fleet
+from sesameladder.measure._planning_region import reassign
+from sesameladder.model import FleetState
+
+TICKETS = 6
+VMS_PER_TICKET = 3
+TICKET_GAP_S = 5.0
+SETTLE_S = 20_000.0
+ALTERNATION_S = 7_200.0
+BURST_S = 6.0
+BURST_FACTOR = 5.0
+LULL_FACTOR = 0.05
+# Length of the lull at which the mean demand is unchanged.
+LULL_S = BURST_S * (BURST_FACTOR - 1) / (1 - LULL_FACTOR)
+
+
+def measure_moves(deployment: str, seed: int) -> list[MeasureEntry]:
+    """Return the moves after racing tickets and under alternating demand."""
+    return [
+        _measure_tickets(deployment, seed),
+        _measure_alternation(deployment, seed),
+    ]
+
+
+def _measure_tickets(deployment: str, seed: int) -> MeasureEntry:
+    """File tickets faster than moves end; each moves some VMs."""
+    state = build_fleet(30, 5)
+    random = Random(seed)
+    driver = start_driver(state, random)
+    for _ in range(TICKETS):
+        driver.region.state = _move_some(driver.region.state, random)
+        driver.run(TICKET_GAP_S)
+    final = driver.region.state
+    driver.run(SETTLE_S, driver.is_settled)
+    if driver.region.violations or not driver.is_settled():
+        raise AssertionError(driver.region.violations)
+    least = sum(state.vms[name].pool != vm.pool for name, vm in final.vms.items())
+    return MeasureEntry(
+        "vm_moves",
+        deployment,
+        "moves",
+        driver.moves,
+        _count_full_reassignment(state, final),
+        least,
+        "value <= 1.2 * bound",
+        driver.moves <= 1.2 * least,
+    )
+
+
+def _move_some(state: FleetState, random: Random) -> FleetState:
+    """Exchange VMs of two pools, so that every budget can still be met."""
+    first, second = random.sample(sorted(state.pools), 2)
+    pools = {}
+    for source, target in ((first, second), (second, first)):
+        vms = [vm.name for vm in state.list_pool_vms(source)]
+        pools.update(dict.fromkeys(random.sample(vms, VMS_PER_TICKET), target))
+    return reassign(state, pools)
+
+
+def _count_full_reassignment(old: FleetState, new: FleetState) -> int:
+    """Return the moves when VMs are dealt to pools anew, by name and pool size."""
+    sizes = {pool: len(new.list_pool_vms(pool)) for pool in sorted(new.pools)}
+    dealt = [pool for pool, size in sizes.items() for _ in range(size)]
+    return sum(
+        old.vms[name].pool != pool
+        for name, pool in zip(sorted(new.vms), dealt, strict=True)
+    )
+
+
+def _measure_alternation(deployment: str, seed: int) -> MeasureEntry:
+    state = build_fleet(30, 5)
+    driver = start_driver(state, Random(seed))
+    cells = sorted({f"{vm.pool}/{vm.zone}" for vm in state.vms.values()})
+    naive_moves = 0
+    start = driver.region.now
+    while driver.region.now - start < ALTERNATION_S:
+        for length, factor in ((BURST_S, BURST_FACTOR), (LULL_S, LULL_FACTOR)):
+            for cell in cells:
+                pool = cell.split("/")[0]
+                mean = state.pools[pool].floor_slots / 3
+                driver.region.demand[cell] = mean * factor
+            driver.run(length)
+            # A planner that follows the demand lends or returns one VM per pool.
+            naive_moves += len(state.pools) - 1
+    return MeasureEntry(
+        "vm_moves_alternating",
+        deployment,
+        "moves",
+        driver.moves_started,
+        naive_moves,
+        0.0,
+        "value == 0",
+        driver.moves_started == 0,
+    )
--- a/src/sesameladder/measure/_planning_region.py
+++ b/src/sesameladder/measure/_planning_region.py
@@ -133,6 +133,9 @@
     violations: list[str] = field(default_factory=list)
     """Broken promises so far."""
 
+    stop_s: dict[str, float] = field(default_factory=dict)
+    """True drain and reboot time of each VM's last reboot, in seconds."""
+
     lags: dict[str, float] = field(default_factory=dict)
     """Time until a cell's dispatcher applies a plan, by cell."""
 
@@ -280,6 +283,7 @@
             vm.served_by = None
             is_stuck = vm.name in self.stragglers
             drain = 1e9 if is_stuck else self.random.uniform(*self.times.drain_s)
+            self.stop_s[vm.name] = drain
             vm.busy_until = self.now + drain if vm.up else 0.0
 
     def _reboot(self, vm: FakeVm) -> None:
@@ -290,7 +294,9 @@
         if vm.up and self._is_busy(vm):
             self.violations.append(f"P7: the reboot of {vm.name} cut a request")
         vm.up = False
-        vm.returns_at = self.now + self.random.uniform(*self.times.reboot_s)
+        reboot = self.random.uniform(*self.times.reboot_s)
+        vm.returns_at = self.now + reboot
+        self.stop_s[vm.name] = self.stop_s.get(vm.name, 0.0) + reboot
         self._list(vm, VmState.LEAVING)
 
     def _answer(self, vm: FakeVm) -> None:
--- a/src/sesameladder/planning/_lending.py
+++ b/src/sesameladder/planning/_lending.py
@@ -74,11 +74,8 @@
         """Work out the need of a pool."""
         state = step.draft.situation.state
         budget = state.budgets.get(pool)
-        configured = sum(
-            state.vms[row.vm].pool == pool
-            for row in step.survey.members.get(pool, [])
-            if row.vm in state.vms
-        )
+        destined = step.survey.destined.get(pool, [])
+        configured = sum(state.vms[row.vm].pool == pool for row in destined)
         vms = min(configured, budget.min_available + 1) if budget else 0
         since = step.memory.demand_since
         is_known = since is not None and (
@@ -110,18 +107,10 @@
 
 
 def list_lasting(step: PlannerStep, pool: str) -> list[VirtualMachine]:
-    """Return the VMs that a pool has or gets, without failed and leaving ones."""
+    """Return the VMs that a pool has or gets, without the failed ones."""
     state = step.draft.situation.state
-    incoming = [row for row in step.survey.transient if row.target_pool == pool]
-    rows = [*step.survey.members.get(pool, []), *incoming]
-    return [
-        state.vms[row.vm]
-        for row in (step.draft.rows.get(row.vm) for row in rows)
-        if row is not None
-        and row.vm in state.vms
-        and _is_lasting(step, row)
-        and (row.target_pool or row.pool) == pool
-    ]
+    rows = (step.draft.rows[row.vm] for row in step.survey.destined.get(pool, []))
+    return [state.vms[row.vm] for row in rows if _is_lasting(step, row)]
 
 
 def _is_lasting(step: PlannerStep, row: VmRow) -> bool:
--- a/src/sesameladder/planning/_survey.py
+++ b/src/sesameladder/planning/_survey.py
@@ -31,6 +31,9 @@
     cells: set[tuple[str, str]] = field(default_factory=set)
     """Cells, as pool and zone, that VMs are in or move to."""
 
+    destined: dict[str, list[VmRow]] = field(default_factory=dict)
+    """Named rows by the pool that they belong in, wherever they are now."""
+
     lent: list[VmRow] = field(default_factory=list)
     """Rows that a spare pool lent."""
 
@@ -65,12 +68,16 @@
         if row.lender is not None:
             self.lent.append(row)
         spec = state.vms.get(row.vm)
-        if row.phase is not Phase.SERVING:
+        is_serving = row.phase is Phase.SERVING
+        if not is_serving:
             self.transient.append(row)
-        elif spec is None or spec.zone != row.zone:
+        if spec is not None and spec.zone == row.zone:
+            destination = destination_of(row, state)
+            self.destined.setdefault(destination, []).append(row)
+            if is_serving and destination != row.pool:
+                self.misplaced.append(row)
+        elif is_serving:
             self.unnamed.append(row)
-        elif destination_of(row, state) != row.pool:
-            self.misplaced.append(row)
 
 
 def destination_of(row: VmRow, state: FleetState) -> str:
