Bound relay traffic and read the client's settings

Cause: with 12 zones of 15 instances, a relay that sends a heartbeat to all other relays each second exceeds 3 KB/s (heartbeat frames have 156 bytes), and a relay that reaches 12 of its 14 zone peers leaves two polling. Change: a relay reaches 14 zone peers each second and two other zones in turn, finds unknown relays by going through a zone's instances, and announces a number instead of sending the ticket to other zones; transfers have an allowance of bytes; the client reads its settings from the settings package. Conclusion: times and bytes under load are measured next.

--- a/src/sesameladder/client/_config.py
+++ b/src/sesameladder/client/_config.py
@@ -25,6 +25,7 @@
         lines = [
             "settings are valid",
             f"  platform  {settings.platform_address}, called from {settings.zone}",
+            f"  region    {settings.region}",
             f"  author    {settings.author}",
         ]
         lines += [
@@ -33,6 +34,7 @@
         ]
         form = {
             "platform_address": settings.platform_address,
+            "region": settings.region,
             "zone": settings.zone,
             "author": settings.author,
             "instances": [
--- a/src/sesameladder/client/_context.py
+++ b/src/sesameladder/client/_context.py
@@ -6,60 +6,24 @@
 import time
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
-from importlib import import_module
 from pathlib import Path
-from typing import Any, Protocol, TextIO
+from typing import Any, TextIO
 
 from sesameladder.client._errors import CommandFailed
 from sesameladder.client._exit_codes import ExitCode
 from sesameladder.client._instances import fetch_json
 from sesameladder.platform import PlatformClient, Store
+from sesameladder.settings import ClientSettings, SettingsInvalid
 from sesameladder.tickets import TicketLog
 
 SETTINGS_VARIABLE = "SESAMELADDER_SETTINGS"
 
 
-class InstanceAddress(Protocol):
-    """One entry instance of the settings."""
-
-    @property
-    def instance(self) -> str:
-        """Instance id."""
-
-    @property
-    def zone(self) -> str:
-        """Name of the instance's zone."""
-
-    @property
-    def admin_address(self) -> str:
-        """``host:port`` of the admin endpoint."""
-
-
-class Settings(Protocol):
-    """The client settings that the subcommands use."""
-
-    @property
-    def platform_address(self) -> str:
-        """``host:port`` of the platform."""
-
-    @property
-    def zone(self) -> str:
-        """Zone that the command calls from."""
-
-    @property
-    def author(self) -> str:
-        """Author of tickets whose file names none."""
-
-    @property
-    def instances(self) -> Sequence[InstanceAddress]:
-        """The entry instances."""
-
-
 @dataclass(slots=True)
 class Context:
     """The surroundings of one run of the command."""
 
-    settings: Settings
+    settings: ClientSettings
     """Client settings."""
 
     store: Store
@@ -123,14 +87,16 @@
     return Path(text)
 
 
-def load_client_settings(path: Path) -> Settings:
+def load_client_settings(path: Path) -> ClientSettings:
     """Return the settings of a file; raises ``CommandFailed``."""
-    module = import_module("sesameladder.settings")
-    settings: Settings = module.ClientSettings.from_file(path)
-    return settings
+    try:
+        return ClientSettings.from_file(path)
+    except SettingsInvalid as error:
+        message = f"settings refused:\n{error}"
+        raise CommandFailed(ExitCode.UNREADABLE, message) from error
 
 
-def open_context(settings: Settings) -> Context:
+def open_context(settings: ClientSettings) -> Context:
     """Return the context of a run against the platform of the settings."""
     store = PlatformClient.from_address(settings.platform_address, settings.zone)
     return Context(
--- a/src/sesameladder/client/_dump.py
+++ b/src/sesameladder/client/_dump.py
@@ -6,10 +6,11 @@
 
 import cappa
 
-from sesameladder.client._context import Context, InstanceAddress
+from sesameladder.client._context import Context
 from sesameladder.client._errors import CommandFailed, InstanceUnreachable
 from sesameladder.client._exit_codes import EXIT_CODE_HELP, ExitCode
 from sesameladder.client._options import CommonOptions
+from sesameladder.settings import ClientInstance
 
 
 @cappa.command(
@@ -34,7 +35,7 @@
         return ExitCode.DONE
 
 
-def _find_instance(context: Context, instance: str) -> InstanceAddress:
+def _find_instance(context: Context, instance: str) -> ClientInstance:
     for address in context.settings.instances:
         if address.instance == instance:
             return address
--- a/src/sesameladder/client/_main.py
+++ b/src/sesameladder/client/_main.py
@@ -12,7 +12,6 @@
 from sesameladder.client._config import CheckConfig
 from sesameladder.client._context import (
     Context,
-    Settings,
     find_settings_path,
     load_client_settings,
     open_context,
@@ -28,6 +27,7 @@
 from sesameladder.client._status import ShowStatus
 from sesameladder.client._wording import encode_problems, list_problems
 from sesameladder.platform import PlatformError
+from sesameladder.settings import ClientSettings
 from sesameladder.tickets import (
     TicketInvalid,
     TicketLogCorrupt,
@@ -101,8 +101,8 @@
 
 def run(
     arguments: list[str] | None,
-    load_settings: Callable[[Path], Settings],
-    open_run: Callable[[Settings], Context] = open_context,
+    load_settings: Callable[[Path], ClientSettings] = load_client_settings,
+    open_run: Callable[[ClientSettings], Context] = open_context,
 ) -> ExitCode:
     """Run a command line with a given way to read settings."""
     command = parse_arguments(arguments)
@@ -116,4 +116,4 @@
 
 def main(arguments: list[str] | None = None) -> int:
     """Run the operators' command; returns its exit code."""
-    return int(run(arguments, load_client_settings))
+    return int(run(arguments))
--- a/src/sesameladder/client/_status.py
+++ b/src/sesameladder/client/_status.py
@@ -7,10 +7,11 @@
 
 import cappa
 
-from sesameladder.client._context import Context, InstanceAddress
+from sesameladder.client._context import Context
 from sesameladder.client._errors import InstanceUnreachable
 from sesameladder.client._exit_codes import EXIT_CODE_HELP, ExitCode
 from sesameladder.client._options import CommonOptions
+from sesameladder.settings import ClientInstance
 from sesameladder.tickets import Head, TicketLogError
 
 MAX_CALLS_AT_ONCE = 16
@@ -77,14 +78,14 @@
 
 
 def ask_instances(
-    context: Context, instances: Sequence[InstanceAddress]
+    context: Context, instances: Sequence[ClientInstance]
 ) -> list[InstanceStatus]:
     """Return the status of each instance, in the order of the settings."""
     with ThreadPoolExecutor(MAX_CALLS_AT_ONCE) as pool:
         return list(pool.map(lambda address: _ask(context, address), instances))
 
 
-def _ask(context: Context, address: InstanceAddress) -> InstanceStatus:
+def _ask(context: Context, address: ClientInstance) -> InstanceStatus:
     try:
         answer = context.fetch(address.admin_address, "/-/status")
         return _decode(address, answer)
@@ -95,7 +96,7 @@
     return InstanceStatus(address.instance, address.zone, None, None, None, (), problem)
 
 
-def _decode(address: InstanceAddress, answer: Any) -> InstanceStatus:
+def _decode(address: ClientInstance, answer: Any) -> InstanceStatus:
     behind = answer["behind_since"]
     return InstanceStatus(
         address.instance,
--- a/src/sesameladder/client/tests/session.py
+++ b/src/sesameladder/client/tests/session.py
@@ -13,23 +13,18 @@
 NOW = 1_764_840_000.0
 
 
-@dataclass
-class Address:
-    instance: str
-    zone: str
-    admin_address: str
-
-
-@dataclass
-class Settings:
-    platform_address: str = "127.0.0.1:7000"
-    zone: str = "a"
-    author: str = "mara"
-    instances: tuple[Address, ...] = (
-        Address("entry-a-1", "a", "127.0.0.1:7101"),
-        Address("entry-a-2", "a", "127.0.0.1:7102"),
-        Address("entry-b-1", "b", "127.0.0.1:7103"),
-    )
+SETTINGS = """{
+    // Three instances in two zones.
+    "platform_address": "127.0.0.1:7000",
+    "zone": "a",
+    "region": "south",
+    "author": "mara",
+    "instances": [
+        {"instance": "entry-a-1", "zone": "a", "admin_address": "127.0.0.1:7101"},
+        {"instance": "entry-a-2", "zone": "a", "admin_address": "127.0.0.1:7102"},
+        {"instance": "entry-b-1", "zone": "b", "admin_address": "127.0.0.1:7103"},
+    ],
+}"""
 
 
 @dataclass
@@ -47,13 +42,13 @@
         (self.folder / name).write_text(content, encoding="utf-8")
 
     def run(self, line: str) -> int:
+        self.write("client.jsonc", SETTINGS)
         words = line.split()
         arguments = [str(self.folder / w) if w.endswith(".json") else w for w in words]
         output, errors = io.StringIO(), io.StringIO()
         code = run(
-            [*arguments, "--settings", "client.jsonc"],
-            lambda path: Settings(),
-            lambda settings: Context(
+            [*arguments, "--settings", str(self.folder / "client.jsonc")],
+            open_run=lambda settings: Context(
                 settings,
                 self.store,
                 self.fetch,
--- a/src/sesameladder/client/tests/test_golden.py
+++ b/src/sesameladder/client/tests/test_golden.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from sesameladder.client import ExitCode, main
 from sesameladder.client.tests.session import NOW, Session
 from sesameladder.planning import Phase, RegionPlan, VmRow
 from sesameladder.tickets import TicketLog
@@ -163,6 +164,17 @@
     session.run("config check --json")
 
 
+def test_bad_settings_are_refused(tmp_path, capsys, monkeypatch) -> None:
+    """Guards against a command that runs with half-read settings."""
+    path = tmp_path / "client.jsonc"
+    path.write_text('{"zone": 5}', encoding="utf-8")
+    assert main(["status", "--settings", str(path)]) == ExitCode.UNREADABLE
+    assert "client.jsonc: zone = 5" in capsys.readouterr().err
+    monkeypatch.delenv("SESAMELADDER_SETTINGS", raising=False)
+    assert main(["status"]) == ExitCode.UNREADABLE
+    assert "SESAMELADDER_SETTINGS" in capsys.readouterr().err
+
+
 SESSIONS = [
     file_session,
     refusal_session,
--- a/src/sesameladder/configuration/__init__.py
+++ b/src/sesameladder/configuration/__init__.py
@@ -10,16 +10,15 @@
 )
 from sesameladder.configuration._poll import PollSchedule
 from sesameladder.configuration._recent import RecentTicket
-from sesameladder.configuration._relay import (
+from sesameladder.configuration._relay import Pull, RelayRules
+from sesameladder.configuration._rendezvous import rank_members
+from sesameladder.configuration._replica import ConfigurationReplica
+from sesameladder.configuration._transfers import (
     Declined,
-    Pull,
-    RelayRules,
     SendSnapshot,
     SendTickets,
     Transfer,
 )
-from sesameladder.configuration._rendezvous import rank_members
-from sesameladder.configuration._replica import ConfigurationReplica
 
 __all__ = [
     "Applied",
--- a/src/sesameladder/configuration/_relay.py
+++ b/src/sesameladder/configuration/_relay.py
@@ -1,22 +1,27 @@
 """Which peer is sent what, so that the bytes stay bounded."""
 
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from sesameladder.configuration._recent import RecentTicket
 from sesameladder.configuration._rendezvous import rank_members
 from sesameladder.configuration._replica import ConfigurationReplica
+from sesameladder.configuration._transfers import Transfer, TransferAllowance
 
 MAX_ZONE_PEERS = 12
 MAX_REMOTE_PEERS = 4
+# A relay has to be heard by every instance of its zone, 15 at the target size.
+MAX_RELAY_ZONE_PEERS = 14
+# Other zones get a relay's heartbeat in turn. More at once would take a relay
+# with 14 zone peers and heartbeats of 156 bytes over 3 KB/s.
+RELAY_ZONES_PER_HEARTBEAT = 2
 PEER_SILENCE_S = 3.0
+REMOTE_RELAY_SILENCE_S = 15.0
+# Instances of a zone that are told of a new number while its relay is unknown.
+UNKNOWN_RELAY_PEERS = 2
 PULL_TIMEOUT_S = 0.5
-# A frame holds 2 MiB; the rest is room for the envelope.
-MAX_TRANSFER_BYTES = 1_500_000
 # A larger ticket is only announced; peers pull it, each from one other peer.
 MAX_PUSH_BYTES = 65_536
-TRANSFER_BURST_BYTES = 8_000_000
-TRANSFER_BYTES_PER_S = 2_000
 
 
 @dataclass(slots=True)
@@ -36,36 +41,6 @@
     """Time of the last heartbeat, by the injected clock."""
 
 
-@dataclass(frozen=True, slots=True)
-class SendTickets:
-    """Tickets to send; more may follow after the last one."""
-
-    tickets: tuple[RecentTicket, ...]
-    """Consecutive tickets; empty when the peer has all."""
-
-
-@dataclass(frozen=True, slots=True)
-class SendSnapshot:
-    """A folded state to send."""
-
-    number: int
-    """Number of the state."""
-
-    state_bytes: bytes
-    """Byte form of the state."""
-
-
-@dataclass(frozen=True, slots=True)
-class Declined:
-    """Nothing to send, since the byte allowance is used up."""
-
-    retry_after_s: float
-    """Seconds after which the allowance suffices."""
-
-
-Transfer = SendTickets | SendSnapshot | Declined
-
-
 @dataclass(frozen=True, slots=True)
 class Pull:
     """A request for the tickets after a number."""
@@ -77,33 +52,74 @@
     """Number of this instance."""
 
 
+@dataclass(frozen=True, slots=True)
+class Layout:
+    """The configured instances as one instance ranks them."""
+
+    near: tuple[str, ...] = ()
+    """Other instances of the own zone, by rendezvous hash."""
+
+    far: tuple[str, ...] = ()
+    """Instances of other zones, by rendezvous hash."""
+
+    by_zone: dict[str, tuple[str, ...]] = field(default_factory=dict)
+    """Instances of each other zone, by rendezvous hash."""
+
+    @classmethod
+    def from_configured(
+        cls, instance: str, zone: str, configured: Mapping[str, str]
+    ) -> "Layout":
+        """Return the ranking of an instance; ``configured`` maps id to zone."""
+        ranked = rank_members(instance, (p for p in configured if p != instance))
+        near = tuple(peer for peer in ranked if configured[peer] == zone)
+        far = tuple(peer for peer in ranked if configured[peer] != zone)
+        zones = sorted({configured[peer] for peer in far})
+        by_zone = {
+            other: tuple(peer for peer in far if configured[peer] == other)
+            for other in zones
+        }
+        return cls(near, far, by_zone)
+
+
 class RelayRules:
     """Chooses receivers and contents of configuration messages.
 
-    The caller reports heartbeats and sends what is returned. Not safe to
+    The caller reports heartbeats, sends what is returned and calls
+    ``set_configured`` when the configured instances change. Not safe to
     share by threads.
     """
 
     __slots__ = (
         "allowance",
         "clock",
-        "filled_at",
         "instance",
+        "layout",
         "peers",
         "pull_until",
         "relay",
         "zone",
     )
 
-    def __init__(self, instance: str, zone: str, clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        instance: str,
+        zone: str,
+        configured: Mapping[str, str],
+        clock: Callable[[], float],
+    ) -> None:
         self.instance = instance
         self.zone = zone
         self.clock = clock
         self.relay = False
         self.peers: dict[str, PeerView] = {}
         self.pull_until: float = 0.0
-        self.allowance: float = TRANSFER_BURST_BYTES
-        self.filled_at = clock()
+        self.allowance = TransferAllowance(clock)
+        self.layout = Layout()
+        self.set_configured(configured)
+
+    def set_configured(self, configured: Mapping[str, str]) -> None:
+        """Take over the configured instances, a map of id to zone."""
+        self.layout = Layout.from_configured(self.instance, self.zone, configured)
 
     def note_heartbeat(self, peer: str, zone: str, number: int, relay: bool) -> None:
         """Note a heartbeat; a late one doesn't lower the peer's number."""
@@ -117,38 +133,52 @@
 
     def hears_relay(self) -> bool:
         """Return whether this instance or a peer that is heard is its zone's relay."""
-        return self.relay or any(
-            view.relay and view.zone == self.zone and self._is_heard(view)
-            for view in self.peers.values()
-        )
+        return self.relay or self.find_relay(self.zone) is not None
+
+    def find_relay(self, zone: str) -> str | None:
+        """Return the relay of a zone that was heard last; None if none was."""
+        limit = PEER_SILENCE_S if zone == self.zone else REMOTE_RELAY_SILENCE_S
+        earliest = self.clock() - limit
+        heard = [
+            (view.heard_at, peer)
+            for peer, view in self.peers.items()
+            if view.relay and view.zone == zone and view.heard_at >= earliest
+        ]
+        return max(heard)[1] if heard else None
+
+    def choose_heartbeat_peers(self) -> list[str]:
+        """Return the peers that get a heartbeat now; called once a second.
+
+        A relay reaches the other zones in turn, through their relays; any
+        other instance reaches a few fixed peers of other zones.
+        """
+        if not self.relay:
+            near = self.layout.near[:MAX_ZONE_PEERS]
+            return [*near, *self.layout.far[:MAX_REMOTE_PEERS]]
+        near = self.layout.near[:MAX_RELAY_ZONE_PEERS]
+        return [*near, *self._choose_remote_peers()]
 
-    def choose_heartbeat_peers(self, configured: Mapping[str, str]) -> list[str]:
-        """Return the peers that get a heartbeat; ``configured`` maps id to zone.
+    def choose_announce_peers(self, number: int) -> list[str]:
+        """Return the peers of other zones that get a heartbeat at once.
 
-        A relay reaches the other zones through their relays, any other
-        instance through a few peers of other zones.
+        For a relay that read a new number from the store. A peer that is
+        behind pulls, so a ticket that all relays read is sent by none.
         """
-        others = [peer for peer in configured if peer != self.instance]
-        near = [peer for peer in others if configured[peer] == self.zone]
-        far = [peer for peer in others if configured[peer] != self.zone]
-        chosen = rank_members(self.instance, near)[:MAX_ZONE_PEERS]
-        relays = self._list_relays() if self.relay else []
-        spare = max(0, MAX_REMOTE_PEERS - len(relays))
-        rest = [peer for peer in far if peer not in relays]
-        return chosen + relays + rank_members(self.instance, rest)[:spare]
+        peers: list[str] = []
+        for zone, members in self.layout.by_zone.items() if self.relay else ():
+            relay = self.find_relay(zone)
+            peers += [relay] if relay else members[:UNKNOWN_RELAY_PEERS]
+        return [peer for peer in peers if self._is_behind(peer, number)]
 
     def plan_push(
-        self, replica: ConfigurationReplica, configured: Mapping[str, str]
+        self, replica: ConfigurationReplica
     ) -> list[tuple[str, RecentTicket]]:
         """Return what a relay sends at once after its replica moved forward."""
         latest = replica.recent.tickets.get(replica.number)
         if not self.relay or latest is None or len(latest.raw) > MAX_PUSH_BYTES:
             return []
-        near = [peer for peer, zone in configured.items() if zone == self.zone]
-        receivers = [peer for peer in near if peer != self.instance]
-        receivers += self._list_relays()
-        behind = [peer for peer in receivers if self._is_behind(peer, latest.number)]
-        return [(peer, latest) for peer in behind if self._take(len(latest.raw))]
+        behind = [p for p in self.layout.near if self._is_behind(p, latest.number)]
+        return [(p, latest) for p in behind if self.allowance.take(len(latest.raw))]
 
     def choose_pull(self, number: int) -> Pull | None:
         """Return whom to ask for missing tickets; None if nobody is ahead.
@@ -157,12 +187,14 @@
         number cause one transfer.
         """
         now = self.clock()
+        if now < self.pull_until:
+            return None
         ahead = [
             peer
             for peer, view in self.peers.items()
-            if view.number > number and self._is_heard(view)
+            if view.number > number and now - view.heard_at <= PEER_SILENCE_S
         ]
-        if not ahead or now < self.pull_until:
+        if not ahead:
             return None
         self.pull_until = now + PULL_TIMEOUT_S
         near = [peer for peer in ahead if self.peers[peer].zone == self.zone]
@@ -175,54 +207,20 @@
 
     def answer_pull(self, after: int, replica: ConfigurationReplica) -> Transfer:
         """Return what a peer with a number is sent, within the byte allowance."""
-        tickets = replica.tickets_after(after)
-        if tickets is None:
-            return self._answer_with_snapshot(replica)
-        chosen: list[RecentTicket] = []
-        size = 0
-        for ticket in tickets:
-            size += len(ticket.raw)
-            if chosen and size > MAX_TRANSFER_BYTES:
-                break
-            if not self._take(len(ticket.raw)):
-                break
-            chosen.append(ticket)
-        if tickets and not chosen:
-            return self._decline(len(tickets[0].raw))
-        return SendTickets(tuple(chosen))
-
-    def _answer_with_snapshot(self, replica: ConfigurationReplica) -> Transfer:
-        state_bytes = replica.build_snapshot()
-        if not self._take(len(state_bytes)):
-            return self._decline(len(state_bytes))
-        return SendSnapshot(replica.number, state_bytes)
-
-    def _list_relays(self) -> list[str]:
-        return sorted(
-            peer
-            for peer, view in self.peers.items()
-            if view.relay and view.zone != self.zone and self._is_heard(view)
-        )
+        return self.allowance.answer_pull(after, replica)
+
+    def _choose_remote_peers(self) -> list[str]:
+        zones = list(self.layout.by_zone)
+        turn = int(self.clock())
+        count = min(RELAY_ZONES_PER_HEARTBEAT, len(zones))
+        chosen = [zones[(turn * count + i) % len(zones)] for i in range(count)]
+        return [self._choose_remote_peer(zone, turn) for zone in chosen]
 
-    def _is_heard(self, view: PeerView) -> bool:
-        return self.clock() - view.heard_at <= PEER_SILENCE_S
+    def _choose_remote_peer(self, zone: str, turn: int) -> str:
+        """Return a zone's relay, or one of its instances in turn to find it."""
+        members = self.layout.by_zone[zone]
+        return self.find_relay(zone) or members[turn % len(members)]
 
     def _is_behind(self, peer: str, number: int) -> bool:
         view = self.peers.get(peer)
         return view is None or view.number < number
-
-    def _take(self, size: int) -> bool:
-        self._refill()
-        if size > self.allowance:
-            return False
-        self.allowance -= size
-        return True
-
-    def _decline(self, size: int) -> Declined:
-        return Declined((size - self.allowance) / TRANSFER_BYTES_PER_S)
-
-    def _refill(self) -> None:
-        now = self.clock()
-        gained = (now - self.filled_at) * TRANSFER_BYTES_PER_S
-        self.allowance = min(TRANSFER_BURST_BYTES, self.allowance + gained)
-        self.filled_at = now
--- a/src/sesameladder/configuration/_replica.py
+++ b/src/sesameladder/configuration/_replica.py
@@ -71,8 +71,10 @@
         self._apply(ticket, RecentTicket(number, digest, raw))
         return Applied(number)
 
-    def offer_snapshot(self, number: int, state_bytes: bytes) -> OfferOutcome:
-        """Offer the folded state after a ticket."""
+    def offer_snapshot(
+        self, number: int, state_bytes: bytes, digest: str = ""
+    ) -> OfferOutcome:
+        """Offer the folded state after a ticket, with that ticket's digest if known."""
         if number <= self.number:
             return Stale(self.number)
         try:
@@ -81,7 +83,7 @@
             return Malformed(str(error))
         if state.number != number:
             return Conflicting(f"offered as {number}, but is the state {state.number}")
-        self._replace(state, state_bytes)
+        self._replace(state, state_bytes, digest)
         return Applied(number)
 
     def tickets_after(self, number: int) -> list[RecentTicket] | None:
@@ -126,9 +128,9 @@
         self.chain = sha256((self.chain + recent.digest).encode()).hexdigest()
         self.recent.append(recent)
 
-    def _replace(self, state: FleetState, state_bytes: bytes) -> None:
+    def _replace(self, state: FleetState, state_bytes: bytes, digest: str) -> None:
         self.state = state
-        self.digest = ""
+        self.digest = digest
         self.chain = sha256(encode_state(state)).hexdigest()
         self.chain_start = state.number
         self.recent.clear()
--- /dev/null
+++ b/src/sesameladder/configuration/tests/test_relay.py
@@ -0,0 +1,169 @@
+"""The relay rules bound the bytes, and the poll schedule spares the store."""
+
+import random
+
+import pytest
+
+from sesameladder.configuration import (
+    ConfigurationReplica,
+    Declined,
+    PollSchedule,
+    Pull,
+    RelayRules,
+    SendSnapshot,
+    SendTickets,
+)
+from sesameladder.configuration._poll import MAX_BACKOFF_S
+from sesameladder.configuration._recent import MAX_RECENT_TICKETS
+from sesameladder.tickets.tests.samples import BASE, build_follower, read_form
+
+ZONES = [f"z{n:02}" for n in range(12)]
+CONFIGURED = {f"{zone}-{n}": zone for zone in ZONES for n in range(15)}
+
+
+class Clock:
+    def __init__(self) -> None:
+        self.seconds = 100.0
+
+    def __call__(self) -> float:
+        return self.seconds
+
+
+def create_rules(clock: Clock, relay: bool = False) -> RelayRules:
+    rules = RelayRules("z00-0", "z00", CONFIGURED, clock)
+    rules.relay = relay
+    return rules
+
+
+def create_replica(count: int) -> ConfigurationReplica:
+    replica = ConfigurationReplica()
+    for number in range(1, count + 1):
+        ticket = read_form(BASE) if number == 1 else build_follower(number)
+        replica.offer_ticket(number, ticket, ticket.digest)
+    return replica
+
+
+@pytest.mark.parametrize(("relay", "near", "far"), [(False, 12, 4), (True, 14, 2)])
+def test_heartbeats_are_bounded(relay, near, far) -> None:
+    """Guards against heartbeats that grow with the region or go to oneself."""
+    peers = create_rules(Clock(), relay).choose_heartbeat_peers()
+    assert len(peers) == len(set(peers)) == near + far
+    assert sum(CONFIGURED[peer] == "z00" for peer in peers) == near
+    assert "z00-0" not in peers
+
+
+def test_relay_finds_every_other_relay() -> None:
+    """Guards against relays that never learn of each other in other regions."""
+    clock = Clock()
+    rules = create_rules(clock, relay=True)
+    reached = set()
+    for _ in range(200):
+        reached.update(rules.choose_heartbeat_peers())
+        clock.seconds += 1.0
+    assert reached == set(CONFIGURED) - {"z00-0"}
+
+
+def test_known_relay_is_preferred_until_silent() -> None:
+    """Guards against messages to a relay that is gone."""
+    clock = Clock()
+    rules = create_rules(clock, relay=True)
+    rules.note_heartbeat("z05-3", "z05", 4, True)
+    assert "z05-3" in rules.choose_announce_peers(5)
+    assert "z05-3" not in rules.choose_announce_peers(4)
+    clock.seconds += 16.0
+    assert rules.find_relay("z05") is None
+    assert len(rules.choose_announce_peers(5)) == 22
+
+
+def test_push_skips_peers_that_have_the_ticket() -> None:
+    """Guards against tickets that are sent again to peers that have them."""
+    rules = create_rules(Clock(), relay=True)
+    replica = create_replica(3)
+    rules.note_heartbeat("z00-1", "z00", 3, False)
+    pushed = rules.plan_push(replica)
+    assert len(pushed) == 13
+    assert all(peer != "z00-1" and item.number == 3 for peer, item in pushed)
+    rules.relay = False
+    assert rules.plan_push(replica) == []
+
+
+def test_one_pull_at_a_time_prefers_the_zone() -> None:
+    """Guards against one transfer for each heartbeat with a higher number."""
+    clock = Clock()
+    rules = create_rules(clock)
+    assert rules.choose_pull(2) is None
+    rules.note_heartbeat("z03-1", "z03", 3, True)
+    rules.note_heartbeat("z00-4", "z00", 3, False)
+    assert rules.choose_pull(2) == Pull("z00-4", 2)
+    assert rules.choose_pull(2) is None
+    clock.seconds += 0.6
+    assert rules.choose_pull(2) == Pull("z00-4", 2)
+    rules.end_pull()
+    assert rules.choose_pull(3) is None
+
+
+def test_late_heartbeat_does_not_lower_a_number() -> None:
+    """Guards against repeated transfers after reordered heartbeats."""
+    rules = create_rules(Clock())
+    rules.note_heartbeat("z00-1", "z00", 5, False)
+    rules.note_heartbeat("z00-1", "z00", 4, False)
+    assert rules.peers["z00-1"].number == 5
+    rules.note_restart("z00-1")
+    rules.note_heartbeat("z00-1", "z00", 0, False)
+    assert rules.peers["z00-1"].number == 0
+
+
+def test_pull_is_answered_within_the_allowance() -> None:
+    """Guards against answers that take a node over its bytes."""
+    clock = Clock()
+    rules = create_rules(clock)
+    replica = create_replica(MAX_RECENT_TICKETS + 5)
+    answer = rules.answer_pull(replica.number - 2, replica)
+    assert isinstance(answer, SendTickets)
+    assert [item.number for item in answer.tickets] == [260, 261]
+    assert rules.answer_pull(replica.number, replica) == SendTickets(())
+    snapshot = rules.answer_pull(3, replica)
+    assert isinstance(snapshot, SendSnapshot)
+    behind = create_replica(3)
+    behind.offer_snapshot(snapshot.number, snapshot.state_bytes, snapshot.digest)
+    assert (behind.number, behind.digest) == (replica.number, replica.digest)
+    assert behind.state == replica.state
+    rules.allowance.available = 0.0
+    assert isinstance(rules.answer_pull(3, replica), Declined)
+    assert isinstance(rules.answer_pull(replica.number - 2, replica), Declined)
+    clock.seconds += 60.0
+    assert isinstance(rules.answer_pull(3, replica), SendSnapshot)
+
+
+def test_silent_relay_starts_polls_with_spread() -> None:
+    """Guards against polls while a relay is heard, and against joint polls."""
+    due = set()
+    for seed in range(20):
+        clock = Clock()
+        schedule = PollSchedule(clock, random.Random(seed))
+        for _ in range(10):
+            schedule.note_relay()
+            clock.seconds += 1.0
+            assert not schedule.is_due()
+        schedule.note_relay()
+        assert 1.25 <= schedule.due_at - clock.seconds <= 1.75
+        due.add(round(schedule.due_at, 3))
+    assert len(due) > 15
+
+
+def test_backoff_while_the_store_is_down() -> None:
+    """Guards against a store that is held down by polls, or never asked again."""
+    clock = Clock()
+    schedule = PollSchedule(clock, random.Random(1))
+    pauses = []
+    for _ in range(12):
+        clock.seconds = schedule.due_at
+        schedule.note_failure()
+        pauses.append(schedule.due_at - clock.seconds)
+    assert pauses[0] <= 1.5
+    assert all(
+        MAX_BACKOFF_S / 2 <= pause <= MAX_BACKOFF_S * 1.5 for pause in pauses[4:]
+    )
+    clock.seconds = schedule.due_at
+    schedule.note_answer()
+    assert schedule.due_at - clock.seconds <= 0.75
