Complete the faults, limits and counters of the stand-ins

Cause: tests of the entry process need a platform with rate limits, outages, a lagging VM list and cut zones, and upstreams that lose leases, answers and connections on order. Change: rate limits, waiting watches that lapse with leases, probing of VMs, task reports with a lag, checkpoints, leaving, reboots, fault modes and counters; a manual clock so that tests need no sleeps.

--- a/src/sesameladder/settings/_standins.py
+++ b/src/sesameladder/settings/_standins.py
@@ -41,7 +41,7 @@
     vm_list_lag_ms: Milliseconds = 1_000
     """Age of the states that the VM list shows."""
 
-    probe_interval_ms: Annotated[int, Field(ge=10, le=60_000)] = 200
+    probe_interval_ms: Annotated[int, Field(ge=10, le=60_000)] = 250
     """Time between two probes of the same VM."""
 
     writes_per_s: Annotated[int, Field(ge=1, le=1_000_000)] = 500
--- a/src/sesameladder/standins/__init__.py
+++ b/src/sesameladder/standins/__init__.py
@@ -1,1 +1,5 @@
 """Stand-ins of the platform and of upstreams, for tests and trials only."""
+
+from sesameladder.standins._clock import Clock, ManualClock, SystemClock
+
+__all__ = ["Clock", "ManualClock", "SystemClock"]
--- a/src/sesameladder/standins/_clock.py
+++ b/src/sesameladder/standins/_clock.py
@@ -14,8 +14,8 @@
     def epoch(self) -> float:
         """Return the time in seconds since the Unix epoch."""
 
-    def wait(self, condition: threading.Condition, seconds: float | None) -> None:
-        """Wait on a held condition until notified or until the time has passed."""
+    def wait_until(self, condition: threading.Condition, deadline: float) -> None:
+        """Wait on a held condition until notified or until a time is reached."""
 
 
 class SystemClock:
@@ -31,9 +31,10 @@
         """Return the wall-clock time."""
         return time.time()
 
-    def wait(self, condition: threading.Condition, seconds: float | None) -> None:
-        """Wait on a held condition for at most a time in seconds."""
-        condition.wait(seconds)
+    def wait_until(self, condition: threading.Condition, deadline: float) -> None:
+        """Wait on a held condition until notified or until a time is reached."""
+        left = deadline - time.monotonic()
+        condition.wait(min(max(left, 0.0), threading.TIMEOUT_MAX))
 
 
 class ManualClock:
@@ -54,12 +55,12 @@
         """Return the same time as ``now``."""
         return self.seconds
 
-    def wait(self, condition: threading.Condition, seconds: float | None) -> None:
+    def wait_until(self, condition: threading.Condition, deadline: float) -> None:
         """Wait on a held condition until it is notified, also by ``advance``."""
-        if seconds is not None and seconds <= 0:
-            return
         with self.lock:
             self.conditions.add(condition)
+            if self.seconds >= deadline:
+                return
         condition.wait()
 
     def advance(self, seconds: float) -> None:
--- a/src/sesameladder/standins/_http.py
+++ b/src/sesameladder/standins/_http.py
@@ -17,6 +17,7 @@
 IDLE_TIMEOUT_S = 60
 SHUTDOWN_TIMEOUT_S = 2
 LISTEN_BACKLOG = 256
+POLL_INTERVAL_S = 0.1
 
 LOGGER = logging.getLogger(__name__)
 
@@ -54,11 +55,6 @@
         headers = {"Content-Type": "application/json"}
         return cls(status, json.dumps(value).encode(), headers)
 
-    @classmethod
-    def from_text(cls, status: int, text: str, **headers: str) -> "Response":
-        """Return an answer with a plain text body."""
-        return cls(status, text.encode(), headers)
-
 
 class RequestRefused(Exception):
     """The request is malformed; answered with a status and a message."""
@@ -183,7 +179,7 @@
         try:
             return self.handler(Request(environ))
         except RequestRefused as error:
-            return Response.from_text(error.status, str(error))
+            return Response(error.status, str(error).encode())
 
 
 class ConnectionCounter:
@@ -246,6 +242,7 @@
     server.keep_alive_conn_limit = None
     server.max_request_body_size = MAX_BODY_BYTES
     server.max_request_header_size = MAX_HEADER_BYTES
+    server.expiration_interval = POLL_INTERVAL_S
     server.error_log = _log_server_error
 
 
--- a/src/sesameladder/standins/platform/_faults.py
+++ b/src/sesameladder/standins/platform/_faults.py
@@ -29,6 +29,10 @@
     """Calls take no effect and their connection ends without an answer."""
 
 
+UNREACHABLE = frozenset({FaultMode.DOWN, FaultMode.CUT})
+"""Modes in which calls take no effect."""
+
+
 @dataclass(frozen=True, slots=True)
 class Fault:
     """A fault mode with its delay."""
--- a/src/sesameladder/standins/platform/_shared_store.py
+++ b/src/sesameladder/standins/platform/_shared_store.py
@@ -9,19 +9,19 @@
 
 T = TypeVar("T")
 
-MAX_WAIT_S = 0.5
-"""Longest wait between two looks at lapsing leases, in seconds."""
+Interrupted = Callable[[], bool]
 
 
 class SharedStore:
     """Serializes calls to a ``FakeStore`` and wakes its watches."""
 
-    __slots__ = ("clock", "condition", "store")
+    __slots__ = ("clock", "condition", "store", "waiting")
 
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
         self.store = FakeStore(clock.now)
         self.condition = threading.Condition()
+        self.waiting = 0
 
     def call(self, operation: Callable[[FakeStore], T]) -> T:
         """Run one operation alone and wake the watches."""
@@ -31,11 +31,12 @@
             return result
 
     def watch(
-        self, key: str, after: int, seconds: float, interrupted: Callable[[], bool]
+        self, key: str, after: int, seconds: float, interrupted: Interrupted
     ) -> StoreEntry | None:
         """Wait for a write after a revision; None when the time has passed.
 
-        Also returns None when the key vanishes, or when ``interrupted`` is true.
+        Also returns None when the key vanishes while the watch waits, or when
+        ``interrupted`` is true.
         """
         end = self.clock.now() + seconds
         seen = False
@@ -43,13 +44,33 @@
             while True:
                 entry = self.store.watch(key, after, 0)
                 vanished = seen and key not in self.store.entries
-                left = end - self.clock.now()
-                if entry is not None or vanished or left <= 0 or interrupted():
+                expired = self.clock.now() >= end
+                if entry is not None or vanished or expired or interrupted():
                     return entry
                 seen = key in self.store.entries
-                self.clock.wait(self.condition, min(left, MAX_WAIT_S))
+                self._wait_until(end)
+
+    def delay(self, seconds: float, interrupted: Interrupted) -> None:
+        """Wait for a time, or until ``interrupted`` is true."""
+        end = self.clock.now() + seconds
+        with self.condition:
+            while self.clock.now() < end and not interrupted():
+                self._wait_until(end)
 
     def wake(self) -> None:
-        """Wake every watch so that it looks at ``interrupted`` again."""
+        """Wake every waiting call so that it looks at ``interrupted`` again."""
         with self.condition:
             self.condition.notify_all()
+
+    def await_waiting(self, count: int) -> None:
+        """Return once at least a number of calls wait; for tests."""
+        with self.condition:
+            self.condition.wait_for(lambda: self.waiting >= count)
+
+    def _wait_until(self, end: float) -> None:
+        """Wait for a change, for the next lapse of a lease or for the end."""
+        lapses = [lapse for lapse, _ in self.store.leases.values()]
+        self.waiting += 1
+        self.condition.notify_all()
+        self.clock.wait_until(self.condition, min([end, *lapses]))
+        self.waiting -= 1
--- a/src/sesameladder/standins/platform/_vm_list.py
+++ b/src/sesameladder/standins/platform/_vm_list.py
@@ -2,6 +2,7 @@
 
 import threading
 from collections import deque
+from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
 
 from pydantic import TypeAdapter, ValidationError
@@ -11,12 +12,13 @@
 from sesameladder.platform import VmState
 from sesameladder.settings import PlatformStandinSettings, VmRow
 from sesameladder.standins._clock import Clock
-from sesameladder.standins._http import RequestRefused, Response
-from sesameladder.standins.platform._faults import FaultMode, FaultSwitch
+from sesameladder.standins._http import RequestRefused
+from sesameladder.standins.platform._faults import UNREACHABLE, FaultSwitch
 
 PROBE_TIMEOUT_S = 1.0
 CLOSE = {"Connection": "close"}
 HISTORY_LENGTH = 64
+PROBE_THREADS = 8
 
 ROWS: TypeAdapter[list[VmRow]] = TypeAdapter(list[VmRow])
 
@@ -33,8 +35,18 @@
     )
     """Clock time, epoch time and state of each change, oldest first."""
 
+    answered: bool = False
+    """Whether the VM has answered a probe since it was registered."""
+
     def observe(self, now: float, epoch: float, state: VmState) -> None:
-        """Note the state that a probe found."""
+        """Note the state that a probe found.
+
+        A VM whose process has not started yet is live, so a refused connection
+        counts only after the first answer.
+        """
+        if state is VmState.GONE and not self.answered:
+            return
+        self.answered = True
         if not self.history or self.history[-1][2] is not state:
             self.history.append((now, epoch, state))
 
@@ -55,6 +67,7 @@
         "faults",
         "http",
         "lock",
+        "probing",
         "settings",
         "stopped",
         "thread",
@@ -68,11 +81,14 @@
         self.clock = clock
         self.faults = faults
         self.lock = threading.Lock()
+        self.probing = threading.Lock()
         self.vms: dict[str, ListedVm] = {}
         self.stopped = threading.Event()
         self.thread = threading.Thread(target=self._probe_always, daemon=True)
         timeout = Timeout(connect=PROBE_TIMEOUT_S, read=PROBE_TIMEOUT_S)
-        self.http = PoolManager(timeout=timeout, retries=Retry(0))
+        self.http = PoolManager(
+            timeout=timeout, retries=Retry(0), maxsize=PROBE_THREADS
+        )
         self.add(settings.vms)
 
     def start(self) -> None:
@@ -89,7 +105,8 @@
         with self.lock:
             for row in rows:
                 vm = ListedVm(row)
-                vm.observe(self.clock.now(), self.clock.epoch(), VmState.LIVE)
+                registered = (self.clock.now(), self.clock.epoch(), VmState.LIVE)
+                vm.history.append(registered)
                 self.vms[row.name] = vm
 
     def add_from_json(self, body: bytes) -> None:
@@ -107,7 +124,7 @@
             vms = sorted(self.vms.values(), key=lambda vm: vm.row.name)
             return [_encode_vm(vm, at) for vm in vms]
 
-    def act(self, name: str, action: str) -> Response:
+    def act(self, name: str, action: str) -> None:
         """Pass a drain or reboot to the VM."""
         with self.lock:
             vm = self.vms.get(name)
@@ -115,25 +132,33 @@
             raise RequestRefused(f"no such VM: {name[:200]}", 404)
         if vm.row.kind == "entry":
             raise RequestRefused(f"VM {name} is an entry VM")
+        if not self._is_reachable(vm):
+            raise RequestRefused(f"VM {name} is in a zone that is cut off", 502)
         try:
             self.http.request(
                 "POST", f"http://{vm.row.address}/-/{action}", headers=CLOSE
             )
         except HTTPError as error:
             raise RequestRefused(f"VM {name} did not answer: {error}", 502) from error
-        return Response(204)
 
     def probe_all(self) -> None:
         """Probe every VM once, except those of zones that are cut off."""
+        with self.probing:
+            with self.lock:
+                vms = [vm for vm in self.vms.values() if self._is_reachable(vm)]
+            with ThreadPoolExecutor(PROBE_THREADS) as pool:
+                states = list(pool.map(self._probe, [vm.row for vm in vms]))
+            self._observe(vms, states)
+
+    def _observe(self, vms: list[ListedVm], states: list[VmState | None]) -> None:
+        now, epoch = self.clock.now(), self.clock.epoch()
         with self.lock:
-            vms = list(self.vms.values())
-        for vm in vms:
-            if self.faults.find(vm.row.zone).mode is FaultMode.CUT:
-                continue
-            state = self._probe(vm.row)
-            if state is not None:
-                with self.lock:
-                    vm.observe(self.clock.now(), self.clock.epoch(), state)
+            for vm, state in zip(vms, states, strict=True):
+                if state is not None:
+                    vm.observe(now, epoch, state)
+
+    def _is_reachable(self, vm: ListedVm) -> bool:
+        return self.faults.find(vm.row.zone).mode not in UNREACHABLE
 
     def _probe_always(self) -> None:
         while not self.stopped.wait(self.settings.probe_interval_ms / 1000):
--- a/src/sesameladder/standins/upstream/_standin.py
+++ b/src/sesameladder/standins/upstream/_standin.py
@@ -15,13 +15,14 @@
     StandinServer,
 )
 from sesameladder.standins.upstream._faults import Fault, FaultMode
-from sesameladder.standins.upstream._task import Checkpoint, Task, TaskEnd
-from sesameladder.standins.upstream._worker import (
+from sesameladder.standins.upstream._records import (
+    Ran,
     Refusal,
-    Worker,
     WorkerState,
     WorkRequest,
 )
+from sesameladder.standins.upstream._task import Checkpoint, TaskEnd
+from sesameladder.standins.upstream._worker import Worker
 
 SPARE_THREADS = 16
 MAX_WORK_MS = 24 * 3_600_000
@@ -49,7 +50,8 @@
         self.settings = settings
         self.clock = clock or SystemClock()
         chance = random.Random(f"{settings.seed}/{upstream.name}")
-        self.worker = Worker(upstream.slots, self.clock, chance)
+        lag_s = settings.report_lag_ms / 1000
+        self.worker = Worker(upstream.slots, lag_s, self.clock, chance)
         threads = upstream.slots + SPARE_THREADS
         self.server = StandinServer(
             upstream.address, self.handle, threads, upstream.connections
@@ -79,27 +81,25 @@
 
     def _work(self, request: Request) -> Response:
         work = self._read_work(request)
-        end, task, fault = self.worker.run(work)
-        if isinstance(end, Refusal):
-            return _refuse(end)
-        assert task is not None
+        outcome = self.worker.run(work)
+        if isinstance(outcome, Refusal):
+            return _refuse(outcome)
+        end = outcome.task.end
         if end is TaskEnd.CUT:
             raise DropConnection
         if end is TaskEnd.CHECKPOINTED:
-            checkpoint = Checkpoint(uuid.uuid4().hex, task.work_left_s)
+            checkpoint = Checkpoint(uuid.uuid4().hex, outcome.task.work_left_s)
             return Response(202, b"", {CHECKPOINT_HEADER: checkpoint.to_text()})
         if end is not TaskEnd.DONE:
-            return Response.from_text(500, f"the task was {end}", **{END_HEADER: end})
-        return self._answer(request, work, task, fault)
-
-    def _answer(
-        self, request: Request, work: WorkRequest, task: Task, fault: FaultMode
-    ) -> Response:
-        if fault is FaultMode.FAIL:
-            return Response.from_text(500, "the worker fails everything")
-        if fault is FaultMode.LOSE_ANSWER:
-            self.worker.hold_answer()
-        if fault in (FaultMode.CRASH, FaultMode.LOSE_ANSWER):
+            return Response(500, f"task {end}".encode(), {END_HEADER: str(end)})
+        return self._answer(request, work, outcome)
+
+    def _answer(self, request: Request, work: WorkRequest, ran: Ran) -> Response:
+        if ran.fault is FaultMode.FAIL:
+            return Response(500, b"the worker fails everything")
+        if ran.fault is FaultMode.LOSE_ANSWER:
+            self.worker.hold_answer(ran)
+        if ran.fault in (FaultMode.CRASH, FaultMode.LOSE_ANSWER):
             raise DropConnection
         return Response.from_json(
             {
@@ -110,7 +110,7 @@
                 "path": request.path,
                 "body_digest": hashlib.sha256(request.body).hexdigest(),
                 "idempotency_key": work.key,
-                "running_ms": (task.updated_at - task.started_at) * 1000,
+                "running_ms": (ran.task.ended_at - ran.task.started_at) * 1000,
             }
         )
 
@@ -160,23 +160,19 @@
             found = self.worker.stop(task_id)
         return Response(200 if found else 404)
 
-    def _list_tasks(self, request: Request) -> Response:
-        del request
+    def _list_tasks(self, _request: Request) -> Response:
         return Response.from_json(self.worker.list_tasks())
 
-    def _show_health(self, request: Request) -> Response:
-        del request
+    def _show_health(self, _request: Request) -> Response:
         state = self.worker.state
         status = 200 if state is WorkerState.SERVING else 503
         return Response(status, b"{}", {STATE_HEADER: state})
 
-    def _drain(self, request: Request) -> Response:
-        del request
+    def _drain(self, _request: Request) -> Response:
         self.worker.drain()
         return Response(204)
 
-    def _reboot(self, request: Request) -> Response:
-        del request
+    def _reboot(self, _request: Request) -> Response:
         self.worker.reboot(self.settings.reboot_ms / 1000)
         return Response(204)
 
@@ -184,29 +180,21 @@
         self.worker.set_fault(Fault.from_json(request.json_object()))
         return Response(204)
 
-    def _show_counters(self, request: Request) -> Response:
-        del request
+    def _show_counters(self, _request: Request) -> Response:
         connections = self.server.connections
-        counters = self.worker.counters
         return Response.from_json(
             {
-                "runs_by_key": dict(counters.runs_by_key),
-                "runs_by_request": dict(counters.runs_by_request),
-                "resumes": dict(counters.resumes),
-                "ends": dict(counters.ends),
-                "refused": dict(counters.refused),
-                "peak_slots": counters.peak_slots,
+                **self.worker.read_counters(),
                 "peak_connections": connections.peak,
                 "connections_over_limit": connections.over_limit,
-                "work_after_leaving": counters.work_after_leaving,
-                "late_attempts": counters.late_attempts,
-                "cut_requests": counters.ends[TaskEnd.CUT],
             }
         )
 
 
 def _refuse(reason: Refusal) -> Response:
-    return Response.from_text(503, "not run", **{STATE_HEADER: reason})
+    if reason is Refusal.DUPLICATE:
+        return Response(409, b"not run: a task of this identity is running")
+    return Response(503, b"not run", {STATE_HEADER: reason})
 
 
 def _read_checkpoint(request: Request) -> Checkpoint | None:
--- a/src/sesameladder/standins/upstream/_task.py
+++ b/src/sesameladder/standins/upstream/_task.py
@@ -9,6 +9,7 @@
 
 CHECKPOINT_DIGEST_BYTES = 8
 NEVER_S = float("inf")
+WORK_ROUNDING_S = 1e-9
 
 
 class TaskEnd(StrEnum):
@@ -55,6 +56,9 @@
     end: TaskEnd | None = None
     """Why the task ended; None while it runs."""
 
+    ended_at: float = NEVER_S
+    """Clock time of the end."""
+
     def advance(self, now: float) -> None:
         """Account the work since the last update and end the task when due."""
         if self.end is not None:
@@ -62,10 +66,24 @@
         until = min(now, self.lease_end)
         self.work_left_s -= max(0.0, until - self.updated_at) * self.share
         self.updated_at = max(self.updated_at, until)
-        if self.work_left_s <= 1e-9:
-            self.end = TaskEnd.DONE
+        if self.work_left_s <= WORK_ROUNDING_S:
+            self.finish(TaskEnd.DONE, now)
         elif now >= self.lease_end:
-            self.end = TaskEnd.LAPSED
+            self.finish(TaskEnd.LAPSED, now)
+
+    def finish(self, end: TaskEnd, now: float) -> None:
+        """End the task, unless it has ended before."""
+        if self.end is None:
+            self.end = end
+            self.ended_at = now
+
+    def describe(self, at: float) -> dict[str, object]:
+        """Return the task's row in a report of a time."""
+        return {
+            "task_id": self.task_id,
+            "running_ms": (at - self.started_at) * 1000,
+            "lease_left_ms": max(0.0, self.lease_end - at) * 1000,
+        }
 
     def next_event(self) -> float:
         """Return the clock time at which the task ends if nothing changes."""
--- a/src/sesameladder/standins/upstream/_worker.py
+++ b/src/sesameladder/standins/upstream/_worker.py
@@ -2,14 +2,20 @@
 
 import random
 import threading
-from collections import Counter
+from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
-from enum import StrEnum
+from dataclasses import replace
 
 from sesameladder.standins._clock import Clock
 from sesameladder.standins.upstream._faults import Fault, FaultMode
-from sesameladder.standins.upstream._task import Checkpoint, Task, TaskEnd
+from sesameladder.standins.upstream._records import (
+    Ran,
+    Refusal,
+    WorkerCounters,
+    WorkerState,
+    WorkRequest,
+)
+from sesameladder.standins.upstream._task import Task, TaskEnd
 
 LEAVING_GRACE_S = 3.0
 """Time after which new work for a leaving upstream breaks promise P6, in seconds."""
@@ -18,73 +24,6 @@
 HANG_S = 1e9
 
 
-class WorkerState(StrEnum):
-    """Whether the worker accepts work."""
-
-    SERVING = "serving"
-    LEAVING = "leaving"
-    REBOOTING = "rebooting"
-
-
-class Refusal(StrEnum):
-    """Why work was refused without running."""
-
-    LEAVING = "leaving"
-    FULL = "full"
-
-
-@dataclass(frozen=True, slots=True)
-class WorkRequest:
-    """A piece of work as a caller sends it."""
-
-    task_id: str
-    """Identity that the forwarder gave the task."""
-
-    request_id: str
-    """Identity of the attempt."""
-
-    key: str | None
-    """Idempotency key or token, if any."""
-
-    work_s: float
-    """Run time in seconds."""
-
-    lease_s: float
-    """Length of the task's lease in seconds."""
-
-    resume: Checkpoint | None = None
-    """Checkpoint from which the task continues."""
-
-
-@dataclass(slots=True)
-class WorkerCounters:
-    """What the worker did, for the checks of tests and trials."""
-
-    runs_by_key: Counter[str] = field(default_factory=Counter)
-    """Starts per idempotency key; a resumed task is no new start."""
-
-    runs_by_request: Counter[str] = field(default_factory=Counter)
-    """Starts per request id."""
-
-    resumes: Counter[str] = field(default_factory=Counter)
-    """Starts per checkpoint."""
-
-    ends: Counter[str] = field(default_factory=Counter)
-    """Ended tasks by reason."""
-
-    refused: Counter[str] = field(default_factory=Counter)
-    """Refused work by reason."""
-
-    peak_slots: int = 0
-    """Most tasks that ran at the same time."""
-
-    work_after_leaving: int = 0
-    """Work that started while the worker was leaving."""
-
-    late_attempts: int = 0
-    """Work offered more than ``LEAVING_GRACE_S`` after the worker began to leave."""
-
-
 class Worker:
     """Runs tasks; safe to share by threads."""
 
@@ -92,17 +31,22 @@
         "clock",
         "condition",
         "counters",
+        "ended",
         "fault",
         "generation",
         "leaving_since",
         "random",
         "reboot_end",
+        "report_lag_s",
         "slots",
         "tasks",
     )
 
-    def __init__(self, slots: int, clock: Clock, chance: random.Random) -> None:
+    def __init__(
+        self, slots: int, report_lag_s: float, clock: Clock, chance: random.Random
+    ) -> None:
         self.slots = slots
+        self.report_lag_s = report_lag_s
         self.clock = clock
         self.random = chance
         self.condition = threading.Condition()
@@ -112,42 +56,38 @@
         self.leaving_since: float | None = None
         self.reboot_end: float | None = None
         self.tasks: dict[str, Task] = {}
+        self.ended: deque[Task] = deque()
 
     @property
     def state(self) -> WorkerState:
         """Whether the worker accepts work."""
-        if self.reboot_end is not None:
-            if self.clock.now() < self.reboot_end:
+        with self.condition:
+            self._end_reboot()
+            if self.reboot_end is not None:
                 return WorkerState.REBOOTING
-            self.reboot_end = None
-        if self.leaving_since is not None:
-            return WorkerState.LEAVING
-        return WorkerState.SERVING
+            if self.leaving_since is not None:
+                return WorkerState.LEAVING
+            return WorkerState.SERVING
 
-    def run(
-        self, request: WorkRequest
-    ) -> tuple[TaskEnd | Refusal, Task | None, FaultMode]:
+    def run(self, request: WorkRequest) -> Ran | Refusal:
         """Run a piece of work to its end, or refuse it."""
         with self.condition:
-            refusal = self._find_refusal()
+            refusal = self._find_refusal(request.task_id)
             if refusal is not None:
                 self.counters.refused[refusal] += 1
-                return refusal, None, FaultMode.NONE
+                return refusal
+            generation = self.generation
             fault = self._draw_fault()
             task = self._start(request, fault)
             self._wait_for_end(task)
-            self.counters.ends[task.end or TaskEnd.DONE] += 1
-            return task.end or TaskEnd.DONE, task, fault.mode
+            return Ran(task, fault.mode, generation)
 
-    def hold_answer(self) -> None:
-        """Wait until the fault mode changes, or for the longest hold."""
+    def hold_answer(self, ran: Ran) -> None:
+        """Wait until the faults are set anew, or for the longest hold."""
         end = self.clock.now() + LOST_ANSWER_HOLD_S
         with self.condition:
-            generation, fault = self.generation, self.fault
-            while self.clock.now() < end:
-                if self.fault is not fault or self.generation != generation:
-                    return
-                self.clock.wait(self.condition, end - self.clock.now())
+            while self.generation == ran.generation and self.clock.now() < end:
+                self.clock.wait_until(self.condition, end)
 
     def renew(self, task_id: str, lease_s: float) -> bool:
         """Extend a task's lease; False when the task does not run."""
@@ -184,40 +124,63 @@
         with self.condition:
             if self.state is WorkerState.REBOOTING:
                 return
-            for task in self.tasks.values():
-                task.end = task.end or TaskEnd.CUT
-            self.reboot_end = self.clock.now() + seconds
-            self.leaving_since = None
-            self.condition.notify_all()
+            self._cut_tasks()
+            now = self.clock.now()
+            self.reboot_end = now + seconds
+            if self.leaving_since is None:
+                self.leaving_since = now
+            self._start_generation()
 
     def set_fault(self, fault: Fault) -> None:
         """Replace the fault mode; ends held answers."""
         with self.condition:
             self.fault = fault
-            self.condition.notify_all()
+            self._start_generation()
 
     def shut_down(self) -> None:
         """Cut everything that runs or waits."""
         with self.condition:
-            self.generation += 1
-            for task in self.tasks.values():
-                task.end = task.end or TaskEnd.CUT
-            self.condition.notify_all()
+            self._cut_tasks()
+            self._start_generation()
 
     def list_tasks(self) -> list[dict[str, object]]:
-        """Return the running tasks as JSON rows."""
+        """Return the tasks that ran one report lag ago as JSON rows."""
         with self.condition:
-            now = self.clock.now()
+            at = self.clock.now() - self.report_lag_s
+            self._forget_ended(at)
+            tasks = [*self.tasks.values(), *self.ended]
             return [
-                {
-                    "task_id": task.task_id,
-                    "running_ms": (now - task.started_at) * 1000,
-                    "lease_left_ms": (task.lease_end - now) * 1000,
-                }
-                for task in self.tasks.values()
+                task.describe(at)
+                for task in tasks
+                if task.started_at <= at < task.ended_at
             ]
 
-    def _find_refusal(self) -> Refusal | None:
+    def await_running(self, count: int) -> None:
+        """Return once at least a number of tasks run; for tests."""
+        with self.condition:
+            self.condition.wait_for(lambda: len(self.tasks) >= count)
+
+    def await_ended(self, end: TaskEnd, count: int) -> None:
+        """Return once at least a number of tasks ended for a reason; for tests."""
+        with self.condition:
+            self.condition.wait_for(lambda: self.counters.ends[end] >= count)
+
+    def read_counters(self) -> dict[str, object]:
+        """Return a copy of the counters as a JSON object."""
+        with self.condition:
+            return self.counters.to_json()
+
+    def _start_generation(self) -> None:
+        """End held answers and wake all tasks."""
+        self.generation += 1
+        self.condition.notify_all()
+
+    def _end_reboot(self) -> None:
+        if self.reboot_end is not None and self.clock.now() >= self.reboot_end:
+            self.reboot_end = None
+            self.leaving_since = None
+
+    def _find_refusal(self, task_id: str) -> Refusal | None:
         if self.state is not WorkerState.SERVING:
             since = self.leaving_since
             if since is not None and self.clock.now() - since > LEAVING_GRACE_S:
@@ -225,6 +188,8 @@
             return Refusal.LEAVING
         if len(self.tasks) >= self.slots:
             return Refusal.FULL
+        if task_id in self.tasks:
+            return Refusal.DUPLICATE
         return None
 
     def _draw_fault(self) -> Fault:
@@ -248,6 +213,7 @@
         task = Task(request.task_id, now, now + request.lease_s, work_s, now)
         self._count_start(request)
         self.tasks[request.task_id] = task
+        self.condition.notify_all()
         self.counters.peak_slots = max(self.counters.peak_slots, len(self.tasks))
         return task
 
@@ -264,15 +230,29 @@
     def _wait_for_end(self, task: Task) -> None:
         task.advance(self.clock.now())
         while task.end is None:
-            left = task.next_event() - self.clock.now()
-            self.clock.wait(self.condition, max(left, 0.0))
+            self.clock.wait_until(self.condition, task.next_event())
             task.advance(self.clock.now())
         del self.tasks[task.task_id]
+        self.ended.append(task)
+        self._forget_ended(self.clock.now() - self.report_lag_s)
+        self.counters.ends[task.end] += 1
         self.condition.notify_all()
 
+    def _forget_ended(self, at: float) -> None:
+        while self.ended and self.ended[0].ended_at <= at:
+            self.ended.popleft()
+
+    def _cut_tasks(self) -> None:
+        now = self.clock.now()
+        for task in self.tasks.values():
+            task.advance(now)
+            if task.end is None:
+                task.finish(TaskEnd.CUT, now)
+                self.counters.cut_requests += 1
+
     def _end(self, task_id: str, end: TaskEnd) -> bool:
         def mark(task: Task) -> None:
-            task.end = end
+            task.finish(end, self.clock.now())
 
         return self._change(task_id, mark)
 
