Refuse contradictory settings with every problem at once

Cause: an entry that starts on a wrong zone, an overlapping address or a value in the wrong unit fails later and in a less clear way. Change: settings are checked for types, units, ranges, unknown keys and contradictions before anything opens; each problem names file, key path, value and remedy, and the line for syntax errors.

--- /dev/null
+++ b/src/sesameladder/settings/_checks.py
@@ -0,0 +1,187 @@
+"""Contradictions inside the settings of the entry process and the client."""
+
+from collections.abc import Iterator
+
+from sesameladder.settings._document import Document, Row, read_text, read_texts
+from sesameladder.settings._errors import SettingsProblem
+
+Problems = Iterator[SettingsProblem]
+
+MAX_DELAY_MS = 10_000
+
+
+def check_entry(document: Document) -> Problems:
+    """Yield the contradictions in the settings of an entry process."""
+    yield from _check_regions(document)
+    yield from _check_place(document)
+    yield from _check_links(document)
+    yield from check_unique(document, "instances", "instance")
+    yield from _check_instance_zones(document)
+    yield from _check_own_instance(document)
+    yield from check_addresses(document, _list_entry_addresses(document))
+    yield from _check_shutdown_times(document)
+
+
+def check_client(document: Document) -> Problems:
+    """Yield the contradictions in the settings of the operators' client."""
+    yield from check_unique(document, "instances", "instance")
+    addresses = list_row_addresses(document, "instances", "admin_address")
+    platform = read_text(document.values, "platform_address")
+    yield from check_addresses(document, [("platform_address", platform), *addresses])
+
+
+def check_unique(document: Document, rows: str, key: str) -> Problems:
+    """Yield a problem for each name that a list has a second time."""
+    seen: dict[str, str] = {}
+    for path, row in document.iterate_rows(rows):
+        name = read_text(row, key)
+        if name is None:
+            continue
+        first = seen.setdefault(name, path)
+        if first != path:
+            message = f"is a duplicate of {first}.{key}"
+            remedy = "give each row its own name"
+            yield document.problem(f"{path}.{key}", name, message, remedy)
+
+
+Addresses = list[tuple[str, str | None]]
+"""Key paths with the addresses that stand there."""
+
+
+def list_row_addresses(document: Document, rows: str, *keys: str) -> Addresses:
+    """Return the addresses in a list of rows."""
+    return [
+        (f"{path}.{key}", read_text(row, key))
+        for path, row in document.iterate_rows(rows)
+        for key in keys
+    ]
+
+
+def check_addresses(document: Document, addresses: Addresses) -> Problems:
+    """Yield a problem for each address that is used a second time."""
+    seen: dict[str, str] = {}
+    for path, address in addresses:
+        if address is None or address.endswith(":0"):
+            continue
+        first = seen.setdefault(address, path)
+        if first != path:
+            message = f"overlaps with {first}"
+            remedy = "give each endpoint its own address"
+            yield document.problem(path, address, message, remedy)
+
+
+def _check_regions(document: Document) -> Problems:
+    yield from check_unique(document, "regions", "name")
+    seen: dict[str, str] = {}
+    for path, row in document.iterate_rows("regions"):
+        if row.get("zones") == []:
+            remedy = "list at least one availability zone"
+            yield document.problem(f"{path}.zones", [], "is empty", remedy)
+        for zone in read_texts(row, "zones"):
+            first = seen.setdefault(zone, path)
+            if first != path or read_texts(row, "zones").count(zone) > 1:
+                message = f"repeats a zone of {first}"
+                remedy = "list each zone once, in one region"
+                yield document.problem(f"{path}.zones", zone, message, remedy)
+                break
+
+
+def _check_place(document: Document) -> Problems:
+    region = read_text(document.values, "region")
+    zone = read_text(document.values, "zone")
+    zones = _list_zones(document)
+    if region is not None and region not in zones:
+        remedy = f"give one of {_join(zones)}"
+        yield document.problem("region", region, "is not in regions", remedy)
+    elif region is not None and zone is not None and zone not in zones[region]:
+        message = f"is not a zone of region {region}"
+        remedy = f"give one of {_join(zones[region])}"
+        yield document.problem("zone", zone, message, remedy)
+
+
+def _check_links(document: Document) -> Problems:
+    known = _list_all_zones(document)
+    seen: dict[frozenset[str | None], str] = {}
+    for path, row in document.iterate_rows("links"):
+        first, second = read_text(row, "first_zone"), read_text(row, "second_zone")
+        for key, zone in (("first_zone", first), ("second_zone", second)):
+            if zone is not None and zone not in known:
+                remedy = f"give one of {_join(known)}"
+                yield document.problem(
+                    f"{path}.{key}", zone, "is an unknown zone", remedy
+                )
+        pair = frozenset((first, second))
+        if first == second or seen.setdefault(pair, path) != path:
+            message = "joins a zone to itself or repeats a link"
+            yield document.problem(path, row, message, "list each pair of zones once")
+        yield from _check_delay(document, path, row)
+
+
+def _check_delay(document: Document, path: str, row: Row) -> Problems:
+    delay = row.get("delay_ms")
+    if isinstance(delay, int | float) and not 0 <= delay <= MAX_DELAY_MS:
+        remedy = f"give 0 to {MAX_DELAY_MS} milliseconds"
+        yield document.problem(f"{path}.delay_ms", delay, "is out of range", remedy)
+
+
+def _check_instance_zones(document: Document) -> Problems:
+    known = _list_all_zones(document)
+    for path, row in document.iterate_rows("instances"):
+        zone = read_text(row, "zone")
+        if zone is not None and zone not in known:
+            remedy = f"give one of {_join(known)}"
+            yield document.problem(f"{path}.zone", zone, "is an unknown zone", remedy)
+
+
+def _check_own_instance(document: Document) -> Problems:
+    name = read_text(document.values, "instance")
+    if name is None:
+        return
+    rows = [
+        (path, row)
+        for path, row in document.iterate_rows("instances")
+        if row.get("instance") == name
+    ]
+    if not rows:
+        remedy = "add this instance to instances"
+        yield document.problem("instance", name, "is not in instances", remedy)
+    for path, row in rows[:1]:
+        for key in ("zone", "peer_address", "admin_address"):
+            own = read_text(document.values, key)
+            if own is not None and own != read_text(row, key):
+                message = f"differs from {path}.{key}"
+                yield document.problem(key, own, message, "give both the same value")
+
+
+def _list_entry_addresses(document: Document) -> Addresses:
+    own = ("platform_address", "http_address")
+    return [
+        *((key, read_text(document.values, key)) for key in own),
+        *list_row_addresses(document, "instances", "peer_address", "admin_address"),
+    ]
+
+
+def _check_shutdown_times(document: Document) -> Problems:
+    delay_ms = document.values.get("drain_delay_ms")
+    limit_s = document.values.get("shutdown_limit_s")
+    if type(delay_ms) is int and type(limit_s) is int and delay_ms >= limit_s * 1000:
+        message = f"is not shorter than shutdown_limit_s = {limit_s}"
+        remedy = f"give less than {limit_s * 1000} milliseconds"
+        yield document.problem("drain_delay_ms", delay_ms, message, remedy)
+
+
+def _list_zones(document: Document) -> dict[str, list[str]]:
+    """Return the zones by region."""
+    return {
+        name: read_texts(row, "zones")
+        for _, row in document.iterate_rows("regions")
+        if (name := read_text(row, "name")) is not None
+    }
+
+
+def _list_all_zones(document: Document) -> list[str]:
+    return [zone for zones in _list_zones(document).values() for zone in zones]
+
+
+def _join(names: list[str] | dict[str, list[str]]) -> str:
+    return ", ".join(names) or "the names in regions"
--- a/src/sesameladder/settings/_entry.py
+++ b/src/sesameladder/settings/_entry.py
@@ -7,6 +7,7 @@
 from pydantic import ConfigDict, Field
 
 from sesameladder.model import Link, Region
+from sesameladder.settings._checks import check_client, check_entry
 from sesameladder.settings._fields import STRICT, Address, Name
 from sesameladder.settings._reader import read_settings
 
@@ -85,7 +86,7 @@
     platform_address: Address
     """``ip:port`` of the region's platform."""
 
-    regions: tuple[Region, ...]
+    regions: Annotated[tuple[Region, ...], Field(min_length=1)]
     """Regions with their zones; the first one's store accepts tickets."""
 
     links: tuple[Link, ...]
@@ -118,7 +119,7 @@
     @classmethod
     def from_file(cls, path: str | Path) -> Self:
         """Return the settings in a file; raises SettingsInvalid."""
-        return read_settings(cls, path)
+        return read_settings(cls, path, check_entry)
 
 
 @dataclass(frozen=True, slots=True)
@@ -145,4 +146,4 @@
     @classmethod
     def from_file(cls, path: str | Path) -> Self:
         """Return the settings in a file; raises SettingsInvalid."""
-        return read_settings(cls, path)
+        return read_settings(cls, path, check_client)
--- a/src/sesameladder/settings/_errors.py
+++ b/src/sesameladder/settings/_errors.py
@@ -17,7 +17,10 @@
     """Offending value as JSON, shortened; empty when there is none."""
 
     message: str
-    """What is wrong and what would be accepted."""
+    """What is wrong."""
+
+    remedy: str
+    """What would be accepted."""
 
     line: int | None = None
     """Line of the file, counted from 1, when the parser reports it."""
@@ -25,7 +28,7 @@
     def __str__(self) -> str:
         place = self.file if self.line is None else f"{self.file}:{self.line}"
         subject = f"{self.key} = {self.value}" if self.value else self.key
-        parts = [place, subject, self.message]
+        parts = [place, subject, f"{self.message}; {self.remedy}"]
         return ": ".join(part for part in parts if part)
 
 
--- a/src/sesameladder/settings/_fields.py
+++ b/src/sesameladder/settings/_fields.py
@@ -11,17 +11,31 @@
 """Configuration of every settings class; nested plain dataclasses inherit it."""
 
 
-def check_address(address: str) -> str:
-    """Return an ``ip:port`` address unchanged; raises ValueError if it is not one."""
-    host, separator, port = address.rpartition(":")
-    if not separator or not port.isascii() or not port.isdigit():
-        raise ValueError('is not "ip:port"; for example "127.0.0.1:7000"')
+def check_listen_address(address: str) -> str:
+    """Return an ``ip:port`` address unchanged; raises ValueError if it is not one.
+
+    Port 0 stands for a free port.
+    """
+    host, _, port = address.rpartition(":")
+    if not (port.isascii() and port.isdigit()) or str(int(port[:9])) != port:
+        raise ValueError("has no port number")
     if int(port) > MAX_PORT:
         raise ValueError(f"has a port over {MAX_PORT}")
     try:
         ipaddress.IPv4Address(host)
     except ValueError:
-        raise ValueError("has no IPv4 number; host names are not resolved") from None
+        raise ValueError("has no IPv4 number") from None
+    return address
+
+
+def check_address(address: str) -> str:
+    """Return an address that others can connect to; raises ValueError."""
+    check_listen_address(address)
+    host, _, port = address.rpartition(":")
+    if port == "0":
+        raise ValueError("has port 0")
+    if ipaddress.IPv4Address(host).is_unspecified:
+        raise ValueError("can't be connected to")
     return address
 
 
@@ -29,4 +43,7 @@
 """Name of a deployment, region, zone, instance or VM."""
 
 Address = Annotated[str, AfterValidator(check_address)]
-"""``ip:port`` with an IPv4 number."""
+"""``ip:port`` with an IPv4 number and a fixed port."""
+
+ListenAddress = Annotated[str, AfterValidator(check_listen_address)]
+"""``ip:port`` with an IPv4 number; port 0 stands for a free port."""
--- a/src/sesameladder/settings/_reader.py
+++ b/src/sesameladder/settings/_reader.py
@@ -2,68 +2,78 @@
 
 import json
 import re
+from collections.abc import Callable, Iterable
 from pathlib import Path
 from typing import Any, TypeVar
 
 import json5
 from pydantic import TypeAdapter, ValidationError
 
+from sesameladder.settings._document import Document
 from sesameladder.settings._errors import SettingsInvalid, SettingsProblem
+from sesameladder.settings._type_errors import describe_type_error
 
-SHOWN_VALUE_CHARACTERS = 80
+MAX_FILE_CHARACTERS = 4_000_000
 SYNTAX_ERROR = re.compile(r"^<string>:(\d+) (.*)$", re.DOTALL)
+SYNTAX_REMEDY = "give one JSON object; // and /* */ comments are allowed"
+
+Check = Callable[[Document], Iterable[SettingsProblem]]
+"""Finds the contradictions between values of a document."""
 
 T = TypeVar("T")
 
 
-def read_settings(kind: type[T], path: str | Path) -> T:
+def read_settings(kind: type[T], path: str | Path, check: Check) -> T:
     """Return the settings in a file; raises SettingsInvalid with every problem."""
-    document = parse_text(read_text(path), str(path))
-    return convert_document(kind, document, str(path))
+    return parse_settings(kind, read_file(path), str(path), check)
+
 
+def parse_settings(kind: type[T], text: str, file: str, check: Check) -> T:
+    """Return the settings in a text; raises SettingsInvalid with every problem."""
+    document = Document(file, parse_text(text, file))
+    settings, problems = _convert(kind, document)
+    problems = [*problems, *check(document)]
+    if settings is None or problems:
+        raise SettingsInvalid(problems)
+    return settings
 
-def read_text(path: str | Path) -> str:
+
+def read_file(path: str | Path) -> str:
     """Return a file's text; raises SettingsInvalid when it can't be read."""
     try:
         return Path(path).read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        raise SettingsInvalid(
-            [SettingsProblem(str(path), "", "", f"can't be read: {error}")]
-        ) from error
+    except (OSError, ValueError) as error:
+        message = f"can't be read: {error}"
+        problem = SettingsProblem(str(path), "", "", message, "name a UTF-8 file")
+        raise SettingsInvalid([problem]) from error
 
 
-def parse_text(text: str, file: str) -> object:
-    """Return the value of a JSON-with-comments text."""
+def parse_text(text: str, file: str) -> Any:
+    """Return the value of a JSON-with-comments text; raises SettingsInvalid."""
     try:
-        return json5.loads(text, allow_duplicate_keys=False)
+        if len(text) > MAX_FILE_CHARACTERS:
+            raise ValueError(f"has over {MAX_FILE_CHARACTERS} characters")
+        value = json5.loads(text, allow_duplicate_keys=False)
+        json.dumps(value)
     except (ValueError, RecursionError) as error:
         raise SettingsInvalid([_describe_syntax_error(error, file)]) from error
+    return value
 
 
-def convert_document(kind: type[T], document: object, file: str) -> T:
-    """Return a parsed document as a settings class."""
-    text = json.dumps(document)
+def _convert(
+    kind: type[T], document: Document
+) -> tuple[T | None, list[SettingsProblem]]:
+    """Return the settings, or None and the problems of their types."""
     try:
-        return TypeAdapter(kind).validate_json(text)
+        return TypeAdapter(kind).validate_json(json.dumps(document.root)), []
     except ValidationError as error:
-        problems = [_describe_error(row, file) for row in error.errors()]
-        raise SettingsInvalid(problems) from error
+        errors = error.errors(include_url=False)
+    return None, [describe_type_error(document, kind, error) for error in errors]
 
 
 def _describe_syntax_error(error: Exception, file: str) -> SettingsProblem:
     match = SYNTAX_ERROR.match(str(error))
-    if match is None:
-        return SettingsProblem(file, "", "", f"is not JSON with comments: {error}")
-    message = f"is not JSON with comments: {match[2]}"
-    return SettingsProblem(file, "", "", message, line=int(match[1]))
-
-
-def _describe_error(row: Any, file: str) -> SettingsProblem:
-    value = json.dumps(row["input"])[:SHOWN_VALUE_CHARACTERS]
-    return SettingsProblem(file, format_key(row["loc"]), value, row["msg"])
-
-
-def format_key(location: tuple[int | str, ...]) -> str:
-    """Return a key path, for example ``regions[0].name``."""
-    parts = [f"[{part}]" if isinstance(part, int) else f".{part}" for part in location]
-    return "".join(parts).removeprefix(".")
+    line = int(match[1]) if match else None
+    detail = match[2] if match else str(error)
+    message = f"is not JSON with comments: {detail}"
+    return SettingsProblem(file, "", "", message, SYNTAX_REMEDY, line)
--- a/src/sesameladder/settings/_standins.py
+++ b/src/sesameladder/settings/_standins.py
@@ -6,8 +6,12 @@
 
 from pydantic import ConfigDict, Field
 
-from sesameladder.settings._fields import STRICT, Address, Name
+from sesameladder.settings._fields import STRICT, Address, ListenAddress, Name
 from sesameladder.settings._reader import read_settings
+from sesameladder.settings._standin_checks import (
+    check_platform_standin,
+    check_upstream_standin,
+)
 
 Milliseconds = Annotated[int, Field(ge=0, le=3_600_000)]
 
@@ -35,7 +39,7 @@
 
     __pydantic_config__: ClassVar[ConfigDict] = STRICT
 
-    address: Address
+    address: ListenAddress
     """``ip:port`` that the stand-in listens on; port 0 picks a free one."""
 
     vm_list_lag_ms: Milliseconds = 1_000
@@ -56,7 +60,7 @@
     @classmethod
     def from_file(cls, path: str | Path) -> Self:
         """Return the settings in a file; raises SettingsInvalid."""
-        return read_settings(cls, path)
+        return read_settings(cls, path, check_platform_standin)
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,7 +70,7 @@
     name: Name
     """Unique name of the VM."""
 
-    address: Address
+    address: ListenAddress
     """``ip:port`` that the upstream listens on; port 0 picks a free one."""
 
     slots: Annotated[int, Field(ge=1, le=1024)] = 8
@@ -100,4 +104,4 @@
     @classmethod
     def from_file(cls, path: str | Path) -> Self:
         """Return the settings in a file; raises SettingsInvalid."""
-        return read_settings(cls, path)
+        return read_settings(cls, path, check_upstream_standin)
