Add example settings and tickets of both users

Cause: trials and new users need a complete deployment to start from. Conclusion: the examples are checked by the same code as real files.

--- a/src/sesameladder/settings/_entry.py
+++ b/src/sesameladder/settings/_entry.py
@@ -7,7 +7,7 @@
 from pydantic import ConfigDict, Field
 
 from sesameladder.model import Link, Region
-from sesameladder.settings._checks import check_client, check_entry
+from sesameladder.settings._checks import MAX_DELAY_MS, check_client, check_entry
 from sesameladder.settings._fields import STRICT, Address, Name
 from sesameladder.settings._reader import read_settings
 
@@ -95,6 +95,9 @@
     instances: tuple[InstanceSettings, ...]
     """All entry instances of the deployment, this one included."""
 
+    client_delay_ms: Annotated[float, Field(ge=0, le=MAX_DELAY_MS)] = 0.0
+    """One-way delay between callers and this zone, in milliseconds; used by trials."""
+
     http_threads: Annotated[int, Field(ge=4, le=1024)] = 64
     """Threads that serve callers; also the first admission limit."""
 
--- /dev/null
+++ b/src/sesameladder/settings/examples/_writer.py
@@ -0,0 +1,168 @@
+"""Writes the files of an example deployment for one machine.
+
+The files of a deployment use ports from its default base port on: the platform
+at the base, callers' endpoints of entry instances from 11, admin endpoints from
+31, peer servers from 51 and workers from 101 above it.
+"""
+
+import json
+import re
+from dataclasses import dataclass
+from importlib.resources import files
+from itertools import groupby
+from pathlib import Path
+from string import Template
+from typing import Any
+
+import json5
+
+DEPLOYMENTS = {"coral-strand": 20_000, "pfennigblatt": 21_000}
+"""Default base port by deployment."""
+
+HIGHEST_PORT_OFFSET = 200
+FIRST_HTTP_OFFSET = 11
+ADDRESS = re.compile(r"127\.0\.0\.1:(\d+)")
+FIRST_TICKET = "tickets/0001-first-state.jsonc"
+
+Row = dict[str, Any]
+
+
+@dataclass(frozen=True, slots=True)
+class ExampleFiles:
+    """Paths of the written files."""
+
+    entries: dict[str, Path]
+    """Settings of the entry processes by instance."""
+
+    client: Path
+    """Settings of the operators' command."""
+
+    platform: Path
+    """Settings of the platform stand-in."""
+
+    upstreams: dict[str, Path]
+    """Settings of the upstream stand-ins by rack; one process serves a rack."""
+
+    tickets: tuple[Path, ...]
+    """Tickets in the order of their numbers."""
+
+
+def write_example(
+    deployment: str, directory: Path, base_port: int | None = None
+) -> ExampleFiles:
+    """Write a deployment's files; it uses ports from ``base_port`` on."""
+    example = _Example(deployment, directory, base_port)
+    return example.write()
+
+
+class _Example:
+    """One deployment that is being written to a directory."""
+
+    def __init__(self, deployment: str, directory: Path, base_port: int | None) -> None:
+        if deployment not in DEPLOYMENTS:
+            raise ValueError(f"{deployment!r} is not one of {', '.join(DEPLOYMENTS)}")
+        default = DEPLOYMENTS[deployment]
+        base = default if base_port is None else base_port
+        if not 0 < base <= 65_535 - HIGHEST_PORT_OFFSET:
+            raise ValueError(f"base port {base} leaves no room for all endpoints")
+        self.source = files(__package__) / deployment
+        self.directory = directory
+        self.default_base = default
+        self.shift = base - default
+        self.vms: dict[str, Row] = self._read(FIRST_TICKET)["vms"]
+        self.instances: list[Row] = self._read("client.jsonc")["instances"]
+
+    def write(self) -> ExampleFiles:
+        """Write all files and return their paths."""
+        (self.directory / "tickets").mkdir(parents=True, exist_ok=True)
+        return ExampleFiles(
+            entries=self._write_entries(),
+            client=self._write("client.jsonc", "client.jsonc"),
+            platform=self._write_platform(),
+            upstreams=self._write_upstreams(),
+            tickets=self._write_tickets(),
+        )
+
+    def _write_entries(self) -> dict[str, Path]:
+        paths = {}
+        for index, row in enumerate(self.instances):
+            instance = row["instance"]
+            values = self._describe_entry(index, row)
+            target = f"{instance}.jsonc"
+            paths[instance] = self._write("entry.template.jsonc", target, values)
+        return paths
+
+    def _describe_entry(self, index: int, row: Row) -> dict[str, str]:
+        peers = {
+            peer["instance"]: peer["peer_address"]
+            for peer in self._read("entry.template.jsonc")["instances"]
+        }
+        port = self.default_base + FIRST_HTTP_OFFSET + index
+        return {
+            "instance": row["instance"],
+            "zone": row["zone"],
+            "http_address": f"127.0.0.1:{port}",
+            "admin_address": row["admin_address"],
+            "peer_address": peers[row["instance"]],
+        }
+
+    def _write_platform(self) -> Path:
+        entries = [
+            _list_vm(row["instance"], row["zone"], row["admin_address"], "entry")
+            for row in self.instances
+        ]
+        workers = [
+            _list_vm(name, vm["zone"], vm["address"], "upstream")
+            for name, vm in self.vms.items()
+        ]
+        vms = {"vms": _format_rows(entries + workers)}
+        name = "platform-standin"
+        return self._write(f"{name}.template.jsonc", f"{name}.jsonc", vms)
+
+    def _write_upstreams(self) -> dict[str, Path]:
+        by_rack = groupby(self.vms.items(), key=lambda item: item[1]["rack"])
+        return {rack: self._write_rack(rack, dict(vms)) for rack, vms in by_rack}
+
+    def _write_rack(self, rack: str, vms: dict[str, Row]) -> Path:
+        keys = ("address", "slots", "connections")
+        rows = [
+            {"name": name, **{key: vm[key] for key in keys}} for name, vm in vms.items()
+        ]
+        values = {"rack": rack, "upstreams": _format_rows(rows)}
+        target = f"upstream-{rack}.jsonc"
+        return self._write("upstream-standin.template.jsonc", target, values)
+
+    def _write_tickets(self) -> tuple[Path, ...]:
+        names = sorted(file.name for file in (self.source / "tickets").iterdir())
+        paths = [f"tickets/{name}" for name in names if name.endswith(".jsonc")]
+        return tuple(self._write(path, path) for path in paths)
+
+    def _write(
+        self, source: str, target: str, values: dict[str, str] | None = None
+    ) -> Path:
+        text = self._read_text(source)
+        if values is not None:
+            text = Template(text).substitute(values)
+        path = self.directory / target
+        path.write_text(ADDRESS.sub(self._move_port, text), encoding="utf-8")
+        return path
+
+    def _move_port(self, match: re.Match[str]) -> str:
+        port = int(match[1])
+        in_range = 0 <= port - self.default_base <= HIGHEST_PORT_OFFSET
+        return f"127.0.0.1:{port + self.shift if in_range else port}"
+
+    def _read(self, source: str) -> Any:
+        return json5.loads(self._read_text(source))
+
+    def _read_text(self, source: str) -> str:
+        return (self.source / source).read_text(encoding="utf-8")
+
+
+def _list_vm(name: str, zone: str, address: str, kind: str) -> Row:
+    return {"name": name, "zone": zone, "address": address, "kind": kind}
+
+
+def _format_rows(rows: list[Row]) -> str:
+    lines = ",\n".join(f"    {json.dumps(row)}" for row in rows)
+    return f"[\n{lines}\n  ]"
