--- a/src/sesameladder/settings/_entry.py
+++ b/src/sesameladder/settings/_entry.py
@@ -7,6 +7,7 @@
 from pydantic import ConfigDict, Field
 
 from sesameladder.model import Link, Region
+from sesameladder.settings._checks import MAX_DELAY_MS, check_client, check_entry
 from sesameladder.settings._fields import STRICT, Address, Name
 from sesameladder.settings._reader import read_settings
 
@@ -85,7 +86,7 @@
     platform_address: Address
     """``ip:port`` of the region's platform."""
 
-    regions: tuple[Region, ...]
+    regions: Annotated[tuple[Region, ...], Field(min_length=1)]
     """Regions with their zones; the first one's store accepts tickets."""
 
     links: tuple[Link, ...]
@@ -94,6 +95,9 @@
     instances: tuple[InstanceSettings, ...]
     """All entry instances of the deployment, this one included."""
 
+    client_delay_ms: Annotated[float, Field(ge=0, le=MAX_DELAY_MS)] = 0.0
+    """One-way delay between callers and this zone, in milliseconds; used by trials."""
+
     http_threads: Annotated[int, Field(ge=4, le=1024)] = 64
     """Threads that serve callers; also the first admission limit."""
 
@@ -118,7 +122,7 @@
     @classmethod
     def from_file(cls, path: str | Path) -> Self:
         """Return the settings in a file; raises SettingsInvalid."""
-        return read_settings(cls, path)
+        return read_settings(cls, path, check_entry)
 
 
 @dataclass(frozen=True, slots=True)
@@ -145,4 +149,4 @@
     @classmethod
     def from_file(cls, path: str | Path) -> Self:
         """Return the settings in a file; raises SettingsInvalid."""
-        return read_settings(cls, path)
+        return read_settings(cls, path, check_client)
