Keep callers from an entry instance that has no plan yet

Cause: a blank entry instance answered health checks at once and refused 4 of 2200 attempts of the demo until it had caught up from its peers. Change: health answers 503 until a plan is in effect; the load balancer of the demo follows it. The relay announces a new number at once to the other zones, and a restarted peer's old number is forgotten. Conclusion: readiness belongs in the health answer.

--- a/src/sesameladder/entry/_configuration_task.py
+++ b/src/sesameladder/entry/_configuration_task.py
@@ -83,6 +83,13 @@
     held: bool
 
 
+@dataclass(frozen=True, slots=True)
+class PeerRestarted:
+    """A peer runs a new incarnation, which may hold nothing."""
+
+    instance: str
+
+
 @dataclass(frozen=True, slots=True)
 class PlanRead:
     """The region's plan as the store holds it."""
@@ -108,6 +115,7 @@
     | TicketsRead
     | SnapshotRead
     | RelayRoleChanged
+    | PeerRestarted
     | PlanRead
     | VmListRead
     | Stop
@@ -122,6 +130,7 @@
     """
 
     __slots__ = (
+        "announce",
         "behind_since",
         "hears_relay",
         "heartbeat_peers",
@@ -142,12 +151,13 @@
         self.view = view
         self.zones = {a.instance: a.zone for a in peers.addresses.values()}
         self.replica = ConfigurationReplica()
-        self.rules = RelayRules(peers.identity.instance, zone, now)
+        self.rules = RelayRules(peers.identity.instance, zone, self.zones, now)
         self.plan_bytes = b""
         self.plan_pull_peer = ""
+        self.announce: Callable[[list[str]], None] = _announce_to_nobody
         self.behind_since = 0.0
         self.hears_relay = False
-        self.heartbeat_peers = self.rules.choose_heartbeat_peers(self.zones)
+        self.heartbeat_peers = self.rules.choose_heartbeat_peers()
         self.inbox: SimpleQueue[ConfigurationMessage] = SimpleQueue()
 
     def start(self) -> None:
@@ -215,6 +225,10 @@
     def _(self, message: RelayRoleChanged) -> None:
         self.rules.relay = message.held
 
+    @_receive.register
+    def _(self, message: PeerRestarted) -> None:
+        self.rules.note_restart(message.instance)
+
     @_receive.register
     def _(self, message: PlanRead) -> None:
         self._offer_plan(message.data)
@@ -313,9 +327,10 @@
             "configuration in effect",
             extra={"event": "configuration_applied", "ticket": self.replica.number},
         )
-        for instance, ticket in self.rules.plan_push(self.replica, self.zones):
+        for instance, ticket in self.rules.plan_push(self.replica):
             item = TicketItem(ticket.number, ticket.digest, ticket.raw)
             self.peers.send(instance, Tickets((item,)))
+        self.announce(self.rules.choose_announce_peers(self.replica.number))
         self.view.notify()
 
     def _offer_plan(self, data: bytes) -> None:
@@ -340,7 +355,7 @@
         """Return whom a relay pushes plans and VM lists to."""
         if not self.rules.relay:
             return []
-        return self.heartbeat_peers
+        return list(self.rules.layout.near)
 
     def _apply_vm_list(self, update: VmListUpdate) -> None:
         if update.sequence <= self.view.vm_list_sequence:
@@ -359,7 +374,7 @@
 
     def _publish_rules(self) -> None:
         self.hears_relay = self.rules.hears_relay()
-        self.heartbeat_peers = self.rules.choose_heartbeat_peers(self.zones)
+        self.heartbeat_peers = self.rules.choose_heartbeat_peers()
 
     def _plan_version(self) -> int:
         return self.view.plan.version if self.view.plan else 0
@@ -383,5 +398,9 @@
         )
 
 
+def _announce_to_nobody(_peers: list[str]) -> None:
+    """Stand in until the membership task is attached."""
+
+
 def _ignore(_message: Message) -> None:
     """Drop the reply to a one-way message."""
--- a/src/sesameladder/entry/_front_end.py
+++ b/src/sesameladder/entry/_front_end.py
@@ -53,6 +53,7 @@
         "draining",
         "idle",
         "in_flight",
+        "is_ready",
         "issue_token",
         "max_body_bytes",
         "numbers",
@@ -70,12 +71,14 @@
         default_deadline_ms: float,
         serve_request: Callable[[CallerRequest], Outcome],
         issue_token: Callable[[], str],
+        is_ready: Callable[[], bool],
     ) -> None:
         self.prefix = prefix
         self.max_body_bytes = max_body_bytes
         self.default_deadline_ms = default_deadline_ms
         self.serve_request = serve_request
         self.issue_token = issue_token
+        self.is_ready = is_ready
         self.numbers = count(1)
         self.draining = False
         self.in_flight = 0
@@ -149,6 +152,8 @@
     def _answer_health(self) -> HttpAnswer:
         if self.draining:
             return _plain(503, "draining\n")
+        if not self.is_ready():
+            return _plain(503, "no configuration or plan is in effect yet\n")
         return _plain(200, "ok\n")
 
     def _answer_token(self, method: str) -> HttpAnswer:
--- a/src/sesameladder/entry/_membership.py
+++ b/src/sesameladder/entry/_membership.py
@@ -126,7 +126,11 @@
                 return
 
     def send_heartbeats(self) -> None:
-        """Send one heartbeat to each chosen peer."""
+        """Send one heartbeat to each peer that gets one now."""
+        self.announce(self.configuration.heartbeat_peers)
+
+    def announce(self, peers: list[str]) -> None:
+        """Send one heartbeat to some peers."""
         heartbeat = Heartbeat(
             zone=self.zone,
             configuration_number=self.view.state.number,
@@ -135,5 +139,5 @@
             relay=self.configuration.rules.relay,
             vm_list_sequence=self.view.vm_list_sequence,
         )
-        for instance in self.configuration.heartbeat_peers:
+        for instance in peers:
             self.peers.send(instance, heartbeat)
--- a/src/sesameladder/entry/_process.py
+++ b/src/sesameladder/entry/_process.py
@@ -7,7 +7,7 @@
 from threading import Event, Thread
 
 from sesameladder.entry._admin import AdminEndpoint
-from sesameladder.entry._configuration_task import ConfigurationTask
+from sesameladder.entry._configuration_task import ConfigurationTask, PeerRestarted
 from sesameladder.entry._configuration_task import Stop as StopConfiguration
 from sesameladder.entry._dispatch_messages import InstanceGone, ViewChanged
 from sesameladder.entry._dispatch_messages import Stop as StopDispatch
@@ -150,6 +150,7 @@
             settings.request_timeout_ms,
             self._serve,
             lambda: self.tokens.issue().to_text(),
+            lambda: self.view.plan is not None,
         )
         self.admin = AdminEndpoint(
             settings.admin_address,
@@ -254,6 +255,7 @@
         self.router.keeper = self.keeper
         self.router.membership = self.membership
         self.router.tokens = self.tokens
+        self.configuration.announce = self.membership.announce
         self.view.listeners.append(lambda: self.dispatch.post(ViewChanged()))
 
     def _serve(self, request: CallerRequest) -> Outcome:
@@ -264,6 +266,7 @@
 
     def _note_new_incarnation(self, peer: PeerIdentity) -> None:
         self.dispatch.post(InstanceGone(peer.instance, peer.incarnation - 1))
+        self.configuration.post(PeerRestarted(peer.instance))
 
     def _cut_zones(self, zones: frozenset[str]) -> None:
         self.peers.blocked_zones = zones
--- a/src/sesameladder/measure/_callers.py
+++ b/src/sesameladder/measure/_callers.py
@@ -6,11 +6,11 @@
 from dataclasses import dataclass, field
 from random import Random
 from threading import Event, Lock, Thread
+from typing import Protocol
 
+from urllib3 import PoolManager, Retry, Timeout
 from urllib3.exceptions import HTTPError
 
-from sesameladder.measure._deployment import Deployment
-
 SHORT_WORK_MS = (5, 30)
 LONG_WORK_MS = 800
 LONG_SHARE = 0.03
@@ -19,6 +19,7 @@
 MAX_ATTEMPTS = 4
 RETRY_PAUSE_S = 0.1
 PAUSE_S = 0.02
+READ_TIMEOUT_S = 60.0
 BROKEN = "broken"
 
 
@@ -68,14 +69,56 @@
     """Attempts in order."""
 
 
+@dataclass(frozen=True, slots=True)
+class CallerEndpoint:
+    """Where callers reach an entry instance."""
+
+    instance: str
+    """Entry instance."""
+
+    address: str
+    """``ip:port`` of its front end."""
+
+
+class Balancer(Protocol):
+    """Stands for the platform's load balancer."""
+
+    def list_endpoints(self) -> list[CallerEndpoint]:
+        """Return the entry instances that receive callers now."""
+
+
 class Callers:
     """Threads that call until they are told to stop."""
 
-    __slots__ = ("deployment", "lock", "records", "seed", "stopping", "threads")
-
-    def __init__(self, deployment: Deployment, seed: int, threads: int) -> None:
-        self.deployment = deployment
+    __slots__ = (
+        "balancer",
+        "http",
+        "lock",
+        "pools",
+        "records",
+        "seed",
+        "stopping",
+        "teams",
+        "threads",
+    )
+
+    def __init__(
+        self,
+        balancer: Balancer,
+        pools: tuple[str, ...],
+        teams: tuple[str, ...],
+        seed: int,
+        threads: int,
+    ) -> None:
+        self.balancer = balancer
+        self.pools = pools
+        self.teams = teams
         self.seed = seed
+        self.http = PoolManager(
+            maxsize=threads,
+            timeout=Timeout(connect=1.0, read=READ_TIMEOUT_S),
+            retries=Retry(0, redirect=0),
+        )
         self.records: list[CallRecord] = []
         self.lock = Lock()
         self.stopping = Event()
@@ -107,9 +150,8 @@
             self._call(random, number)
 
     def _call(self, random: Random, number: int) -> None:
-        scenario = self.deployment.scenario
         kind = _choose_kind(random)
-        record = CallRecord(kind, random.choice(scenario.pools), "")
+        record = CallRecord(kind, random.choice(self.pools), "")
         body = f"{self.seed}/{random.random()}/{number}".encode()
         if kind == "token":
             record.key = self._fetch_token(random)
@@ -119,7 +161,7 @@
             return
         with self.lock:
             self.records.append(record)
-        headers = _build_headers(record, random, scenario.teams)
+        headers = _build_headers(record, random, self.teams)
         for attempt_number in range(1, MAX_ATTEMPTS + 1):
             headers["Sesameladder-Attempt"] = str(attempt_number)
             attempt = self._attempt(random, record, headers, body)
@@ -129,10 +171,10 @@
                 return
 
     def _fetch_token(self, random: Random) -> str:
-        entry = random.choice(self.deployment.list_running())
-        url = f"http://{entry.settings.http_address}/-/tokens"
+        entry = random.choice(self.balancer.list_endpoints())
+        url = f"http://{entry.address}/-/tokens"
         try:
-            response = self.deployment.http.request("POST", url)
+            response = self.http.request("POST", url)
         except HTTPError:
             return ""
         return response.data.decode() if response.status == 201 else ""
@@ -140,13 +182,13 @@
     def _attempt(
         self, random: Random, record: CallRecord, headers: dict[str, str], body: bytes
     ) -> Attempt:
-        entry = random.choice(self.deployment.list_balanced())
-        name = entry.settings.instance
+        entry = random.choice(self.balancer.list_endpoints())
+        name = entry.instance
         method = "POST" if record.key else "GET"
-        url = f"http://{entry.settings.http_address}/pools/{record.pool}/work"
+        url = f"http://{entry.address}/pools/{record.pool}/work"
         started = time.monotonic()
         try:
-            response = self.deployment.http.request(
+            response = self.http.request(
                 method, url, headers=headers, body=body if record.key else None
             )
         except HTTPError as error:
--- a/src/sesameladder/measure/_deployment.py
+++ b/src/sesameladder/measure/_deployment.py
@@ -10,6 +10,7 @@
 from urllib3 import PoolManager, Retry, Timeout
 
 from sesameladder.entry import EntryProcess
+from sesameladder.measure._callers import CallerEndpoint
 from sesameladder.model import Link, Region
 from sesameladder.platform import PlatformClient
 from sesameladder.settings import (
@@ -188,10 +189,13 @@
         """Return the entry instances that run."""
         return [e for e in self.entries.values() if not e.stopped.is_set()]
 
-    def list_balanced(self) -> list[EntryProcess]:
-        """Return the entries that the balancer sends callers to."""
-        running = self.list_running()
-        return [e for e in running if not e.front_end.draining] or running
+    def list_endpoints(self) -> list[CallerEndpoint]:
+        """Return the entries that the load balancer sends callers to."""
+        return [
+            CallerEndpoint(entry.settings.instance, entry.settings.http_address)
+            for entry in self.list_running()
+            if not entry.front_end.draining and entry.view.plan is not None
+        ]
 
     def read_head_number(self) -> int:
         """Return the number of the latest accepted ticket."""
--- a/src/sesameladder/measure/_monitor.py
+++ b/src/sesameladder/measure/_monitor.py
@@ -3,6 +3,7 @@
 from threading import Event, Thread
 
 from sesameladder.measure._deployment import Deployment
+from sesameladder.measure._verdict import Check
 from sesameladder.planning import Phase, RegionPlan
 
 SAMPLE_S = 0.05
@@ -77,3 +78,14 @@
     """Return the VMs of a pool that are out by a planned stop."""
     stopped = (Phase.LEAVING, Phase.DRAINED, Phase.REBOOTING, Phase.CHECKING)
     return sum(row.pool == pool and row.phase in stopped for row in plan.rows.values())
+
+
+def check_plan(monitor: Monitor) -> list[Check]:
+    """Return the checks on plan and configuration."""
+    return [
+        Check(
+            "P1", "samples with more planned stops than allowed", monitor.budget_breaks
+        ),
+        Check("P2", "samples with a VM in two pools", monitor.double_pools),
+        Check("P8", "configuration numbers that went back", monitor.reverted),
+    ]
--- a/src/sesameladder/measure/_verdict.py
+++ b/src/sesameladder/measure/_verdict.py
@@ -3,9 +3,9 @@
 from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass
+from typing import Any
 
-from sesameladder.measure._callers import CallRecord
-from sesameladder.measure._deployment import Deployment
+from sesameladder.measure._callers import BROKEN, CallRecord
 from sesameladder.standins.upstream import UpstreamStandin
 
 WORKER_SLOTS = 8
@@ -70,46 +70,47 @@
             sum(c.ends["cut"] for c in counters),
         )
 
+    @classmethod
+    def from_counters(cls, counters: list[dict[str, Any]]) -> "Witness":
+        """Add up what ``GET /-/counters`` of upstream stand-ins returned."""
+        by_key: Counter[str] = Counter()
+        by_request: Counter[str] = Counter()
+        for row in counters:
+            by_key.update(row["runs_by_key"])
+            by_request.update(row["runs_by_request"])
+        return cls(
+            by_key,
+            by_request,
+            max(row["peak_slots"] for row in counters),
+            max(row["peak_connections"] for row in counters),
+            sum(row["late_attempts"] for row in counters),
+            sum(row["cut_requests"] for row in counters),
+        )
+
 
-def check_promises(
-    deployment: Deployment,
-    records: list[CallRecord],
-    reverted: int,
-    double_pools: int,
-    budget_breaks: int,
-    excused_entries: set[str],
+def check_calls(
+    records: list[CallRecord], witness: Witness, excused: set[str]
 ) -> list[Check]:
-    """Return one check per promise; ``excused_entries`` were killed on purpose."""
-    witness = Witness.from_upstreams(deployment.upstreams.values())
-    attempts = [(r, a) for r in records for a in r.attempts]
+    """Return the checks on requests; ``excused`` entries were killed on purpose."""
+    attempts = [attempt for record in records for attempt in record.attempts]
     broken = [
-        f"{a.entry}: {a.reason[:80]}"
-        for _, a in attempts
-        if a.outcome == "broken" and a.entry not in excused_entries
+        f"{attempt.entry}: {attempt.reason[:80]}"
+        for attempt in attempts
+        if attempt.outcome == BROKEN and attempt.entry not in excused
     ]
-    not_whole = [a.request_id for _, a in attempts if not a.whole]
+    not_whole = [attempt.request_id for attempt in attempts if not attempt.whole]
+    false_refusals = _find_false_refusals(records, witness)
+    over_slots = int(witness.peak_slots > WORKER_SLOTS)
+    over_connections = int(witness.peak_connections > WORKER_CONNECTIONS)
     return [
-        Check("P1", "pools below their budget by a planned stop", budget_breaks),
-        Check("P2", "VMs seen in two pools", double_pools),
         _check("P3", "answers that are not whole or of another request", not_whole),
-        _check(
-            "P4", "refused as not run, but ran", _find_false_refusals(records, witness)
-        ),
+        _check("P4", "refused as not run, but ran", false_refusals),
         _check("P5", "single-run requests that ran twice", _find_doubles(witness)),
         Check("P6", "work offered 3 s after leaving", witness.late_attempts),
         _check("P7", "requests cut by a planned stop", broken),
         Check("P7", "tasks cut by a reboot", witness.cut),
-        Check("P8", "configuration numbers that went back", reverted),
-        Check(
-            "slots",
-            "workers with more tasks than slots",
-            int(witness.peak_slots > WORKER_SLOTS),
-        ),
-        Check(
-            "connections",
-            "workers with more connections than allowed",
-            int(witness.peak_connections > WORKER_CONNECTIONS),
-        ),
+        Check("slots", "workers with more tasks than slots", over_slots),
+        Check("connections", "workers with too many connections", over_connections),
     ]
 
 
--- a/src/sesameladder/measure/demo.py
+++ b/src/sesameladder/measure/demo.py
@@ -18,8 +18,8 @@
 
 from sesameladder.measure._callers import Callers
 from sesameladder.measure._deployment import SCENARIOS, Deployment, Scenario
-from sesameladder.measure._monitor import Monitor
-from sesameladder.measure._verdict import Check, check_promises
+from sesameladder.measure._monitor import Monitor, check_plan
+from sesameladder.measure._verdict import Check, Witness, check_calls
 from sesameladder.planning import Phase
 from sesameladder.tickets import Accepted, AlreadyAccepted, NotFiled
 
@@ -82,7 +82,9 @@
     def __init__(self, scenario: Scenario) -> None:
         self.scenario = scenario
         self.deployment = Deployment.create(scenario)
-        self.callers = Callers(self.deployment, SEED, CALLER_THREADS)
+        self.callers = Callers(
+            self.deployment, scenario.pools, scenario.teams, SEED, CALLER_THREADS
+        )
         self.monitor = Monitor(self.deployment)
         self.report = DemoReport(scenario.deployment)
         self.excused: set[str] = set()
@@ -266,14 +268,11 @@
                 if attempt.outcome != "done"
             ).most_common(MAX_REASONS)
         )
-        self.report.checks = check_promises(
-            self.deployment,
-            records,
-            self.monitor.reverted,
-            self.monitor.double_pools,
-            self.monitor.budget_breaks,
-            self.excused,
-        )
+        witness = Witness.from_upstreams(self.deployment.upstreams.values())
+        self.report.checks = [
+            *check_plan(self.monitor),
+            *check_calls(records, witness, self.excused),
+        ]
 
 
 def _team(weight: int) -> dict[str, object]:
