--- a/src/sesameladder/entry/_process.py
+++ b/src/sesameladder/entry/_process.py
@@ -156,7 +156,7 @@
             settings.admin_address,
             self.read_status,
             self.read_dump,
-            self._cut_zones,
+            self._cut_zones if settings.fault_injection else None,
         )
         self._attach()
 
--- a/src/sesameladder/settings/_entry.py
+++ b/src/sesameladder/settings/_entry.py
@@ -119,6 +119,9 @@
     max_body_bytes: Annotated[int, Field(ge=1_024, le=16_000_000)] = 1_000_000
     """Largest request body that is accepted."""
 
+    fault_injection: bool = False
+    """Whether the admin endpoint accepts cuts between zones, for tests."""
+
     @classmethod
     def from_file(cls, path: str | Path) -> Self:
         """Return the settings in a file; raises SettingsInvalid."""
--- /dev/null
+++ b/tests/processes/__init__.py
@@ -0,0 +1,1 @@
+"""Tests with the real programs as separate processes."""
--- /dev/null
+++ b/tests/processes/fleet.py
@@ -0,0 +1,186 @@
+"""Starts the programs of a deployment as separate processes on loopback."""
+
+import json
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import json5
+from urllib3 import PoolManager, Retry, Timeout
+from urllib3.exceptions import HTTPError
+
+from sesameladder.measure._callers import CallerEndpoint
+from sesameladder.settings import EntrySettings
+from sesameladder.settings.examples import write_example
+
+PORTS_PER_FLEET = 200
+FIRST_PORT = 22_000
+LAST_PORT = 60_000
+WAIT_STEP_S = 0.1
+# A safeguard against a hanging run; no check depends on it.
+GIVE_UP_S = 60.0
+
+
+@dataclass
+class Fleet:
+    """Nine entry instances, thirty workers and the platform."""
+
+    directory: Path
+    entries: dict[str, Path]
+    tickets: tuple[Path, ...]
+    client: Path
+    worker_addresses: tuple[str, ...]
+    platform_address: str
+    processes: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
+    hidden: set[str] = field(default_factory=set)
+    http: PoolManager = field(
+        default_factory=lambda: PoolManager(
+            maxsize=16, timeout=Timeout(connect=1.0, read=20.0), retries=Retry(0)
+        )
+    )
+
+    @classmethod
+    def start(cls, deployment: str, directory: Path) -> "Fleet":
+        """Write the example settings and start all programs."""
+        files = write_example(deployment, directory, find_base_port())
+        platform = json5.loads(files.platform.read_text())
+        workers = [
+            str(row["address"]) for row in platform["vms"] if row["kind"] == "upstream"
+        ]
+        fleet = cls(
+            directory,
+            files.entries,
+            files.tickets,
+            files.client,
+            tuple(workers),
+            platform["address"],
+        )
+        for rack, path in files.upstreams.items():
+            fleet.run_program(rack, "sesameladder.standins.upstream", path)
+        fleet.run_program("platform", "sesameladder.standins.platform", files.platform)
+        for instance in files.entries:
+            fleet.start_entry(instance)
+        return fleet
+
+    def start_entry(self, instance: str) -> None:
+        """Start one entry process that may be cut off for the test."""
+        path = self.entries[instance]
+        text = path.read_text()
+        if "fault_injection" not in text:
+            head, _, tail = text.rpartition("}")
+            path.write_text(head.rstrip() + ',\n  "fault_injection": true\n}' + tail)
+        self.run_program(instance, "sesameladder.entry", path)
+
+    def run_program(self, name: str, module: str, settings: Path) -> None:
+        """Start a program in the background; its log goes to a file."""
+        code = f"from {module} import main; main()"
+        command = [sys.executable, "-c", code, "--settings", str(settings)]
+        log = (self.directory / f"{name}.log").open("ab")
+        with log:
+            self.processes[name] = subprocess.Popen(
+                command, stdout=log, stderr=log, stdin=subprocess.DEVNULL
+            )
+
+    def run_client(self, *arguments: str) -> tuple[int, str]:
+        """Run the operators' command; returns its exit code and output."""
+        code = "from sesameladder.client import main; main()"
+        command = [sys.executable, "-c", code, *arguments, "--settings"]
+        done = subprocess.run(
+            [*command, str(self.client)],
+            capture_output=True,
+            text=True,
+            timeout=GIVE_UP_S,
+            check=False,
+        )
+        return done.returncode, done.stdout + done.stderr
+
+    def send_signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to one process that this fleet started."""
+        self.processes[name].send_signal(number)
+
+    def wait_exit(self, name: str) -> int:
+        """Wait for a process to end; returns its exit code."""
+        return self.processes[name].wait(GIVE_UP_S)
+
+    def stop(self) -> None:
+        """Kill all processes that this fleet started."""
+        for process in self.processes.values():
+            process.kill()
+        for process in self.processes.values():
+            process.wait(GIVE_UP_S)
+
+    def list_endpoints(self) -> list[CallerEndpoint]:
+        """Return the entry instances that the load balancer sends callers to."""
+        return [
+            CallerEndpoint(name, EntrySettings.from_file(path).http_address)
+            for name, path in self.entries.items()
+            if name not in self.hidden
+        ]
+
+    def read_status(self, instance: str) -> dict[str, Any] | None:
+        """Return the status of an entry instance; None when it does not answer."""
+        address = EntrySettings.from_file(self.entries[instance]).admin_address
+        try:
+            response = self.http.request("GET", f"http://{address}/-/status")
+        except HTTPError:
+            return None
+        return response.json() if response.status == 200 else None
+
+    def read_counters(self) -> list[dict[str, Any]]:
+        """Return the counters of all workers."""
+        return [
+            self.http.request("GET", f"http://{address}/-/counters").json()
+            for address in self.worker_addresses
+        ]
+
+    def post(self, address: str, path: str, content: dict[str, Any]) -> None:
+        """Send an order to a stand-in or an admin endpoint."""
+        body = json.dumps(content).encode()
+        response = self.http.request("POST", f"http://{address}{path}", body=body)
+        assert response.status < 300, response.data
+
+    def cut_zone(self, zone: str, zones: set[str]) -> None:
+        """Cut a zone off from the platform and the other zones."""
+        order = {"mode": "cut", "zones": [zone]}
+        self.post(self.platform_address, "/faults", order)
+        self._set_cuts({z: zones - {zone} if z == zone else {zone} for z in zones})
+
+    def heal_zone(self, zone: str, zones: set[str]) -> None:
+        """Undo ``cut_zone``."""
+        order = {"mode": "up", "zones": [zone]}
+        self.post(self.platform_address, "/faults", order)
+        self._set_cuts({z: set() for z in zones})
+
+    def wait_for(self, condition: Callable[[], bool], what: str) -> None:
+        """Wait until a condition holds."""
+        end = time.monotonic() + GIVE_UP_S
+        while not condition():
+            assert time.monotonic() < end, f"gave up waiting for {what}"
+            time.sleep(WAIT_STEP_S)
+
+    def _set_cuts(self, cuts: dict[str, set[str]]) -> None:
+        for path in self.entries.values():
+            settings = EntrySettings.from_file(path)
+            order = {"zones": sorted(cuts[settings.zone])}
+            self.post(settings.admin_address, "/-/cut", order)
+
+
+def find_base_port() -> int:
+    """Return a port that starts a range of free ports."""
+    for base in range(FIRST_PORT, LAST_PORT, PORTS_PER_FLEET):
+        if all(is_free(port) for port in range(base, base + PORTS_PER_FLEET)):
+            return base
+    raise AssertionError("no free range of ports")
+
+
+def is_free(port: int) -> bool:
+    """Return whether a port can be bound on loopback."""
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        return probe.connect_ex(("127.0.0.1", port)) != 0
