Measure the cell dispatcher on seeded traces

Cause: the scheduling policy had no figures. Change: seeded traces, first-in-first-out and a clairvoyant preemptive schedule as references, a discrete-event run of the dispatcher, and the entries of one cell.

--- /dev/null
+++ b/src/sesameladder/measure/_trace.py
@@ -0,0 +1,151 @@
+"""Seeded traces of requests for one cell."""
+
+import math
+from dataclasses import dataclass
+from random import Random
+
+LONG_FACTOR = 50.0
+LONG_SHARE = 0.01
+LONG_IN_OWN_KIND = 0.5
+DECLARED_ERROR = 10.0
+URGENT_SHARE = 0.02
+SHORT_KINDS = 8
+KIND_SPREAD = 2.0
+RUN_SIGMA = 0.3
+PEAK_FACTOR = 5.0
+QUIET_FACTOR = 1 / 20
+TEAMS = ("fitting", "workshop")
+
+
+@dataclass(frozen=True, slots=True)
+class TraceRequest:
+    """One request of a trace."""
+
+    number: int
+    """Position in the trace."""
+
+    arrival_s: float
+    """Time of arrival in seconds."""
+
+    run_s: float
+    """True run time in seconds."""
+
+    kind: str
+    """Kind of work; it tells long work only in part of the cases."""
+
+    team: str
+    """Team that the request is charged to."""
+
+    urgent: bool
+    """Whether the request is urgent."""
+
+    declared_ms: float
+    """Declared run time in milliseconds, wrong by up to ten times."""
+
+    checkpointable: bool
+    """Whether the job can be checkpointed."""
+
+    long: bool
+    """Whether the request is one of the long ones."""
+
+
+@dataclass(frozen=True, slots=True)
+class TraceShape:
+    """Parameters of a trace."""
+
+    requests: int
+    """Number of requests."""
+
+    slots: int
+    """Slots of the cell."""
+
+    load: float
+    """Mean offered load, as a share of the slots."""
+
+    base_run_s: float
+    """Typical run time of short work, in seconds."""
+
+    checkpointable_share: float
+    """Part of the long work that can be checkpointed."""
+
+    peak_s: float = 0.0
+    """Length of the peaks of an alternating demand; 0 for a steady demand."""
+
+    team_shares: tuple[float, float] = (0.5, 0.5)
+    """Part of the requests of each team."""
+
+
+def make_trace(shape: TraceShape, seed: int) -> list[TraceRequest]:
+    """Return a trace, by arrival."""
+    random = Random(seed)
+    drafts = [_draw_work(shape, random) for _ in range(shape.requests)]
+    mean_run_s = sum(run_s for run_s, _, _ in drafts) / len(drafts)
+    rate = shape.load * shape.slots / mean_run_s
+    arrivals = _draw_arrivals(shape, rate, random)
+    return [
+        _make_request(shape, number, arrival_s, draft, random)
+        for number, (arrival_s, draft) in enumerate(zip(arrivals, drafts, strict=True))
+    ]
+
+
+def _draw_work(shape: TraceShape, random: Random) -> tuple[float, str, bool]:
+    index = random.randrange(SHORT_KINDS)
+    position = 2 * index / (SHORT_KINDS - 1) - 1
+    median_s = shape.base_run_s * KIND_SPREAD**position
+    run_s = median_s * math.exp(random.gauss(0.0, RUN_SIGMA))
+    if random.random() >= LONG_SHARE:
+        return run_s, f"short-{index}", False
+    own = random.random() < LONG_IN_OWN_KIND
+    return run_s * LONG_FACTOR, f"long-{index}" if own else f"short-{index}", True
+
+
+def _draw_arrivals(shape: TraceShape, rate: float, random: Random) -> list[float]:
+    arrivals = []
+    now = 0.0
+    for _ in range(shape.requests):
+        # Work to the next arrival, in units of the mean gap.
+        work = random.expovariate(1.0) / rate
+        while work > 0:
+            factor, left_s = _demand_factor(shape, now)
+            step = min(left_s, work / factor)
+            now += step
+            work -= step * factor
+            if step < left_s:
+                break
+        arrivals.append(now)
+    return arrivals
+
+
+def _demand_factor(shape: TraceShape, now: float) -> tuple[float, float]:
+    """Return the demand as a multiple of the mean, and how long it lasts."""
+    if shape.peak_s == 0:
+        return 1.0, math.inf
+    # The mean over one period is 1.
+    peak_part = (1 - QUIET_FACTOR) / (PEAK_FACTOR - QUIET_FACTOR)
+    period_s = shape.peak_s / peak_part
+    phase_s = now % period_s
+    if phase_s < shape.peak_s:
+        return PEAK_FACTOR, max(shape.peak_s - phase_s, 1e-9)
+    return QUIET_FACTOR, max(period_s - phase_s, 1e-9)
+
+
+def _make_request(
+    shape: TraceShape,
+    number: int,
+    arrival_s: float,
+    draft: tuple[float, str, bool],
+    random: Random,
+) -> TraceRequest:
+    run_s, kind, long = draft
+    error = DECLARED_ERROR ** random.uniform(-1.0, 1.0)
+    return TraceRequest(
+        number=number,
+        arrival_s=arrival_s,
+        run_s=run_s,
+        kind=kind,
+        team=random.choices(TEAMS, shape.team_shares)[0],
+        urgent=not long and random.random() < URGENT_SHARE,
+        declared_ms=run_s * 1000 * error,
+        checkpointable=long and random.random() < shape.checkpointable_share,
+        long=long,
+    )
--- /dev/null
+++ b/src/sesameladder/measure/cell.py
@@ -0,0 +1,331 @@
+"""Measurements of one cell's dispatcher against plain and clairvoyant schedules.
+
+All figures come from discrete-event runs on seeded traces: 6 workers of 8
+slots, 1 % of the work 50 times as long, half of it hidden in the kinds of
+short work, declared times wrong by up to ten times. Half of the long work can
+be checkpointed; the names that end in ``no_checkpoint`` have none. A refused
+request counts as one that waited for the pool's wait limit.
+"""
+
+import operator
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+from sesameladder.dispatch import DispatcherConfig
+from sesameladder.measure._cell_baselines import (
+    run_first_in_first_out,
+    run_shortest_remaining_first,
+)
+from sesameladder.measure._cell_run import (
+    SLOTS_PER_WORKER,
+    START_S,
+    WORKERS,
+    CellResult,
+    CellRun,
+)
+from sesameladder.measure._entry import MeasureEntry
+from sesameladder.measure._trace import TEAMS, TraceRequest, TraceShape, make_trace
+from sesameladder.model import Team
+
+SLOTS = WORKERS * SLOTS_PER_WORKER
+BASE_RUN_S = {"coral-strand": 0.2, "pfennigblatt": 0.1}
+REQUESTS = 24_000
+FAULT_REQUESTS = 6_000
+FAULT_LOAD = 0.5
+FAULT_FROM_S = 5.0
+CHECKPOINTABLE_SHARE = 0.5
+ALTERNATING_LOAD = 0.3
+PEAK_S = 4.0
+OVERLOAD = 1.5
+OVERLOAD_TEAM_SHARES = (0.6, 0.4)
+OVERLOAD_WEIGHTS = (3, 1)
+EJECTION_FAILURES = 3
+URGENT_LIMIT_S = 2.3
+UNLIMITED_ATTEMPTS = 3.0
+
+
+@dataclass(frozen=True, slots=True)
+class Scenario:
+    """One kind of demand."""
+
+    name: str
+    """Part of the names of its entries."""
+
+    load: float
+    """Mean offered load, as a share of the slots."""
+
+    peak_s: float
+    """Length of the peaks in seconds; 0 for steady demand."""
+
+
+SCENARIOS = (
+    Scenario("load_70", 0.7, 0.0),
+    Scenario("load_90", 0.9, 0.0),
+    Scenario("alternating", ALTERNATING_LOAD, PEAK_S),
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Comparison:
+    """The product and both reference schedules on one trace."""
+
+    trace: list[TraceRequest]
+    """The trace."""
+
+    product: CellResult
+    """Run of the product's dispatcher."""
+
+    fifo: list[float]
+    """Completion times of first-in-first-out, by request number."""
+
+    clairvoyant: list[float]
+    """Completion times of shortest-remaining-first, by request number."""
+
+    def product_end(self, request: TraceRequest) -> float:
+        """Return a completion time; refused requests waited for the limit."""
+        end = self.product.completed.get(request.number)
+        limit_s = DispatcherConfig().wait_limit_s
+        return request.arrival_s + request.run_s + limit_s if end is None else end
+
+    def urgent_start_max(self) -> float:
+        """Return the longest wait for the first start of an urgent request."""
+        started = self.product.started
+        limit_s = DispatcherConfig().wait_limit_s
+        return max(
+            started.get(one.number, one.arrival_s + limit_s) - one.arrival_s
+            for one in self.trace
+            if one.urgent
+        )
+
+    def urgent_start_max_fifo(self) -> float:
+        """Return the same figure under first-in-first-out."""
+        return max(
+            self.fifo[one.number] - one.run_s - one.arrival_s
+            for one in self.trace
+            if one.urgent
+        )
+
+
+def measure(deployment: str, seed: int) -> list[MeasureEntry]:
+    """Return the figures of one deployment."""
+    base_run_s = BASE_RUN_S[deployment]
+    entries = []
+    for scenario in SCENARIOS:
+        for share in (CHECKPOINTABLE_SHARE, 0.0):
+            shape = TraceShape(
+                REQUESTS, SLOTS, scenario.load, base_run_s, share, scenario.peak_s
+            )
+            suffix = scenario.name if share else f"{scenario.name}_no_checkpoint"
+            entries += _compare_schedules(deployment, suffix, shape, seed)
+    fault = TraceShape(FAULT_REQUESTS, SLOTS, FAULT_LOAD, base_run_s, 0.0)
+    entries.append(_measure_outage(deployment, fault, seed))
+    entries.append(_measure_failing_worker(deployment, fault, seed))
+    entries.append(_measure_team_share(deployment, base_run_s, seed))
+    return entries
+
+
+def compare(shape: TraceShape, seed: int) -> Comparison:
+    """Run one trace under the product and both reference schedules."""
+    trace = make_trace(shape, seed)
+    return Comparison(
+        trace=trace,
+        product=run_product(trace, seed),
+        fifo=run_first_in_first_out(trace, SLOTS),
+        clairvoyant=run_shortest_remaining_first(trace, SLOTS),
+    )
+
+
+def run_product(
+    trace: list[TraceRequest], seed: int, teams: list[Team] | None = None
+) -> CellResult:
+    """Run a trace under the product's dispatcher with its defaults."""
+    both = teams or [Team(name, urgent_allowed=True) for name in TEAMS]
+    return CellRun(trace, DispatcherConfig(), both, seed).run()
+
+
+def percentile_99(values: list[float]) -> float:
+    """Return the 99th percentile (nearest rank)."""
+    ordered = sorted(values)
+    return ordered[max(0, -(-len(ordered) * 99 // 100) - 1)]
+
+
+def _compare_schedules(
+    deployment: str, suffix: str, shape: TraceShape, seed: int
+) -> list[MeasureEntry]:
+    run = compare(shape, seed)
+    ends: list[Callable[[TraceRequest], float]] = [
+        run.product_end,
+        lambda one: run.fifo[one.number],
+        lambda one: run.clairvoyant[one.number],
+    ]
+    short = [_short_wait_p99_ms(run.trace, end) for end in ends]
+    long = [_long_completion_p99_s(run.trace, end) for end in ends]
+    idle = run.product.idle_slot_s / (SLOTS * run.product.ended_s)
+    urgent, urgent_fifo = run.urgent_start_max(), run.urgent_start_max_fifo()
+
+    def entry(
+        name: str,
+        unit: str,
+        figures: tuple[float, float | None, float | None],
+        target: str,
+        met: bool,
+    ) -> MeasureEntry:
+        value, baseline, bound = figures
+        return MeasureEntry(
+            f"{name}.{suffix}", deployment, unit, value, baseline, bound, target, met
+        )
+
+    short_figures = (short[0], short[1], short[2])
+    return [
+        entry(
+            "short_wait_p99",
+            "ms",
+            short_figures,
+            "value <= 0.1 * baseline",
+            short[0] <= 0.1 * short[1],
+        ),
+        entry(
+            "short_wait_p99_to_bound",
+            "ms",
+            short_figures,
+            "value <= 1.5 * bound",
+            short[0] <= 1.5 * short[2],
+        ),
+        entry(
+            "long_completion_p99",
+            "s",
+            (long[0], long[1], None),
+            "value <= 1.5 * baseline",
+            long[0] <= 1.5 * long[1],
+        ),
+        entry(
+            "idle_slot_share", "ratio", (idle, None, 0.0), "value < 0.01", idle < 0.01
+        ),
+        entry(
+            "urgent_start_max",
+            "s",
+            (urgent, urgent_fifo, None),
+            f"value <= {URGENT_LIMIT_S}",
+            urgent <= URGENT_LIMIT_S,
+        ),
+    ]
+
+
+def _short_wait_p99_ms(
+    trace: list[TraceRequest], end: Callable[[TraceRequest], float]
+) -> float:
+    waits = [end(one) - one.arrival_s - one.run_s for one in trace if not one.long]
+    # Sums of times differ from the run time by rounding.
+    return round(1000 * max(0.0, percentile_99(waits)), 6)
+
+
+def _long_completion_p99_s(
+    trace: list[TraceRequest], end: Callable[[TraceRequest], float]
+) -> float:
+    return percentile_99([end(one) - one.arrival_s for one in trace if one.long])
+
+
+def _measure_outage(deployment: str, shape: TraceShape, seed: int) -> MeasureEntry:
+    """Count the attempts of the requests that arrive while every worker fails."""
+    trace = make_trace(shape, seed)
+    result = CellRun(
+        trace,
+        DispatcherConfig(),
+        [],
+        seed,
+        lambda _vm, _request, now: now >= START_S + FAULT_FROM_S,
+    ).run()
+    hit = [one for one in trace if one.arrival_s >= FAULT_FROM_S]
+    value = sum(result.attempts[one.number] for one in hit) / len(hit)
+    return MeasureEntry(
+        "attempts_per_request.full_outage",
+        deployment,
+        "ratio",
+        value,
+        UNLIMITED_ATTEMPTS,
+        1.0,
+        "value <= 1.1",
+        value <= 1.1,
+    )
+
+
+def _measure_failing_worker(
+    deployment: str, shape: TraceShape, seed: int
+) -> MeasureEntry:
+    """Count the requests that a failing worker gets before it is ejected."""
+    trace = make_trace(shape, seed)
+    bad = "w2"
+
+    def run(config: DispatcherConfig) -> int:
+        result = CellRun(
+            trace,
+            config,
+            [],
+            seed,
+            lambda vm, _request, now: vm == bad and now >= START_S + FAULT_FROM_S,
+        ).run()
+        return result.failures_in_service[bad]
+
+    value = run(DispatcherConfig())
+    never = replace(DispatcherConfig(), ejection_failures=len(trace))
+    # The other slots may be in use when the last of the failures is seen.
+    most = EJECTION_FAILURES + SLOTS_PER_WORKER - 1
+    return MeasureEntry(
+        "failing_worker_requests",
+        deployment,
+        "requests",
+        value,
+        run(never),
+        EJECTION_FAILURES,
+        f"value <= {most}",
+        value <= most,
+    )
+
+
+def _measure_team_share(deployment: str, base_run_s: float, seed: int) -> MeasureEntry:
+    """Compare the slot time of two teams with their weights under overload."""
+    shape = TraceShape(
+        REQUESTS // 2, SLOTS, OVERLOAD, base_run_s, 0.0, 0.0, OVERLOAD_TEAM_SHARES
+    )
+    trace = make_trace(shape, seed)
+    teams = [
+        Team(name, weight) for name, weight in zip(TEAMS, OVERLOAD_WEIGHTS, strict=True)
+    ]
+    result = run_product(trace, seed, teams)
+    value = _least_share_of_right(trace, lambda one: one.number in result.completed)
+    fifo = run_first_in_first_out(trace, SLOTS)
+    limit_s = DispatcherConfig().wait_limit_s
+    baseline = _least_share_of_right(
+        trace, lambda one: fifo[one.number] - one.run_s - one.arrival_s <= limit_s
+    )
+    return MeasureEntry(
+        "team_share.overload",
+        deployment,
+        "ratio",
+        value,
+        baseline,
+        1.0,
+        "value >= 0.9",
+        operator.ge(value, 0.9),
+    )
+
+
+def _least_share_of_right(
+    trace: list[TraceRequest], served: Callable[[TraceRequest], bool]
+) -> float:
+    """Return the least, over the teams, of slot time received by slot time due.
+
+    The time due follows the weights, since both teams demand more than that.
+    Only short work counts: one long job outweighs fifty others.
+    """
+    work = [one for one in trace if not one.long]
+    received = {
+        team: sum(one.run_s for one in work if one.team == team and served(one))
+        for team in TEAMS
+    }
+    total = sum(received.values())
+    weights = dict(zip(TEAMS, OVERLOAD_WEIGHTS, strict=True))
+    return min(
+        received[team] / total / (weights[team] / sum(OVERLOAD_WEIGHTS))
+        for team in TEAMS
+    )
