Hold long work back only as far as short work needs it

A wave of one team could also fill the queue and so refuse the other teams. Change: long work that can be preempted starts whenever a few slots are free, other long work within the room that short work leaves, and both take any free slot after waiting 0.3 of their run time. Preemption takes the latest requests first and ignores a queue of up to a tenth of the slots. The share that long work gets before short work falls from 12.5 % to 5 %. Short work is ordered mostly by arrival. A full queue displaces the latest demand of the team with the most waiting demands for its weight.

--- a/src/sesameladder/dispatch/_admission.py
+++ b/src/sesameladder/dispatch/_admission.py
@@ -24,8 +24,12 @@
     long_work: LongWork
     """Limits of long work."""
 
-    def estimate_wait_s(self, work_class: WorkClass) -> float:
-        """Return the expected wait of a new demand, in seconds."""
+    def estimate_wait_s(self, team: str, work_class: WorkClass) -> float:
+        """Return the expected wait of a new demand, in seconds.
+
+        A team waits behind its own demands at the pace of its fair share, or
+        behind all demands at the pace of the cell, whichever is shorter.
+        """
         slots = self.cell.workers.serving_slots
         queues = self.cell.queue.by_class
         ahead = [queues[name] for name in CLASSES_AHEAD[work_class]]
@@ -33,17 +37,40 @@
         if slots == 0 or self.cell.workers.free_slots() > waiting:
             return 0.0
         wait_ms = sum(queue.expected_ms for queue in ahead) / slots
+        own_ms = sum(queue.expected_ms_of(team) for queue in ahead)
+        wait_ms = min(wait_ms, own_ms / (slots * self._fair_part(team)))
         if work_class == WorkClass.LONG:
-            own_ms = queues[WorkClass.LONG].expected_ms / self.long_work.limit()
-            wait_ms = max(wait_ms, own_ms)
+            long_ms = queues[WorkClass.LONG].expected_ms_of(team)
+            wait_ms = max(wait_ms, long_ms / self.long_work.limit())
         return wait_ms / 1000
 
-    def refuse_queue_full(self, demand: Demand) -> Refused | None:
-        """Return a refusal if the queue is full."""
-        if len(self.cell.queue) < self.cell.config.queue_limit:
+    def make_room(self, demand: Demand) -> Refused | None:
+        """Return a refusal if the queue is full: of the demand or of another.
+
+        The team with the most waiting demands for its weight gives way, so
+        that a wave of one team does not close the queue to the others.
+        """
+        queue = self.cell.queue
+        if len(queue) < self.cell.config.queue_limit:
             return None
-        wait = self.estimate_wait_s(WorkClass.SHORT)
-        return self.refuse(demand, RefusalReason.QUEUE_FULL, wait)
+        largest = max(queue.by_team, key=self._weighted_count)
+        own = self._weighted_count(demand.team, 1)
+        displaces = own <= self._weighted_count(largest)
+        victim = queue.latest_of(largest) if displaces else None
+        if victim is not None:
+            queue.remove(victim.demand.demand_id)
+            demand = victim.demand
+        wait_s = self.estimate_wait_s(demand.team, WorkClass.SHORT)
+        return self.refuse(demand, RefusalReason.QUEUE_FULL, wait_s)
+
+    def _weighted_count(self, team: str, more: int = 0) -> float:
+        waiting = len(self.cell.queue.by_team.get(team, {}))
+        return (waiting + more) / self.cell.weight(team)
+
+    def _fair_part(self, team: str) -> float:
+        weight = self.cell.weight(team)
+        others = [name for name in self.cell.queue.by_team if name != team]
+        return weight / (weight + sum(self.cell.weight(name) for name in others))
 
     def refuse_wait(self, demand: Demand, wait_s: float, now: float) -> Refused | None:
         """Return a refusal if the estimated wait is too long."""
--- a/src/sesameladder/dispatch/_config.py
+++ b/src/sesameladder/dispatch/_config.py
@@ -27,7 +27,7 @@
     default_run_ms: float = 200.0
     """Run time assumed for the cell before anything was observed."""
 
-    aging_factor: float = 4.0
+    aging_factor: float = 0.1
     """Seconds of waiting that outweigh one second of expected run time."""
 
     patience: float = 0.25
@@ -36,16 +36,35 @@
     long_share: float = 0.5
     """Largest share of the slots that long work may hold."""
 
-    long_floor_share: float = 0.125
+    long_floor_share: float = 0.05
     """Share of the slots that waiting long work gets before short work."""
 
-    short_headroom: float = 1.5
+    long_due_share: float = 0.25
+    """Share of the slots that long work gets first once it waited for long."""
+
+    short_headroom: float = 0.5
     """Slots kept free for short work, in square roots of its mean use."""
 
-    load_window_s: float = 20.0
+    load_window_s: float = 5.0
     """Time constant of the mean slot use by work class, in seconds."""
 
-    preempt_min_run_s: float = 0.5
+    long_wait_factor: float = 0.3
+    """Wait, in expected run times, after which long work ignores the headroom."""
+
+    start_headroom: float = -0.6
+    """Like ``short_headroom``, for long work that can be preempted.
+
+    A negative value lets such work fill slots that short work leaves idle
+    while it is below its mean.
+    """
+
+    start_reserve_share: float = 0.05
+    """Share of the slots left free when long work starts that can be preempted."""
+
+    preempt_tolerance_share: float = 0.1
+    """Waiting short demands, as a share of the slots, that preempt nothing."""
+
+    preempt_min_run_s: float = 0.1
     """Time in seconds for which a grant is not preempted for short work."""
 
     throttle_after_s: float = 1.0
--- a/src/sesameladder/dispatch/_dispatcher.py
+++ b/src/sesameladder/dispatch/_dispatcher.py
@@ -62,6 +62,7 @@
         "outcomes",
         "placement",
         "recovery",
+        "refusals",
     )
 
     def __init__(
@@ -74,6 +75,7 @@
         self.placement = Placement(self.cell, self.long_work)
         self.outcomes = Outcomes(self.cell)
         self.recovery = Recovery(self.cell)
+        self.refusals: list[Decision] = []
         self.grant_prefix = grant_prefix
         self.granted = 0
         self.handed_over = False
@@ -104,7 +106,8 @@
         if self.handed_over:
             return []
         self._advance(now)
-        decisions = self._refuse_expired(now)
+        decisions = self.refusals + self._refuse_expired(now)
+        self.refusals = []
         if self.recovery.is_over(now):
             for item, worker in self.placement.matches(now):
                 decisions.append(self._grant(item, worker, now))
@@ -202,10 +205,13 @@
         """Return the next time at which ``poll`` may decide without new events."""
         if self.handed_over:
             return None
+        if self.refusals:
+            return now
         times = [
             self.cell.queue.next_expiry(),
             self.forwarders.next_due(),
             self.long_work.next_check(),
+            self.long_work.next_start(now),
             self.cell.outliers.next_probe_at() if len(self.cell.queue) else None,
             self.cell.workers.timers[0][0] if self.cell.workers.timers else None,
         ]
@@ -231,25 +237,32 @@
             return None
         if self.recovery.is_over(now) and not self.cell.workers.any_may_serve():
             return self.admission.refuse(demand, RefusalReason.NO_WORKER)
-        wait = self.admission.estimate_wait_s(work_class)
-        return (
-            self.admission.refuse_queue_full(demand)
-            or self.admission.refuse_wait(demand, wait, now)
-            or self.admission.refuse_retry(demand, now)
-        )
+        wait = self.admission.estimate_wait_s(demand.team, work_class)
+        refused = self.admission.refuse_wait(
+            demand, wait, now
+        ) or self.admission.refuse_retry(demand, now)
+        if refused is not None:
+            return refused
+        refused = self.admission.make_room(demand)
+        if refused is None or refused.demand_id == demand.demand_id:
+            return refused
+        self.refusals.append(refused)
+        return None
 
     def _enqueue(self, demand: Demand, work_class: WorkClass, now: float) -> Queued:
-        wait = self.admission.estimate_wait_s(work_class)
+        wait = self.admission.estimate_wait_s(demand.team, work_class)
         expected = self.outcomes.expected_remaining_ms(demand)
+        submitted_at = self.outcomes.submitted_at(demand, now)
         config = self.cell.config
         limit = float("inf") if demand.resumed else now + config.wait_limit_s
         self.cell.queue.push(
             WaitingDemand(
                 demand=demand,
                 enqueued_at=now,
+                submitted_at=submitted_at,
                 expected_ms=expected,
                 work_class=work_class,
-                key=now + config.handicap_s(expected),
+                key=submitted_at + config.handicap_s(expected),
                 expires_at=min(limit, demand.deadline),
             )
         )
@@ -287,6 +300,7 @@
             team=demand.team,
             kind=demand.kind,
             granted_at=now,
+            submitted_at=item.submitted_at,
             expected_ms=item.expected_ms,
             queue_class=item.work_class,
             checkpointable=demand.checkpointable,
--- a/src/sesameladder/dispatch/_grants.py
+++ b/src/sesameladder/dispatch/_grants.py
@@ -34,6 +34,9 @@
     granted_at: float
     """Time of the grant in seconds."""
 
+    submitted_at: float
+    """Time in seconds at which the request was submitted first."""
+
     expected_ms: float
     """Expected run time at the time of the grant, in milliseconds."""
 
@@ -132,6 +135,10 @@
         """Return the number of slots held by long work."""
         return len(self.long_ids)
 
+    def pinned_held(self) -> int:
+        """Return the number of slots held by long work that can't be preempted."""
+        return sum(not grant.checkpointable for grant in self.long_ids.values())
+
     def short_held(self) -> int:
         """Return the number of slots held by other work."""
         return len(self.by_id) - len(self.long_ids)
--- a/src/sesameladder/dispatch/_long_work.py
+++ b/src/sesameladder/dispatch/_long_work.py
@@ -5,6 +5,7 @@
 
 from sesameladder.dispatch._cell import CellState
 from sesameladder.dispatch._grants import Grant
+from sesameladder.dispatch._queue import WaitingDemand
 from sesameladder.dispatch._types import Decision, Preempt, Throttle, WorkClass
 
 PREEMPT_PATIENCE_S = 2.0
@@ -75,20 +76,56 @@
     def goes_first(self, now: float) -> bool:
         """Return whether waiting long work is due before short work."""
         held = self.cell.grants.long_held()
-        if held > 0 or self.floor() > 0:
-            return held < self.floor()
-        # A small cell has no slot to set aside; waiting decides there.
+        if held < self.floor():
+            return True
+        due_share = self.cell.config.long_due_share
+        if held >= max(1.0, due_share * self.cell.workers.serving_slots):
+            return False
         head = self.cell.queue.by_class[WorkClass.LONG].head(lambda _: False)
-        waited = now - head.enqueued_at if head is not None else 0.0
-        return waited >= self.cell.config.patience_s
+        patience_s = self.cell.config.patience_s
+        return head is not None and now - head.enqueued_at >= patience_s
 
     def limit(self) -> int:
-        """Return the slots that long work may hold."""
-        slots = self.cell.workers.serving_slots
+        """Return the slots for long work that can't be preempted."""
+        room = self._room(self.cell.config.short_headroom)
+        most = self.cell.workers.serving_slots * self.cell.config.long_share
+        return max(1, self.floor(), int(min(most, room)))
+
+    def may_start(self, item: WaitingDemand, now: float) -> bool:
+        """Return whether long work may take a free slot that nobody waits for.
+
+        Long work that waited long enough, for its run time, takes any slot.
+        """
+        if now >= self._patient_until(item):
+            return True
+        if not item.demand.checkpointable:
+            return self.cell.grants.pinned_held() < self.limit()
+        room = self._room(self.cell.config.start_headroom)
+        share = self.cell.config.start_reserve_share
+        reserved = int(self.cell.workers.serving_slots * share)
+        enough_free = self.cell.workers.free_slots() > reserved
+        return enough_free and self.cell.grants.long_held() < room
+
+    def next_start(self, now: float) -> float | None:
+        """Return when long work that was held back may take a free slot."""
+        if not self.cell.workers.has_free_slot():
+            return None
+        heads = self.cell.queue.by_class[WorkClass.LONG].heads()
+        times = [self._patient_until(item) for item in heads]
+        return min((time for time in times if time > now), default=None)
+
+    def _patient_until(self, item: WaitingDemand) -> float:
+        factor = self.cell.config.long_wait_factor
+        return item.enqueued_at + factor * item.expected_ms / 1000
+
+    def _room(self, headroom: float) -> float:
+        """Return the slots that short work leaves, less a headroom.
+
+        Short work in Poisson arrivals varies by the square root of its mean.
+        """
         mean = self.short_load.mean
-        needed = mean + self.cell.config.short_headroom * math.sqrt(mean)
-        most = int(slots * self.cell.config.long_share)
-        return max(1, self.floor(), min(most, int(slots - needed)))
+        needed = mean + headroom * math.sqrt(mean)
+        return self.cell.workers.serving_slots - needed
 
     def order_relief(self, now: float) -> list[Decision]:
         """Return orders that free slots for waiting urgent and short work."""
@@ -124,9 +161,13 @@
                 pending += 1
             elif grant.checkpointable:
                 candidates.append(grant)
-        needed = urgent + short - pending
+        slots = self.cell.workers.serving_slots
+        tolerated = int(slots * self.cell.config.preempt_tolerance_share)
+        needed = urgent + max(0, short - tolerated) - pending
         spare = self.cell.grants.long_held() - pending - self.floor()
         orders: list[Decision] = []
+        # The requests that came first keep their slots, so that they end.
+        candidates.sort(key=lambda one: one.submitted_at, reverse=True)
         for grant in candidates:
             for_urgent = len(orders) + pending < urgent
             if len(orders) >= needed or (not for_urgent and len(orders) >= spare):
--- a/src/sesameladder/dispatch/_outcomes.py
+++ b/src/sesameladder/dispatch/_outcomes.py
@@ -1,6 +1,7 @@
 """What the dispatcher learns from the outcome of a grant."""
 
 from collections import OrderedDict
+from dataclasses import dataclass
 
 from sesameladder.dispatch._cell import CellState
 from sesameladder.dispatch._grants import Grant
@@ -15,14 +16,25 @@
 FAILURES = (OutcomeKind.FAILED, OutcomeKind.CONNECTION_FAILED)
 
 
+@dataclass(frozen=True, slots=True)
+class Progress:
+    """What is known of a checkpointed job."""
+
+    ran_ms: float
+    """Run time so far, in milliseconds."""
+
+    submitted_at: float
+    """Time of the first submission in seconds."""
+
+
 class Outcomes:
     """Feeds outcomes to estimates, outlier detection and fair shares."""
 
-    __slots__ = ("cell", "progress_ms")
+    __slots__ = ("cell", "progress")
 
     def __init__(self, cell: CellState) -> None:
         self.cell = cell
-        self.progress_ms: OrderedDict[str, float] = OrderedDict()
+        self.progress: OrderedDict[str, Progress] = OrderedDict()
 
     def record(self, grant: Grant, outcome: GrantOutcome, now: float) -> None:
         """Record how a grant ended."""
@@ -44,17 +56,27 @@
     def expected_remaining_ms(self, demand: Demand) -> float:
         """Return the expected run time that is left, in milliseconds."""
         expected = self.cell.estimates.expected_ms(demand.kind, demand.expected_ms)
-        done = self.progress_ms.get(demand.demand_id, 0.0) if demand.resumed else 0.0
+        progress = self._progress_of(demand)
+        done = progress.ran_ms if progress is not None else 0.0
         return max(expected - done, 0.1 * expected)
 
+    def submitted_at(self, demand: Demand, now: float) -> float:
+        """Return when the request was submitted first, in seconds."""
+        progress = self._progress_of(demand)
+        return progress.submitted_at if progress is not None else now
+
+    def _progress_of(self, demand: Demand) -> Progress | None:
+        return self.progress.get(demand.demand_id) if demand.resumed else None
+
     def _record_success(self, grant: Grant, ran_ms: float, now: float) -> None:
-        total = ran_ms + self.progress_ms.pop(grant.demand_id, 0.0)
+        before = self.progress.pop(grant.demand_id, None)
+        total = ran_ms + (before.ran_ms if before is not None else 0.0)
         self.cell.estimates.observe(grant.kind, total)
         self.cell.unrunnable.record_success(grant.kind)
         self.cell.outliers.record_success(grant.vm, now)
 
     def _record_failure(self, grant: Grant, kind: OutcomeKind, now: float) -> None:
-        self.progress_ms.pop(grant.demand_id, None)
+        self.progress.pop(grant.demand_id, None)
         unrunnable = self.cell.unrunnable
         job_to_blame = unrunnable.fails_elsewhere(grant.kind, grant.vm)
         connection = kind == OutcomeKind.CONNECTION_FAILED
@@ -65,10 +87,11 @@
         self.cell.outliers.record_failure(grant.vm, counts)
 
     def _record_progress(self, grant: Grant, ran_ms: float) -> None:
-        before = self.progress_ms.pop(grant.demand_id, 0.0)
-        self.progress_ms[grant.demand_id] = before + ran_ms
-        if len(self.progress_ms) > MAX_PROGRESS_ENTRIES:
-            self.progress_ms.popitem(last=False)
+        before = self.progress.pop(grant.demand_id, None)
+        total = ran_ms + (before.ran_ms if before is not None else 0.0)
+        self.progress[grant.demand_id] = Progress(total, grant.submitted_at)
+        if len(self.progress) > MAX_PROGRESS_ENTRIES:
+            self.progress.popitem(last=False)
 
     def _hold_full_worker(self, grant: Grant, now: float) -> None:
         worker = self.cell.workers.by_vm.get(grant.vm)
--- a/src/sesameladder/dispatch/_placement.py
+++ b/src/sesameladder/dispatch/_placement.py
@@ -49,7 +49,7 @@
         for skip in (self.cell.exceeds_share, lambda _: False):
             for work_class in self._class_order(now):
                 item = self._head(work_class, skip)
-                if item is not None:
+                if item is not None and self._may_start(item, now):
                     return item
         return None
 
@@ -58,8 +58,12 @@
         if self.long_work.goes_first(now):
             yield WorkClass.LONG
         yield WorkClass.SHORT
-        if self.cell.grants.long_held() < self.long_work.limit():
-            yield WorkClass.LONG
+        yield WorkClass.LONG
+
+    def _may_start(self, item: WaitingDemand, now: float) -> bool:
+        if item.work_class != WorkClass.LONG or self.long_work.goes_first(now):
+            return True
+        return self.long_work.may_start(item, now)
 
     def _head(
         self, work_class: WorkClass, skip: Callable[[str], bool]
--- a/src/sesameladder/dispatch/_queue.py
+++ b/src/sesameladder/dispatch/_queue.py
@@ -17,7 +17,10 @@
     """The demand."""
 
     enqueued_at: float
-    """Time of submission in seconds."""
+    """Time of this submission in seconds."""
+
+    submitted_at: float
+    """Time in seconds at which the request was submitted first."""
 
     expected_ms: float
     """Expected remaining run time in milliseconds."""
@@ -48,6 +51,9 @@
     count: int = 0
     """Demands that still wait."""
 
+    expected_ms: float = 0.0
+    """Expected run time of the demands that wait, in milliseconds."""
+
     virtual_time: float = 0.0
     """Slot milliseconds granted, divided by the team's weight."""
 
@@ -84,6 +90,7 @@
             self.active[name] = team
         heapq.heappush(team.heap, (item.key, item.sequence, item))
         team.count += 1
+        team.expected_ms += item.expected_ms
         self.count += 1
         self.expected_ms += item.expected_ms
 
@@ -91,11 +98,13 @@
         """Remove a demand; its ``waits`` must be False already."""
         team = self.teams[item.demand.team]
         team.count -= 1
+        team.expected_ms -= item.expected_ms
         self.count -= 1
         self.expected_ms = self.expected_ms - item.expected_ms if self.count else 0.0
         if team.count == 0:
             del self.active[item.demand.team]
             team.heap.clear()
+            team.expected_ms = 0.0
         elif len(team.heap) > COMPACT_MINIMUM + 2 * team.count:
             team.heap = [entry for entry in team.heap if entry[2].waits]
             heapq.heapify(team.heap)
@@ -108,6 +117,16 @@
         name = min(allowed, key=lambda one: self.active[one].virtual_time)
         return self.active[name].head()
 
+    def heads(self) -> list[WaitingDemand]:
+        """Return the next demand of each team."""
+        heads = [team.head() for team in self.active.values()]
+        return [item for item in heads if item is not None]
+
+    def expected_ms_of(self, team: str) -> float:
+        """Return the expected run time of a team's demands, in milliseconds."""
+        queue = self.active.get(team)
+        return queue.expected_ms if queue is not None else 0.0
+
     def charge(self, team: str, slot_ms: float, weight: float) -> None:
         """Charge a team for granted slot time; negative to give time back."""
         queue = self.teams.setdefault(team, TeamQueue())
@@ -119,11 +138,12 @@
 class WaitingQueue:
     """All waiting demands of the cell."""
 
-    __slots__ = ("by_class", "by_id", "expiries", "sequence")
+    __slots__ = ("by_class", "by_id", "by_team", "expiries", "sequence")
 
     def __init__(self) -> None:
         self.by_class = {name: ClassQueue() for name in WorkClass}
         self.by_id: dict[str, WaitingDemand] = {}
+        self.by_team: dict[str, dict[str, WaitingDemand]] = {}
         self.expiries: list[tuple[float, int, WaitingDemand]] = []
         self.sequence = 0
 
@@ -134,9 +154,12 @@
         """Add a demand."""
         self.sequence += 1
         item.sequence = self.sequence
-        self.by_id[item.demand.demand_id] = item
+        demand = item.demand
+        self.by_id[demand.demand_id] = item
+        self.by_team.setdefault(demand.team, {})[demand.demand_id] = item
         self.by_class[item.work_class].push(item)
-        heapq.heappush(self.expiries, (item.expires_at, item.sequence, item))
+        if item.expires_at < float("inf"):
+            heapq.heappush(self.expiries, (item.expires_at, item.sequence, item))
 
     def remove(self, demand_id: str) -> WaitingDemand | None:
         """Remove a demand; None when it doesn't wait."""
@@ -144,6 +167,10 @@
         if item is None:
             return None
         item.waits = False
+        waiting = self.by_team[item.demand.team]
+        del waiting[demand_id]
+        if not waiting:
+            del self.by_team[item.demand.team]
         self.by_class[item.work_class].discard(item)
         self._compact_expiries()
         return item
@@ -171,6 +198,13 @@
             heapq.heappop(self.expiries)
         return self.expiries[0][0] if self.expiries else None
 
+    def latest_of(self, team: str) -> WaitingDemand | None:
+        """Return a team's latest demand that is neither urgent nor resumed."""
+        for item in reversed(self.by_team.get(team, {}).values()):
+            if not item.demand.urgent and not item.demand.resumed:
+                return item
+        return None
+
     def count(self, *classes: WorkClass) -> int:
         """Return the number of waiting demands of some classes."""
         return sum(self.by_class[name].count for name in classes)
--- a/src/sesameladder/dispatch/_recovery.py
+++ b/src/sesameladder/dispatch/_recovery.py
@@ -50,6 +50,7 @@
             team=reported.team,
             kind=reported.kind,
             granted_at=now,
+            submitted_at=now,
             expected_ms=0.0,
             queue_class=WorkClass.SHORT,
             checkpointable=reported.checkpointable,
--- a/src/sesameladder/dispatch/tests/harness.py
+++ b/src/sesameladder/dispatch/tests/harness.py
@@ -65,6 +65,7 @@
         for spec in self.specs:
             self.dispatcher.apply_task_reports(spec.vm, 0, 0.0)
         self.held: dict[str, Granted] = {}
+        self.granted_demands: set[str] = set()
         self.names = 0
 
     def submit(self, now: float, **changes: Any) -> Queued | Refused:
@@ -80,6 +81,7 @@
         decisions = self.dispatcher.poll(now)
         for granted in grants_of(decisions):
             self.held[granted.grant_id] = granted
+            self.granted_demands.add(granted.demand_id)
         self.check_slots()
         return decisions
 
--- a/src/sesameladder/dispatch/tests/test_fairness.py
+++ b/src/sesameladder/dispatch/tests/test_fairness.py
@@ -75,6 +75,29 @@
     assert all(one.retry_after_s >= 1.0 for one in refused)
 
 
+@pytest.mark.parametrize(
+    ("weights", "waves", "waiting"),
+    [
+        ((1, 1), (100, 3), {"a": 7, "b": 3}),
+        ((1, 1), (100, 100), {"a": 5, "b": 5}),
+        ((4, 1), (100, 100), {"a": 8, "b": 2}),
+        ((1, 1), (4, 100), {"a": 4, "b": 6}),
+    ],
+)
+def test_full_queue_is_shared_by_weight(weights, waves, waiting):
+    """Guards against a wave of one team that closes the queue to the others."""
+    teams = [Team("a", weights[0]), Team("b", weights[1])]
+    cell = Cell(workers=1, slots=1, teams=teams, queue_limit=10)
+    cell.run(0.0, team="a")
+    cell.submit_many(waves[0], 0.0, team="a")
+    cell.submit_many(waves[1], 0.0, team="b")
+    queue = cell.dispatcher.cell.queue
+    assert {team: len(rows) for team, rows in queue.by_team.items()} == waiting
+    displaced = [one for one in cell.poll(0.0) if isinstance(one, Refused)]
+    assert all(one.reason == RefusalReason.QUEUE_FULL for one in displaced)
+    assert len(displaced) == 10 - waiting["a"] if waves[0] > 10 else not displaced
+
+
 @pytest.mark.parametrize(
     ("wait_limit_ms", "deadline", "reason"),
     [
