Add the specification of the core protocol and its checks

Cause: the promises need model checking of the core protocol.

Change: eight small protocols, each an immutable state with steps, faults and invariants named after the promises. The at-most-once protocol runs the product's home table, witness table, start procedure and resolver; claims run the claim binder; configuration runs the replica; permits and stops run the planning rules. Tickets and slots are plain models. Messages are never taken out of a state, so each may be lost, late or doubled.

The start procedure now begins again after a late answer instead of asserting that nothing may start.

--- a/src/sesameladder/idempotency/_home.py
+++ b/src/sesameladder/idempotency/_home.py
@@ -106,6 +106,12 @@
         """Return whether this table holds the state of a home's tokens."""
         return home == self.identity or home in self._adopted
 
+    def state_of(self, token: Token) -> TokenState | None:
+        """Return where a token stands; None without a record."""
+        with self._lock:
+            record = self._active.get(token) or self._ended.get(token)
+            return record.state if record else None
+
     def begin(
         self,
         token: Token,
--- a/src/sesameladder/idempotency/_start.py
+++ b/src/sesameladder/idempotency/_start.py
@@ -85,22 +85,18 @@
         """Store how the grant was refused or the run ended, and answer."""
         return Answer(self.table.finish(self.token, outcome, now))
 
+    # A second or late answer of the witness finds the token running or ended;
+    # the table then says what this attempt is answered.
+
     def _confirm(self, now: float) -> StartStep:
         if self.table.confirm_start(self.token):
             return SendToWorker()
-        return self._rejoin(now)
+        return self.begin(now)
 
     def _refuse(self, reason: NotRunReason, now: float) -> StartStep:
         if self.table.refuse_start(self.token):
             return Answer(NotRun(reason))
-        return self._rejoin(now)
-
-    def _rejoin(self, now: float) -> StartStep:
-        # A second or late answer of the witness finds the token running or
-        # ended; the table then says what this attempt is answered. It can't
-        # allow a start, since this attempt's number has been seen.
-        begin = self.table.begin(self.token, self.digest, now, self.attempt)
-        return _follow(begin)
+        return self.begin(now)
 
 
 def _follow(begin: Begin) -> StartStep:
--- a/src/sesameladder/idempotency/_witness.py
+++ b/src/sesameladder/idempotency/_witness.py
@@ -2,7 +2,7 @@
 
 import threading
 from dataclasses import dataclass
-from enum import Enum
+from enum import StrEnum
 
 from sesameladder.idempotency._begin import Finished
 from sesameladder.idempotency._outcome import Done, Outcome, outcome_bytes
@@ -31,9 +31,12 @@
 WitnessVerdict = NeverStarted | Started | Finished | NotWitness
 
 
-class _Mark(Enum):
+class WitnessState(StrEnum):
+    """State of a token at its witness."""
+
     STARTED = "started"
     VOID = "void"
+    ANSWERED = "answered"
 
 
 class WitnessTable:
@@ -56,11 +59,17 @@
     ) -> None:
         self.identity = PeerIdentity(instance, incarnation)
         self.max_answer_bytes = max_answer_bytes
-        self._records: RetainedRecords[_Mark | Outcome] = RetainedRecords(
+        self._records: RetainedRecords[WitnessState | Done] = RetainedRecords(
             max_bytes, retention
         )
         self._lock = threading.Lock()
 
+    def state_of(self, token: Token) -> WitnessState | None:
+        """Return what is recorded for a token; None without a record."""
+        with self._lock:
+            record = self._records.get(token)
+            return WitnessState.ANSWERED if isinstance(record, Done) else record
+
     def record_start(self, token: Token, now: float) -> bool:
         """Record that the home starts the token; False forbids the start.
 
@@ -75,9 +84,9 @@
             if record is None and self._records.may_have_dropped(token):
                 return False
             if record is None:
-                self._records.put(token, _Mark.STARTED, 0, now)
+                self._records.put(token, WitnessState.STARTED, 0, now)
                 return True
-            return record is _Mark.STARTED
+            return record is WitnessState.STARTED
 
     def void(self, token: Token, now: float) -> WitnessVerdict:
         """Say whether the token started; if it did not, it never will."""
@@ -87,10 +96,10 @@
             record = self._records.get(token)
             if record is None and self._records.may_have_dropped(token):
                 return Started()
-            if record is None or record is _Mark.VOID:
-                self._records.put(token, _Mark.VOID, 0, now)
+            if record is None or record is WitnessState.VOID:
+                self._records.put(token, WitnessState.VOID, 0, now)
                 return NeverStarted()
-            return Started() if isinstance(record, _Mark) else Finished(record)
+            return Started() if isinstance(record, WitnessState) else Finished(record)
 
     def record_answer(self, token: Token, answer: Outcome) -> None:
         """Keep the answer of a started token for callers of a lost home.
@@ -102,7 +111,7 @@
         if not isinstance(answer, Done) or size > self.max_answer_bytes:
             return
         with self._lock:
-            if self._records.get(token) is _Mark.STARTED:
+            if self._records.get(token) is WitnessState.STARTED:
                 self._records.put(token, answer, size)
 
     def dump(self) -> dict[str, object]:
@@ -111,8 +120,8 @@
             marks = [record for _, record in self._records.items()]
             return {
                 "witness": str(self.identity),
-                "started": marks.count(_Mark.STARTED),
-                "void": marks.count(_Mark.VOID),
+                "started": marks.count(WitnessState.STARTED),
+                "void": marks.count(WitnessState.VOID),
                 "answered": sum(isinstance(mark, Done) for mark in marks),
                 "bytes": self._records.total_bytes,
                 "floors": self._records.floors(),
--- a/src/sesameladder/specification/__init__.py
+++ b/src/sesameladder/specification/__init__.py
@@ -1,1 +1,49 @@
-"""Package under construction."""
+"""A small model of the core protocol, checked over all its states.
+
+Each module is one protocol: an immutable state, the steps between states,
+the faults, and invariants named after the promises P1 to P8 of
+``docs/design.md``. ``python -m sesameladder.specification`` checks them all.
+"""
+
+from collections.abc import Callable
+
+import minicheck
+
+from sesameladder.specification._at_most_once import (
+    LONE_TOKEN,
+    Rules,
+    build_at_most_once,
+)
+from sesameladder.specification._claims import build_claims
+from sesameladder.specification._configuration import build_configuration
+from sesameladder.specification._permits import build_permits
+from sesameladder.specification._protocol import (
+    PROGRESS,
+    CheckResult,
+    Finding,
+    check,
+    find_counterexample,
+)
+from sesameladder.specification._slots import build_slots
+from sesameladder.specification._stops import build_stops
+from sesameladder.specification._tickets import build_tickets
+
+PROTOCOLS: dict[str, Callable[[], minicheck.Protocol]] = {
+    "tickets": build_tickets,
+    "configuration": build_configuration,
+    "permits": build_permits,
+    "stops": build_stops,
+    "slots": build_slots,
+    "at-most-once": build_at_most_once,
+    "at-most-once-no-witness": lambda: build_at_most_once(Rules(token=LONE_TOKEN)),
+    "claims": build_claims,
+}
+
+__all__ = [
+    "PROGRESS",
+    "PROTOCOLS",
+    "CheckResult",
+    "Finding",
+    "check",
+    "find_counterexample",
+]
--- /dev/null
+++ b/src/sesameladder/specification/_plans.py
@@ -0,0 +1,122 @@
+"""Region plans in a form that a model can hold and compare.
+
+Times and versions are left out: every rule runs at time 0 on a plan of
+version ``PLAN_VERSION``.
+"""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from sesameladder.model import (
+    AvailabilityBudget,
+    FleetState,
+    Pool,
+    VirtualMachine,
+)
+from sesameladder.planning import (
+    Phase,
+    PlanRefusal,
+    RegionPlan,
+    RuleOutcome,
+    Situation,
+    VmRow,
+)
+
+PLAN_VERSION = 1
+REGION = "r"
+ZONE = "z"
+HOME_POOL = "home"
+OTHER_POOL = "other"
+
+
+class Row(NamedTuple):
+    """The parts of a VM's row that the rules decide on."""
+
+    vm: str
+    """Name of the VM."""
+
+    pool: str | None = HOME_POOL
+    """Pool that the VM belongs to."""
+
+    phase: str = Phase.SERVING
+    """Phase of the VM."""
+
+    target: str | None = None
+    """Pool that a move leads to."""
+
+    permit: str | None = None
+    """Reason why the VM counts as stopped."""
+
+    @property
+    def serves(self) -> bool:
+        """Whether the plan lets the VM receive work."""
+        return self.phase == Phase.SERVING
+
+
+class Plan(NamedTuple):
+    """The rows of a region and the highest fence."""
+
+    rows: tuple[Row, ...]
+    """One row a VM."""
+
+    fence: int = 1
+    """Fence of the last writer."""
+
+    def row(self, vm: str) -> Row:
+        """Return the row of a VM."""
+        return next(row for row in self.rows if row.vm == vm)
+
+
+def build_fleet(vms: tuple[str, ...], floor: int, limit: int) -> FleetState:
+    """Return a fleet whose home pool has a budget; the other pool has none."""
+    return FleetState(
+        number=1,
+        pools={name: Pool(name, service=name) for name in (HOME_POOL, OTHER_POOL)},
+        vms={
+            vm: VirtualMachine(vm, HOME_POOL, ZONE, "rack", f"10.0.0.1:{port}")
+            for port, vm in enumerate(vms, 1)
+        },
+        budgets={
+            HOME_POOL: AvailabilityBudget(
+                HOME_POOL, min_available=floor, max_unavailable=limit
+            )
+        },
+    )
+
+
+def apply_rule(
+    plan: Plan,
+    rule: Callable[[RegionPlan, Situation], RuleOutcome],
+    fleet: FleetState,
+    down: frozenset[str] = frozenset(),
+) -> Plan | None:
+    """Return the plan that a rule of the product makes, or None if it refuses."""
+    outcome = rule(_expand(plan), Situation(fleet, down, 0.0))
+    return None if isinstance(outcome, PlanRefusal) else _reduce(outcome)
+
+
+def _expand(plan: Plan) -> RegionPlan:
+    rows = {
+        row.vm: VmRow(
+            vm=row.vm,
+            pool=row.pool,
+            phase=Phase(row.phase),
+            since=0.0,
+            target_pool=row.target,
+            permit=row.permit,
+            zone=ZONE,
+            version=PLAN_VERSION,
+        )
+        for row in plan.rows
+    }
+    return RegionPlan(
+        REGION, PLAN_VERSION, plan.fence, configuration_number=1, rows=rows
+    )
+
+
+def _reduce(plan: RegionPlan) -> Plan:
+    rows = tuple(
+        Row(row.vm, row.pool, row.phase, row.target_pool, row.permit)
+        for row in plan.rows.values()
+    )
+    return Plan(rows, plan.fence)
