Keep lending from stalling a maintenance wave

Cause: a spare pool that had lent a VM could stop none of its own, so its part of a wave waited out the hold time after a rack failure. Change: a lent VM goes back after 60 s when the lender's wave can't go on, and otherwise waits for the borrower's wave; a drained VM begins its reboot in the same write; recently failed VMs are checked every 3 s. The measured fleet lets half of its spare pool be lent, as a spare pool's budget has to.

--- a/src/sesameladder/measure/_planning_fleet.py
+++ b/src/sesameladder/measure/_planning_fleet.py
@@ -19,7 +19,10 @@
     max_unavailable_share: float = 1 / 6,
     floor_share: float = 0.5,
 ) -> FleetState:
-    """Return a fleet with one spare pool; racks hold VMs of several pools."""
+    """Return a fleet whose racks hold VMs of several pools.
+
+    The last pool is the spare pool; half of it may be lent or stopped.
+    """
     pool_names = [f"pool{index:02d}" for index in range(pools)]
     zone_names = [f"z{index + 1}" for index in range(zones)]
     vms: dict[str, VirtualMachine] = {}
@@ -47,16 +50,20 @@
         },
         vms=vms,
         budgets={
-            name: AvailabilityBudget(
-                name,
-                size - max(1, int(size * max_unavailable_share)),
-                max(1, int(size * max_unavailable_share)),
+            name: _build_budget(
+                name, size, 0.5 if name == pool_names[-1] else max_unavailable_share
             )
             for name, size in sizes.items()
         },
     )
 
 
+def _build_budget(pool: str, size: int, share: float) -> AvailabilityBudget:
+    """Return a budget that lets a share of a pool be unavailable."""
+    unavailable = max(1, int(size * share))
+    return AvailabilityBudget(pool, size - unavailable, unavailable)
+
+
 def wave_over(state: FleetState, start_s: float, length_s: float) -> MaintenanceWave:
     """Return a wave over every pool."""
     return MaintenanceWave("w1", tuple(state.pools), start_s, start_s + length_s)
--- a/src/sesameladder/planning/_lending.py
+++ b/src/sesameladder/planning/_lending.py
@@ -1,6 +1,7 @@
 """The spare pool lends VMs before budgets break and takes them back later."""
 
 from dataclasses import dataclass
+from math import inf
 
 from sesameladder.model import VirtualMachine
 from sesameladder.planning._buffer import PoolStrength, pick_candidate, survive_of
@@ -8,6 +9,7 @@
 from sesameladder.planning._step import PlannerStep
 
 REBOOT_PHASES = (Phase.REBOOTING, Phase.CHECKING)
+STOP_PHASES = (Phase.LEAVING, Phase.DRAINED, *REBOOT_PHASES)
 LOST_PHASES = (Phase.FAILED, Phase.SET_ASIDE)
 
 
@@ -46,7 +48,9 @@
         if not state.pools[pool].spare:
             need = PoolNeed.from_step(step, pool)
             _note_shortage(step, pool, need.shortfall(step.settings.lend_load) > 0)
-            if _has_waited(step, step.memory.short_since, pool, "lend"):
+            if _has_waited(
+                step, step.memory.short_since, pool, step.settings.lend_delay_s
+            ):
                 _lend(step, pool, need)
     for pool in sorted({row.pool for row in step.survey.lent if row.pool}):
         if not state.pools[pool].spare:
@@ -129,13 +133,42 @@
 
 
 def _has_waited(
-    step: PlannerStep, since: dict[str, float], pool: str, kind: str
+    step: PlannerStep, since: dict[str, float], pool: str, limit_s: float
 ) -> bool:
-    limits = {
-        "lend": step.settings.lend_delay_s,
-        "return": step.settings.lend_hold_s,
-    }
-    return pool in since and step.now - since[pool] >= limits[kind]
+    return pool in since and step.now - since[pool] >= limit_s
+
+
+def _hold_s(step: PlannerStep, borrower: str, lender: str) -> float:
+    """Return how long a pool has to do without a VM before the VM goes back.
+
+    The way back takes a stop that a wave in the borrowing pool could use, so it
+    waits for the wave. It is hurried when the lender's own wave can't go on.
+    """
+    if _has_waiting_wave(step, lender) and not _may_stop(step, lender):
+        return step.settings.lend_hold_wave_s
+    return inf if _has_waiting_wave(step, borrower) else step.settings.lend_hold_s
+
+
+def _has_waiting_wave(step: PlannerStep, pool: str) -> bool:
+    rows = step.survey.members.get(pool, [])
+    oldest = min((row.maintained_at for row in rows), default=step.now)
+    return any(
+        wave.start_s <= step.now < wave.deadline_s and oldest < wave.start_s
+        for wave in step.draft.situation.state.waves.values()
+        if pool in wave.pools
+    )
+
+
+def _may_stop(step: PlannerStep, pool: str) -> bool:
+    """Tell whether a pool's budget allows one more stop, or one is under way."""
+    if any(row.phase in STOP_PHASES for row in step.survey.members.get(pool, [])):
+        return True
+    budget = step.draft.situation.state.budgets.get(pool)
+    tally = step.draft.tally(pool)
+    return budget is None or (
+        tally.available > budget.min_available
+        and tally.members - tally.available < budget.max_unavailable
+    )
 
 
 def _lend(step: PlannerStep, pool: str, need: PoolNeed) -> None:
@@ -180,7 +213,7 @@
         step.memory.surplus_since.pop(pool, None)
         return
     step.memory.surplus_since.setdefault(pool, step.now)
-    if _has_waited(step, step.memory.surplus_since, pool, "return"):
+    if _has_waited(step, step.memory.surplus_since, pool, _hold_s(step, pool, vm.pool)):
         step.draft.request_move(vm.name, vm.pool)
 
 
--- a/src/sesameladder/planning/_membership.py
+++ b/src/sesameladder/planning/_membership.py
@@ -88,7 +88,9 @@
     backoff = min(
         settings.repair_backoff_s * 2 ** (count - 1), settings.repair_backoff_limit_s
     )
-    is_healthy = step.check_health(row, settings.slow_check_s)
+    is_recent = step.now - row.since < settings.quick_checks_for_s
+    interval_s = settings.quick_check_s if is_recent else settings.slow_check_s
+    is_healthy = step.check_health(row, interval_s)
     if is_healthy and step.now - row.since >= backoff:
         step.draft.return_to_service(row.vm)
         step.memory.suspected_since.pop(row.vm, None)
--- a/src/sesameladder/planning/_settings.py
+++ b/src/sesameladder/planning/_settings.py
@@ -42,6 +42,12 @@
     action_repeat_s: float = 10.0
     """Time after which an action without visible effect is repeated."""
 
+    quick_check_s: float = 3.0
+    """Time between health checks of VMs that failed recently."""
+
+    quick_checks_for_s: float = 300.0
+    """Time after a failure in which it is checked quickly."""
+
     slow_check_s: float = 30.0
     """Time between health checks of VMs that failed or were set aside."""
 
@@ -54,6 +60,9 @@
     lend_hold_s: float = 600.0
     """Time that a pool has to do without a lent VM before it goes back."""
 
+    lend_hold_wave_s: float = 60.0
+    """Such time while a maintenance wave waits in the pool that lent the VM."""
+
     demand_time_constant_s: float = 600.0
     """Time constant of the mean demand; far above the length of a burst."""
 
--- a/src/sesameladder/planning/_stops.py
+++ b/src/sesameladder/planning/_stops.py
@@ -26,6 +26,7 @@
     report = step.find_drain_report(row)
     if report is not None and step.draft.mark_drained(row.vm, report) is None:
         step.memory.estimates.drain(row.pool or "").observe(step.now - row.since)
+        advance_drained(step, step.draft.rows[row.vm])
         return
     waited = step.now - row.since
     if waited >= wave_of(step, row).straggler_limit_s:
