Keep the planner's survey and pool figures between steps

Cause: every step sorted all rows, counted all pools and summed the strength of every pool anew, although rows change a few times a minute. Change: a cache keyed by the plan's rows, the configuration's number and the set of VMs that are down; cells are looked at only when their owner is lost or new.

--- a/src/sesameladder/planning/_buffer.py
+++ b/src/sesameladder/planning/_buffer.py
@@ -28,6 +28,15 @@
             strength.add(vm)
         return strength
 
+    def copy(self) -> "PoolStrength":
+        """Return an independent copy."""
+        strength = PoolStrength(self.survive)
+        strength.count = self.count
+        strength.slots = self.slots
+        strength.shares = self.shares.copy()
+        strength.zone_shares = self.zone_shares.copy()
+        return strength
+
     def add(self, vm: VirtualMachine, sign: int = 1) -> None:
         """Add a VM, or remove it with sign -1."""
         self.count += sign
--- a/src/sesameladder/planning/_cells.py
+++ b/src/sesameladder/planning/_cells.py
@@ -22,11 +22,12 @@
 
 def assign_cells(step: PlannerStep) -> None:
     """Give new cells an owner and replace owners that are gone or leaving."""
-    for pool, zone in sorted(step.survey.cells):
-        row = step.draft.cells.rows.get(cell_key(pool, zone))
+    lost = step.gone | step.observation.leaving_entries
+    for key, (pool, zone) in step.survey.cells.items():
+        row = step.draft.cells.rows.get(key)
         if row is None:
             _assign_new(step, pool, zone)
-        else:
+        elif row.previous is not None or row.instance in lost:
             _keep_or_replace(step, row)
     _drop_unused(step)
 
@@ -56,9 +57,8 @@
 def _drop_unused(step: PlannerStep) -> None:
     """Remove cells of pools that are neither configured nor hold a VM."""
     pools = step.draft.situation.state.pools
-    used = {cell_key(pool, zone) for pool, zone in step.survey.cells}
     for key, row in list(step.draft.cells.rows.items()):
-        if row.pool not in pools and key not in used:
+        if row.pool not in pools and key not in step.survey.cells:
             step.draft.cells.drop(key)
 
 
--- a/src/sesameladder/planning/_draft_rows.py
+++ b/src/sesameladder/planning/_draft_rows.py
@@ -1,6 +1,6 @@
 """Bookkeeping of a plan under change: rows, availability and versions."""
 
-from collections.abc import Set
+from collections.abc import Iterable, Set
 from dataclasses import dataclass, replace
 
 from sesameladder.model import FleetState
@@ -59,16 +59,22 @@
         "tallies",
     )
 
-    def __init__(self, base: RegionPlan, situation: Situation, fence: int) -> None:
+    def __init__(
+        self,
+        base: RegionPlan,
+        situation: Situation,
+        fence: int,
+        tallies: dict[str, PoolTally] | None = None,
+    ) -> None:
         self.base = base
         self.situation = situation
         self.fence = fence
         self.rows = dict(base.rows)
         self.cells = CellTable(base.dispatchers)
         self.rows_changed = False
-        self.tallies: dict[str, PoolTally] = {}
-        for row in self.rows.values():
-            self.count(row, 1)
+        if tallies is None:
+            tallies = count_pools(base.rows.values(), situation.down)
+        self.tallies = tallies
 
     def check_writer(self) -> PlanRefusal | None:
         """Refuse a writer with an old fence or an old configuration."""
@@ -113,7 +119,7 @@
 
     def is_available(self, row: VmRow) -> bool:
         """Tell whether a VM counts as available for its pool's budget."""
-        return row.phase is Phase.SERVING and row.vm not in self.situation.down
+        return is_available(row, self.situation.down)
 
     def missing_for_budget(self, pool: str) -> int:
         """Return how many VMs a pool lacks to be within its budget."""
@@ -170,13 +176,7 @@
 
     def count(self, row: VmRow, step: int) -> None:
         """Add a row to the availability of its pool, or with -1 remove it."""
-        pool = row.pool if row.phase is not Phase.RELEASED else row.target_pool
-        if pool is None:
-            return
-        tally = self.tally(pool)
-        tally.members += step
-        if self.is_available(row):
-            tally.available += step
+        count_row(self.tallies, row, self.situation.down, step)
 
 
 def wrong_phase(row: VmRow, expected: str) -> PlanRefusal:
@@ -184,3 +184,34 @@
     return PlanRefusal(
         RefusalReason.WRONG_PHASE, f"VM {row.vm} is {row.phase}, not {expected}"
     )
+
+
+def is_available(row: VmRow, down: Set[str]) -> bool:
+    """Tell whether a VM counts as available for its pool's budget."""
+    return row.phase is Phase.SERVING and row.vm not in down
+
+
+def count_row(
+    tallies: dict[str, PoolTally], row: VmRow, down: Set[str], step: int
+) -> None:
+    """Add a row to its pool's tally, or with step -1 remove it.
+
+    A released VM counts as an unavailable member of the pool that it joins.
+    """
+    pool = row.target_pool if row.phase is Phase.RELEASED else row.pool
+    if pool is None:
+        return
+    tally = tallies.get(pool)
+    if tally is None:
+        tally = tallies[pool] = PoolTally()
+    tally.members += step
+    if is_available(row, down):
+        tally.available += step
+
+
+def count_pools(rows: Iterable[VmRow], down: Set[str]) -> dict[str, PoolTally]:
+    """Return the tallies of some rows by pool."""
+    tallies: dict[str, PoolTally] = {}
+    for row in rows:
+        count_row(tallies, row, down, 1)
+    return tallies
--- a/src/sesameladder/planning/_lending.py
+++ b/src/sesameladder/planning/_lending.py
@@ -4,13 +4,12 @@
 from math import inf
 
 from sesameladder.model import VirtualMachine
-from sesameladder.planning._buffer import PoolStrength, pick_candidate, survive_of
+from sesameladder.planning._basis import REBOOT_PHASES
+from sesameladder.planning._buffer import PoolStrength, pick_candidate
 from sesameladder.planning._rows import Phase, VmRow
 from sesameladder.planning._step import PlannerStep
 
-REBOOT_PHASES = (Phase.REBOOTING, Phase.CHECKING)
 STOP_PHASES = (Phase.LEAVING, Phase.DRAINED, *REBOOT_PHASES)
-LOST_PHASES = (Phase.FAILED, Phase.SET_ASIDE)
 
 
 def note_demand(step: PlannerStep) -> None:
@@ -79,14 +78,15 @@
         state = step.draft.situation.state
         budget = state.budgets.get(pool)
         destined = step.survey.destined.get(pool, [])
-        configured = sum(state.vms[row.vm].pool == pool for row in destined)
+        lent = sum(row.lender not in (None, pool) for row in destined)
+        configured = len(destined) - lent
         vms = min(configured, budget.min_available + 1) if budget else 0
         since = step.memory.demand_since
         is_known = since is not None and (
             step.now - since >= step.settings.demand_time_constant_s
         )
         return cls(
-            PoolStrength.from_vms(survive_of(state, pool), list_lasting(step, pool)),
+            step.availability.find_strength(step.survey, state, pool),
             max(vms, budget.min_available if budget else 0),
             state.pools[pool].floor_slots,
             step.memory.demand.get(pool, 0.0) if is_known else 0.0,
@@ -110,20 +110,6 @@
         return shortfall
 
 
-def list_lasting(step: PlannerStep, pool: str) -> list[VirtualMachine]:
-    """Return the VMs that a pool has or gets, without the failed ones."""
-    state = step.draft.situation.state
-    rows = (step.draft.rows[row.vm] for row in step.survey.destined.get(pool, []))
-    return [state.vms[row.vm] for row in rows if _is_lasting(step, row)]
-
-
-def _is_lasting(step: PlannerStep, row: VmRow) -> bool:
-    """Tell whether a VM serves or is expected back from a planned stop."""
-    if row.phase in REBOOT_PHASES:
-        return True
-    return row.phase not in LOST_PHASES and row.vm not in step.draft.situation.down
-
-
 def _note_shortage(step: PlannerStep, pool: str, is_short: bool) -> None:
     if is_short:
         step.memory.short_since.setdefault(pool, step.now)
@@ -174,6 +160,7 @@
 def _lend(step: PlannerStep, pool: str, need: PoolNeed) -> None:
     """Move as few VMs as cover the shortfall from the spare pools."""
     load = step.settings.lend_load
+    need.strength = need.strength.copy()
     candidates = _list_spare(step)
     while need.shortfall(load) > 0 and candidates:
         vm = pick_candidate(need.strength, candidates.values())
--- a/src/sesameladder/planning/_planner.py
+++ b/src/sesameladder/planning/_planner.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from sesameladder.planning._actions import Action, WritePlan
+from sesameladder.planning._basis import BasisCache
 from sesameladder.planning._cells import assign_cells
 from sesameladder.planning._draft import PlanDraft
 from sesameladder.planning._draft_rows import Situation
@@ -15,7 +16,7 @@
     stop_unnamed,
 )
 from sesameladder.planning._observation import Observation
-from sesameladder.planning._plan import RegionPlan, cell_key
+from sesameladder.planning._plan import RegionPlan
 from sesameladder.planning._rows import Phase, VmRow
 from sesameladder.planning._settings import PlannerSettings
 from sesameladder.planning._step import PlannerMemory, PlannerStep
@@ -45,12 +46,13 @@
     successor needs stands in the plan.
     """
 
-    __slots__ = ("fence", "memory", "region", "settings")
+    __slots__ = ("basis", "fence", "memory", "region", "settings")
 
     def __init__(self, region: str, fence: int, settings: PlannerSettings) -> None:
         self.region = region
         self.fence = fence
         self.settings = settings
+        self.basis = BasisCache()
         self.memory = PlannerMemory(
             StopEstimates(settings.drain_prior_s, settings.reboot_prior_s)
         )
@@ -74,13 +76,22 @@
         return step.actions
 
     def _begin(self, observation: Observation, plan: RegionPlan) -> PlannerStep:
-        survey = Survey.from_plan(plan, observation.configuration, self.settings)
+        state = observation.configuration
+        survey = self.basis.find_survey(plan, state, self.settings)
         gone, absent = _find_absent(observation, plan)
         down = absent | observation.suspected | _find_dark(observation, survey)
-        situation = Situation(observation.configuration, down, observation.now)
-        draft = PlanDraft(plan, situation, self.fence)
+        availability = self.basis.find_availability(plan, down)
+        situation = Situation(state, down, observation.now)
+        tallies = availability.copy_tallies()
         return PlannerStep(
-            observation, draft, survey, self.settings, self.memory, gone, absent
+            observation,
+            PlanDraft(plan, situation, self.fence, tallies),
+            survey,
+            availability,
+            self.settings,
+            self.memory,
+            gone,
+            absent,
         )
 
 
@@ -113,8 +124,8 @@
 def _find_dark(observation: Observation, survey: Survey) -> set[str]:
     """Return the VMs of cells whose dispatcher does not report."""
     dark: set[str] = set()
-    for pool, zone in survey.cells:
-        report = observation.cells.get(cell_key(pool, zone))
+    for key, (pool, zone) in survey.cells.items():
+        report = observation.cells.get(key)
         if report is None or not report.alive:
             rows = survey.members.get(pool, [])
             dark.update(row.vm for row in rows if row.zone == zone)
--- a/src/sesameladder/planning/_step.py
+++ b/src/sesameladder/planning/_step.py
@@ -8,6 +8,7 @@
     CheckHealth,
     RaiseAlarm,
 )
+from sesameladder.planning._basis import Availability
 from sesameladder.planning._draft import PlanDraft
 from sesameladder.planning._draft_rows import DrainReport
 from sesameladder.planning._estimates import StopEstimates
@@ -69,6 +70,9 @@
     survey: Survey
     """Rows of the plan that the step was given."""
 
+    availability: Availability
+    """Pool figures of the plan that the step was given."""
+
     settings: PlannerSettings
     """Times and limits."""
 
--- a/src/sesameladder/planning/_survey.py
+++ b/src/sesameladder/planning/_survey.py
@@ -4,7 +4,7 @@
 from hashlib import blake2b
 
 from sesameladder.model import FleetState
-from sesameladder.planning._plan import RegionPlan
+from sesameladder.planning._plan import RegionPlan, cell_key
 from sesameladder.planning._rows import Phase, VmRow
 from sesameladder.planning._settings import PlannerSettings
 
@@ -28,8 +28,8 @@
     members: dict[str, list[VmRow]] = field(default_factory=dict)
     """Rows by pool; released rows are in none."""
 
-    cells: set[tuple[str, str]] = field(default_factory=set)
-    """Cells, as pool and zone, that VMs are in or move to."""
+    cells: dict[str, tuple[str, str]] = field(default_factory=dict)
+    """Pool and zone of the cells that VMs are in or move to, by ``pool/zone``."""
 
     destined: dict[str, list[VmRow]] = field(default_factory=dict)
     """Named rows by the pool that they belong in, wherever they are now."""
@@ -53,18 +53,21 @@
                 survey.maintenance.append((due_at, row))
         survey.maintenance.sort(key=lambda pair: (pair[0], pair[1].vm))
         survey.missing = [vm for vm in state.vms if vm not in plan.rows]
-        survey.cells.update(
-            (state.vms[vm].pool, state.vms[vm].zone) for vm in survey.missing
-        )
+        places = {(row.pool, row.zone) for row in plan.rows.values()}
+        places |= {(row.target_pool, row.zone) for row in survey.transient}
+        places |= {(state.vms[vm].pool, state.vms[vm].zone) for vm in survey.missing}
+        survey.cells = {
+            cell_key(pool, zone): (pool, zone)
+            for pool, zone in sorted(
+                (pool, zone) for pool, zone in places if pool is not None
+            )
+        }
         return survey
 
     def add(self, row: VmRow, state: FleetState) -> None:
         """Sort one row."""
         if row.pool is not None:
             self.members.setdefault(row.pool, []).append(row)
-            self.cells.add((row.pool, row.zone))
-        if row.target_pool is not None:
-            self.cells.add((row.target_pool, row.zone))
         if row.lender is not None:
             self.lent.append(row)
         spec = state.vms.get(row.vm)
