--- a/src/sesameladder/planning/_lending.py
+++ b/src/sesameladder/planning/_lending.py
@@ -1,14 +1,15 @@
 """The spare pool lends VMs before budgets break and takes them back later."""
 
 from dataclasses import dataclass
+from math import inf
 
 from sesameladder.model import VirtualMachine
-from sesameladder.planning._buffer import PoolStrength, pick_candidate, survive_of
+from sesameladder.planning._basis import REBOOT_PHASES
+from sesameladder.planning._buffer import PoolStrength, pick_candidate
 from sesameladder.planning._rows import Phase, VmRow
 from sesameladder.planning._step import PlannerStep
 
-REBOOT_PHASES = (Phase.REBOOTING, Phase.CHECKING)
-LOST_PHASES = (Phase.FAILED, Phase.SET_ASIDE)
+STOP_PHASES = (Phase.LEAVING, Phase.DRAINED, *REBOOT_PHASES)
 
 
 def note_demand(step: PlannerStep) -> None:
@@ -46,7 +47,9 @@
         if not state.pools[pool].spare:
             need = PoolNeed.from_step(step, pool)
             _note_shortage(step, pool, need.shortfall(step.settings.lend_load) > 0)
-            if _has_waited(step, step.memory.short_since, pool, "lend"):
+            if _has_waited(
+                step, step.memory.short_since, pool, step.settings.lend_delay_s
+            ):
                 _lend(step, pool, need)
     for pool in sorted({row.pool for row in step.survey.lent if row.pool}):
         if not state.pools[pool].spare:
@@ -75,14 +78,15 @@
         state = step.draft.situation.state
         budget = state.budgets.get(pool)
         destined = step.survey.destined.get(pool, [])
-        configured = sum(state.vms[row.vm].pool == pool for row in destined)
+        lent = sum(row.lender not in (None, pool) for row in destined)
+        configured = len(destined) - lent
         vms = min(configured, budget.min_available + 1) if budget else 0
         since = step.memory.demand_since
         is_known = since is not None and (
             step.now - since >= step.settings.demand_time_constant_s
         )
         return cls(
-            PoolStrength.from_vms(survive_of(state, pool), list_lasting(step, pool)),
+            step.availability.find_strength(step.survey, state, pool),
             max(vms, budget.min_available if budget else 0),
             state.pools[pool].floor_slots,
             step.memory.demand.get(pool, 0.0) if is_known else 0.0,
@@ -106,20 +110,6 @@
         return shortfall
 
 
-def list_lasting(step: PlannerStep, pool: str) -> list[VirtualMachine]:
-    """Return the VMs that a pool has or gets, without the failed ones."""
-    state = step.draft.situation.state
-    rows = (step.draft.rows[row.vm] for row in step.survey.destined.get(pool, []))
-    return [state.vms[row.vm] for row in rows if _is_lasting(step, row)]
-
-
-def _is_lasting(step: PlannerStep, row: VmRow) -> bool:
-    """Tell whether a VM serves or is expected back from a planned stop."""
-    if row.phase in REBOOT_PHASES:
-        return True
-    return row.phase not in LOST_PHASES and row.vm not in step.draft.situation.down
-
-
 def _note_shortage(step: PlannerStep, pool: str, is_short: bool) -> None:
     if is_short:
         step.memory.short_since.setdefault(pool, step.now)
@@ -129,18 +119,48 @@
 
 
 def _has_waited(
-    step: PlannerStep, since: dict[str, float], pool: str, kind: str
+    step: PlannerStep, since: dict[str, float], pool: str, limit_s: float
 ) -> bool:
-    limits = {
-        "lend": step.settings.lend_delay_s,
-        "return": step.settings.lend_hold_s,
-    }
-    return pool in since and step.now - since[pool] >= limits[kind]
+    return pool in since and step.now - since[pool] >= limit_s
+
+
+def _hold_s(step: PlannerStep, borrower: str, lender: str) -> float:
+    """Return how long a pool has to do without a VM before the VM goes back.
+
+    The way back takes a stop that a wave in the borrowing pool could use, so it
+    waits for the wave. It is hurried when the lender's own wave can't go on.
+    """
+    if _has_waiting_wave(step, lender) and not _may_stop(step, lender):
+        return step.settings.lend_hold_wave_s
+    return inf if _has_waiting_wave(step, borrower) else step.settings.lend_hold_s
+
+
+def _has_waiting_wave(step: PlannerStep, pool: str) -> bool:
+    rows = step.survey.members.get(pool, [])
+    oldest = min((row.maintained_at for row in rows), default=step.now)
+    return any(
+        wave.start_s <= step.now < wave.deadline_s and oldest < wave.start_s
+        for wave in step.draft.situation.state.waves.values()
+        if pool in wave.pools
+    )
+
+
+def _may_stop(step: PlannerStep, pool: str) -> bool:
+    """Tell whether a pool's budget allows one more stop, or one is under way."""
+    if any(row.phase in STOP_PHASES for row in step.survey.members.get(pool, [])):
+        return True
+    budget = step.draft.situation.state.budgets.get(pool)
+    tally = step.draft.tally(pool)
+    return budget is None or (
+        tally.available > budget.min_available
+        and tally.members - tally.available < budget.max_unavailable
+    )
 
 
 def _lend(step: PlannerStep, pool: str, need: PoolNeed) -> None:
     """Move as few VMs as cover the shortfall from the spare pools."""
     load = step.settings.lend_load
+    need.strength = need.strength.copy()
     candidates = _list_spare(step)
     while need.shortfall(load) > 0 and candidates:
         vm = pick_candidate(need.strength, candidates.values())
@@ -180,7 +200,7 @@
         step.memory.surplus_since.pop(pool, None)
         return
     step.memory.surplus_since.setdefault(pool, step.now)
-    if _has_waited(step, step.memory.surplus_since, pool, "return"):
+    if _has_waited(step, step.memory.surplus_since, pool, _hold_s(step, pool, vm.pool)):
         step.draft.request_move(vm.name, vm.pool)
 
 
