Measure configuration changes and halve the relay's pushes

Change: a relay pushes to one half of its zone, whose members forward to the other half; it reaches one other zone per heartbeat; an instance that learns a number from anyone but its relay tells its relay at once; folding copies a section once. The measurement runs the product's rules over fake links under a simulated clock.

--- a/src/sesameladder/configuration/_relay.py
+++ b/src/sesameladder/configuration/_relay.py
@@ -12,11 +12,12 @@
 MAX_REMOTE_PEERS = 4
 # A relay has to be heard by every instance of its zone, 15 at the target size.
 MAX_RELAY_ZONE_PEERS = 14
-# Other zones get a relay's heartbeat in turn. More at once would take a relay
-# with 14 zone peers and heartbeats of 156 bytes over 3 KB/s.
-RELAY_ZONES_PER_HEARTBEAT = 2
+# Other zones get a relay's heartbeat in turn. With 14 zone peers, heartbeats of
+# 156 bytes and 5,900 tickets a day, two at once would exceed 3 KB/s.
+RELAY_ZONES_PER_HEARTBEAT = 1
 PEER_SILENCE_S = 3.0
-REMOTE_RELAY_SILENCE_S = 15.0
+# Longer than one turn over the 11 other zones of the target size.
+REMOTE_RELAY_SILENCE_S = 30.0
 # Instances of a zone that are told of a new number while its relay is unknown.
 UNKNOWN_RELAY_PEERS = 2
 PULL_TIMEOUT_S = 0.5
@@ -92,6 +93,7 @@
     __slots__ = (
         "allowance",
         "clock",
+        "highest",
         "instance",
         "layout",
         "peers",
@@ -112,6 +114,7 @@
         self.clock = clock
         self.relay = False
         self.peers: dict[str, PeerView] = {}
+        self.highest = 0
         self.pull_until: float = 0.0
         self.allowance = TransferAllowance(clock)
         self.layout = Layout()
@@ -126,6 +129,7 @@
         known = self.peers.get(peer)
         highest = max(number, known.number) if known else number
         self.peers[peer] = PeerView(zone, highest, relay, self.clock())
+        self.highest = max(self.highest, number)
 
     def note_restart(self, peer: str) -> None:
         """Forget a peer whose incarnation changed; it may hold nothing."""
@@ -158,26 +162,41 @@
         near = self.layout.near[:MAX_RELAY_ZONE_PEERS]
         return [*near, *self._choose_remote_peers()]
 
-    def choose_announce_peers(self, number: int) -> list[str]:
-        """Return the peers of other zones that get a heartbeat at once.
+    def choose_announce_peers(self, number: int, source: str | None) -> list[str]:
+        """Return the peers that get a heartbeat at once after a new number.
 
-        For a relay that read a new number from the store. A peer that is
-        behind pulls, so a ticket that all relays read is sent by none.
+        ``source`` is the instance that sent the ticket, None for the store. A
+        relay that read the store tells the other zones; an instance that was
+        told by anyone but its relay tells its relay. A peer that is behind
+        pulls, so a ticket that all relays read is sent by none of them.
         """
         peers: list[str] = []
-        for zone, members in self.layout.by_zone.items() if self.relay else ():
-            relay = self.find_relay(zone)
-            peers += [relay] if relay else members[:UNKNOWN_RELAY_PEERS]
+        if self.relay and source is None:
+            for zone, members in self.layout.by_zone.items():
+                relay = self.find_relay(zone)
+                peers += [relay] if relay else members[:UNKNOWN_RELAY_PEERS]
+        elif not self.relay:
+            relay = self.find_relay(self.zone)
+            peers += [relay] if relay and relay != source else []
         return [peer for peer in peers if self._is_behind(peer, number)]
 
     def plan_push(
-        self, replica: ConfigurationReplica
+        self, replica: ConfigurationReplica, source: str | None
     ) -> list[tuple[str, RecentTicket]]:
-        """Return what a relay sends at once after its replica moved forward."""
+        """Return what is sent at once after the replica moved forward.
+
+        A relay sends the ticket to one half of its zone, and each of these
+        instances forwards it to one instance of the other half, which halves
+        the relay's bytes. ``source`` is as for ``choose_announce_peers``.
+        """
         latest = replica.recent.tickets.get(replica.number)
-        if not self.relay or latest is None or len(latest.raw) > MAX_PUSH_BYTES:
+        if latest is None or len(latest.raw) > MAX_PUSH_BYTES:
             return []
-        behind = [p for p in self.layout.near if self._is_behind(p, latest.number)]
+        if self.relay:
+            receivers = self.layout.near[: -(-len(self.layout.near) // 2)]
+        else:
+            receivers = self._find_forward_peer(source)
+        behind = [peer for peer in receivers if self._is_behind(peer, latest.number)]
         return [(p, latest) for p in behind if self.allowance.take(len(latest.raw))]
 
     def choose_pull(self, number: int) -> Pull | None:
@@ -187,7 +206,7 @@
         number cause one transfer.
         """
         now = self.clock()
-        if now < self.pull_until:
+        if number >= self.highest or now < self.pull_until:
             return None
         ahead = [
             peer
@@ -221,6 +240,16 @@
         members = self.layout.by_zone[zone]
         return self.find_relay(zone) or members[turn % len(members)]
 
+    def _find_forward_peer(self, source: str | None) -> tuple[str, ...]:
+        """Return whom to forward a ticket to that the zone's relay pushed."""
+        if source is None or source != self.find_relay(self.zone):
+            return ()
+        ranked = rank_members(
+            source, (p for p in (*self.layout.near, self.instance) if p != source)
+        )
+        partner = ranked.index(self.instance) + -(-len(ranked) // 2)
+        return tuple(ranked[partner : partner + 1])
+
     def _is_behind(self, peer: str, number: int) -> bool:
         view = self.peers.get(peer)
         return view is None or view.number < number
--- /dev/null
+++ b/src/sesameladder/measure/_configuration_instance.py
@@ -0,0 +1,242 @@
+"""Fake entry instances that connect the product's replica and relay rules."""
+
+from collections import defaultdict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from functools import lru_cache
+from random import Random
+
+from sesameladder.configuration import (
+    Applied,
+    ConfigurationReplica,
+    PollSchedule,
+    RecentTicket,
+    RelayRules,
+    SendTickets,
+)
+from sesameladder.measure._configuration_network import (
+    FakeTicketStore,
+    Layout,
+    Network,
+    Timeline,
+)
+from sesameladder.peering import (
+    Envelope,
+    Heartbeat,
+    Message,
+    PullConfiguration,
+    TicketItem,
+    Tickets,
+    encode_envelope,
+)
+from sesameladder.tickets import Ticket
+
+HEARTBEAT_S = 1.0
+FRAME_LENGTH_BYTES = 4
+# A relay reads the VM list and renews its lease once a second.
+RELAY_CALLS_PER_HEARTBEAT = 2
+# It holds two watches, each of which ends after this time without a change.
+WATCHES = 2
+WATCH_TIMEOUT_S = 10.0
+
+
+@dataclass(slots=True)
+class FakeDeployment:
+    """All instances of a layout with their links and the store."""
+
+    layout: Layout
+    """Zones, instances and delays."""
+
+    random: Random
+    """Draws phases and answer times."""
+
+    timeline: Timeline = field(default_factory=Timeline)
+    """Clock and events."""
+
+    instances: dict[str, "FakeInstance"] = field(default_factory=dict)
+    """Instances by id."""
+
+    applied_at: dict[int, dict[str, float]] = field(
+        default_factory=lambda: defaultdict(dict)
+    )
+    """Time at which each instance applied a ticket, by number."""
+
+    network: Network = field(init=False)
+    """Links."""
+
+    store: FakeTicketStore = field(init=False)
+    """Store of the first region."""
+
+    def __post_init__(self) -> None:
+        regions = dict(self.layout.list_zones())
+        self.network = Network(self.timeline, self.layout, regions)
+        self.store = FakeTicketStore(self.timeline, self.random)
+        configured = self.layout.list_instances()
+        relays = {zone: name for name, zone in reversed(configured.items())}
+        for name, zone in configured.items():
+            instance = FakeInstance(self, name, zone, configured)
+            instance.rules.relay = relays[zone] == name
+            self.instances[name] = instance
+            instance.start()
+        self.store.watchers += [
+            self.instances[name].receive_head
+            for zone, name in relays.items()
+            if regions[zone] == 0
+        ]
+
+
+class FakeInstance:
+    """One entry instance, as far as configuration changes need it."""
+
+    __slots__ = (
+        "deployment",
+        "name",
+        "replica",
+        "rules",
+        "schedule",
+        "silent_until",
+        "watched_at",
+        "zone",
+    )
+
+    def __init__(
+        self,
+        deployment: FakeDeployment,
+        name: str,
+        zone: str,
+        configured: dict[str, str],
+    ) -> None:
+        clock = deployment.timeline.clock
+        self.deployment = deployment
+        self.name = name
+        self.zone = zone
+        self.replica = ConfigurationReplica()
+        self.rules = RelayRules(name, zone, configured, clock)
+        self.schedule = PollSchedule(clock, Random(deployment.random.random()))
+        self.silent_until = 0.0
+        self.watched_at = 0.0
+
+    def start(self) -> None:
+        """Begin heartbeats at a random phase."""
+        phase = self.deployment.random.uniform(0.0, HEARTBEAT_S)
+        self.deployment.timeline.schedule(phase, self.beat)
+        self.deployment.timeline.schedule(phase, self.check_poll)
+
+    def beat(self) -> None:
+        """Send the heartbeats of one second."""
+        self.deployment.timeline.schedule(HEARTBEAT_S, self.beat)
+        if self._is_silent():
+            return
+        if self.rules.relay:
+            self.schedule.note_relay()
+            self._count_relay_calls()
+        for peer in self.rules.choose_heartbeat_peers():
+            self.send_heartbeat(peer)
+
+    def check_poll(self) -> None:
+        """Read the store if the poll schedule says so."""
+        now = self.deployment.timeline.now
+        if self.schedule.is_due() and not self._is_silent():
+            self.deployment.store.read_head(self.name, self.receive_poll)
+            self.schedule.note_answer()
+        pause = max(self.schedule.due_at - now, 0.01)
+        self.deployment.timeline.schedule(pause, self.check_poll)
+
+    def receive_poll(self, head: Ticket | None) -> None:
+        """Take over the answer of a poll."""
+        if head is None:
+            self.schedule.note_failure()
+        else:
+            self._offer(head, None)
+
+    def receive_head(self, head: Ticket) -> None:
+        """Take over the answer of a watch and watch again."""
+        if not self._is_silent():
+            self.deployment.store.calls[self.name] += 1
+            self._offer(head, None)
+
+    def send_heartbeat(self, peer: str) -> None:
+        """Send a heartbeat to a peer."""
+        receiver = self.deployment.instances[peer]
+        number, relay = self.replica.number, self.rules.relay
+        heartbeat = Heartbeat(self.zone, 0, 0, False, relay, 0)
+        self._send(
+            receiver,
+            measure_frame(self.name, heartbeat),
+            lambda: receiver.receive_heartbeat(self, number, relay),
+        )
+
+    def receive_heartbeat(
+        self, sender: "FakeInstance", number: int, relay: bool
+    ) -> None:
+        """Note a heartbeat and pull what is missing."""
+        if self._is_silent():
+            return
+        self.rules.note_heartbeat(sender.name, sender.zone, number, relay)
+        if relay and sender.zone == self.zone:
+            self.schedule.note_relay()
+        pull = self.rules.choose_pull(self.replica.number)
+        if pull is None:
+            return
+        peer = self.deployment.instances[pull.peer]
+        size = measure_frame(self.name, PullConfiguration(0))
+        self._send(peer, size, lambda: peer.receive_pull(self, pull.after))
+
+    def receive_pull(self, sender: "FakeInstance", after: int) -> None:
+        """Answer a pull."""
+        transfer = self.rules.answer_pull(after, self.replica)
+        if not self._is_silent() and isinstance(transfer, SendTickets):
+            self.send_tickets(sender, transfer.tickets)
+
+    def send_tickets(
+        self, receiver: "FakeInstance", tickets: tuple[RecentTicket, ...]
+    ) -> None:
+        """Send tickets to a peer."""
+        items = tuple(TicketItem(t.number, t.digest, t.raw) for t in tickets)
+        size = measure_frame(self.name, Tickets(items))
+        self._send(receiver, size, lambda: receiver.receive_tickets(self, tickets))
+
+    def receive_tickets(
+        self, sender: "FakeInstance", tickets: tuple[RecentTicket, ...]
+    ) -> None:
+        """Offer received tickets to the replica."""
+        if self._is_silent():
+            return
+        self.rules.end_pull()
+        for ticket in tickets:
+            self._offer(Ticket.from_bytes(ticket.raw), sender.name)
+
+    def _offer(self, ticket: Ticket, source: str | None) -> None:
+        outcome = self.replica.offer_ticket(ticket.number, ticket, ticket.digest)
+        if not isinstance(outcome, Applied):
+            return
+        now = self.deployment.timeline.now
+        self.deployment.applied_at[ticket.number][self.name] = now
+        for peer, recent in self.rules.plan_push(self.replica, source):
+            self.send_tickets(self.deployment.instances[peer], (recent,))
+        for peer in self.rules.choose_announce_peers(ticket.number, source):
+            self.send_heartbeat(peer)
+
+    def _send(
+        self, receiver: "FakeInstance", size: int, event: Callable[[], None]
+    ) -> None:
+        zones = (self.zone, receiver.zone)
+        self.deployment.network.send(self.name, zones, size, event)
+
+    def _is_silent(self) -> bool:
+        return self.deployment.timeline.now < self.silent_until
+
+    def _count_relay_calls(self) -> None:
+        calls = self.deployment.store.calls
+        calls[self.name] += RELAY_CALLS_PER_HEARTBEAT
+        now = self.deployment.timeline.now
+        if now - self.watched_at >= WATCH_TIMEOUT_S:
+            self.watched_at = now
+            calls[self.name] += WATCHES
+
+
+@lru_cache(maxsize=4096)
+def measure_frame(sender: str, message: Message) -> int:
+    """Return the bytes of a message on the wire, with the frame's length."""
+    envelope = Envelope(sender, 2**40, 0, False, message)
+    return FRAME_LENGTH_BYTES + len(encode_envelope("target-size", envelope))
--- /dev/null
+++ b/src/sesameladder/measure/configuration.py
@@ -0,0 +1,218 @@
+"""Time until a ticket is in force everywhere, and the cost of keeping it so.
+
+The product's replica, relay rules and poll schedule run under a simulated
+clock over fake links. A time counts from the operator's answer to the moment
+at which the last instance applied the ticket. The baseline is a poll of the
+store by each instance every 2 s.
+"""
+
+from dataclasses import dataclass
+from random import Random
+
+from sesameladder.measure._configuration_instance import FakeDeployment
+from sesameladder.measure._configuration_network import (
+    STORE_ANSWER_MAX_S,
+    STORE_ANSWER_MIN_S,
+    Layout,
+    StoreMode,
+)
+from sesameladder.measure._entry import MeasureEntry
+from sesameladder.model import VirtualMachine
+from sesameladder.tickets import Ticket
+
+WARM_UP_S = 30.0
+TICKET_SPACING_S = 5.5
+OUTAGE_S = 4.0
+RELAY_SILENCE_S = 4.0
+IDLE_S = 60.0
+POLL_BASELINE_S = 2.0
+TICKETS_A_DAY = 5_900
+DAY_S = 86_400
+MAX_BYTES_PER_S = 3_000.0
+TICKETS_PER_RUN = {"target-size": 12}
+DEFAULT_TICKETS_PER_RUN = 60
+
+LAYOUTS = {
+    "coral-strand": Layout("coral-strand", (3,), 3, 0.0005, 0.0005, 2.0),
+    "pfennigblatt": Layout("pfennigblatt", (3,), 3, 0.0015, 0.0015, 2.0),
+    "target-size": Layout("target-size", (3, 3, 2, 2, 2), 15, 0.0015, 0.040, 4.0),
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Scenario:
+    """What happens at the acceptance of each ticket."""
+
+    suffix: str
+    """End of the names of the scenario's figures."""
+
+    mode: StoreMode = StoreMode.UP
+    """Behaviour of the store."""
+
+    relays_lost: bool = False
+    """Whether the relays of the first region fall silent at the acceptance."""
+
+
+SCENARIOS = (
+    Scenario(""),
+    Scenario("_store_slow", StoreMode.SLOW),
+    Scenario("_store_gone", StoreMode.GONE),
+    Scenario("_relays_lost", relays_lost=True),
+)
+
+
+def measure(deployment: str, seed: int) -> list[MeasureEntry]:
+    """Return the figures of a deployment's layout."""
+    layout = LAYOUTS[deployment]
+    entries: list[MeasureEntry] = []
+    for scenario in SCENARIOS:
+        times = measure_times(layout, scenario, seed)
+        baseline = compute_baseline(layout, scenario, seed, len(times))
+        entries += _report_times(layout, scenario, times, baseline)
+    for suffix, tickets_a_day in (("_idle", 0), ("_busy", TICKETS_A_DAY)):
+        entries += _report_costs(layout, suffix, tickets_a_day, seed)
+    return entries
+
+
+def measure_times(layout: Layout, scenario: Scenario, seed: int) -> list[float]:
+    """Return the seconds until each ticket of a run was in force everywhere."""
+    random = Random(seed)
+    fleet = FakeDeployment(layout, random)
+    fleet.timeline.run_until(WARM_UP_S)
+    count = TICKETS_PER_RUN.get(layout.name, DEFAULT_TICKETS_PER_RUN)
+    answered_at: list[float] = []
+    for number in range(1, count + 1):
+        start = fleet.timeline.now + random.uniform(0.0, 1.0)
+        fleet.timeline.run_until(start)
+        _begin_faults(fleet, scenario)
+        answered_at.append(fleet.store.accept(build_ticket(number), scenario.mode))
+        fleet.timeline.run_until(start + OUTAGE_S)
+        fleet.store.mode = StoreMode.UP
+        fleet.timeline.run_until(start + TICKET_SPACING_S)
+    return [
+        compute_time(fleet, number, answered)
+        for number, answered in enumerate(answered_at, 1)
+    ]
+
+
+def compute_time(fleet: FakeDeployment, number: int, answered: float) -> float:
+    """Return the seconds from an answer to the last running instance.
+
+    Instances that a scenario silences don't count; infinite if one never
+    applied the ticket.
+    """
+    applied = fleet.applied_at[number]
+    silent = {name for name, item in fleet.instances.items() if item.silent_until}
+    running = [name for name in fleet.instances if name not in silent]
+    times = [applied.get(name, float("inf")) for name in running]
+    return max(0.0, max(times) - answered)
+
+
+def build_ticket(number: int) -> Ticket:
+    """Return a ticket of a usual size: one VM that changes."""
+    vm = VirtualMachine("worker-0001", "blends", "zone-0a", "rack-1", "10.0.0.1:8080")
+    reason = f"replace worker-0001 after a failed check, case {number}"
+    return Ticket(number, "duty operator", reason, vms={vm.name: vm})
+
+
+def compute_baseline(
+    layout: Layout, scenario: Scenario, seed: int, count: int
+) -> list[float]:
+    """Return the times of instances that each poll the store every 2 s.
+
+    A slow store answers a poll as late as it answers the operator.
+    """
+    random = Random(seed)
+    instances = len(layout.list_instances())
+    outage = OUTAGE_S if scenario.mode is StoreMode.GONE else 0.0
+    return [
+        outage
+        + max(
+            random.uniform(0.0, POLL_BASELINE_S)
+            + random.uniform(STORE_ANSWER_MIN_S, STORE_ANSWER_MAX_S)
+            for _ in range(instances)
+        )
+        for _ in range(count)
+    ]
+
+
+def measure_costs(
+    layout: Layout, tickets_a_day: int, seed: int
+) -> tuple[list[float], list[float]]:
+    """Return bytes sent and platform calls per second, for each instance."""
+    fleet = FakeDeployment(layout, Random(seed))
+    fleet.timeline.run_until(WARM_UP_S)
+    fleet.network.sent_bytes.clear()
+    fleet.store.calls.clear()
+    number = 0
+    spacing = DAY_S / tickets_a_day if tickets_a_day else IDLE_S
+    for _ in range(round(IDLE_S / spacing)):
+        if tickets_a_day:
+            number += 1
+            fleet.store.accept(build_ticket(number), StoreMode.UP)
+        fleet.timeline.run_until(fleet.timeline.now + spacing)
+    seconds = fleet.timeline.now - WARM_UP_S
+    sent = [fleet.network.sent_bytes[name] / seconds for name in fleet.instances]
+    calls = [fleet.store.calls[name] / seconds for name in fleet.instances]
+    return sent, calls
+
+
+def find_percentile(values: list[float], share: float) -> float:
+    """Return the smallest value that a share of the values doesn't exceed."""
+    ordered = sorted(values)
+    return ordered[max(0, -int(-share * len(ordered) // 1) - 1)]
+
+
+def _begin_faults(fleet: FakeDeployment, scenario: Scenario) -> None:
+    if not scenario.relays_lost:
+        return
+    regions = fleet.network.region_by_zone
+    for instance in fleet.instances.values():
+        if instance.rules.relay and regions[instance.zone] == 0:
+            instance.silent_until = fleet.timeline.now + RELAY_SILENCE_S
+
+
+def _report_times(
+    layout: Layout, scenario: Scenario, times: list[float], baseline: list[float]
+) -> list[MeasureEntry]:
+    delays = (layout.zone_delay_s, layout.region_delay_s)
+    bound = STORE_ANSWER_MIN_S + (delays[len(layout.zones_by_region) > 1])
+    return [
+        MeasureEntry(
+            name=f"ticket_in_force_{label}{scenario.suffix}",
+            deployment=layout.name,
+            unit="s",
+            value=find_percentile(times, share),
+            baseline=find_percentile(baseline, share),
+            bound=bound,
+            target=f"value <= {layout.limit_s:g}",
+            met=find_percentile(times, share) <= layout.limit_s,
+        )
+        for label, share in (("p50", 0.5), ("p99", 0.99), ("max", 1.0))
+    ]
+
+
+def _report_costs(
+    layout: Layout, suffix: str, tickets_a_day: int, seed: int
+) -> list[MeasureEntry]:
+    sent, calls = measure_costs(layout, tickets_a_day, seed)
+    polls = 1 / POLL_BASELINE_S
+    figures = [
+        (f"bytes_per_s{suffix}_mean", "B/s", sum(sent) / len(sent), MAX_BYTES_PER_S),
+        (f"bytes_per_s{suffix}_max", "B/s", max(sent), MAX_BYTES_PER_S),
+        (f"platform_calls_per_s{suffix}_mean", "1/s", sum(calls) / len(calls), None),
+        (f"platform_calls_per_s{suffix}_max", "1/s", max(calls), None),
+    ]
+    return [
+        MeasureEntry(
+            name=name,
+            deployment=layout.name,
+            unit=unit,
+            value=value,
+            baseline=None if limit else polls,
+            bound=None,
+            target=f"value <= {limit:g}" if limit else "",
+            met=value <= limit if limit else None,
+        )
+        for name, unit, value, limit in figures
+    ]
--- /dev/null
+++ b/src/sesameladder/measure/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the measurements."""
--- a/src/sesameladder/tickets/_fold.py
+++ b/src/sesameladder/tickets/_fold.py
@@ -23,5 +23,10 @@
 ) -> dict[str, Any]:
     if not changes:
         return objects
-    merged = {**objects, **changes}
-    return {name: item for name, item in merged.items() if item is not None}
+    merged = dict(objects)
+    for name, item in changes.items():
+        if item is None:
+            merged.pop(name, None)
+        else:
+            merged[name] = item
+    return merged
