--- a/src/sesameladder/client/_status.py
+++ b/src/sesameladder/client/_status.py
@@ -97,7 +97,8 @@
 
 
 def _decode(address: ClientInstance, answer: Any) -> InstanceStatus:
-    behind = answer["behind_since"]
+    # An instance that knows of no higher number answers null or 0.
+    behind = answer["behind_since"] or None
     return InstanceStatus(
         address.instance,
         address.zone,
--- a/src/sesameladder/configuration/_relay.py
+++ b/src/sesameladder/configuration/_relay.py
@@ -13,7 +13,7 @@
 # A relay has to be heard by every instance of its zone, 15 at the target size.
 MAX_RELAY_ZONE_PEERS = 14
 # Other zones get a relay's heartbeat in turn. With 14 zone peers, heartbeats of
-# 156 bytes and 5,900 tickets a day, two at once would exceed 3 KB/s.
+# about 160 bytes and 5,900 tickets a day, two at once would exceed 3 KB/s.
 RELAY_ZONES_PER_HEARTBEAT = 1
 PEER_SILENCE_S = 3.0
 # Longer than one turn over the 11 other zones of the target size.
@@ -66,6 +66,9 @@
     by_zone: dict[str, tuple[str, ...]] = field(default_factory=dict)
     """Instances of each other zone, by rendezvous hash."""
 
+    announced_zones: tuple[str, ...] = ()
+    """Zones that a relay of the own zone tells of new numbers."""
+
     @classmethod
     def from_configured(
         cls, instance: str, zone: str, configured: Mapping[str, str]
@@ -79,7 +82,14 @@
             other: tuple(peer for peer in far if configured[peer] == other)
             for other in zones
         }
-        return cls(near, far, by_zone)
+        return cls(near, far, by_zone, _choose_announced_zones(zone, zones))
+
+
+def _choose_announced_zones(zone: str, others: list[str]) -> tuple[str, ...]:
+    ring = sorted([zone, *others])
+    own = ring.index(zone)
+    steps = [2**power for power in range(len(ring)) if 2**power < len(ring)]
+    return tuple(ring[(own + step) % len(ring)] for step in steps)
 
 
 class RelayRules:
@@ -162,32 +172,29 @@
         near = self.layout.near[:MAX_RELAY_ZONE_PEERS]
         return [*near, *self._choose_remote_peers()]
 
-    def choose_announce_peers(self, number: int, source: str | None) -> list[str]:
+    def choose_announce_peers(self, number: int) -> list[str]:
         """Return the peers that get a heartbeat at once after a new number.
 
-        ``source`` is the instance that sent the ticket, None for the store. A
-        relay that read the store tells the other zones; an instance that was
-        told by anyone but its relay tells its relay. A peer that is behind
-        pulls, so a ticket that all relays read is sent by none of them.
+        A relay tells the zones 1, 2, 4, 8 and so on places after its own, whose
+        relays do the same, so that each tells few and several tell each; any
+        other instance tells its relay. A peer that is behind pulls, so a
+        ticket that all relays read is sent by none of them.
         """
         peers: list[str] = []
-        if self.relay and source is None:
-            for zone, members in self.layout.by_zone.items():
-                relay = self.find_relay(zone)
-                peers += [relay] if relay else members[:UNKNOWN_RELAY_PEERS]
-        elif not self.relay:
-            relay = self.find_relay(self.zone)
-            peers += [relay] if relay and relay != source else []
+        for zone in self.layout.announced_zones if self.relay else (self.zone,):
+            relay = self.find_relay(zone)
+            unknown = self.layout.by_zone.get(zone, ())[:UNKNOWN_RELAY_PEERS]
+            peers += [relay] if relay else unknown
         return [peer for peer in peers if self._is_behind(peer, number)]
 
     def plan_push(
-        self, replica: ConfigurationReplica, source: str | None
+        self, replica: ConfigurationReplica
     ) -> list[tuple[str, RecentTicket]]:
         """Return what is sent at once after the replica moved forward.
 
         A relay sends the ticket to one half of its zone, and each of these
         instances forwards it to one instance of the other half, which halves
-        the relay's bytes. ``source`` is as for ``choose_announce_peers``.
+        the relay's bytes.
         """
         latest = replica.recent.tickets.get(replica.number)
         if latest is None or len(latest.raw) > MAX_PUSH_BYTES:
@@ -195,7 +202,7 @@
         if self.relay:
             receivers = self.layout.near[: -(-len(self.layout.near) // 2)]
         else:
-            receivers = self._find_forward_peer(source)
+            receivers = self._find_forward_peer()
         behind = [peer for peer in receivers if self._is_behind(peer, latest.number)]
         return [(p, latest) for p in behind if self.allowance.take(len(latest.raw))]
 
@@ -240,13 +247,13 @@
         members = self.layout.by_zone[zone]
         return self.find_relay(zone) or members[turn % len(members)]
 
-    def _find_forward_peer(self, source: str | None) -> tuple[str, ...]:
-        """Return whom to forward a ticket to that the zone's relay pushed."""
-        if source is None or source != self.find_relay(self.zone):
+    def _find_forward_peer(self) -> tuple[str, ...]:
+        """Return the zone member that this instance forwards tickets to."""
+        relay = self.find_relay(self.zone)
+        if relay is None:
             return ()
-        ranked = rank_members(
-            source, (p for p in (*self.layout.near, self.instance) if p != source)
-        )
+        members = (*self.layout.near, self.instance)
+        ranked = rank_members(relay, (peer for peer in members if peer != relay))
         partner = ranked.index(self.instance) + -(-len(ranked) // 2)
         return tuple(ranked[partner : partner + 1])
 
