--- /dev/null
+++ b/src/sesameladder/observability/_logging.py
@@ -0,0 +1,60 @@
+"""Logging as JSON lines with stable event names.
+
+Each line has ``timestamp`` (UTC), ``level``, ``logger``, ``program``,
+``instance``, ``event`` and ``message``, and the fields of the event, above all
+``request``, ``ticket``, ``vm`` and ``zone``.
+"""
+
+import logging
+from typing import Any
+
+from pythonjsonlogger.json import JsonFormatter
+
+from sesameladder.observability._events import EVENTS
+
+UNNAMED_EVENT = "message"
+"""Event name of lines that libraries log as plain text."""
+
+FIELDS_ATTRIBUTE = "event_fields"
+FORMAT = "%(levelname)s %(name)s %(message)s"
+RENAMED = {"levelname": "level", "name": "logger"}
+
+
+def configure_logging(level: str, program: str, instance: str) -> None:
+    """Log JSON lines to standard error, from a level on."""
+    handler = logging.StreamHandler()
+    handler.setFormatter(EventFormatter(program, instance))
+    logging.basicConfig(level=level, handlers=[handler], force=True)
+
+
+def log_event(
+    logger: logging.Logger, level: int, event: str, /, **fields: object
+) -> None:
+    """Log an event of ``EVENTS`` with its fields."""
+    extra = {"event": event, FIELDS_ATTRIBUTE: fields}
+    logger.log(level, EVENTS.get(event, event), extra=extra, stacklevel=2)
+
+
+class EventFormatter(JsonFormatter):
+    """Formats a record as one JSON object."""
+
+    def __init__(self, program: str, instance: str) -> None:
+        super().__init__(
+            FORMAT,
+            rename_fields=RENAMED,
+            static_fields={"program": program, "instance": instance},
+            timestamp=True,
+        )
+
+    def add_fields(
+        self,
+        log_data: dict[str, Any],
+        record: logging.LogRecord,
+        message_dict: dict[str, Any],
+    ) -> None:
+        """Fill in the event and its fields; the line's own keys come first."""
+        super().add_fields(log_data, record, message_dict)
+        fields = log_data.pop(FIELDS_ATTRIBUTE, {})
+        for name, value in fields.items():
+            log_data[f"{name}_" if name in log_data else name] = value
+        log_data.setdefault("event", UNNAMED_EVENT)
--- /dev/null
+++ b/src/sesameladder/observability/_metrics.py
@@ -0,0 +1,128 @@
+"""Metrics, sent to a statsd server over UDP."""
+
+import re
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Self
+
+from statsd import StatsClient
+
+from sesameladder.settings import StatsdSettings
+
+UNSAFE_CHARACTERS = re.compile(r"[^A-Za-z0-9_-]")
+
+
+class MetricKind(StrEnum):
+    """Type of a statsd metric."""
+
+    COUNTER = "counter"
+    GAUGE = "gauge"
+    TIMER = "timer"
+
+
+class Metric(StrEnum):
+    """Names of all metrics."""
+
+    REQUESTS = "requests"
+    OUTCOMES = "outcomes"
+    REQUEST_TIME = "request_time"
+    QUEUE_WAIT = "queue_wait"
+    GRANTS = "grants"
+    RETRIES = "retries"
+    PREEMPTIONS = "preemptions"
+    SPILLOVERS = "spillovers"
+    QUEUE_LENGTH = "queue_length"
+    SLOTS_BUSY = "slots_busy"
+    WORKERS_EJECTED = "workers_ejected"
+    CONFIGURATION_NUMBER = "configuration_number"
+    ROLLOUT_TIME = "rollout_time"
+    PLAN_VERSION = "plan_version"
+    PERMITS = "permits"
+    VM_MOVES = "vm_moves"
+    PLATFORM_CALLS = "platform_calls"
+    PLATFORM_ERRORS = "platform_errors"
+    PEER_BYTES = "peer_bytes"
+    TOKENS_ISSUED = "tokens_issued"
+
+
+@dataclass(frozen=True, slots=True)
+class MetricSpec:
+    """What a metric tells."""
+
+    kind: MetricKind
+    """Type of the metric."""
+
+    label: str
+    """What the last part of the name tells, or an empty text without one."""
+
+    meaning: str
+    """What is counted or measured, with the unit."""
+
+
+COUNTER, GAUGE, TIMER = MetricKind.COUNTER, MetricKind.GAUGE, MetricKind.TIMER
+
+METRICS = {
+    Metric.REQUESTS: MetricSpec(COUNTER, "pool", "requests from callers"),
+    Metric.OUTCOMES: MetricSpec(COUNTER, "outcome", "answers: done, not-run, unknown"),
+    Metric.REQUEST_TIME: MetricSpec(TIMER, "pool", "from request to answer, in ms"),
+    Metric.QUEUE_WAIT: MetricSpec(TIMER, "pool", "from demand to grant, in ms"),
+    Metric.GRANTS: MetricSpec(COUNTER, "pool", "slots granted"),
+    Metric.RETRIES: MetricSpec(COUNTER, "pool", "attempts after the first"),
+    Metric.PREEMPTIONS: MetricSpec(COUNTER, "pool", "tasks ended by a checkpoint"),
+    Metric.SPILLOVERS: MetricSpec(COUNTER, "pool", "requests sent to another zone"),
+    Metric.QUEUE_LENGTH: MetricSpec(GAUGE, "pool", "requests that wait in the cell"),
+    Metric.SLOTS_BUSY: MetricSpec(GAUGE, "pool", "slots of the cell in use"),
+    Metric.WORKERS_EJECTED: MetricSpec(GAUGE, "pool", "workers ejected as outliers"),
+    Metric.CONFIGURATION_NUMBER: MetricSpec(GAUGE, "", "number of the ticket applied"),
+    Metric.ROLLOUT_TIME: MetricSpec(TIMER, "", "from acceptance to effect, in ms"),
+    Metric.PLAN_VERSION: MetricSpec(GAUGE, "", "version of the plan applied"),
+    Metric.PERMITS: MetricSpec(GAUGE, "pool", "VMs out under a permit"),
+    Metric.VM_MOVES: MetricSpec(COUNTER, "pool", "VMs moved into the pool"),
+    Metric.PLATFORM_CALLS: MetricSpec(COUNTER, "operation", "calls of the platform"),
+    Metric.PLATFORM_ERRORS: MetricSpec(COUNTER, "operation", "calls that failed"),
+    Metric.PEER_BYTES: MetricSpec(COUNTER, "", "bytes sent to peers"),
+    Metric.TOKENS_ISSUED: MetricSpec(COUNTER, "", "idempotency tokens issued"),
+}
+"""Meaning of each metric; docs/observability.md shows this table."""
+
+
+class Metrics:
+    """Sends metrics; does nothing without a statsd server.
+
+    Sending never raises and never waits for the server.
+    """
+
+    __slots__ = ("client",)
+
+    def __init__(self, client: StatsClient | None) -> None:
+        self.client = client
+
+    @classmethod
+    def from_settings(cls, settings: StatsdSettings | None) -> Self:
+        """Return metrics that go to the server of the settings, if any."""
+        if settings is None:
+            return cls(None)
+        host, _, port = settings.address.rpartition(":")
+        return cls(StatsClient(host, int(port), settings.prefix))
+
+    def count(self, metric: Metric, label: str = "", amount: int = 1) -> None:
+        """Add to a counter."""
+        if self.client is not None:
+            self.client.incr(_join_name(metric, label, COUNTER), amount)
+
+    def set_gauge(self, metric: Metric, value: float, label: str = "") -> None:
+        """Set a gauge; the value is 0 or more."""
+        if self.client is not None:
+            self.client.gauge(_join_name(metric, label, GAUGE), value)
+
+    def record_time(self, metric: Metric, milliseconds: float, label: str = "") -> None:
+        """Record a duration."""
+        if self.client is not None:
+            self.client.timing(_join_name(metric, label, TIMER), milliseconds)
+
+
+def _join_name(metric: Metric, label: str, kind: MetricKind) -> str:
+    spec = METRICS[metric]
+    assert spec.kind is kind, f"{metric} is a {spec.kind}"
+    assert bool(spec.label) == bool(label), f"label of {metric}: {spec.label!r}"
+    return f"{metric}.{UNSAFE_CHARACTERS.sub('_', label)}" if label else str(metric)
