--- a/src/sesameladder/standins/_http.py
+++ b/src/sesameladder/standins/_http.py
@@ -13,7 +13,7 @@
 from cheroot.server import HTTPConnection
 
 MAX_BODY_BYTES = 4_000_000
-MAX_HEADER_BYTES = 64_000
+MAX_HEADER_BYTES = 16_000
 IDLE_TIMEOUT_S = 60
 SHUTDOWN_TIMEOUT_S = 2
 LISTEN_BACKLOG = 256
@@ -268,6 +268,9 @@
         raise RequestRefused("the body is too large", 413) from error
     except ValueError as error:
         raise RequestRefused(f"the body is malformed: {error}") from error
+    declared = environ.get("CONTENT_LENGTH")
+    if declared and len(body) != int(declared):
+        raise RequestRefused("the body is shorter than its Content-Length")
     return body
 
 
