--- a/src/sesameladder/settings/_reader.py
+++ b/src/sesameladder/settings/_reader.py
@@ -3,6 +3,7 @@
 import json
 import re
 from collections.abc import Callable, Iterable
+from functools import cache
 from pathlib import Path
 from typing import Any, TypeVar
 
@@ -31,6 +32,7 @@
 def parse_settings(kind: type[T], text: str, file: str, check: Check) -> T:
     """Return the settings in a text; raises SettingsInvalid with every problem."""
     document = Document(file, parse_text(text, file))
+    settings: T | None
     settings, problems = _convert(kind, document)
     problems = [*problems, *check(document)]
     if settings is None or problems:
@@ -60,17 +62,21 @@
     return value
 
 
-def _convert(
-    kind: type[T], document: Document
-) -> tuple[T | None, list[SettingsProblem]]:
+def _convert(kind: Any, document: Document) -> tuple[Any, list[SettingsProblem]]:
     """Return the settings, or None and the problems of their types."""
     try:
-        return TypeAdapter(kind).validate_json(json.dumps(document.root)), []
+        return _find_adapter(kind).validate_json(json.dumps(document.root)), []
     except ValidationError as error:
         errors = error.errors(include_url=False)
     return None, [describe_type_error(document, kind, error) for error in errors]
 
 
+@cache
+def _find_adapter(kind: Any) -> TypeAdapter[Any]:
+    """Return the type check of a settings class, which is costly to build."""
+    return TypeAdapter(kind)
+
+
 def _describe_syntax_error(error: Exception, file: str) -> SettingsProblem:
     match = SYNTAX_ERROR.match(str(error))
     line = int(match[1]) if match else None
--- a/src/sesameladder/standins/_http.py
+++ b/src/sesameladder/standins/_http.py
@@ -12,6 +12,8 @@
 from cheroot import errors, wsgi
 from cheroot.server import HTTPConnection
 
+from sesameladder.observability import EVENTS
+
 MAX_BODY_BYTES = 4_000_000
 MAX_HEADER_BYTES = 16_000
 IDLE_TIMEOUT_S = 60
@@ -249,9 +251,9 @@
 def _log_server_error(
     message: str = "", level: int = logging.ERROR, traceback: bool = False
 ) -> None:
-    LOGGER.log(
-        level, "http_server_error", extra={"detail": message}, exc_info=traceback
-    )
+    event = "http_server_error"
+    extra = {"event": event, "reason": message}
+    LOGGER.log(level, EVENTS[event], extra=extra, exc_info=traceback)
 
 
 def _decode_path(path_info: str) -> str:
--- a/src/sesameladder/standins/_program.py
+++ b/src/sesameladder/standins/_program.py
@@ -1,14 +1,19 @@
 """Running a stand-in as a program until it is told to stop."""
 
+import logging
 import signal
 import sys
 import threading
 from collections.abc import Callable, Sequence
 from typing import Protocol, TypeVar
 
+from sesameladder.observability import configure_logging, log_event
 from sesameladder.settings import SettingsInvalid
 
 SETTINGS_EXIT_CODE = 2
+LOG_LEVEL = "INFO"
+
+LOGGER = logging.getLogger(__name__)
 
 T = TypeVar("T")
 
@@ -16,6 +21,10 @@
 class Startable(Protocol):
     """A server that can be started and stopped."""
 
+    @property
+    def address(self) -> str:
+        """The ``ip:port`` in use."""
+
     def start(self) -> None:
         """Start serving."""
 
@@ -32,13 +41,17 @@
         sys.exit(SETTINGS_EXIT_CODE)
 
 
-def run_until_signal(servers: Sequence[Startable]) -> None:
+def run_until_signal(program: str, servers: Sequence[Startable]) -> None:
     """Serve until SIGTERM or SIGINT."""
+    configure_logging(LOG_LEVEL, program, "standin")
     stop = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: stop.set())
     for server in servers:
         server.start()
+        log_event(LOGGER, logging.INFO, "started", address=server.address)
     stop.wait()
+    log_event(LOGGER, logging.INFO, "shutdown_started")
     for server in servers:
         server.stop()
+    log_event(LOGGER, logging.INFO, "shutdown_finished", clean=True)
--- a/src/sesameladder/standins/platform/_command.py
+++ b/src/sesameladder/standins/platform/_command.py
@@ -10,8 +10,10 @@
 from sesameladder.standins._program import load_or_exit, run_until_signal
 from sesameladder.standins.platform._standin import PlatformStandin
 
+PROGRAM = "sesameladder-platform-standin"
 
-@cappa.command(name="sesameladder-platform-standin")
+
+@cappa.command(name=PROGRAM)
 @dataclass(slots=True)
 class PlatformStandinCommand:
     """Serve a stand-in of the platform, for tests and trials only."""
@@ -24,4 +26,4 @@
     command = cappa.parse(PlatformStandinCommand)
     path = command.settings
     settings = load_or_exit(lambda: PlatformStandinSettings.from_file(path))
-    run_until_signal([PlatformStandin(settings)])
+    run_until_signal(PROGRAM, [PlatformStandin(settings)])
--- a/src/sesameladder/standins/upstream/_command.py
+++ b/src/sesameladder/standins/upstream/_command.py
@@ -10,8 +10,10 @@
 from sesameladder.standins._program import load_or_exit, run_until_signal
 from sesameladder.standins.upstream._standin import UpstreamStandin
 
+PROGRAM = "sesameladder-upstream-standin"
 
-@cappa.command(name="sesameladder-upstream-standin")
+
+@cappa.command(name=PROGRAM)
 @dataclass(slots=True)
 class UpstreamStandinCommand:
     """Serve stand-ins of upstreams, for tests and trials only."""
@@ -25,4 +27,4 @@
     path = command.settings
     settings = load_or_exit(lambda: UpstreamStandinSettings.from_file(path))
     upstreams = [UpstreamStandin(row, settings) for row in settings.upstreams]
-    run_until_signal(upstreams)
+    run_until_signal(PROGRAM, upstreams)
