Read the settings of the test fleet once

Cause: the process test parsed nine settings files for each attempt of its callers; the parser kept the test's interpreter busy, steps crawled and runs of several minutes ended with a timeout. Change: settings are read once when the fleet starts. The entry process now logs through log_event, sends metrics and collects dumps part by part. Conclusion: the delay was in the test, not in the programs.

--- a/src/sesameladder/entry/_command.py
+++ b/src/sesameladder/entry/_command.py
@@ -9,8 +9,8 @@
 
 import cappa
 
-from sesameladder.entry._logging import configure_logging
 from sesameladder.entry._process import EntryProcess
+from sesameladder.observability import configure_logging
 from sesameladder.settings import EntrySettings, SettingsInvalid
 
 EXIT_OK = 0
--- a/src/sesameladder/entry/_configuration_task.py
+++ b/src/sesameladder/entry/_configuration_task.py
@@ -20,6 +20,7 @@
     SendTickets,
 )
 from sesameladder.entry._view import FleetView
+from sesameladder.observability import log_event
 from sesameladder.peering import (
     Failure,
     Heartbeat,
@@ -315,17 +316,13 @@
         if isinstance(outcome, Applied):
             self._publish_configuration()
         elif isinstance(outcome, Conflicting | Malformed):
-            logger.error(
-                "refused an offered ticket",
-                extra={"event": "ticket_refused", "reason": outcome.reason},
-            )
+            log_event(logger, logging.ERROR, "ticket_refused", reason=outcome.reason)
 
     def _publish_configuration(self) -> None:
         self.view.state = self.replica.state
         self.behind_since = 0.0
-        logger.info(
-            "configuration in effect",
-            extra={"event": "configuration_applied", "ticket": self.replica.number},
+        log_event(
+            logger, logging.INFO, "configuration_applied", ticket=self.replica.number
         )
         for instance, ticket in self.rules.plan_push(self.replica):
             item = TicketItem(ticket.number, ticket.digest, ticket.raw)
@@ -337,10 +334,7 @@
         try:
             plan = RegionPlan.from_bytes(data)
         except PlanMalformed as error:
-            logger.error(
-                "refused an offered plan",
-                extra={"event": "plan_refused", "reason": str(error)},
-            )
+            log_event(logger, logging.ERROR, "plan_refused", reason=str(error))
             return
         if plan.region != self.view.region or plan.version <= self._plan_version():
             return
@@ -363,10 +357,7 @@
         try:
             states = {item.name: VmState(item.state) for item in update.items}
         except ValueError as error:
-            logger.error(
-                "refused a VM list",
-                extra={"event": "vm_list_refused", "reason": str(error)},
-            )
+            log_event(logger, logging.ERROR, "vm_list_refused", reason=str(error))
             return
         self.view.vm_states = states
         self.view.vm_list_sequence = update.sequence
--- a/src/sesameladder/entry/_dispatch_task.py
+++ b/src/sesameladder/entry/_dispatch_task.py
@@ -21,6 +21,7 @@
     ViewChanged,
 )
 from sesameladder.entry._view import FleetView
+from sesameladder.observability import Metric, Metrics, log_event
 from sesameladder.peering import (
     CellQuery,
     CellReport,
@@ -63,6 +64,7 @@
         "executor",
         "given_away",
         "inbox",
+        "metrics",
         "next_reconcile",
         "now",
         "peers",
@@ -79,12 +81,14 @@
         tasks: WorkerTasks,
         now: Callable[[], float],
         random: Random,
+        metrics: Metrics,
     ) -> None:
         self.peers = peers
         self.view = view
         self.tasks = tasks
         self.now = now
         self.random = random
+        self.metrics = metrics
         self.inbox: SimpleQueue[DispatchMessage] = SimpleQueue()
         self.cells: dict[str, CellRuntime] = {}
         self.awaiting: dict[str, DispatcherRow] = {}
@@ -145,6 +149,7 @@
                 self._reconcile(key, cell, now)
                 self._update_mean_demand(key, cell)
                 self._request_task_reports(key, cell, now)
+                self._measure(cell)
 
     @singledispatchmethod
     def _receive(self, message: object) -> None:
@@ -293,14 +298,13 @@
         self.cells[key] = CellRuntime.create(
             pool, row.zone, row.epoch, self.random, prefix, self.peers.send
         )
-        logger.info(
-            "dispatching a cell",
-            extra={
-                "event": "cell_adopted",
-                "pool": row.pool,
-                "zone": row.zone,
-                "epoch": row.epoch,
-            },
+        log_event(
+            logger,
+            logging.INFO,
+            "cell_adopted",
+            pool=row.pool,
+            zone=row.zone,
+            epoch=row.epoch,
         )
         if row.previous is not None and not row.previous_gone:
             self.awaiting[key] = row
@@ -389,6 +393,13 @@
         weight = RECONCILE_SECONDS / MEAN_DEMAND_TIME_CONSTANT_S
         self.demand[key] = mean + weight * (current - mean)
 
+    def _measure(self, cell: CellRuntime) -> None:
+        busy = len(cell.dispatcher.outstanding_grants())
+        ejected = len(cell.dispatcher.cell.outliers.ejected)
+        self.metrics.set_gauge(Metric.QUEUE_LENGTH, len(cell.polls), cell.pool)
+        self.metrics.set_gauge(Metric.SLOTS_BUSY, busy, cell.pool)
+        self.metrics.set_gauge(Metric.WORKERS_EJECTED, ejected, cell.pool)
+
     def _find_epoch(self, key: str, epoch: int) -> CellRuntime | None:
         cell = self.cells.get(key)
         if cell is None or cell.epoch != epoch:
--- a/src/sesameladder/entry/_front_end.py
+++ b/src/sesameladder/entry/_front_end.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterable
 from itertools import count
 from threading import Condition
+from time import monotonic
 from typing import Any
 
 from cheroot.wsgi import Server
@@ -15,8 +16,9 @@
     RequestInvalid,
     build_request,
 )
-from sesameladder.entry._responses import HttpAnswer, build_answer
+from sesameladder.entry._responses import HttpAnswer, build_answer, name_outcome
 from sesameladder.idempotency import Outcome, Unknown
+from sesameladder.observability import Metric, Metrics
 from sesameladder.peering import split_address
 
 HEALTH_PATH = "/-/health"
@@ -56,6 +58,7 @@
         "is_ready",
         "issue_token",
         "max_body_bytes",
+        "metrics",
         "numbers",
         "prefix",
         "serve_request",
@@ -72,6 +75,7 @@
         serve_request: Callable[[CallerRequest], Outcome],
         issue_token: Callable[[], str],
         is_ready: Callable[[], bool],
+        metrics: Metrics,
     ) -> None:
         self.prefix = prefix
         self.max_body_bytes = max_body_bytes
@@ -79,6 +83,7 @@
         self.serve_request = serve_request
         self.issue_token = issue_token
         self.is_ready = is_ready
+        self.metrics = metrics
         self.numbers = count(1)
         self.draining = False
         self.in_flight = 0
@@ -140,14 +145,22 @@
             request = self._read_request(request_id, environ)
         except RequestInvalid as error:
             return _refuse_invalid(str(error), request_id)
+        started = monotonic()
         try:
-            return build_answer(self.serve_request(request), request_id)
+            outcome = self.serve_request(request)
         except Exception:
             logger.exception(
                 "request failed inside the entry instance",
                 extra={"event": "request_error", "request": request_id},
             )
-            return build_answer(Unknown("internal error"), request_id)
+            outcome = Unknown("internal error")
+        self._measure(request.pool, outcome, (monotonic() - started) * 1000)
+        return build_answer(outcome, request_id)
+
+    def _measure(self, pool: str, outcome: Outcome, took_ms: float) -> None:
+        self.metrics.count(Metric.REQUESTS, pool)
+        self.metrics.count(Metric.OUTCOMES, name_outcome(outcome))
+        self.metrics.record_time(Metric.REQUEST_TIME, took_ms, pool)
 
     def _answer_health(self) -> HttpAnswer:
         if self.draining:
--- a/src/sesameladder/entry/_held_grants.py
+++ b/src/sesameladder/entry/_held_grants.py
@@ -91,6 +91,13 @@
         with self.lock:
             return list(self.grants.values())
 
+    def dump(self) -> list[dict[str, object]]:
+        """Return the grants as JSON-ready data."""
+        return [
+            {"grant": grant.grant_id, "vm": grant.vm, "pool": grant.pool}
+            for grant in self.list_held()
+        ]
+
     def list_cell(
         self, pool: str, zone: str, now: float
     ) -> tuple[tuple[GrantItem, ...], tuple[str, ...]]:
--- a/src/sesameladder/entry/_planner_task.py
+++ b/src/sesameladder/entry/_planner_task.py
@@ -10,6 +10,7 @@
 from sesameladder.entry._configuration_task import ConfigurationTask, PlanRead
 from sesameladder.entry._membership import Membership
 from sesameladder.entry._view import FleetView
+from sesameladder.observability import log_event
 from sesameladder.peering import (
     CellQuery,
     CellReport,
@@ -133,9 +134,8 @@
                 self._step()
             except (PlanStoreError, PlanMalformed, PlatformError) as error:
                 self.stored = None
-                logger.info(
-                    "planner step put off",
-                    extra={"event": "planner_step_put_off", "reason": str(error)},
+                log_event(
+                    logger, logging.INFO, "planner_step_put_off", reason=str(error)
                 )
             except Exception:
                 self.stored = None
@@ -161,7 +161,7 @@
         if self.lease.renew():
             return True
         if self.planner is not None:
-            logger.info("planner role lost", extra={"event": "planner_role_lost"})
+            log_event(logger, logging.INFO, "planner_role_lost")
         self.planner = None
         self.stored = None
         if self.membership.draining or self.platform.get(self.role_key) is not None:
@@ -170,10 +170,7 @@
             return False
         settings = PlannerSettings(instances=self._list_configured())
         self.planner = Planner(self.region, self.lease.fence, settings)
-        logger.info(
-            "planner role acquired",
-            extra={"event": "planner_role_acquired", "fence": self.lease.fence},
-        )
+        log_event(logger, logging.INFO, "planner_role_acquired", fence=self.lease.fence)
         return True
 
     def _observe(self) -> Observation:
@@ -264,10 +261,7 @@
 
     @_carry_out.register
     def _(self, action: AskCheckpoint) -> None:
-        logger.info(
-            "stragglers hold up a planned stop",
-            extra={"event": "checkpoint_wanted", "vm": action.vm},
-        )
+        log_event(logger, logging.INFO, "checkpoint_wanted", vm=action.vm)
 
     @_carry_out.register
     def _(self, action: RaiseAlarm) -> None:
@@ -275,9 +269,12 @@
         if self.alarms.get(key) == action.text:
             return
         self.alarms[key] = action.text
-        logger.warning(
-            action.text,
-            extra={"event": f"alarm_{action.kind}", "subject": action.subject},
+        log_event(
+            logger,
+            logging.WARNING,
+            f"alarm_{action.kind}",
+            subject=action.subject,
+            text=action.text,
         )
 
     def _check_health(self, vm: str, address: str) -> None:
--- a/src/sesameladder/entry/_process.py
+++ b/src/sesameladder/entry/_process.py
@@ -2,6 +2,7 @@
 
 import logging
 import time
+from collections.abc import Callable
 from pathlib import Path
 from random import Random, SystemRandom
 from threading import Event, Thread
@@ -32,6 +33,7 @@
     TokenIssuer,
     WitnessTable,
 )
+from sesameladder.observability import Metrics, StateDump, log_event
 from sesameladder.peering import (
     PeerAddress,
     PeerIdentity,
@@ -77,6 +79,7 @@
         "relay",
         "router",
         "settings",
+        "state_dump",
         "stopped",
         "tokens",
         "upstream",
@@ -88,6 +91,7 @@
         self.stopped = Event()
         now = time.monotonic
         random = Random(SystemRandom().getrandbits(64))
+        metrics = Metrics.from_settings(settings.statsd)
         identity = PeerIdentity(settings.instance, draw_incarnation())
         self.router = Router(identity, settings.http_threads, now)
         addresses = [
@@ -109,7 +113,7 @@
             now,
             self._note_new_incarnation,
         )
-        self.dispatch = DispatchTask(self.peers, self.view, tasks, now, random)
+        self.dispatch = DispatchTask(self.peers, self.view, tasks, now, random, metrics)
         self.relay = RelayTask(
             self.configuration, platform, settings.region, settings.zone, now, random
         )
@@ -151,6 +155,7 @@
             self._serve,
             lambda: self.tokens.issue().to_text(),
             lambda: self.view.plan is not None,
+            metrics,
         )
         self.admin = AdminEndpoint(
             settings.admin_address,
@@ -158,6 +163,8 @@
             self.read_dump,
             self._cut_zones if settings.fault_injection else None,
         )
+        self.state_dump = StateDump()
+        self._register_dump()
         self._attach()
 
     @classmethod
@@ -178,11 +185,11 @@
         self.keeper.start()
         Thread(target=self.admin.serve, name="admin", daemon=True).start()
         Thread(target=self.front_end.serve, name="front-end", daemon=True).start()
-        logger.info("entry instance started", extra={"event": "started"})
+        log_event(logger, logging.INFO, "started")
 
     def shut_down(self) -> bool:
         """Stop gracefully; False when requests were left at the limit."""
-        logger.info("shutting down", extra={"event": "shutdown_started"})
+        log_event(logger, logging.INFO, "shutdown_started")
         limit = time.monotonic() + self.settings.shutdown_limit_s
         self.front_end.start_draining()
         self.membership.draining = True
@@ -196,9 +203,7 @@
         self.front_end.stop()
         self._hand_over_tokens()
         self._stop_tasks()
-        logger.info(
-            "shut down", extra={"event": "shutdown_finished", "clean": finished}
-        )
+        log_event(logger, logging.INFO, "shutdown_finished", clean=finished)
         return finished
 
     def kill(self) -> None:
@@ -231,22 +236,23 @@
         }
 
     def read_dump(self) -> dict[str, object]:
-        """Return the state of all parts as JSON-ready data."""
-        now = time.monotonic()
-        return {
-            "status": self.read_status(),
-            "configuration": self.configuration.dump(),
-            "membership": self.membership.dump(),
-            "cells": self.dispatch.dump(),
-            "planner": self.planner.dump(),
-            "home": self.tokens.home.dump(),
-            "witness": self.tokens.witness.dump(),
-            "requests_in_flight": self.front_end.in_flight,
-            "grants": [
-                {"grant": g.grant_id, "vm": g.vm, "age_s": round(now - g.started_at, 3)}
-                for g in self.held.list_held()
-            ],
+        """Return the state of all parts; never waits for a busy part."""
+        return self.state_dump.collect()
+
+    def _register_dump(self) -> None:
+        parts: dict[str, Callable[[], object]] = {
+            "status": self.read_status,
+            "configuration": self.configuration.dump,
+            "membership": self.membership.dump,
+            "cells": self.dispatch.dump,
+            "planner": self.planner.dump,
+            "home": self.tokens.home.dump,
+            "witness": self.tokens.witness.dump,
+            "requests": lambda: {"in_flight": self.front_end.in_flight},
+            "grants": self.held.dump,
         }
+        for name, read in parts.items():
+            self.state_dump.register(name, read)
 
     def _attach(self) -> None:
         self.router.configuration = self.configuration
@@ -296,9 +302,8 @@
             try:
                 self.peers.call(peer.instance, message, HAND_OVER_TIMEOUT_S)
             except PeeringError as error:
-                logger.warning(
-                    "token table was not handed over",
-                    extra={"event": "token_hand_over_failed", "reason": str(error)},
+                log_event(
+                    logger, logging.WARNING, "token_hand_over_failed", reason=str(error)
                 )
                 return
 
--- a/src/sesameladder/entry/_relay_task.py
+++ b/src/sesameladder/entry/_relay_task.py
@@ -15,6 +15,7 @@
     TicketsRead,
     VmListRead,
 )
+from sesameladder.observability import log_event
 from sesameladder.planning import PlanMalformed, RoleLease
 from sesameladder.platform import PlatformClient, PlatformError
 from sesameladder.tickets import HEAD_KEY, TicketLog, TicketLogError, encode_state
@@ -91,10 +92,7 @@
             if held != self.held:
                 self.held = held
                 self.configuration.post(RelayRoleChanged(held))
-                logger.info(
-                    "relay role changed",
-                    extra={"event": "relay_role_changed", "held": held},
-                )
+                log_event(logger, logging.INFO, "relay_role_changed", held=held)
 
     def _try_acquire(self) -> bool:
         # Reading first keeps standby instances from writing a lease each step.
@@ -164,7 +162,6 @@
             self.configuration.post(VmListRead(tuple(rows)))
 
     def _log_failure(self, what: str, error: Exception) -> None:
-        logger.info(
-            "platform read failed",
-            extra={"event": "platform_read_failed", "key": what, "reason": str(error)},
+        log_event(
+            logger, logging.INFO, "platform_read_failed", key=what, reason=str(error)
         )
--- a/src/sesameladder/entry/_responses.py
+++ b/src/sesameladder/entry/_responses.py
@@ -28,7 +28,7 @@
 def build_answer(outcome: Outcome, request_id: str) -> HttpAnswer:
     """Return the HTTP answer of an outcome."""
     answer = _to_http(outcome)
-    name = _name_outcome(outcome)
+    name = name_outcome(outcome)
     headers = (
         *answer.headers,
         (OUTCOME_HEADER, name),
@@ -69,7 +69,8 @@
     return HttpAnswer(status, headers, f"outcome unknown: {outcome.reason}\n".encode())
 
 
-def _name_outcome(outcome: Outcome) -> str:
+def name_outcome(outcome: Outcome) -> str:
+    """Return the outcome's name in headers and messages."""
     if isinstance(outcome, Done):
         return "done"
     return "not-run" if isinstance(outcome, NotRun) else "unknown"
@@ -85,7 +86,7 @@
     retry_after = -1.0
     if isinstance(outcome, NotRun) and outcome.retry_after_s is not None:
         retry_after = outcome.retry_after_s
-    name = _name_outcome(outcome)
+    name = name_outcome(outcome)
     return ForwardedAnswer(name, 0, (), b"", outcome.reason, retry_after, request_id)
 
 
--- a/src/sesameladder/entry/_task_keeper.py
+++ b/src/sesameladder/entry/_task_keeper.py
@@ -10,6 +10,7 @@
 from sesameladder.entry._grant_client import GrantClient
 from sesameladder.entry._held_grants import HeldGrant
 from sesameladder.entry._upstream import TASK_LEASE_MS
+from sesameladder.observability import log_event
 from sesameladder.platform import WorkerTasks, WorkerUnavailable
 
 RENEW_SECONDS = 1.0
@@ -104,13 +105,12 @@
         try:
             self.tasks.renew(grant.address, grant.grant_id, TASK_LEASE_MS)
         except WorkerUnavailable as error:
-            logger.info(
-                "lease renewal failed",
-                extra={
-                    "event": "lease_renewal_failed",
-                    "vm": grant.vm,
-                    "reason": str(error),
-                },
+            log_event(
+                logger,
+                logging.INFO,
+                "lease_renewal_failed",
+                vm=grant.vm,
+                reason=str(error),
             )
 
     def _stop_task(self, grant_id: str) -> None:
@@ -141,24 +141,18 @@
         try:
             self.tasks.checkpoint(grant.address, grant.grant_id)
         except WorkerUnavailable as error:
-            logger.info(
-                "checkpoint failed",
-                extra={
-                    "event": "checkpoint_failed",
-                    "vm": grant.vm,
-                    "reason": str(error),
-                },
+            log_event(
+                logger,
+                logging.INFO,
+                "checkpoint_failed",
+                vm=grant.vm,
+                reason=str(error),
             )
 
     def _throttle(self, grant: HeldGrant, share: float) -> None:
         try:
             self.tasks.throttle(grant.address, grant.grant_id, share)
         except WorkerUnavailable as error:
-            logger.info(
-                "throttle failed",
-                extra={
-                    "event": "throttle_failed",
-                    "vm": grant.vm,
-                    "reason": str(error),
-                },
+            log_event(
+                logger, logging.INFO, "throttle_failed", vm=grant.vm, reason=str(error)
             )
--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -33,6 +33,7 @@
 
     directory: Path
     entries: dict[str, Path]
+    settings: dict[str, EntrySettings]
     tickets: tuple[Path, ...]
     client: Path
     worker_addresses: tuple[str, ...]
@@ -56,6 +57,7 @@
         fleet = cls(
             directory,
             files.entries,
+            {name: EntrySettings.from_file(p) for name, p in files.entries.items()},
             files.tickets,
             files.client,
             tuple(workers),
@@ -118,14 +120,14 @@
     def list_endpoints(self) -> list[CallerEndpoint]:
         """Return the entry instances that the load balancer sends callers to."""
         return [
-            CallerEndpoint(name, EntrySettings.from_file(path).http_address)
-            for name, path in self.entries.items()
+            CallerEndpoint(name, settings.http_address)
+            for name, settings in self.settings.items()
             if name not in self.hidden
         ]
 
     def read_status(self, instance: str) -> dict[str, Any] | None:
         """Return the status of an entry instance; None when it does not answer."""
-        address = EntrySettings.from_file(self.entries[instance]).admin_address
+        address = self.settings[instance].admin_address
         try:
             response = self.http.request("GET", f"http://{address}/-/status")
         except HTTPError:
@@ -165,8 +167,7 @@
             time.sleep(WAIT_STEP_S)
 
     def _set_cuts(self, cuts: dict[str, set[str]]) -> None:
-        for path in self.entries.values():
-            settings = EntrySettings.from_file(path)
+        for settings in self.settings.values():
             order = {"zones": sorted(cuts[settings.zone])}
             self.post(settings.admin_address, "/-/cut", order)
 
--- a/tests/processes/test_fleet.py
+++ b/tests/processes/test_fleet.py
@@ -13,7 +13,6 @@
 
 from sesameladder.measure._callers import Callers
 from sesameladder.measure._verdict import Witness, check_calls
-from sesameladder.settings import EntrySettings
 from tests.processes.fleet import Fleet
 
 CALLER_THREADS = 12
@@ -129,7 +128,7 @@
     fleet.hidden.discard(paused)
     serve_more(fleet, callers)
 
-    zones = {EntrySettings.from_file(p).zone for p in fleet.entries.values()}
+    zones = {settings.zone for settings in fleet.settings.values()}
     cut = sorted(zones)[-1]
     fleet.cut_zone(cut, zones)
     serve_more(fleet, callers)
