Share fairly without long jobs in the way, and tolerate short queues

Cause: a long job of an unknown kind, or with a declared time that is far too long, was charged to its team's short work, whose demands then waited behind the other team's; teams with equal shares could not use the order of arrival between them; and the number of waiting demands that do not yet preempt was a fixed share of the slots, whatever a checkpoint takes. Change: jobs over the long-work threshold are charged as long work; teams within one median run of all slots compete by the order of their demands; the tolerated demands follow from the learned time of a checkpoint.

--- a/src/sesameladder/dispatch/_cell.py
+++ b/src/sesameladder/dispatch/_cell.py
@@ -72,6 +72,12 @@
         known = self.teams.get(team)
         return float(max(1, known.weight)) if known else 1.0
 
+    def set_fair_slack(self) -> None:
+        """Bring the lead that order may give a team up to date."""
+        cell_run_ms = self.workers.serving_slots * self.estimates.cell_median_ms()
+        for queue in self.queue.by_class.values():
+            queue.slack_ms = self.config.fair_slack * cell_run_ms
+
     def exceeds_share(self, team: str) -> bool:
         """Return whether one more slot puts a team over its share cap."""
         known = self.teams.get(team)
--- a/src/sesameladder/dispatch/_config.py
+++ b/src/sesameladder/dispatch/_config.py
@@ -33,6 +33,9 @@
     patience: float = 0.25
     """Part of the wait limit after which waiting outweighs any run time."""
 
+    fair_slack: float = 1.0
+    """Lead in slot time, in median runs of all slots, that order may give a team."""
+
     long_share: float = 0.5
     """Largest share of the slots that long work may hold."""
 
@@ -61,8 +64,11 @@
     start_reserve_share: float = 0.05
     """Share of the slots left free when long work starts that can be preempted."""
 
-    preempt_tolerance_share: float = 0.1
-    """Waiting short demands, as a share of the slots, that preempt nothing."""
+    preempt_tolerance: float = 0.15
+    """Part of the short jobs that end during a checkpoint which may wait."""
+
+    checkpoint_s: float = 0.1
+    """Time of a checkpoint assumed before any was observed, in seconds."""
 
     preempt_min_run_s: float = 0.1
     """Time in seconds for which a grant is not preempted for short work."""
--- a/src/sesameladder/dispatch/_dispatcher.py
+++ b/src/sesameladder/dispatch/_dispatcher.py
@@ -14,6 +14,7 @@
 from sesameladder.dispatch._placement import Placement
 from sesameladder.dispatch._queue import WaitingDemand
 from sesameladder.dispatch._recovery import Recovery
+from sesameladder.dispatch._shares import charge_share
 from sesameladder.dispatch._types import (
     Decision,
     Demand,
@@ -122,6 +123,8 @@
             self.recovery.note_release(grant_id, now)
             return False
         self.outcomes.record(grant, outcome, now)
+        if outcome.kind == OutcomeKind.CHECKPOINTED:
+            self.long_work.observe_checkpoint(grant, now)
         self._free(grant, now)
         return True
 
@@ -310,8 +313,7 @@
         )
         if grant.probe:
             self.cell.outliers.begin_probe(grant.vm)
-        queue = self.cell.queue.by_class[item.work_class]
-        queue.charge(demand.team, item.expected_ms, self.cell.weight(demand.team))
+        charge_share(self.cell, grant)
         self._occupy(grant, now)
         spec = worker.spec
         return Granted(
--- a/src/sesameladder/dispatch/_grants.py
+++ b/src/sesameladder/dispatch/_grants.py
@@ -46,6 +46,9 @@
     checkpointable: bool
     """Whether the job can be checkpointed."""
 
+    charged_class: WorkClass = WorkClass.SHORT
+    """Class in which the expected time was charged."""
+
     long: bool = False
     """Whether the grant counts as long work."""
 
--- a/src/sesameladder/dispatch/_long_work.py
+++ b/src/sesameladder/dispatch/_long_work.py
@@ -10,6 +10,7 @@
 
 PREEMPT_PATIENCE_S = 2.0
 MAX_THROTTLES_PER_POLL = 4
+CHECKPOINT_LEARNING = 0.1
 
 
 class MeanLoad:
@@ -35,10 +36,11 @@
 class LongWork:
     """Keeps long work from occupying the slots that short work needs."""
 
-    __slots__ = ("cell", "short_load", "stragglers", "throttled")
+    __slots__ = ("cell", "checkpoint_s", "short_load", "stragglers", "throttled")
 
     def __init__(self, cell: CellState) -> None:
         self.cell = cell
+        self.checkpoint_s = cell.config.checkpoint_s
         self.short_load = MeanLoad(cell.config.load_window_s)
         self.stragglers: list[tuple[float, str]] = []
         self.throttled: dict[str, Grant] = {}
@@ -52,6 +54,12 @@
         """Forget a grant that was removed."""
         self.throttled.pop(grant.grant_id, None)
 
+    def observe_checkpoint(self, grant: Grant, now: float) -> None:
+        """Learn how long a preempt order takes to free the slot."""
+        if grant.preempted_at is not None:
+            taken_s = now - grant.preempted_at
+            self.checkpoint_s += CHECKPOINT_LEARNING * (taken_s - self.checkpoint_s)
+
     def update(self, now: float) -> None:
         """Find the grants that have become long and measure the short load."""
         while self.stragglers and self.stragglers[0][0] <= now:
@@ -161,9 +169,7 @@
                 pending += 1
             elif grant.checkpointable:
                 candidates.append(grant)
-        slots = self.cell.workers.serving_slots
-        tolerated = int(slots * self.cell.config.preempt_tolerance_share)
-        needed = urgent + max(0, short - tolerated) - pending
+        needed = urgent + max(0, short - self._tolerated()) - pending
         spare = self.cell.grants.long_held() - pending - self.floor()
         orders: list[Decision] = []
         # The requests that came first keep their slots, so that they end.
@@ -177,6 +183,15 @@
                 orders.append(Preempt(grant.grant_id, grant.vm))
         return orders
 
+    def _tolerated(self) -> int:
+        """Return the waiting short demands that are not worth a checkpoint.
+
+        Short jobs that end during the checkpoint make room for them.
+        """
+        median_s = self.cell.estimates.cell_median_ms() / 1000
+        ending = self.cell.workers.serving_slots * self.checkpoint_s / median_s
+        return int(self.cell.config.preempt_tolerance * ending)
+
     def _ran_long_enough(self, grant: Grant, now: float) -> bool:
         return now - grant.granted_at >= self.cell.config.preempt_min_run_s
 
--- a/src/sesameladder/dispatch/_outcomes.py
+++ b/src/sesameladder/dispatch/_outcomes.py
@@ -5,6 +5,7 @@
 
 from sesameladder.dispatch._cell import CellState
 from sesameladder.dispatch._grants import Grant
+from sesameladder.dispatch._shares import correct_share
 from sesameladder.dispatch._types import (
     Demand,
     GrantOutcome,
@@ -39,7 +40,7 @@
     def record(self, grant: Grant, outcome: GrantOutcome, now: float) -> None:
         """Record how a grant ended."""
         ran_ms = outcome.ran_ms
-        self._correct_share(grant, ran_ms)
+        correct_share(self.cell, grant, ran_ms)
         if outcome.kind == OutcomeKind.SUCCEEDED:
             self._record_success(grant, ran_ms, now)
         elif outcome.kind in FAILURES:
@@ -106,8 +107,3 @@
         elif kind in FAILURES:
             succeeded = False
         self.cell.outliers.end_probe(grant.vm, succeeded, now)
-
-    def _correct_share(self, grant: Grant, ran_ms: float) -> None:
-        queue = self.cell.queue.by_class[grant.queue_class]
-        difference = ran_ms - grant.expected_ms
-        queue.charge(grant.team, difference, self.cell.weight(grant.team))
--- a/src/sesameladder/dispatch/_placement.py
+++ b/src/sesameladder/dispatch/_placement.py
@@ -26,6 +26,7 @@
 
         The caller must occupy the slot before it takes the next match.
         """
+        self.cell.set_fair_slack()
         while self.cell.workers.has_free_slot() or self._due_probe(now) is not None:
             item = self._next_demand(now)
             if item is None or len(self.deferred) > MAX_DEFERRED_PER_POLL:
--- a/src/sesameladder/dispatch/_queue.py
+++ b/src/sesameladder/dispatch/_queue.py
@@ -67,18 +67,27 @@
 class ClassQueue:
     """Waiting demands of one class, shared fairly between teams.
 
-    The team with the lowest virtual time is next (weighted fair queueing). A
+    The team with the lowest virtual time is next (weighted fair queueing);
+    teams within ``slack_ms`` of it compete by the order of their demands. A
     team that returns after a pause starts at the others' virtual time, so it
     can't claim slots for the time in which it did not wait.
     """
 
-    __slots__ = ("active", "count", "expected_ms", "teams", "virtual_clock")
+    __slots__ = (
+        "active",
+        "count",
+        "expected_ms",
+        "slack_ms",
+        "teams",
+        "virtual_clock",
+    )
 
     def __init__(self) -> None:
         self.teams: dict[str, TeamQueue] = {}
         self.active: dict[str, TeamQueue] = {}
         self.count = 0
         self.expected_ms = 0.0
+        self.slack_ms = 0.0
         self.virtual_clock = 0.0
 
     def push(self, item: WaitingDemand) -> None:
@@ -111,11 +120,16 @@
 
     def head(self, skip: Callable[[str], bool]) -> WaitingDemand | None:
         """Return the next demand of the teams that are not skipped."""
-        allowed = [name for name in self.active if not skip(name)]
-        if not allowed:
+        teams = [team for name, team in self.active.items() if not skip(name)]
+        if not teams:
             return None
-        name = min(allowed, key=lambda one: self.active[one].virtual_time)
-        return self.active[name].head()
+        latest = min(team.virtual_time for team in teams) + self.slack_ms
+        heads = [team.head() for team in teams if team.virtual_time <= latest]
+        return min(
+            (item for item in heads if item is not None),
+            key=lambda item: (item.key, item.sequence),
+            default=None,
+        )
 
     def heads(self) -> list[WaitingDemand]:
         """Return the next demand of each team."""
--- a/src/sesameladder/dispatch/tests/test_fairness.py
+++ b/src/sesameladder/dispatch/tests/test_fairness.py
@@ -155,3 +155,22 @@
     assert isinstance(cell.submit(0.0, demand_id="same"), Queued)
     assert isinstance(cell.submit(0.0, demand_id="same"), Queued)
     assert len(grants_of(cell.poll(0.0))) == 1
+
+
+@pytest.mark.parametrize("declared_ms", [None, 100_000.0])
+def test_straggler_or_wrong_declaration_does_not_hold_back_its_team(declared_ms):
+    """Guards against a team's short work that pays for one long job at once."""
+    cell = Cell(workers=1, slots=2, teams=[Team("a"), Team("b")], queue_limit=10_000)
+    cell.teach("preview", 100.0, times=10)
+    cell.submit(0.0, team="a", kind="unknown", expected_ms=declared_ms)
+    (straggler,) = grants_of(cell.poll(0.0))
+    cell.release(straggler, 9.0, ran_ms=9_000.0)
+    served: Counter[str] = Counter()
+    for index in range(60):
+        now = 9.0 + index * 0.1
+        for team in ("a", "b"):
+            cell.submit_many(2, now, team=team, demand_id=f"{team}{index}")
+        for granted in grants_of(cell.poll(now)):
+            served[granted.demand_id[0]] += 1
+            cell.release(granted, now + 0.1)
+    assert served["a"] >= 0.4 * sum(served.values())
