Displace the costliest demand when the queue is full

Cause: a full queue refused the newest demand, urgent or not, and an overloaded cell spent its slots on costly requests. Change: within the team that gives way, the demand with the longest expected time is displaced; urgent and resumed demands are not. Long work that can't be preempted no longer keeps a headroom, and takes any free slot after 0.2 of its run time instead of 0.3.

--- a/src/sesameladder/dispatch/_admission.py
+++ b/src/sesameladder/dispatch/_admission.py
@@ -4,6 +4,7 @@
 
 from sesameladder.dispatch._cell import CellState
 from sesameladder.dispatch._long_work import LongWork
+from sesameladder.dispatch._queue import WaitingDemand
 from sesameladder.dispatch._types import Demand, RefusalReason, Refused, WorkClass
 
 MIN_RETRY_AFTER_S = 1.0
@@ -44,33 +45,34 @@
             wait_ms = max(wait_ms, long_ms / self.long_work.limit())
         return wait_ms / 1000
 
-    def make_room(self, demand: Demand) -> Refused | None:
+    def make_room(self, demand: Demand, expected_ms: float) -> Refused | None:
         """Return a refusal if the queue is full: of the demand or of another.
 
         The team with the most waiting demands for its weight gives way, so
-        that a wave of one team does not close the queue to the others.
+        that a wave of one team does not close the queue to the others. Within
+        it the costliest demand goes, so that most requests are served.
         """
         queue = self.cell.queue
         if len(queue) < self.cell.config.queue_limit:
             return None
         largest = max(queue.by_team, key=self._weighted_count)
         own = self._weighted_count(demand.team, 1)
-        displaces = own <= self._weighted_count(largest)
-        victim = queue.latest_of(largest) if displaces else None
-        if victim is not None:
+        if own > self._weighted_count(largest):
+            largest = demand.team
+        team = queue.by_team.get(largest)
+        victim = team.costliest() if team is not None else None
+        if victim is not None and self._outranks(demand, expected_ms, victim):
             queue.remove(victim.demand.demand_id)
             demand = victim.demand
         wait_s = self.estimate_wait_s(demand.team, WorkClass.SHORT)
         return self.refuse(demand, RefusalReason.QUEUE_FULL, wait_s)
 
-    def _weighted_count(self, team: str, more: int = 0) -> float:
-        waiting = len(self.cell.queue.by_team.get(team, {}))
-        return (waiting + more) / self.cell.weight(team)
-
-    def _fair_part(self, team: str) -> float:
-        weight = self.cell.weight(team)
-        others = [name for name in self.cell.queue.by_team if name != team]
-        return weight / (weight + sum(self.cell.weight(name) for name in others))
+    def _outranks(
+        self, demand: Demand, expected_ms: float, victim: WaitingDemand
+    ) -> bool:
+        if demand.team != victim.demand.team or demand.urgent:
+            return True
+        return expected_ms < victim.expected_ms
 
     def refuse_wait(self, demand: Demand, wait_s: float, now: float) -> Refused | None:
         """Return a refusal if the estimated wait is too long."""
@@ -101,3 +103,13 @@
         """Return a refusal; jitter keeps refused callers from returning at once."""
         after = max(MIN_RETRY_AFTER_S, after_s) * self.cell.random.uniform(1.0, 1.5)
         return Refused(demand.demand_id, reason, after)
+
+    def _weighted_count(self, team: str, more: int = 0) -> float:
+        demands = self.cell.queue.by_team.get(team)
+        waiting = demands.count if demands is not None else 0
+        return (waiting + more) / self.cell.weight(team)
+
+    def _fair_part(self, team: str) -> float:
+        weight = self.cell.weight(team)
+        others = [name for name in self.cell.queue.by_team if name != team]
+        return weight / (weight + sum(self.cell.weight(name) for name in others))
--- a/src/sesameladder/dispatch/_config.py
+++ b/src/sesameladder/dispatch/_config.py
@@ -45,13 +45,13 @@
     long_due_share: float = 0.25
     """Share of the slots that long work gets first once it waited for long."""
 
-    short_headroom: float = 0.5
+    short_headroom: float = 0.0
     """Slots kept free for short work, in square roots of its mean use."""
 
     load_window_s: float = 5.0
     """Time constant of the mean slot use by work class, in seconds."""
 
-    long_wait_factor: float = 0.3
+    long_wait_factor: float = 0.2
     """Wait, in expected run times, after which long work ignores the headroom."""
 
     start_headroom: float = -0.6
--- a/src/sesameladder/dispatch/_dispatcher.py
+++ b/src/sesameladder/dispatch/_dispatcher.py
@@ -246,7 +246,8 @@
         ) or self.admission.refuse_retry(demand, now)
         if refused is not None:
             return refused
-        refused = self.admission.make_room(demand)
+        expected_ms = self.outcomes.expected_remaining_ms(demand)
+        refused = self.admission.make_room(demand, expected_ms)
         if refused is None or refused.demand_id == demand.demand_id:
             return refused
         self.refusals.append(refused)
--- a/src/sesameladder/dispatch/_queue.py
+++ b/src/sesameladder/dispatch/_queue.py
@@ -64,6 +64,37 @@
         return self.heap[0][2] if self.heap else None
 
 
+@dataclass(slots=True)
+class TeamDemands:
+    """One team's waiting demands of all classes."""
+
+    heap: list[tuple[float, int, WaitingDemand]] = field(default_factory=list)
+    """Demands that may be displaced, the costliest and latest first."""
+
+    count: int = 0
+    """Demands that wait."""
+
+    def add(self, item: WaitingDemand) -> None:
+        """Add a demand; urgent and resumed ones are never displaced."""
+        self.count += 1
+        if not (item.demand.urgent or item.demand.resumed):
+            entry = (-item.expected_ms, -item.sequence, item)
+            heapq.heappush(self.heap, entry)
+
+    def discard(self) -> None:
+        """Count one demand less; its ``waits`` must be False already."""
+        self.count -= 1
+        if len(self.heap) > COMPACT_MINIMUM + 2 * self.count:
+            self.heap = [entry for entry in self.heap if entry[2].waits]
+            heapq.heapify(self.heap)
+
+    def costliest(self) -> WaitingDemand | None:
+        """Return the demand with the longest expected time."""
+        while self.heap and not self.heap[0][2].waits:
+            heapq.heappop(self.heap)
+        return self.heap[0][2] if self.heap else None
+
+
 class ClassQueue:
     """Waiting demands of one class, shared fairly between teams.
 
@@ -157,7 +188,7 @@
     def __init__(self) -> None:
         self.by_class = {name: ClassQueue() for name in WorkClass}
         self.by_id: dict[str, WaitingDemand] = {}
-        self.by_team: dict[str, dict[str, WaitingDemand]] = {}
+        self.by_team: dict[str, TeamDemands] = {}
         self.expiries: list[tuple[float, int, WaitingDemand]] = []
         self.sequence = 0
 
@@ -170,7 +201,7 @@
         item.sequence = self.sequence
         demand = item.demand
         self.by_id[demand.demand_id] = item
-        self.by_team.setdefault(demand.team, {})[demand.demand_id] = item
+        self.by_team.setdefault(demand.team, TeamDemands()).add(item)
         self.by_class[item.work_class].push(item)
         if item.expires_at < float("inf"):
             heapq.heappush(self.expiries, (item.expires_at, item.sequence, item))
@@ -181,9 +212,9 @@
         if item is None:
             return None
         item.waits = False
-        waiting = self.by_team[item.demand.team]
-        del waiting[demand_id]
-        if not waiting:
+        team = self.by_team[item.demand.team]
+        team.discard()
+        if team.count == 0:
             del self.by_team[item.demand.team]
         self.by_class[item.work_class].discard(item)
         self._compact_expiries()
@@ -212,13 +243,6 @@
             heapq.heappop(self.expiries)
         return self.expiries[0][0] if self.expiries else None
 
-    def latest_of(self, team: str) -> WaitingDemand | None:
-        """Return a team's latest demand that is neither urgent nor resumed."""
-        for item in reversed(self.by_team.get(team, {}).values()):
-            if not item.demand.urgent and not item.demand.resumed:
-                return item
-        return None
-
     def count(self, *classes: WorkClass) -> int:
         """Return the number of waiting demands of some classes."""
         return sum(self.by_class[name].count for name in classes)
--- a/src/sesameladder/dispatch/tests/test_fairness.py
+++ b/src/sesameladder/dispatch/tests/test_fairness.py
@@ -92,12 +92,35 @@
     cell.submit_many(waves[0], 0.0, team="a")
     cell.submit_many(waves[1], 0.0, team="b")
     queue = cell.dispatcher.cell.queue
-    assert {team: len(rows) for team, rows in queue.by_team.items()} == waiting
+    assert {team: rows.count for team, rows in queue.by_team.items()} == waiting
     displaced = [one for one in cell.poll(0.0) if isinstance(one, Refused)]
     assert all(one.reason == RefusalReason.QUEUE_FULL for one in displaced)
     assert len(displaced) == 10 - waiting["a"] if waves[0] > 10 else not displaced
 
 
+@pytest.mark.parametrize(
+    ("newcomer", "displaced"),
+    [
+        ({"kind": "preview"}, "blend"),
+        ({"kind": "blend"}, "newcomer"),
+        ({"kind": "blend", "urgent": True}, "blend"),
+        ({"kind": "huge"}, "newcomer"),
+    ],
+)
+def test_full_queue_displaces_the_costliest_demand(newcomer, displaced):
+    """Guards against refusing urgent or short work to keep costly work."""
+    cell = Cell(workers=1, slots=1, queue_limit=3)
+    cell.teach("preview", 100.0)
+    cell.teach("blend", 500.0)
+    cell.teach("huge", 700.0)
+    cell.run(0.0)
+    for name, kind in (("p1", "preview"), ("blend", "blend"), ("p2", "preview")):
+        cell.submit(0.0, demand_id=name, kind=kind)
+    answer = cell.submit(0.0, demand_id="newcomer", **newcomer)
+    refused = [answer, *cell.poll(0.0)]
+    assert [one.demand_id for one in refused if isinstance(one, Refused)] == [displaced]
+
+
 @pytest.mark.parametrize(
     ("wait_limit_ms", "deadline", "reason"),
     [
