--- /dev/null
+++ b/src/sesameladder/dispatch/_admission.py
@@ -0,0 +1,103 @@
+"""Early refusal of demands that can't be served in time."""
+
+from dataclasses import dataclass
+
+from sesameladder.dispatch._cell import CellState
+from sesameladder.dispatch._long_work import LongWork
+from sesameladder.dispatch._types import Demand, RefusalReason, Refused, WorkClass
+
+MIN_RETRY_AFTER_S = 1.0
+CLASSES_AHEAD = {
+    WorkClass.URGENT: (WorkClass.URGENT,),
+    WorkClass.SHORT: (WorkClass.URGENT, WorkClass.SHORT),
+    WorkClass.LONG: (WorkClass.URGENT, WorkClass.SHORT, WorkClass.LONG),
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Admission:
+    """Estimates waits and refuses early."""
+
+    cell: CellState
+    """State of the cell."""
+
+    long_work: LongWork
+    """Limits of long work."""
+
+    def estimate_wait_s(self, team: str, work_class: WorkClass) -> float:
+        """Return the expected wait of a new demand, in seconds.
+
+        A team waits behind its own demands at the pace of its fair share, or
+        behind all demands at the pace of the cell, whichever is shorter.
+        """
+        slots = self.cell.workers.serving_slots
+        queues = self.cell.queue.by_class
+        ahead = [queues[name] for name in CLASSES_AHEAD[work_class]]
+        waiting = sum(queue.count for queue in ahead)
+        if slots == 0 or self.cell.workers.free_slots() > waiting:
+            return 0.0
+        wait_ms = sum(queue.expected_ms for queue in ahead) / slots
+        own_ms = sum(queue.expected_ms_of(team) for queue in ahead)
+        wait_ms = min(wait_ms, own_ms / (slots * self._fair_part(team)))
+        if work_class == WorkClass.LONG:
+            long_ms = queues[WorkClass.LONG].expected_ms_of(team)
+            wait_ms = max(wait_ms, long_ms / self.long_work.limit())
+        return wait_ms / 1000
+
+    def make_room(self, demand: Demand) -> Refused | None:
+        """Return a refusal if the queue is full: of the demand or of another.
+
+        The team with the most waiting demands for its weight gives way, so
+        that a wave of one team does not close the queue to the others.
+        """
+        queue = self.cell.queue
+        if len(queue) < self.cell.config.queue_limit:
+            return None
+        largest = max(queue.by_team, key=self._weighted_count)
+        own = self._weighted_count(demand.team, 1)
+        displaces = own <= self._weighted_count(largest)
+        victim = queue.latest_of(largest) if displaces else None
+        if victim is not None:
+            queue.remove(victim.demand.demand_id)
+            demand = victim.demand
+        wait_s = self.estimate_wait_s(demand.team, WorkClass.SHORT)
+        return self.refuse(demand, RefusalReason.QUEUE_FULL, wait_s)
+
+    def _weighted_count(self, team: str, more: int = 0) -> float:
+        waiting = len(self.cell.queue.by_team.get(team, {}))
+        return (waiting + more) / self.cell.weight(team)
+
+    def _fair_part(self, team: str) -> float:
+        weight = self.cell.weight(team)
+        others = [name for name in self.cell.queue.by_team if name != team]
+        return weight / (weight + sum(self.cell.weight(name) for name in others))
+
+    def refuse_wait(self, demand: Demand, wait_s: float, now: float) -> Refused | None:
+        """Return a refusal if the estimated wait is too long."""
+        limit = self.cell.config.wait_limit_s
+        if now + wait_s > demand.deadline:
+            excess = now + wait_s - demand.deadline
+            return self.refuse(demand, RefusalReason.DEADLINE, excess)
+        if wait_s > limit:
+            return self.refuse(demand, RefusalReason.WAIT_TOO_LONG, wait_s - limit)
+        return None
+
+    def refuse_retry(self, demand: Demand, now: float) -> Refused | None:
+        """Count an attempt; return a refusal if a retry is not allowed."""
+        if demand.attempt <= 1:
+            self.cell.retries.credit()
+            return None
+        if self.cell.unrunnable.is_unrunnable(
+            demand, lambda vm: self.cell.outliers.is_healthy(vm, now), now
+        ):
+            return self.refuse(demand, RefusalReason.NEVER_RUNS)
+        if not self.cell.retries.take():
+            return self.refuse(demand, RefusalReason.RETRY_BUDGET)
+        return None
+
+    def refuse(
+        self, demand: Demand, reason: RefusalReason, after_s: float = 0.0
+    ) -> Refused:
+        """Return a refusal; jitter keeps refused callers from returning at once."""
+        after = max(MIN_RETRY_AFTER_S, after_s) * self.cell.random.uniform(1.0, 1.5)
+        return Refused(demand.demand_id, reason, after)
--- /dev/null
+++ b/src/sesameladder/dispatch/_long_work.py
@@ -0,0 +1,204 @@
+"""Limits of long work, stragglers, preemption and throttling."""
+
+import heapq
+import math
+
+from sesameladder.dispatch._cell import CellState
+from sesameladder.dispatch._grants import Grant
+from sesameladder.dispatch._queue import WaitingDemand
+from sesameladder.dispatch._types import Decision, Preempt, Throttle, WorkClass
+
+PREEMPT_PATIENCE_S = 2.0
+MAX_THROTTLES_PER_POLL = 4
+
+
+class MeanLoad:
+    """An exponentially weighted mean, over time, of the slots in demand."""
+
+    __slots__ = ("level", "mean", "updated_at", "window_s")
+
+    def __init__(self, window_s: float) -> None:
+        self.window_s = window_s
+        self.level = 0.0
+        self.mean = 0.0
+        self.updated_at: float | None = None
+
+    def update(self, level: float, now: float) -> None:
+        """Set the level that holds from now on."""
+        if self.updated_at is not None:
+            decay = math.exp(-max(0.0, now - self.updated_at) / self.window_s)
+            self.mean = self.level + (self.mean - self.level) * decay
+        self.level = level
+        self.updated_at = now
+
+
+class LongWork:
+    """Keeps long work from occupying the slots that short work needs."""
+
+    __slots__ = ("cell", "short_load", "stragglers", "throttled")
+
+    def __init__(self, cell: CellState) -> None:
+        self.cell = cell
+        self.short_load = MeanLoad(cell.config.load_window_s)
+        self.stragglers: list[tuple[float, str]] = []
+        self.throttled: dict[str, Grant] = {}
+
+    def started(self, grant: Grant) -> None:
+        """Watch a new grant, which may become a straggler."""
+        if not grant.long:
+            self._watch(grant, grant.granted_at)
+
+    def ended(self, grant: Grant) -> None:
+        """Forget a grant that was removed."""
+        self.throttled.pop(grant.grant_id, None)
+
+    def update(self, now: float) -> None:
+        """Find the grants that have become long and measure the short load."""
+        while self.stragglers and self.stragglers[0][0] <= now:
+            grant = self.cell.grants.by_id.get(heapq.heappop(self.stragglers)[1])
+            if grant is not None and not grant.long:
+                self._check_straggler(grant, now)
+        waiting = self.cell.queue.count(WorkClass.URGENT, WorkClass.SHORT)
+        self.short_load.update(self.cell.grants.short_held() + waiting, now)
+
+    def next_check(self) -> float | None:
+        """Return the next time at which a grant may have become long."""
+        by_id = self.cell.grants.by_id
+        while self.stragglers and self.stragglers[0][1] not in by_id:
+            heapq.heappop(self.stragglers)
+        return self.stragglers[0][0] if self.stragglers else None
+
+    def floor(self) -> int:
+        """Return the slots that waiting long work gets before short work."""
+        share = self.cell.config.long_floor_share
+        return int(self.cell.workers.serving_slots * share)
+
+    def goes_first(self, now: float) -> bool:
+        """Return whether waiting long work is due before short work."""
+        held = self.cell.grants.long_held()
+        if held < self.floor():
+            return True
+        due_share = self.cell.config.long_due_share
+        if held >= max(1.0, due_share * self.cell.workers.serving_slots):
+            return False
+        head = self.cell.queue.by_class[WorkClass.LONG].head(lambda _: False)
+        patience_s = self.cell.config.patience_s
+        return head is not None and now - head.enqueued_at >= patience_s
+
+    def limit(self) -> int:
+        """Return the slots for long work that can't be preempted."""
+        room = self._room(self.cell.config.short_headroom)
+        most = self.cell.workers.serving_slots * self.cell.config.long_share
+        return max(1, self.floor(), int(min(most, room)))
+
+    def may_start(self, item: WaitingDemand, now: float) -> bool:
+        """Return whether long work may take a free slot that nobody waits for.
+
+        Long work that waited long enough, for its run time, takes any slot.
+        """
+        if now >= self._patient_until(item):
+            return True
+        if not item.demand.checkpointable:
+            return self.cell.grants.pinned_held() < self.limit()
+        room = self._room(self.cell.config.start_headroom)
+        share = self.cell.config.start_reserve_share
+        reserved = int(self.cell.workers.serving_slots * share)
+        enough_free = self.cell.workers.free_slots() > reserved
+        return enough_free and self.cell.grants.long_held() < room
+
+    def next_start(self, now: float) -> float | None:
+        """Return when long work that was held back may take a free slot."""
+        if not self.cell.workers.has_free_slot():
+            return None
+        heads = self.cell.queue.by_class[WorkClass.LONG].heads()
+        times = [self._patient_until(item) for item in heads]
+        return min((time for time in times if time > now), default=None)
+
+    def _patient_until(self, item: WaitingDemand) -> float:
+        factor = self.cell.config.long_wait_factor
+        return item.enqueued_at + factor * item.expected_ms / 1000
+
+    def _room(self, headroom: float) -> float:
+        """Return the slots that short work leaves, less a headroom.
+
+        Short work in Poisson arrivals varies by the square root of its mean.
+        """
+        mean = self.short_load.mean
+        needed = mean + headroom * math.sqrt(mean)
+        return self.cell.workers.serving_slots - needed
+
+    def order_relief(self, now: float) -> list[Decision]:
+        """Return orders that free slots for waiting urgent and short work."""
+        urgent = self.cell.queue.count(WorkClass.URGENT)
+        short = self.cell.queue.count(WorkClass.SHORT)
+        if urgent + short == 0:
+            return self._lift_throttles()
+        orders = self._order_preempts(urgent, short, now)
+        if len(orders) < urgent + short:
+            orders.extend(self._order_throttles(now))
+        return orders
+
+    def _watch(self, grant: Grant, since: float) -> None:
+        due = since + self.cell.estimates.long_threshold_ms() / 1000
+        heapq.heappush(self.stragglers, (due, grant.grant_id))
+
+    def _check_straggler(self, grant: Grant, now: float) -> None:
+        estimates = self.cell.estimates
+        if not estimates.knows_cell():
+            self._watch(grant, now)
+        elif grant.granted_at + estimates.long_threshold_ms() / 1000 > now:
+            self._watch(grant, grant.granted_at)
+        else:
+            self.cell.grants.mark_long(grant)
+            estimates.observe_running(grant.kind, (now - grant.granted_at) * 1000)
+
+    def _order_preempts(self, urgent: int, short: int, now: float) -> list[Decision]:
+        pending = 0
+        candidates: list[Grant] = []
+        for grant in self.cell.grants.long_ids.values():
+            ordered = grant.preempted_at
+            if ordered is not None and now - ordered < PREEMPT_PATIENCE_S:
+                pending += 1
+            elif grant.checkpointable:
+                candidates.append(grant)
+        slots = self.cell.workers.serving_slots
+        tolerated = int(slots * self.cell.config.preempt_tolerance_share)
+        needed = urgent + max(0, short - tolerated) - pending
+        spare = self.cell.grants.long_held() - pending - self.floor()
+        orders: list[Decision] = []
+        # The requests that came first keep their slots, so that they end.
+        candidates.sort(key=lambda one: one.submitted_at, reverse=True)
+        for grant in candidates:
+            for_urgent = len(orders) + pending < urgent
+            if len(orders) >= needed or (not for_urgent and len(orders) >= spare):
+                break
+            if for_urgent or self._ran_long_enough(grant, now):
+                grant.preempted_at = now
+                orders.append(Preempt(grant.grant_id, grant.vm))
+        return orders
+
+    def _ran_long_enough(self, grant: Grant, now: float) -> bool:
+        return now - grant.granted_at >= self.cell.config.preempt_min_run_s
+
+    def _order_throttles(self, now: float) -> list[Decision]:
+        head = self.cell.queue.by_class[WorkClass.SHORT].head(lambda _: False)
+        config = self.cell.config
+        if head is None or now - head.enqueued_at < config.throttle_after_s:
+            return []
+        orders: list[Decision] = []
+        for grant in self.cell.grants.long_ids.values():
+            if len(orders) == MAX_THROTTLES_PER_POLL:
+                break
+            if not grant.checkpointable and not grant.throttled:
+                grant.throttled = True
+                self.throttled[grant.grant_id] = grant
+                orders.append(Throttle(grant.grant_id, grant.vm, config.throttle_share))
+        return orders
+
+    def _lift_throttles(self) -> list[Decision]:
+        orders: list[Decision] = []
+        for grant in self.throttled.values():
+            grant.throttled = False
+            orders.append(Throttle(grant.grant_id, grant.vm, 1.0))
+        self.throttled.clear()
+        return orders
--- /dev/null
+++ b/src/sesameladder/dispatch/_placement.py
@@ -0,0 +1,91 @@
+"""The choice of the next demand and its worker."""
+
+from collections.abc import Callable, Iterator
+
+from sesameladder.dispatch._cell import CellState
+from sesameladder.dispatch._long_work import LongWork
+from sesameladder.dispatch._queue import WaitingDemand
+from sesameladder.dispatch._types import WorkClass
+from sesameladder.dispatch._workers import Worker
+
+MAX_DEFERRED_PER_POLL = 16
+
+
+class Placement:
+    """Matches waiting demands with free slots."""
+
+    __slots__ = ("cell", "deferred", "long_work")
+
+    def __init__(self, cell: CellState, long_work: LongWork) -> None:
+        self.cell = cell
+        self.long_work = long_work
+        self.deferred: list[WaitingDemand] = []
+
+    def matches(self, now: float) -> Iterator[tuple[WaitingDemand, Worker]]:
+        """Remove and yield demands with the worker that each one gets.
+
+        The caller must occupy the slot before it takes the next match.
+        """
+        while self.cell.workers.has_free_slot() or self._due_probe(now) is not None:
+            item = self._next_demand(now)
+            if item is None or len(self.deferred) > MAX_DEFERRED_PER_POLL:
+                break
+            worker = self._choose_worker(item, now)
+            self.cell.queue.remove(item.demand.demand_id)
+            if worker is None:
+                self.deferred.append(item)
+            else:
+                yield item, worker
+        for item in self.deferred:
+            self.cell.queue.restore(item)
+        self.deferred.clear()
+
+    def _due_probe(self, now: float) -> Worker | None:
+        vm = self.cell.outliers.due_probe(now)
+        worker = self.cell.workers.by_vm.get(vm) if vm is not None else None
+        return worker if worker is not None and worker.may_probe(now) else None
+
+    def _next_demand(self, now: float) -> WaitingDemand | None:
+        for skip in (self.cell.exceeds_share, lambda _: False):
+            for work_class in self._class_order(now):
+                item = self._head(work_class, skip)
+                if item is not None and self._may_start(item, now):
+                    return item
+        return None
+
+    def _class_order(self, now: float) -> Iterator[WorkClass]:
+        yield WorkClass.URGENT
+        if self.long_work.goes_first(now):
+            yield WorkClass.LONG
+        yield WorkClass.SHORT
+        yield WorkClass.LONG
+
+    def _may_start(self, item: WaitingDemand, now: float) -> bool:
+        if item.work_class != WorkClass.LONG or self.long_work.goes_first(now):
+            return True
+        return self.long_work.may_start(item, now)
+
+    def _head(
+        self, work_class: WorkClass, skip: Callable[[str], bool]
+    ) -> WaitingDemand | None:
+        queue = self.cell.queue.by_class[work_class]
+        item = queue.head(skip)
+        # A kind may have turned out to be long since the demand was queued.
+        while (
+            item is not None
+            and work_class == WorkClass.SHORT
+            and self.cell.estimates.is_long(item.demand.kind)
+        ):
+            self.cell.queue.move(item, WorkClass.LONG)
+            item = queue.head(skip)
+        return item
+
+    def _choose_worker(self, item: WaitingDemand, now: float) -> Worker | None:
+        probed = self._due_probe(now)
+        if probed is not None and self._may_probe(item):
+            return probed
+        return self.cell.workers.choose(item.demand)
+
+    def _may_probe(self, item: WaitingDemand) -> bool:
+        demand = item.demand
+        return demand.repeatable and not demand.urgent and demand.attempt == 1
