--- a/src/sesameladder/client/_progress.py
+++ b/src/sesameladder/client/_progress.py
@@ -21,7 +21,10 @@
     """The wave as the configuration describes it."""
 
     total: int
-    """VMs of the wave's pools."""
+    """VMs of the wave's pools in the zones of the known plans."""
+
+    elsewhere: int
+    """VMs of the wave's pools in other zones."""
 
     done: int
     """VMs that were rebooted since the wave's start and serve again."""
@@ -40,6 +43,8 @@
     def describe(self, now: float) -> str:
         """Return one line on the wave."""
         line = f"wave {self.wave.id}: {self.done} of {self.total} VMs done"
+        if self.elsewhere:
+            line += f" ({self.elsewhere} in zones of other regions not shown)"
         if self.stopped:
             line += f", under way: {_describe_stopped(self.stopped)}"
         if self.set_aside:
@@ -51,6 +56,7 @@
         return {
             "wave": self.wave.id,
             "total": self.total,
+            "elsewhere": self.elsewhere,
             "done": self.done,
             "under_way": dict(self.stopped),
             "set_aside": list(self.set_aside),
@@ -76,9 +82,16 @@
 def compute_progress(
     state: FleetState, rows: Iterable[VmRow], wave: MaintenanceWave
 ) -> WaveProgress:
-    """Return a wave's progress from all VM rows of the known plans."""
-    members = {vm.name for vm in state.vms.values() if vm.pool in wave.pools}
-    own = [row for row in rows if row.vm in members]
+    """Return a wave's progress from all VM rows of the known plans.
+
+    VMs in zones that no row names belong to other regions, whose plans are in
+    stores of their own; they are counted apart.
+    """
+    rows = list(rows)
+    zones = {row.zone for row in rows}
+    members = {vm.name: vm for vm in state.vms.values() if vm.pool in wave.pools}
+    here = {name for name, vm in members.items() if vm.zone in zones}
+    own = [row for row in rows if row.vm in here]
     done = [row for row in own if _is_done(row, wave)]
     stopped = [
         (row.vm, row.phase.value)
@@ -87,7 +100,12 @@
     ]
     aside = [row.vm for row in own if row.phase is Phase.SET_ASIDE]
     return WaveProgress(
-        wave, len(members), len(done), tuple(sorted(stopped)), tuple(sorted(aside))
+        wave,
+        len(here),
+        len(members) - len(here),
+        len(done),
+        tuple(sorted(stopped)),
+        tuple(sorted(aside)),
     )
 
 
--- a/src/sesameladder/client/tests/test_golden.py
+++ b/src/sesameladder/client/tests/test_golden.py
@@ -145,6 +145,9 @@
     ]
     session.run("rollout follow --wave m1 --json")
     session.run("rollout follow")
+    far = {"w0": replace(rows["w0"], zone="other")}
+    put_plan(session, far)
+    session.run("rollout follow --once")
     session.store.compare_and_swap(
         "plan/south", session.store.get("plan/south").revision, b"new format"
     )
--- a/src/sesameladder/tickets/_compaction.py
+++ b/src/sesameladder/tickets/_compaction.py
@@ -42,10 +42,13 @@
     def compact(self) -> int:
         """Bundle all old blocks; returns how many tickets were bundled."""
         head = self.reader.read_head()
-        newest = self.reader.find_snapshot(head.number).number
-        limit = min(head.number - KEPT_TICKETS, newest - 1)
         done = read_counter(self.access.read(COMPACTED_KEY))
         first = done + 1
+        if find_block_end(first) > head.number - KEPT_TICKETS:
+            return 0
+        # The state is loaded from the latest snapshot, so that block stays.
+        newest = self.reader.find_snapshot_number(head.number)
+        limit = min(head.number - KEPT_TICKETS, newest - 1)
         while find_block_end(first) <= limit:
             self._bundle_block(first)
             first = find_block_end(first) + 1
--- a/src/sesameladder/tickets/_log.py
+++ b/src/sesameladder/tickets/_log.py
@@ -61,9 +61,10 @@
         """Write the latest due snapshot if absent; returns its number or 0."""
         head = self.reader.read_head()
         number = head.number // SNAPSHOT_INTERVAL * SNAPSHOT_INTERVAL
-        if number and self.reader.read_snapshot(number) is None:
+        key = build_snapshot_key(number)
+        if number and self.access.read(key) is None:
             state = self.reader.load_state(head, number)
-            self.access.create(build_snapshot_key(number), encode_state(state))
+            self.access.create(key, encode_state(state))
         return number
 
     def compact(self) -> int:
--- a/src/sesameladder/tickets/_reader.py
+++ b/src/sesameladder/tickets/_reader.py
@@ -1,5 +1,6 @@
 """Reading of the ticket log: head, single tickets, history and folded state."""
 
+from contextlib import suppress
 from dataclasses import dataclass
 
 from sesameladder.model import FleetState
@@ -69,14 +70,25 @@
         return state
 
     def find_snapshot(self, number: int) -> FleetState:
-        """Return the latest snapshot up to a number; the empty state if none."""
-        latest = number // SNAPSHOT_INTERVAL * SNAPSHOT_INTERVAL
-        for candidate in range(latest, 0, -SNAPSHOT_INTERVAL):
-            state = self.read_snapshot(candidate)
-            if state is not None:
-                return state
+        """Return the latest readable snapshot up to a number; else the empty state.
+
+        A malformed snapshot is passed over, since the tickets before it give
+        the same state.
+        """
+        for candidate in list_snapshot_numbers(number):
+            with suppress(TicketLogCorrupt):
+                state = self.read_snapshot(candidate)
+                if state is not None:
+                    return state
         return FleetState()
 
+    def find_snapshot_number(self, number: int) -> int:
+        """Return the number of the latest snapshot up to a number; 0 if none."""
+        for candidate in list_snapshot_numbers(number):
+            if self.access.read(build_snapshot_key(candidate)) is not None:
+                return candidate
+        return 0
+
     def read_snapshot(self, number: int) -> FleetState | None:
         """Return one snapshot; None when it is absent."""
         key = build_snapshot_key(number)
@@ -90,3 +102,9 @@
         if state.number != number:
             raise TicketLogCorrupt(f"{key}: holds the state after {state.number}")
         return state
+
+
+def list_snapshot_numbers(number: int) -> range:
+    """Return the numbers up to one at which a snapshot is due, highest first."""
+    latest = number // SNAPSHOT_INTERVAL * SNAPSHOT_INTERVAL
+    return range(latest, 0, -SNAPSHOT_INTERVAL)
--- a/src/sesameladder/tickets/tests/test_faults.py
+++ b/src/sesameladder/tickets/tests/test_faults.py
@@ -209,3 +209,13 @@
     assert log.load_state() == state
     assert log.write_snapshot() == 128
     assert log.load_state() == state
+
+
+def test_malformed_snapshot_is_passed_over() -> None:
+    """Guards against a damaged snapshot that stops all filings."""
+    store = create_faulty(130)
+    state = create_log(store).load_state()
+    entry = store.entries["config/snapshots/128"]
+    store.compare_and_swap(entry.key, entry.revision, entry.value[:-4])
+    assert create_log(store).load_state() == state
+    assert create_log(store).file_ticket(build_follower(131)) == Accepted(131)
