Test old answers of the store and shorten instance errors

Cause: reads may be older than the last write, and an unreachable instance was shown with the HTTP library's whole error chain. Change: tests with stale heads before and after the deciding write; the command names a refused connection, a missing or a broken answer. Conclusion: an old head leads to a conflict or a refusal, never a write.

--- a/src/sesameladder/client/_instances.py
+++ b/src/sesameladder/client/_instances.py
@@ -3,7 +3,7 @@
 from typing import Any
 
 from urllib3 import PoolManager, Retry, Timeout
-from urllib3.exceptions import HTTPError
+from urllib3.exceptions import HTTPError, NewConnectionError, TimeoutError
 
 from sesameladder.client._errors import InstanceUnreachable
 
@@ -19,7 +19,18 @@
         if response.status != 200:
             raise InstanceUnreachable(f"{address} answered {response.status}")
         return response.json()
-    except (HTTPError, ValueError) as error:
-        raise InstanceUnreachable(f"{address}: {error}") from error
+    except HTTPError as error:
+        raise InstanceUnreachable(_describe(address, error)) from error
+    except ValueError as error:
+        raise InstanceUnreachable(f"{address} answered no JSON") from error
     finally:
         http.clear()
+
+
+def _describe(address: str, error: HTTPError) -> str:
+    cause = getattr(error, "reason", error)
+    if isinstance(cause, NewConnectionError):
+        return f"{address} refused the connection"
+    if isinstance(cause, TimeoutError):
+        return f"{address} gave no answer within {CALL_TIMEOUT_S:g} s"
+    return f"{address} broke the connection off"
--- a/src/sesameladder/tickets/tests/test_faults.py
+++ b/src/sesameladder/tickets/tests/test_faults.py
@@ -11,6 +11,7 @@
     AlreadyAccepted,
     LostRace,
     NotFiled,
+    Rejected,
     TicketLogCorrupt,
     TicketLogError,
     Unsettled,
@@ -219,3 +220,54 @@
     store.compare_and_swap(entry.key, entry.revision, entry.value[:-4])
     assert create_log(store).load_state() == state
     assert create_log(store).file_ticket(build_follower(131)) == Accepted(131)
+
+
+class StaleStore(FaultyStore):
+    """Answers a number of reads of the head with an older value."""
+
+    stale_reads = 0
+    old_head = None
+
+    def get(self, key):
+        entry = super().get(key)
+        if key == "config/head" and self.stale_reads > 0:
+            self.stale_reads -= 1
+            return self.old_head
+        return entry
+
+
+def create_stale(reads: int) -> StaleStore:
+    store = create_faulty(3, StaleStore)
+    store.old_head = store.entries["config/head"]
+    create_log(store).file_ticket(build_follower(4))
+    store.stale_reads = reads
+    return store
+
+
+STALE = [
+    (1, build_follower(4), AlreadyAccepted),
+    (1, build_follower(4, author="ines"), LostRace),
+    (1, build_follower(5), Rejected),
+    (9, build_follower(4, author="ines"), NotFiled),
+]
+
+
+@pytest.mark.parametrize(("reads", "ticket", "expected"), STALE)
+def test_old_head_is_not_built_upon(reads, ticket, expected) -> None:
+    """Guards against a filing that trusts an old answer of the store."""
+    store = create_stale(reads)
+    assert isinstance(create_log(store).file_ticket(ticket), expected)
+    store.stale_reads = 0
+    assert create_log(store).read_head().ticket == build_follower(4)
+
+
+@pytest.mark.parametrize(("reads", "expected"), [(2, Accepted), (99, Unsettled)])
+def test_lost_answer_with_old_reads(reads, expected) -> None:
+    """Guards against an old answer that is taken for a write that failed."""
+    store = create_faulty(3, StaleStore)
+    store.old_head = store.entries["config/head"]
+    store.lost = {HEAD_CALL}
+    store.stale_reads = 1 + reads
+    assert isinstance(create_log(store).file_ticket(build_follower(4)), expected)
+    store.stale_reads = 0
+    assert create_log(store).read_head().ticket == build_follower(4)
