Stop waiting watches of the platform stand-in from waking each other

A watch that began to wait notified all others, which woke, looked and notified in turn. Change: waiting calls announce themselves on a condition of their own; VM probes use one plain connection each and a lasting thread pool.

--- a/src/sesameladder/standins/platform/_shared_store.py
+++ b/src/sesameladder/standins/platform/_shared_store.py
@@ -15,12 +15,14 @@
 class SharedStore:
     """Serializes calls to a ``FakeStore`` and wakes its watches."""
 
-    __slots__ = ("clock", "condition", "store", "waiting")
+    __slots__ = ("clock", "condition", "entered", "store", "waiting")
 
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
         self.store = FakeStore(clock.now)
-        self.condition = threading.Condition()
+        lock = threading.RLock()
+        self.condition = threading.Condition(lock)
+        self.entered = threading.Condition(lock)
         self.waiting = 0
 
     def call(self, operation: Callable[[FakeStore], T]) -> T:
@@ -64,13 +66,17 @@
 
     def await_waiting(self, count: int) -> None:
         """Return once at least a number of calls wait; for tests."""
-        with self.condition:
-            self.condition.wait_for(lambda: self.waiting >= count)
+        with self.entered:
+            self.entered.wait_for(lambda: self.waiting >= count)
 
     def _wait_until(self, end: float) -> None:
-        """Wait for a change, for the next lapse of a lease or for the end."""
+        """Wait for a change, for the next lapse of a lease or for the end.
+
+        ``entered`` is a condition of its own: a waiter that woke the other
+        waiters would be woken by them in turn, without end.
+        """
         lapses = [lapse for lapse, _ in self.store.leases.values()]
         self.waiting += 1
-        self.condition.notify_all()
+        self.entered.notify_all()
         self.clock.wait_until(self.condition, min([end, *lapses]))
         self.waiting -= 1
--- a/src/sesameladder/standins/platform/_vm_list.py
+++ b/src/sesameladder/standins/platform/_vm_list.py
@@ -4,10 +4,11 @@
 from collections import deque
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
+from http.client import HTTPConnection, HTTPException
 
 from pydantic import TypeAdapter, ValidationError
 from urllib3 import PoolManager, Retry, Timeout
-from urllib3.exceptions import HTTPError, MaxRetryError, NewConnectionError
+from urllib3.exceptions import HTTPError
 
 from sesameladder.platform import VmState
 from sesameladder.settings import PlatformStandinSettings, VmRow
@@ -64,6 +65,7 @@
 
     __slots__ = (
         "clock",
+        "executor",
         "faults",
         "http",
         "lock",
@@ -85,10 +87,9 @@
         self.vms: dict[str, ListedVm] = {}
         self.stopped = threading.Event()
         self.thread = threading.Thread(target=self._probe_always, daemon=True)
+        self.executor = ThreadPoolExecutor(PROBE_THREADS)
         timeout = Timeout(connect=PROBE_TIMEOUT_S, read=PROBE_TIMEOUT_S)
-        self.http = PoolManager(
-            timeout=timeout, retries=Retry(0), maxsize=PROBE_THREADS
-        )
+        self.http = PoolManager(timeout=timeout, retries=Retry(0))
         self.add(settings.vms)
 
     def start(self) -> None:
@@ -99,6 +100,7 @@
         """Stop probing."""
         self.stopped.set()
         self.thread.join()
+        self.executor.shutdown()
 
     def add(self, rows: tuple[VmRow, ...] | list[VmRow]) -> None:
         """Register VMs, or replace those of the same name."""
@@ -146,8 +148,7 @@
         with self.probing:
             with self.lock:
                 vms = [vm for vm in self.vms.values() if self._is_reachable(vm)]
-            with ThreadPoolExecutor(PROBE_THREADS) as pool:
-                states = list(pool.map(self._probe, [vm.row for vm in vms]))
+            states = list(self.executor.map(self._probe, [vm.row for vm in vms]))
             self._observe(vms, states)
 
     def _observe(self, vms: list[ListedVm], states: list[VmState | None]) -> None:
@@ -166,16 +167,17 @@
 
     def _probe(self, row: VmRow) -> VmState | None:
         """Return the state of a VM; None when a paused process hides it."""
+        connection = HTTPConnection(row.address, timeout=PROBE_TIMEOUT_S)
         try:
-            response = self.http.request(
-                "GET", f"http://{row.address}/-/health", headers=CLOSE
-            )
-        except MaxRetryError as error:
-            refused = isinstance(error.reason, NewConnectionError)
-            return VmState.GONE if refused else None
-        except HTTPError:
+            connection.request("GET", "/-/health", headers=CLOSE)
+            healthy = connection.getresponse().status == 200
+        except ConnectionRefusedError:
+            return VmState.GONE
+        except (OSError, HTTPException):
             return None
-        return VmState.LIVE if response.status == 200 else VmState.LEAVING
+        finally:
+            connection.close()
+        return VmState.LIVE if healthy else VmState.LEAVING
 
 
 def _encode_vm(vm: ListedVm, at: float) -> dict[str, object]:
--- a/src/sesameladder/standins/platform/tests/test_platform_standin.py
+++ b/src/sesameladder/standins/platform/tests/test_platform_standin.py
@@ -125,6 +125,17 @@
     assert standin.counters.to_json()["calls"]["watch"] == 1
 
 
+def test_waiting_watches_rest(standin: PlatformStandin, client: PlatformClient) -> None:
+    """Guards against waiting watches that keep waking each other."""
+    watches = [Call(lambda: client.watch("config/head", 0, 60.0)) for _ in range(3)]
+    standin.store.await_waiting(3)
+    client.compare_and_swap("other", 0, b"1")
+    client.compare_and_swap("config/head", 0, b"1")
+    assert [watch.join().value for watch in watches] == [b"1"] * 3
+    # Each watch looks once at its start and at most once after each write.
+    assert standin.store.store.calls["watch"] <= 3 * 3
+
+
 def test_watch_ends_with_its_key(
     standin: PlatformStandin, client: PlatformClient, clock: ManualClock
 ) -> None:
