Send only VMs that are not live to the zone, add slopes and reports

Cause: the whole VM list is 80 bytes a VM; at a thousand VMs a zone each change would cost a relay 80 KB for each receiver. Conclusion: relay traffic now grows with VMs that are out, not with the fleet.

--- a/src/sesameladder/entry/_configuration_task.py
+++ b/src/sesameladder/entry/_configuration_task.py
@@ -236,11 +236,14 @@
 
     @_receive.register
     def _(self, message: VmListRead) -> None:
+        # Live VMs are left out: at a thousand VMs a zone the whole list would
+        # take 80 KB for each receiver and change.
         items = tuple(
             VmItem(row.name, row.zone, row.state.value, row.changed_at)
             for row in message.rows
+            if row.state is not VmState.LIVE
         )
-        states = {row.name: row.state for row in message.rows}
+        states = {item.name: VmState(item.state) for item in items}
         if states == self.view.vm_states:
             return
         sequence = int(time() * 1000)
@@ -276,7 +279,9 @@
     @_receive_from_peer.register
     def _(self, message: Snapshot, sender: PeerIdentity, reply: Reply) -> None:
         del sender, reply
-        self._note(self.replica.offer_snapshot(message.number, message.data))
+        self._note(
+            self.replica.offer_snapshot(message.number, message.data, message.digest)
+        )
 
     @_receive_from_peer.register
     def _(self, message: PlanUpdate, sender: PeerIdentity, reply: Reply) -> None:
@@ -302,7 +307,7 @@
             )
             reply(Tickets(items))
         else:
-            reply(Snapshot(transfer.number, "", transfer.state_bytes))
+            reply(Snapshot(transfer.number, transfer.digest, transfer.state_bytes))
 
     @_receive_from_peer.register
     def _(self, message: PullPlan, sender: PeerIdentity, reply: Reply) -> None:
--- a/src/sesameladder/entry/_view.py
+++ b/src/sesameladder/entry/_view.py
@@ -22,7 +22,7 @@
     """The region's plan, or None before the first."""
 
     vm_states: dict[str, VmState] = field(default_factory=dict)
-    """State of VMs in the platform's list, by name."""
+    """VMs that the platform's list shows as not live, by name."""
 
     vm_list_sequence: int = 0
     """Number of the VM list that ``vm_states`` comes from."""
--- /dev/null
+++ b/src/sesameladder/measure/request_path.py
@@ -0,0 +1,92 @@
+"""Cost of the entry instance on the way of a request, over loopback."""
+
+import time
+from collections.abc import Callable
+from resource import RUSAGE_SELF, getrusage
+from statistics import median
+
+from urllib3 import PoolManager, Retry
+
+from sesameladder.measure._deployment import SCENARIOS, Deployment
+from sesameladder.measure._entry import MeasureEntry
+
+REQUESTS = 200
+SETTLE_LIMIT_S = 30.0
+WORK_MS = 5
+MS_PER_S = 1000.0
+
+
+def measure(deployment: str, seed: int) -> list[MeasureEntry]:
+    """Return added latency and requests per core-second; ``seed`` is not used.
+
+    Entries, workers and callers share one interpreter here, so the requests
+    per core-second are a lower limit for an entry instance.
+    """
+    del seed
+    running = Deployment.create(SCENARIOS[deployment])
+    try:
+        running.start_entries()
+        running.file_ticket(running.first_ticket())
+        entry = running.list_running()[0]
+        if not running.wait_for(lambda: running.serves(entry), SETTLE_LIMIT_S):
+            raise RuntimeError("the deployment does not serve")
+        return _measure_running(running, deployment)
+    finally:
+        running.stop()
+
+
+def _measure_running(running: Deployment, deployment: str) -> list[MeasureEntry]:
+    entry = running.list_running()[0]
+    pool = running.scenario.pools[0]
+    worker = next(s for n, s in running.upstreams.items() if n.startswith(pool))
+    http = PoolManager(maxsize=1, retries=Retry(0))
+    headers = {"Work-Ms": str(WORK_MS), "Sesameladder-Team": running.scenario.teams[0]}
+
+    def call_direct() -> None:
+        http.request("GET", f"http://{worker.address}/work", headers=headers)
+
+    def call_entry() -> None:
+        url = f"http://{entry.settings.http_address}/pools/{pool}/work"
+        http.request("GET", url, headers=headers)
+
+    direct_ms = _time(call_direct)
+    cpu_before = _read_cpu_seconds()
+    entry_ms = _time(call_entry)
+    cpu_s = _read_cpu_seconds() - cpu_before
+    return [
+        MeasureEntry(
+            "added_latency_p50",
+            deployment,
+            "ms",
+            entry_ms - direct_ms,
+            direct_ms,
+            None,
+            "",
+            None,
+        ),
+        MeasureEntry(
+            "requests_per_core_second",
+            deployment,
+            "1/s",
+            REQUESTS / cpu_s,
+            None,
+            None,
+            "",
+            None,
+        ),
+    ]
+
+
+def _time(call: Callable[[], None]) -> float:
+    """Return the median duration of a call in milliseconds."""
+    samples = []
+    for _ in range(REQUESTS):
+        start = time.perf_counter()
+        call()
+        samples.append((time.perf_counter() - start) * MS_PER_S)
+    return median(samples)
+
+
+def _read_cpu_seconds() -> float:
+    usage = getrusage(RUSAGE_SELF)
+    return usage.ru_utime + usage.ru_stime
--- /dev/null
+++ b/src/sesameladder/measure/slopes.py
@@ -0,0 +1,311 @@
+"""Measures how costs grow with size, for docs/CAPACITY.md.
+
+``make slopes`` prints for each cost the figures at several sizes, the fitted
+line and its largest residual, and writes ``build/slopes.json``.
+"""
+
+import json
+import sys
+import time
+import tracemalloc
+from collections.abc import Callable, Sequence
+from dataclasses import asdict, dataclass
+from pathlib import Path
+from random import Random
+
+import numpy as np
+
+from sesameladder.dispatch import (
+    Demand,
+    Dispatcher,
+    DispatcherConfig,
+    Granted,
+    GrantOutcome,
+    LeavingSource,
+    OutcomeKind,
+    WorkerSpec,
+)
+from sesameladder.idempotency import Done, HomeTable, TokenIssuer
+from sesameladder.idempotency import PeerIdentity as TokenPeer
+from sesameladder.measure._planning_driver import start_driver
+from sesameladder.measure._planning_fleet import build_fleet
+from sesameladder.model import FleetState, Pool
+from sesameladder.peering import (
+    Envelope,
+    Heartbeat,
+    VmItem,
+    VmListUpdate,
+    decode_envelope,
+    encode_envelope,
+)
+from sesameladder.planning import RegionPlan
+from sesameladder.tickets import decode_state, encode_state
+
+FLEET_SIZES = (300, 1_500, 3_000, 6_000, 12_000)
+REGION_SIZES = (300, 600, 1_200, 2_400)
+CELL_SIZES = (8, 16, 32, 64)
+TOKEN_COUNTS = (1_000, 2_000, 4_000, 8_000)
+HEARTBEAT_COUNTS = (100, 200, 400, 800)
+POOLS = 55
+WORKERS_PER_POOL = 24
+ZONES = 12
+REGION_ZONES = 3
+REPEATS = 5
+GRANTS = 2_000
+MS_PER_S = 1_000.0
+ANSWER_BYTES = 512
+SLOTS = 8
+
+
+@dataclass(frozen=True, slots=True)
+class Slope:
+    """A cost at several sizes with the line through them."""
+
+    name: str
+    """Stable name of the cost."""
+
+    unit: str
+    """Unit of the cost."""
+
+    per: str
+    """What the size counts."""
+
+    sizes: tuple[float, ...]
+    """Measured sizes."""
+
+    values: tuple[float, ...]
+    """Cost at each size."""
+
+    slope: float
+    """Cost for each further unit of size."""
+
+    intercept: float
+    """Cost at size zero."""
+
+    residual: float
+    """Largest distance from the line over the largest value."""
+
+
+def measure_slope(
+    name: str, unit: str, per: str, sizes: Sequence[int], cost: Callable[[int], float]
+) -> Slope:
+    """Measure a cost at each size and fit a line by least squares."""
+    values = [cost(size) for size in sizes]
+    slope, intercept = np.polyfit(sizes, values, 1)
+    fitted = np.polyval((slope, intercept), sizes)
+    residual = float(np.max(np.abs(fitted - values)) / max(map(abs, values)))
+    return Slope(
+        name,
+        unit,
+        per,
+        tuple(map(float, sizes)),
+        tuple(values),
+        float(slope),
+        float(intercept),
+        residual,
+    )
+
+
+def run_all() -> list[Slope]:
+    """Return all slopes."""
+    return [
+        measure_slope("state_memory", "MB", "worker", FLEET_SIZES, _state_memory),
+        measure_slope("state_bytes", "B", "worker", FLEET_SIZES, _state_bytes),
+        measure_slope("state_decode", "ms", "worker", FLEET_SIZES, _state_decode),
+        measure_slope(
+            "plan_memory", "MB", "VM of a region", REGION_SIZES, _plan_memory
+        ),
+        measure_slope("plan_bytes", "B", "VM of a region", REGION_SIZES, _plan_bytes),
+        measure_slope(
+            "plan_decode", "ms", "VM of a region", REGION_SIZES, _plan_decode
+        ),
+        measure_slope("planner_step", "ms", "VM of a region", REGION_SIZES, _plan_step),
+        measure_slope(
+            "vm_list_bytes", "B", "VM of a zone", REGION_SIZES, _vm_list_bytes
+        ),
+        measure_slope(
+            "vm_list_codec", "ms", "VM of a zone", REGION_SIZES, _vm_list_codec
+        ),
+        measure_slope("grant_time", "us", "worker of a cell", CELL_SIZES, _grant_time),
+        measure_slope("token_memory", "KB", "token", TOKEN_COUNTS, _token_memory),
+        measure_slope(
+            "heartbeat_codec", "ms", "heartbeat", HEARTBEAT_COUNTS, _heartbeats
+        ),
+    ]
+
+
+def _fleet(workers: int) -> FleetState:
+    return build_fleet(workers, min(POOLS, workers // WORKERS_PER_POOL), ZONES)
+
+
+def _state_memory(workers: int) -> float:
+    data = encode_state(_fleet(workers))
+    return _measure_memory_mb(lambda: decode_state(data))
+
+
+def _state_bytes(workers: int) -> float:
+    return len(encode_state(_fleet(workers)))
+
+
+def _state_decode(workers: int) -> float:
+    data = encode_state(_fleet(workers))
+    return _time_ms(lambda: decode_state(data))
+
+
+def _plan(workers: int) -> RegionPlan:
+    state = build_fleet(workers, min(POOLS, workers // WORKERS_PER_POOL), REGION_ZONES)
+    return start_driver(state, Random(1)).plan
+
+
+def _plan_memory(workers: int) -> float:
+    data = _plan(workers).to_bytes()
+    return _measure_memory_mb(lambda: RegionPlan.from_bytes(data))
+
+
+def _plan_bytes(workers: int) -> float:
+    return len(_plan(workers).to_bytes())
+
+
+def _plan_decode(workers: int) -> float:
+    data = _plan(workers).to_bytes()
+    return _time_ms(lambda: RegionPlan.from_bytes(data))
+
+
+def _plan_step(workers: int) -> float:
+    state = build_fleet(workers, min(POOLS, workers // WORKERS_PER_POOL), REGION_ZONES)
+    driver = start_driver(state, Random(1))
+    observation = driver.region.observe(driver.plan)
+
+    def step() -> None:
+        driver.planner.step(observation, driver.plan, driver.region.now)
+
+    return _time_ms(step)
+
+
+def _vm_list(workers: int) -> Envelope:
+    items = tuple(
+        VmItem(f"w{index:05d}", "zone-1", "live", 1_700_000_000.0)
+        for index in range(workers)
+    )
+    return Envelope("entry-1", 1, 0, False, VmListUpdate(1, items))
+
+
+def _vm_list_bytes(workers: int) -> float:
+    return len(encode_envelope("d", _vm_list(workers)))
+
+
+def _vm_list_codec(workers: int) -> float:
+    envelope = _vm_list(workers)
+    return _time_ms(lambda: decode_envelope("d", encode_envelope("d", envelope)))
+
+
+def _grant_time(workers: int) -> float:
+    """Return the time of submit, decision and release of one demand."""
+    dispatcher = Dispatcher(DispatcherConfig.from_pool(Pool("p", "p")), Random(1))
+    names = [f"w{index}" for index in range(workers)]
+    specs = [WorkerSpec(vm, f"r{vm}", "a", SLOTS, 64) for vm in names]
+    dispatcher.update_workers(specs, 0.0)
+    for vm in names:
+        dispatcher.mark_serving(vm, LeavingSource.PLAN, 0.0)
+        dispatcher.mark_serving(vm, LeavingSource.VM_LIST, 0.0)
+    dispatcher.recover([], 0.0)
+    now = 10.0
+    for vm in names:
+        dispatcher.apply_task_reports(vm, 0, now)
+    start = time.perf_counter()
+    for index in range(GRANTS):
+        now += 0.001
+        dispatcher.submit(_demand(index, now), now)
+        for decision in dispatcher.poll(now):
+            if isinstance(decision, Granted):
+                outcome = GrantOutcome(OutcomeKind.SUCCEEDED, 1.0)
+                dispatcher.release(decision.grant_id, outcome, now)
+    return (time.perf_counter() - start) / GRANTS * 1e6
+
+
+def _demand(index: int, now: float) -> Demand:
+    return Demand(
+        demand_id=str(index),
+        forwarder="e",
+        incarnation=1,
+        team="",
+        kind="k",
+        urgent=False,
+        repeatable=True,
+        attempt=1,
+        expected_ms=None,
+        checkpointable=False,
+        deadline=now + 5,
+        tried_workers=(),
+        tried_racks=(),
+        resumed=False,
+    )
+
+
+def _token_memory(count: int) -> float:
+    """Return the memory of finished tokens with small answers, in kilobytes."""
+
+    def fill() -> HomeTable:
+        issuer = TokenIssuer("a", 1, random_source=Random(1))
+        table = HomeTable("a", 1)
+        for index in range(count):
+            token = issuer.issue(TokenPeer("b", 1), float(index))
+            table.begin(token, b"d", float(index))
+            table.confirm_start(token)
+            answer = Done(200, (), bytes([index % 256]) * ANSWER_BYTES)
+            table.finish(token, answer, float(index))
+        return table
+
+    return _measure_memory_mb(fill) * 1_000
+
+
+def _heartbeats(count: int) -> float:
+    """Return the time to encode and decode heartbeats, in milliseconds."""
+    envelope = Envelope("entry-1", 1, 0, False, Heartbeat("z", 1, 1, False, False, 1))
+
+    def exchange() -> None:
+        for _ in range(count):
+            decode_envelope("d", encode_envelope("d", envelope))
+
+    return _time_ms(exchange)
+
+
+def _time_ms(action: Callable[[], object]) -> float:
+    """Return the shortest of several durations, which is least disturbed."""
+    samples = []
+    for _ in range(REPEATS):
+        start = time.perf_counter()
+        action()
+        samples.append((time.perf_counter() - start) * MS_PER_S)
+    return min(samples)
+
+
+def _measure_memory_mb(build: Callable[[], object]) -> float:
+    """Return the memory that a built value holds, in megabytes."""
+    tracemalloc.start()
+    value = build()
+    held = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    del value
+    return held / 1e6
+
+
+def main() -> int:
+    """Measure, print a table and write the results."""
+    slopes = run_all()
+    for slope in slopes:
+        values = ", ".join(f"{value:.4g}" for value in slope.values)
+        sys.stdout.write(
+            f"{slope.name:16} {slope.slope:.4g} {slope.unit} per {slope.per} "
+            f"+ {slope.intercept:.4g} {slope.unit}; residual "
+            f"{slope.residual:.1%}; at {slope.sizes}: {values}\n"
+        )
+    output = Path("build")
+    output.mkdir(exist_ok=True)
+    content = json.dumps([asdict(slope) for slope in slopes], indent=2)
+    (output / "slopes.json").write_text(content + "\n", encoding="utf-8")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/sesameladder/peering/_messages.py
+++ b/src/sesameladder/peering/_messages.py
@@ -95,7 +95,7 @@
 
 @dataclass(frozen=True, slots=True)
 class VmListUpdate:
-    """The rows of the VM list that are not live, and all live entry VMs."""
+    """The rows of the VM list that are not live; a VM without a row is live."""
 
     sequence: int
     items: tuple[VmItem, ...]
--- a/src/sesameladder/specification/tests/test_protocols.py
+++ b/src/sesameladder/specification/tests/test_protocols.py
@@ -70,8 +70,8 @@
 class AcceptsLowerNumbers(ConfigurationReplica):
     """Replaces its state by any snapshot."""
 
-    def offer_snapshot(self, number, state_bytes):
-        self._replace(decode_state(state_bytes), state_bytes)
+    def offer_snapshot(self, number, state_bytes, digest=""):
+        self._replace(decode_state(state_bytes), state_bytes, digest)
 
 
 class SkipsNumbers(ConfigurationReplica):
