Repeat a lost grant and never refuse a resumed job as not run

Cause: a forwarder that submitted a demand again after its grant was lost got a second slot; a resumed job whose deadline passed was refused as not run, though it had run in part. Change: a repeated submission of a granted demand returns the same grant; a resumed job waits without a limit and ends by cancellation only. Conclusion: one request holds one slot, and refusals stay true.

--- a/src/sesameladder/dispatch/_dispatcher.py
+++ b/src/sesameladder/dispatch/_dispatcher.py
@@ -63,7 +63,7 @@
         "outcomes",
         "placement",
         "recovery",
-        "refusals",
+        "undelivered",
     )
 
     def __init__(
@@ -76,7 +76,7 @@
         self.placement = Placement(self.cell, self.long_work)
         self.outcomes = Outcomes(self.cell)
         self.recovery = Recovery(self.cell)
-        self.refusals: list[Decision] = []
+        self.undelivered: list[Decision] = []
         self.grant_prefix = grant_prefix
         self.granted = 0
         self.handed_over = False
@@ -86,7 +86,11 @@
         self.cell.teams = dict(teams)
 
     def submit(self, demand: Demand, now: float) -> Queued | Refused:
-        """Queue a demand or refuse it at once; resubmission changes nothing."""
+        """Queue a demand or refuse it at once.
+
+        A demand that waits already stays as it is; the grant of a demand that
+        was granted already is returned again by the next ``poll``.
+        """
         if self.handed_over:
             return self.admission.refuse(demand, RefusalReason.HANDED_OVER)
         self._advance(now)
@@ -96,6 +100,8 @@
             self.forget_forwarder(demand.forwarder, demand.incarnation - 1, now)
         if demand.demand_id in self.cell.queue.by_id:
             return Queued(demand.demand_id, 0.0)
+        if demand.demand_id in self.cell.grants.by_demand and not demand.resumed:
+            return self._repeat_grant(demand)
         work_class = self._classify(demand)
         refused = self._check(demand, work_class, now)
         if refused is not None:
@@ -107,8 +113,8 @@
         if self.handed_over:
             return []
         self._advance(now)
-        decisions = self.refusals + self._refuse_expired(now)
-        self.refusals = []
+        decisions = self.undelivered + self._refuse_expired(now)
+        self.undelivered = []
         if self.recovery.is_over(now):
             for item, worker in self.placement.matches(now):
                 decisions.append(self._grant(item, worker, now))
@@ -208,7 +214,7 @@
         """Return the next time at which ``poll`` may decide without new events."""
         if self.handed_over:
             return None
-        if self.refusals:
+        if self.undelivered:
             return now
         times = [
             self.cell.queue.next_expiry(),
@@ -250,15 +256,23 @@
         refused = self.admission.make_room(demand, expected_ms)
         if refused is None or refused.demand_id == demand.demand_id:
             return refused
-        self.refusals.append(refused)
+        self.undelivered.append(refused)
         return None
 
+    def _repeat_grant(self, demand: Demand) -> Queued:
+        grant = self.cell.grants.by_demand[demand.demand_id]
+        worker = self.cell.workers.by_vm.get(grant.vm)
+        if worker is not None:
+            self.undelivered.append(_to_decision(grant, worker))
+        return Queued(demand.demand_id, 0.0)
+
     def _enqueue(self, demand: Demand, work_class: WorkClass, now: float) -> Queued:
         wait = self.admission.estimate_wait_s(demand.team, work_class)
         expected = self.outcomes.expected_remaining_ms(demand)
         submitted_at = self.outcomes.submitted_at(demand, now)
         config = self.cell.config
-        limit = float("inf") if demand.resumed else now + config.wait_limit_s
+        # A resumed job has run in part, so a refusal as not run would be false.
+        expires_at = min(now + config.wait_limit_s, demand.deadline)
         self.cell.queue.push(
             WaitingDemand(
                 demand=demand,
@@ -267,7 +281,7 @@
                 expected_ms=expected,
                 work_class=work_class,
                 key=submitted_at + config.handicap_s(expected),
-                expires_at=min(limit, demand.deadline),
+                expires_at=float("inf") if demand.resumed else expires_at,
             )
         )
         return Queued(demand.demand_id, wait)
@@ -316,10 +330,7 @@
             self.cell.outliers.begin_probe(grant.vm)
         charge_share(self.cell, grant)
         self._occupy(grant, now)
-        spec = worker.spec
-        return Granted(
-            demand.demand_id, grant.grant_id, spec.vm, spec.rack, spec.address
-        )
+        return _to_decision(grant, worker)
 
     def _occupy(self, grant: Grant, now: float) -> None:
         self.cell.grants.add(grant)
@@ -346,3 +357,8 @@
         worker = self.cell.workers.by_vm.get(vm)
         if worker is not None:
             self.cell.refresh(worker, now)
+
+
+def _to_decision(grant: Grant, worker: Worker) -> Granted:
+    spec = worker.spec
+    return Granted(grant.demand_id, grant.grant_id, spec.vm, spec.rack, spec.address)
--- a/src/sesameladder/dispatch/_grants.py
+++ b/src/sesameladder/dispatch/_grants.py
@@ -81,10 +81,18 @@
 class GrantTable:
     """The outstanding grants of the cell."""
 
-    __slots__ = ("by_forwarder", "by_id", "by_vm", "held_by_team", "long_ids")
+    __slots__ = (
+        "by_demand",
+        "by_forwarder",
+        "by_id",
+        "by_vm",
+        "held_by_team",
+        "long_ids",
+    )
 
     def __init__(self) -> None:
         self.by_id: dict[str, Grant] = {}
+        self.by_demand: dict[str, Grant] = {}
         self.by_forwarder: dict[str, dict[str, Grant]] = {}
         self.by_vm: dict[str, dict[str, Grant]] = {}
         self.held_by_team: Counter[str] = Counter()
@@ -96,6 +104,7 @@
     def add(self, grant: Grant) -> None:
         """Add a grant."""
         self.by_id[grant.grant_id] = grant
+        self.by_demand[grant.demand_id] = grant
         self.by_forwarder.setdefault(grant.forwarder, {})[grant.grant_id] = grant
         self.by_vm.setdefault(grant.vm, {})[grant.grant_id] = grant
         self.held_by_team[grant.team] += 1
@@ -107,6 +116,8 @@
         grant = self.by_id.pop(grant_id, None)
         if grant is None:
             return None
+        if self.by_demand.get(grant.demand_id) is grant:
+            del self.by_demand[grant.demand_id]
         for index, key in (
             (self.by_forwarder, grant.forwarder),
             (self.by_vm, grant.vm),
--- a/src/sesameladder/dispatch/tests/test_long_work.py
+++ b/src/sesameladder/dispatch/tests/test_long_work.py
@@ -171,3 +171,12 @@
     submit(cell, 60, "preview", 1.1, team="b")
     cell.poll(1.1)
     assert cell.dispatcher.dump()["held_by_team"]["b"] >= 24
+
+
+def test_resumed_job_is_not_refused_while_it_waits():
+    """Guards against answering "not run" for a job that has run in part."""
+    cell = make_cell(workers=1, slots=1)
+    cell.run(0.0)
+    cell.submit(0.0, demand_id="job", kind="blend", resumed=True, deadline=5.0)
+    assert cell.poll(60.0) == []
+    assert "job" in cell.dispatcher.cell.queue.by_id
--- a/src/sesameladder/dispatch/tests/test_recovery.py
+++ b/src/sesameladder/dispatch/tests/test_recovery.py
@@ -1,5 +1,6 @@
 """Recovery of a dispatcher, and forwarders that die and return."""
 
+import json
 from random import Random
 
 import pytest
@@ -158,3 +159,22 @@
     assert cell.poll(1.0) == []
     assert cell.submit(1.0).reason == "handed_over"
     assert cell.dispatcher.next_wakeup(1.0) is None
+
+
+def test_submitting_a_granted_demand_again_repeats_its_grant():
+    """Guards against two slots for one request when the grant was lost."""
+    cell = Cell()
+    granted = cell.run(0.0, demand_id="same")
+    cell.submit(0.5, demand_id="same")
+    assert cell.dispatcher.next_wakeup(0.5) == 0.5
+    assert cell.poll(0.5) == [granted]
+    assert len(cell.dispatcher.outstanding_grants()) == 1
+    cell.release(granted, 1.0)
+    assert cell.run(2.0, demand_id="same") != granted
+
+
+def test_dump_is_json():
+    """Guards against a state dump that fails when it is needed."""
+    cell = Cell()
+    cell.run(0.0)
+    assert json.loads(json.dumps(cell.dispatcher.dump()))["outstanding"] == 1
