Charge retries of resumed jobs and learn only whole run times

Cause: a resumed job that failed could be retried without budget, and the last part of a resumed job counted as the run time of its kind when the job came back under another id. Change: a resumed job that failed on a worker needs a retry token; the run time of a resumed job is learned only if all its parts are known. Conclusion: the retry budget has no exception, and estimates of long kinds don't shrink by preemption.

--- a/src/sesameladder/dispatch/_admission.py
+++ b/src/sesameladder/dispatch/_admission.py
@@ -86,9 +86,11 @@
 
     def refuse_retry(self, demand: Demand, now: float) -> Refused | None:
         """Count an attempt; return a refusal if a retry is not allowed."""
-        if demand.attempt <= 1:
+        if demand.attempt <= 1 and not demand.resumed:
             self.cell.retries.credit()
             return None
+        if demand.resumed and not demand.tried_workers:
+            return None
         if self.cell.unrunnable.is_unrunnable(
             demand, lambda vm: self.cell.outliers.is_healthy(vm, now), now
         ):
--- a/src/sesameladder/dispatch/_dispatcher.py
+++ b/src/sesameladder/dispatch/_dispatcher.py
@@ -243,7 +243,7 @@
         self, demand: Demand, work_class: WorkClass, now: float
     ) -> Refused | None:
         if demand.resumed:
-            return None
+            return self.admission.refuse_retry(demand, now)
         if self.recovery.is_over(now) and not self.cell.workers.any_may_serve():
             return self.admission.refuse(demand, RefusalReason.NO_WORKER)
         wait = self.admission.estimate_wait_s(demand.team, work_class)
@@ -323,6 +323,7 @@
             queue_class=item.work_class,
             checkpointable=demand.checkpointable,
             long=self._classify(demand) == WorkClass.LONG,
+            resumed=demand.resumed,
             failed_before=bool(demand.tried_workers),
             probe=worker.ejected,
         )
--- a/src/sesameladder/dispatch/_grants.py
+++ b/src/sesameladder/dispatch/_grants.py
@@ -52,6 +52,9 @@
     long: bool = False
     """Whether the grant counts as long work."""
 
+    resumed: bool = False
+    """Whether the grant continues a checkpointed job."""
+
     failed_before: bool = False
     """Whether earlier attempts of the request failed."""
 
--- a/src/sesameladder/dispatch/_outcomes.py
+++ b/src/sesameladder/dispatch/_outcomes.py
@@ -71,8 +71,10 @@
 
     def _record_success(self, grant: Grant, ran_ms: float, now: float) -> None:
         before = self.progress.pop(grant.demand_id, None)
-        total = ran_ms + (before.ran_ms if before is not None else 0.0)
-        self.cell.estimates.observe(grant.kind, total)
+        if before is not None:
+            self.cell.estimates.observe(grant.kind, before.ran_ms + ran_ms)
+        elif not grant.resumed:
+            self.cell.estimates.observe(grant.kind, ran_ms)
         self.cell.unrunnable.record_success(grant.kind)
         self.cell.outliers.record_success(grant.vm, now)
 
--- a/src/sesameladder/dispatch/_retries.py
+++ b/src/sesameladder/dispatch/_retries.py
@@ -95,8 +95,6 @@
         The demand's own lineage counts, and so do several other requests of
         its kind if none succeeded since.
         """
-        if demand.attempt <= 1 or demand.resumed:
-            return False
         failed_on = set(demand.tried_workers)
         if self._enough(failed_on, healthy):
             return True
--- a/src/sesameladder/dispatch/_types.py
+++ b/src/sesameladder/dispatch/_types.py
@@ -92,7 +92,10 @@
     """Racks on which earlier attempts failed."""
 
     resumed: bool
-    """Whether the demand continues a checkpointed job; not a retry."""
+    """Whether the demand continues a checkpointed job.
+
+    It is not a retry unless the resumed job has failed on a worker since.
+    """
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/sesameladder/dispatch/tests/test_long_work.py
+++ b/src/sesameladder/dispatch/tests/test_long_work.py
@@ -180,3 +180,16 @@
     cell.submit(0.0, demand_id="job", kind="blend", resumed=True, deadline=5.0)
     assert cell.poll(60.0) == []
     assert "job" in cell.dispatcher.cell.queue.by_id
+
+
+@pytest.mark.parametrize(("name", "total_ms"), [("job", 5_000.0), ("other", None)])
+def test_run_time_of_a_resumed_job_is_learned_only_as_a_whole(name, total_ms):
+    """Guards against learning the last part of a job as its run time."""
+    cell = make_cell(long_wait_factor=0.0)
+    granted = cell.run(1.0, demand_id="job", kind="rare", checkpointable=True)
+    cell.release(granted, 5.0, OutcomeKind.CHECKPOINTED, 4_000.0)
+    cell.release(
+        cell.run(5.0, demand_id=name, kind="rare", resumed=True), 6.0, ran_ms=1e3
+    )
+    entry = cell.dispatcher.cell.estimates.kinds.get("rare")
+    assert (entry.window.median() if entry else None) == total_ms
--- a/src/sesameladder/dispatch/tests/test_retries.py
+++ b/src/sesameladder/dispatch/tests/test_retries.py
@@ -31,9 +31,11 @@
     assert answer.retry_after_s >= 1.0
 
 
-def test_resumed_work_needs_no_retry_budget():
-    """Guards against losing checkpointed work to the retry budget."""
-    assert isinstance(Cell().submit(0.0, attempt=2, resumed=True), Queued)
+@pytest.mark.parametrize(("tried", "reason"), [((), None), (("w0",), "retry_budget")])
+def test_resumed_work_needs_budget_only_after_it_failed(tried, reason):
+    """Guards against losing checkpointed work, and against free retries of it."""
+    answer = Cell().submit(0.0, attempt=2, resumed=True, tried_workers=tried)
+    assert getattr(answer, "reason", None) == reason
 
 
 @pytest.mark.parametrize(
