Tolerate a short queue only while short jobs are ending

Cause: the tolerated queue was taken from all slots, so a cell full of long jobs with short median run times would not have preempted any of them. Change: it follows from the short jobs that run; a test covers the case.

--- a/src/sesameladder/dispatch/_config.py
+++ b/src/sesameladder/dispatch/_config.py
@@ -10,7 +10,7 @@
     """Limits and policy parameters of one cell's dispatcher."""
 
     queue_limit: int = 512
-    """Demands that may wait; resumed jobs are not counted against it."""
+    """Demands that may wait; resumed jobs are accepted beyond it."""
 
     wait_limit_ms: float = 10_000.0
     """Longest wait of a demand, in milliseconds."""
@@ -64,7 +64,7 @@
     start_reserve_share: float = 0.05
     """Share of the slots left free when long work starts that can be preempted."""
 
-    preempt_tolerance: float = 0.15
+    preempt_tolerance: float = 0.24
     """Part of the short jobs that end during a checkpoint which may wait."""
 
     checkpoint_s: float = 0.1
--- a/src/sesameladder/dispatch/_long_work.py
+++ b/src/sesameladder/dispatch/_long_work.py
@@ -189,7 +189,7 @@
         Short jobs that end during the checkpoint make room for them.
         """
         median_s = self.cell.estimates.cell_median_ms() / 1000
-        ending = self.cell.workers.serving_slots * self.checkpoint_s / median_s
+        ending = self.cell.grants.short_held() * self.checkpoint_s / median_s
         return int(self.cell.config.preempt_tolerance * ending)
 
     def _ran_long_enough(self, grant: Grant, now: float) -> bool:
--- a/src/sesameladder/dispatch/tests/test_long_work.py
+++ b/src/sesameladder/dispatch/tests/test_long_work.py
@@ -193,3 +193,15 @@
     )
     entry = cell.dispatcher.cell.estimates.kinds.get("rare")
     assert (entry.window.median() if entry else None) == total_ms
+
+
+@pytest.mark.parametrize("run_ms", [1.0, 100.0])
+def test_short_work_preempts_when_long_work_holds_every_slot(run_ms):
+    """Guards against tolerating a queue that no ending short job will serve."""
+    cell = Cell(workers=1, slots=8, long_share=1.0, long_wait_factor=0.0)
+    cell.teach("preview", run_ms, times=20)
+    cell.teach("blend", 50 * run_ms)
+    submit(cell, 8, "blend", 1.0, checkpointable=True)
+    cell.poll(1.0)
+    submit(cell, 1, "preview", 1.5)
+    assert any(isinstance(one, Preempt) for one in cell.poll(1.5))
