--- /dev/null
+++ b/src/sesameladder/configuration/_relay.py
@@ -0,0 +1,262 @@
+"""Which peer is sent what, so that the bytes stay bounded."""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+
+from sesameladder.configuration._recent import RecentTicket
+from sesameladder.configuration._rendezvous import rank_members
+from sesameladder.configuration._replica import ConfigurationReplica
+from sesameladder.configuration._transfers import Transfer, TransferAllowance
+
+MAX_ZONE_PEERS = 12
+MAX_REMOTE_PEERS = 4
+# A relay has to be heard by every instance of its zone, 15 at the target size.
+MAX_RELAY_ZONE_PEERS = 14
+# Other zones get a relay's heartbeat in turn. With 14 zone peers, heartbeats of
+# about 160 bytes and 5,900 tickets a day, two at once would exceed 3 KB/s.
+RELAY_ZONES_PER_HEARTBEAT = 1
+PEER_SILENCE_S = 3.0
+# Longer than one turn over the 11 other zones of the target size.
+REMOTE_RELAY_SILENCE_S = 30.0
+# Instances of a zone that are told of a new number while its relay is unknown.
+UNKNOWN_RELAY_PEERS = 2
+PULL_TIMEOUT_S = 0.5
+# A larger ticket is only announced; peers pull it, each from one other peer.
+MAX_PUSH_BYTES = 65_536
+
+
+@dataclass(slots=True)
+class PeerView:
+    """What this instance knows about a peer."""
+
+    zone: str
+    """Name of the peer's zone."""
+
+    number: int
+    """Configuration number of the last heartbeat."""
+
+    relay: bool
+    """Whether the peer holds its zone's relay role."""
+
+    heard_at: float
+    """Time of the last heartbeat, by the injected clock."""
+
+
+@dataclass(frozen=True, slots=True)
+class Pull:
+    """A request for the tickets after a number."""
+
+    peer: str
+    """Instance to ask."""
+
+    after: int
+    """Number of this instance."""
+
+
+@dataclass(frozen=True, slots=True)
+class Layout:
+    """The configured instances as one instance ranks them."""
+
+    near: tuple[str, ...] = ()
+    """Other instances of the own zone, by rendezvous hash."""
+
+    far: tuple[str, ...] = ()
+    """Instances of other zones, by rendezvous hash."""
+
+    by_zone: dict[str, tuple[str, ...]] = field(default_factory=dict)
+    """Instances of each other zone, by rendezvous hash."""
+
+    announced_zones: tuple[str, ...] = ()
+    """Zones that a relay of the own zone tells of new numbers."""
+
+    @classmethod
+    def from_configured(
+        cls, instance: str, zone: str, configured: Mapping[str, str]
+    ) -> "Layout":
+        """Return the ranking of an instance; ``configured`` maps id to zone."""
+        ranked = rank_members(instance, (p for p in configured if p != instance))
+        near = tuple(peer for peer in ranked if configured[peer] == zone)
+        far = tuple(peer for peer in ranked if configured[peer] != zone)
+        zones = sorted({configured[peer] for peer in far})
+        by_zone = {
+            other: tuple(peer for peer in far if configured[peer] == other)
+            for other in zones
+        }
+        return cls(near, far, by_zone, _choose_announced_zones(zone, zones))
+
+
+def _choose_announced_zones(zone: str, others: list[str]) -> tuple[str, ...]:
+    ring = sorted([zone, *others])
+    own = ring.index(zone)
+    steps = [2**power for power in range(len(ring)) if 2**power < len(ring)]
+    return tuple(ring[(own + step) % len(ring)] for step in steps)
+
+
+class RelayRules:
+    """Chooses receivers and contents of configuration messages.
+
+    The caller reports heartbeats, sends what is returned and calls
+    ``set_configured`` when the configured instances change. Not safe to
+    share by threads.
+    """
+
+    __slots__ = (
+        "allowance",
+        "clock",
+        "highest",
+        "instance",
+        "layout",
+        "peers",
+        "pull_until",
+        "relay",
+        "zone",
+    )
+
+    def __init__(
+        self,
+        instance: str,
+        zone: str,
+        configured: Mapping[str, str],
+        clock: Callable[[], float],
+    ) -> None:
+        self.instance = instance
+        self.zone = zone
+        self.clock = clock
+        self.relay = False
+        self.peers: dict[str, PeerView] = {}
+        self.highest = 0
+        self.pull_until: float = 0.0
+        self.allowance = TransferAllowance(clock)
+        self.layout = Layout()
+        self.set_configured(configured)
+
+    def set_configured(self, configured: Mapping[str, str]) -> None:
+        """Take over the configured instances, a map of id to zone."""
+        self.layout = Layout.from_configured(self.instance, self.zone, configured)
+
+    def note_heartbeat(self, peer: str, zone: str, number: int, relay: bool) -> None:
+        """Note a heartbeat; a late one doesn't lower the peer's number."""
+        known = self.peers.get(peer)
+        highest = max(number, known.number) if known else number
+        self.peers[peer] = PeerView(zone, highest, relay, self.clock())
+        self.highest = max(self.highest, number)
+
+    def note_restart(self, peer: str) -> None:
+        """Forget a peer whose incarnation changed; it may hold nothing."""
+        self.peers.pop(peer, None)
+
+    def hears_relay(self) -> bool:
+        """Return whether this instance or a peer that is heard is its zone's relay."""
+        return self.relay or self.find_relay(self.zone) is not None
+
+    def find_relay(self, zone: str) -> str | None:
+        """Return the relay of a zone that was heard last; None if none was."""
+        limit = PEER_SILENCE_S if zone == self.zone else REMOTE_RELAY_SILENCE_S
+        earliest = self.clock() - limit
+        heard = [
+            (view.heard_at, peer)
+            for peer, view in self.peers.items()
+            if view.relay and view.zone == zone and view.heard_at >= earliest
+        ]
+        return max(heard)[1] if heard else None
+
+    def choose_heartbeat_peers(self) -> list[str]:
+        """Return the peers that get a heartbeat now; called once a second.
+
+        A relay reaches the other zones in turn, through their relays; any
+        other instance reaches a few fixed peers of other zones.
+        """
+        if not self.relay:
+            near = self.layout.near[:MAX_ZONE_PEERS]
+            return [*near, *self.layout.far[:MAX_REMOTE_PEERS]]
+        near = self.layout.near[:MAX_RELAY_ZONE_PEERS]
+        return [*near, *self._choose_remote_peers()]
+
+    def choose_announce_peers(self, number: int) -> list[str]:
+        """Return the peers that get a heartbeat at once after a new number.
+
+        A relay tells the zones 1, 2, 4, 8 and so on places after its own, whose
+        relays do the same, so that each tells few and several tell each; any
+        other instance tells its relay. A peer that is behind pulls, so a
+        ticket that all relays read is sent by none of them.
+        """
+        peers: list[str] = []
+        for zone in self.layout.announced_zones if self.relay else (self.zone,):
+            relay = self.find_relay(zone)
+            unknown = self.layout.by_zone.get(zone, ())[:UNKNOWN_RELAY_PEERS]
+            peers += [relay] if relay else unknown
+        return [peer for peer in peers if self._is_behind(peer, number)]
+
+    def plan_push(
+        self, replica: ConfigurationReplica
+    ) -> list[tuple[str, RecentTicket]]:
+        """Return what is sent at once after the replica moved forward.
+
+        A relay sends the ticket to one half of its zone, and each of these
+        instances forwards it to one instance of the other half, which halves
+        the relay's bytes.
+        """
+        latest = replica.recent.tickets.get(replica.number)
+        if latest is None or len(latest.raw) > MAX_PUSH_BYTES:
+            return []
+        if self.relay:
+            receivers = self.layout.near[: -(-len(self.layout.near) // 2)]
+        else:
+            receivers = self._find_forward_peer()
+        behind = [peer for peer in receivers if self._is_behind(peer, latest.number)]
+        return [(p, latest) for p in behind if self.allowance.take(len(latest.raw))]
+
+    def choose_pull(self, number: int) -> Pull | None:
+        """Return whom to ask for missing tickets; None if nobody is ahead.
+
+        One pull is under way at a time, so that many heartbeats with a higher
+        number cause one transfer.
+        """
+        now = self.clock()
+        if number >= self.highest or now < self.pull_until:
+            return None
+        ahead = [
+            peer
+            for peer, view in self.peers.items()
+            if view.number > number and now - view.heard_at <= PEER_SILENCE_S
+        ]
+        if not ahead:
+            return None
+        self.pull_until = now + PULL_TIMEOUT_S
+        near = [peer for peer in ahead if self.peers[peer].zone == self.zone]
+        key = f"{self.instance}/{int(now / PULL_TIMEOUT_S)}"
+        return Pull(rank_members(key, near or ahead)[0], number)
+
+    def end_pull(self) -> None:
+        """Note that the pull under way was answered."""
+        self.pull_until = 0.0
+
+    def answer_pull(self, after: int, replica: ConfigurationReplica) -> Transfer:
+        """Return what a peer with a number is sent, within the byte allowance."""
+        return self.allowance.answer_pull(after, replica)
+
+    def _choose_remote_peers(self) -> list[str]:
+        zones = list(self.layout.by_zone)
+        turn = int(self.clock())
+        count = min(RELAY_ZONES_PER_HEARTBEAT, len(zones))
+        chosen = [zones[(turn * count + i) % len(zones)] for i in range(count)]
+        return [self._choose_remote_peer(zone, turn) for zone in chosen]
+
+    def _choose_remote_peer(self, zone: str, turn: int) -> str:
+        """Return a zone's relay, or one of its instances in turn to find it."""
+        members = self.layout.by_zone[zone]
+        return self.find_relay(zone) or members[turn % len(members)]
+
+    def _find_forward_peer(self) -> tuple[str, ...]:
+        """Return the zone member that this instance forwards tickets to."""
+        relay = self.find_relay(self.zone)
+        if relay is None:
+            return ()
+        members = (*self.layout.near, self.instance)
+        ranked = rank_members(relay, (peer for peer in members if peer != relay))
+        partner = ranked.index(self.instance) + -(-len(ranked) // 2)
+        return tuple(ranked[partner : partner + 1])
+
+    def _is_behind(self, peer: str, number: int) -> bool:
+        view = self.peers.get(peer)
+        return view is None or view.number < number
--- /dev/null
+++ b/src/sesameladder/planning/_survey.py
@@ -0,0 +1,107 @@
+"""One pass over a plan's rows that sorts them by what has to be done."""
+
+from dataclasses import dataclass, field
+from hashlib import blake2b
+
+from sesameladder.model import FleetState
+from sesameladder.planning._plan import RegionPlan, cell_key
+from sesameladder.planning._rows import Phase, VmRow
+from sesameladder.planning._settings import PlannerSettings
+
+
+@dataclass(slots=True)
+class Survey:
+    """Rows of a plan by what the planner has to do with them."""
+
+    transient: list[VmRow] = field(default_factory=list)
+    """Rows in any phase but serving."""
+
+    unnamed: list[VmRow] = field(default_factory=list)
+    """Serving rows that the configuration does not name any more."""
+
+    misplaced: list[VmRow] = field(default_factory=list)
+    """Serving rows whose pool is not the one that they should be in."""
+
+    missing: list[str] = field(default_factory=list)
+    """VMs of the configuration that have no row."""
+
+    members: dict[str, list[VmRow]] = field(default_factory=dict)
+    """Rows by pool; released rows are in none."""
+
+    cells: dict[str, tuple[str, str]] = field(default_factory=dict)
+    """Pool and zone of the cells that VMs are in or move to, by ``pool/zone``."""
+
+    destined: dict[str, list[VmRow]] = field(default_factory=dict)
+    """Named rows by the pool that they belong in, wherever they are now."""
+
+    lent: list[VmRow] = field(default_factory=list)
+    """Rows that a spare pool lent."""
+
+    maintenance: list[tuple[float, VmRow]] = field(default_factory=list)
+    """Due times of routine reboots with their serving rows, earliest first."""
+
+    @classmethod
+    def from_plan(
+        cls, plan: RegionPlan, state: FleetState, settings: PlannerSettings
+    ) -> "Survey":
+        """Sort the rows of a plan."""
+        survey = cls()
+        for row in plan.rows.values():
+            survey.add(row, state)
+            if row.phase is Phase.SERVING:
+                due_at = row.maintained_at + routine_interval(row.vm, settings)
+                survey.maintenance.append((due_at, row))
+        survey.maintenance.sort(key=lambda pair: (pair[0], pair[1].vm))
+        survey.missing = [vm for vm in state.vms if vm not in plan.rows]
+        places = {(row.pool, row.zone) for row in plan.rows.values()}
+        places |= {(row.target_pool, row.zone) for row in survey.transient}
+        places |= {(state.vms[vm].pool, state.vms[vm].zone) for vm in survey.missing}
+        survey.cells = {
+            cell_key(pool, zone): (pool, zone)
+            for pool, zone in sorted(
+                (pool, zone) for pool, zone in places if pool is not None
+            )
+        }
+        return survey
+
+    def add(self, row: VmRow, state: FleetState) -> None:
+        """Sort one row."""
+        if row.pool is not None:
+            self.members.setdefault(row.pool, []).append(row)
+        if row.lender is not None:
+            self.lent.append(row)
+        spec = state.vms.get(row.vm)
+        is_serving = row.phase is Phase.SERVING
+        if not is_serving:
+            self.transient.append(row)
+        if spec is not None and spec.zone == row.zone:
+            destination = destination_of(row, state)
+            self.destined.setdefault(destination, []).append(row)
+            if is_serving and destination != row.pool:
+                self.misplaced.append(row)
+        elif is_serving:
+            self.unnamed.append(row)
+
+
+def destination_of(row: VmRow, state: FleetState) -> str:
+    """Return the pool that a named VM belongs in, also while it is lent."""
+    configured = state.vms[row.vm].pool
+    if row.lender != configured or not state.pools[configured].spare:
+        return configured
+    borrower = row.target_pool or row.pool
+    return borrower if borrower in state.pools else configured
+
+
+def fraction_of(text: str) -> float:
+    """Return a number from 0 up to 1 that depends on a name only."""
+    digest = blake2b(text.encode(), digest_size=6).digest()
+    return int.from_bytes(digest, "big") / 2**48
+
+
+def routine_interval(vm: str, settings: PlannerSettings) -> float:
+    """Return the time between two routine reboots of a VM, in seconds.
+
+    It differs between VMs, so reboots spread out again after a wave.
+    """
+    width = settings.maintenance_max_s - settings.maintenance_min_s
+    return settings.maintenance_min_s + fraction_of(vm) * width
--- /dev/null
+++ b/src/sesameladder/settings/_reader.py
@@ -0,0 +1,85 @@
+"""Reads a settings file and converts it to a settings class."""
+
+import json
+import re
+from collections.abc import Callable, Iterable
+from functools import cache
+from pathlib import Path
+from typing import Any, TypeVar
+
+import json5
+from pydantic import TypeAdapter, ValidationError
+
+from sesameladder.settings._document import Document
+from sesameladder.settings._errors import SettingsInvalid, SettingsProblem
+from sesameladder.settings._type_errors import describe_type_error
+
+MAX_FILE_CHARACTERS = 4_000_000
+SYNTAX_ERROR = re.compile(r"^<string>:(\d+) (.*)$", re.DOTALL)
+SYNTAX_REMEDY = "give one JSON object; // and /* */ comments are allowed"
+
+Check = Callable[[Document], Iterable[SettingsProblem]]
+"""Finds the contradictions between values of a document."""
+
+T = TypeVar("T")
+
+
+def read_settings(kind: type[T], path: str | Path, check: Check) -> T:
+    """Return the settings in a file; raises SettingsInvalid with every problem."""
+    return parse_settings(kind, read_file(path), str(path), check)
+
+
+def parse_settings(kind: type[T], text: str, file: str, check: Check) -> T:
+    """Return the settings in a text; raises SettingsInvalid with every problem."""
+    document = Document(file, parse_text(text, file))
+    settings: T | None
+    settings, problems = _convert(kind, document)
+    problems = [*problems, *check(document)]
+    if settings is None or problems:
+        raise SettingsInvalid(problems)
+    return settings
+
+
+def read_file(path: str | Path) -> str:
+    """Return a file's text; raises SettingsInvalid when it can't be read."""
+    try:
+        return Path(path).read_text(encoding="utf-8")
+    except (OSError, ValueError) as error:
+        message = f"can't be read: {error}"
+        problem = SettingsProblem(str(path), "", "", message, "name a UTF-8 file")
+        raise SettingsInvalid([problem]) from error
+
+
+def parse_text(text: str, file: str) -> Any:
+    """Return the value of a JSON-with-comments text; raises SettingsInvalid."""
+    try:
+        if len(text) > MAX_FILE_CHARACTERS:
+            raise ValueError(f"has over {MAX_FILE_CHARACTERS} characters")
+        value = json5.loads(text, allow_duplicate_keys=False)
+        json.dumps(value)
+    except (ValueError, RecursionError) as error:
+        raise SettingsInvalid([_describe_syntax_error(error, file)]) from error
+    return value
+
+
+def _convert(kind: Any, document: Document) -> tuple[Any, list[SettingsProblem]]:
+    """Return the settings, or None and the problems of their types."""
+    try:
+        return _find_adapter(kind).validate_json(json.dumps(document.root)), []
+    except ValidationError as error:
+        errors = error.errors(include_url=False)
+    return None, [describe_type_error(document, kind, error) for error in errors]
+
+
+@cache
+def _find_adapter(kind: Any) -> TypeAdapter[Any]:
+    """Return the type check of a settings class, which is costly to build."""
+    return TypeAdapter(kind)
+
+
+def _describe_syntax_error(error: Exception, file: str) -> SettingsProblem:
+    match = SYNTAX_ERROR.match(str(error))
+    line = int(match[1]) if match else None
+    detail = match[2] if match else str(error)
+    message = f"is not JSON with comments: {detail}"
+    return SettingsProblem(file, "", "", message, SYNTAX_REMEDY, line)
--- /dev/null
+++ b/src/sesameladder/standins/platform/_vm_list.py
@@ -0,0 +1,190 @@
+"""The lagging VM list, filled by probing each VM, and the VM actions."""
+
+import threading
+from collections import deque
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass, field
+from http.client import HTTPConnection, HTTPException
+
+from pydantic import TypeAdapter, ValidationError
+from urllib3 import PoolManager, Retry, Timeout
+from urllib3.exceptions import HTTPError
+
+from sesameladder.platform import VmState
+from sesameladder.settings import PlatformStandinSettings, VmRow
+from sesameladder.standins._clock import Clock
+from sesameladder.standins._http import RequestRefused
+from sesameladder.standins.platform._faults import UNREACHABLE, FaultSwitch
+
+PROBE_TIMEOUT_S = 1.0
+CLOSE = {"Connection": "close"}
+HISTORY_LENGTH = 64
+PROBE_THREADS = 8
+
+ROWS: TypeAdapter[list[VmRow]] = TypeAdapter(list[VmRow])
+
+
+@dataclass(slots=True)
+class ListedVm:
+    """A VM with the recent history of its observed states."""
+
+    row: VmRow
+    """Name, zone, address and kind."""
+
+    history: deque[tuple[float, float, VmState]] = field(
+        default_factory=lambda: deque(maxlen=HISTORY_LENGTH)
+    )
+    """Clock time, epoch time and state of each change, oldest first."""
+
+    answered: bool = False
+    """Whether the VM has answered a probe since it was registered."""
+
+    def observe(self, now: float, epoch: float, state: VmState) -> None:
+        """Note the state that a probe found.
+
+        A VM whose process has not started yet is live, so a refused connection
+        counts only after the first answer.
+        """
+        if state is VmState.GONE and not self.answered:
+            return
+        self.answered = True
+        if not self.history or self.history[-1][2] is not state:
+            self.history.append((now, epoch, state))
+
+    def show(self, at: float) -> tuple[float, VmState]:
+        """Return the last change up to a time, as epoch time and state."""
+        shown = self.history[0]
+        for change in self.history:
+            if change[0] <= at:
+                shown = change
+        return shown[1], shown[2]
+
+
+class VmList:
+    """Probes the registered VMs and shows their states after the lag."""
+
+    __slots__ = (
+        "clock",
+        "executor",
+        "faults",
+        "http",
+        "lock",
+        "probing",
+        "settings",
+        "stopped",
+        "thread",
+        "vms",
+    )
+
+    def __init__(
+        self, settings: PlatformStandinSettings, clock: Clock, faults: FaultSwitch
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.faults = faults
+        self.lock = threading.Lock()
+        self.probing = threading.Lock()
+        self.vms: dict[str, ListedVm] = {}
+        self.stopped = threading.Event()
+        self.thread = threading.Thread(target=self._probe_always, daemon=True)
+        self.executor = ThreadPoolExecutor(PROBE_THREADS)
+        timeout = Timeout(connect=PROBE_TIMEOUT_S, read=PROBE_TIMEOUT_S)
+        self.http = PoolManager(timeout=timeout, retries=Retry(0))
+        self.add(settings.vms)
+
+    def start(self) -> None:
+        """Start probing."""
+        self.thread.start()
+
+    def stop(self) -> None:
+        """Stop probing."""
+        self.stopped.set()
+        self.thread.join()
+        self.executor.shutdown()
+
+    def add(self, rows: tuple[VmRow, ...] | list[VmRow]) -> None:
+        """Register VMs, or replace those of the same name."""
+        with self.lock:
+            for row in rows:
+                vm = ListedVm(row)
+                registered = (self.clock.now(), self.clock.epoch(), VmState.LIVE)
+                vm.history.append(registered)
+                self.vms[row.name] = vm
+
+    def add_from_json(self, body: bytes) -> None:
+        """Register the VMs of a ``POST /vms`` body, a list of rows."""
+        try:
+            rows = ROWS.validate_json(body, strict=True)
+        except ValidationError as error:
+            raise RequestRefused(str(error)) from error
+        self.add(rows)
+
+    def list_rows(self) -> list[dict[str, object]]:
+        """Return the lagging list as JSON rows, by name."""
+        at = self.clock.now() - self.settings.vm_list_lag_ms / 1000
+        with self.lock:
+            vms = sorted(self.vms.values(), key=lambda vm: vm.row.name)
+            return [_encode_vm(vm, at) for vm in vms]
+
+    def act(self, name: str, action: str) -> None:
+        """Pass a drain or reboot to the VM."""
+        with self.lock:
+            vm = self.vms.get(name)
+        if vm is None:
+            raise RequestRefused(f"no such VM: {name[:200]}", 404)
+        if vm.row.kind == "entry":
+            raise RequestRefused(f"VM {name} is an entry VM")
+        if not self._is_reachable(vm):
+            raise RequestRefused(f"VM {name} is in a zone that is cut off", 502)
+        try:
+            self.http.request(
+                "POST", f"http://{vm.row.address}/-/{action}", headers=CLOSE
+            )
+        except HTTPError as error:
+            raise RequestRefused(f"VM {name} did not answer: {error}", 502) from error
+
+    def probe_all(self) -> None:
+        """Probe every VM once, except those of zones that are cut off."""
+        with self.probing:
+            with self.lock:
+                vms = [vm for vm in self.vms.values() if self._is_reachable(vm)]
+            states = list(self.executor.map(self._probe, [vm.row for vm in vms]))
+            self._observe(vms, states)
+
+    def _observe(self, vms: list[ListedVm], states: list[VmState | None]) -> None:
+        now, epoch = self.clock.now(), self.clock.epoch()
+        with self.lock:
+            for vm, state in zip(vms, states, strict=True):
+                if state is not None:
+                    vm.observe(now, epoch, state)
+
+    def _is_reachable(self, vm: ListedVm) -> bool:
+        return self.faults.find(vm.row.zone).mode not in UNREACHABLE
+
+    def _probe_always(self) -> None:
+        while not self.stopped.wait(self.settings.probe_interval_ms / 1000):
+            self.probe_all()
+
+    def _probe(self, row: VmRow) -> VmState | None:
+        """Return the state of a VM; None when a paused process hides it."""
+        connection = HTTPConnection(row.address, timeout=PROBE_TIMEOUT_S)
+        try:
+            connection.request("GET", "/-/health", headers=CLOSE)
+            healthy = connection.getresponse().status == 200
+        except ConnectionRefusedError:
+            return VmState.GONE
+        except (OSError, HTTPException):
+            return None
+        finally:
+            connection.close()
+        return VmState.LIVE if healthy else VmState.LEAVING
+
+
+def _encode_vm(vm: ListedVm, at: float) -> dict[str, object]:
+    changed_at, state = vm.show(at)
+    return {
+        "name": vm.row.name,
+        "zone": vm.row.zone,
+        "state": state.value,
+        "changed_at": changed_at,
+    }
--- /dev/null
+++ b/src/sesameladder/standins/upstream/_worker.py
@@ -0,0 +1,269 @@
+"""The worker behind an upstream: slots, tasks, faults, leaving and reboots."""
+
+import random
+import threading
+from collections import deque
+from collections.abc import Callable
+from dataclasses import replace
+
+from sesameladder.standins._clock import Clock
+from sesameladder.standins.upstream._faults import Fault, FaultMode
+from sesameladder.standins.upstream._records import (
+    Ran,
+    Refusal,
+    WorkerCounters,
+    WorkerState,
+    WorkRequest,
+)
+from sesameladder.standins.upstream._task import Task, TaskEnd
+
+LEAVING_GRACE_S = 3.0
+"""Time after which new work for a leaving upstream breaks promise P6, in seconds."""
+
+LOST_ANSWER_HOLD_S = 60.0
+HANG_S = 1e9
+
+
+class Worker:
+    """Runs tasks; safe to share by threads."""
+
+    __slots__ = (
+        "clock",
+        "condition",
+        "counters",
+        "ended",
+        "fault",
+        "generation",
+        "leaving_since",
+        "random",
+        "reboot_end",
+        "report_lag_s",
+        "slots",
+        "tasks",
+    )
+
+    def __init__(
+        self, slots: int, report_lag_s: float, clock: Clock, chance: random.Random
+    ) -> None:
+        self.slots = slots
+        self.report_lag_s = report_lag_s
+        self.clock = clock
+        self.random = chance
+        self.condition = threading.Condition()
+        self.counters = WorkerCounters()
+        self.fault = Fault()
+        self.generation = 0
+        self.leaving_since: float | None = None
+        self.reboot_end: float | None = None
+        self.tasks: dict[str, Task] = {}
+        self.ended: deque[Task] = deque()
+
+    @property
+    def state(self) -> WorkerState:
+        """Whether the worker accepts work."""
+        with self.condition:
+            self._end_reboot()
+            if self.reboot_end is not None:
+                return WorkerState.REBOOTING
+            if self.leaving_since is not None:
+                return WorkerState.LEAVING
+            return WorkerState.SERVING
+
+    def run(self, request: WorkRequest) -> Ran | Refusal:
+        """Run a piece of work to its end, or refuse it."""
+        with self.condition:
+            refusal = self._find_refusal(request.task_id)
+            if refusal is not None:
+                self.counters.refused[refusal] += 1
+                return refusal
+            generation = self.generation
+            fault = self._draw_fault()
+            task = self._start(request, fault)
+            self._wait_for_end(task)
+            return Ran(task, fault.mode, generation)
+
+    def hold_answer(self, ran: Ran) -> None:
+        """Wait until the faults are set anew, or for the longest hold."""
+        end = self.clock.now() + LOST_ANSWER_HOLD_S
+        with self.condition:
+            while self.generation == ran.generation and self.clock.now() < end:
+                self.clock.wait_until(self.condition, end)
+
+    def renew(self, task_id: str, lease_s: float) -> bool:
+        """Extend a task's lease; False when the task does not run."""
+
+        def extend(task: Task) -> None:
+            task.lease_end = max(task.lease_end, self.clock.now() + lease_s)
+
+        return self._change(task_id, extend)
+
+    def checkpoint(self, task_id: str) -> bool:
+        """End a task with a checkpoint."""
+        return self._end(task_id, TaskEnd.CHECKPOINTED)
+
+    def stop(self, task_id: str) -> bool:
+        """Stop a task."""
+        return self._end(task_id, TaskEnd.STOPPED)
+
+    def throttle(self, task_id: str, share: float) -> bool:
+        """Slow a task down to a share of its slot."""
+
+        def limit(task: Task) -> None:
+            task.share = share
+
+        return self._change(task_id, limit)
+
+    def drain(self) -> None:
+        """Accept no new work; running tasks end normally."""
+        with self.condition:
+            if self.leaving_since is None:
+                self.leaving_since = self.clock.now()
+
+    def reboot(self, seconds: float) -> None:
+        """Cut the running tasks and refuse work for a time, then serve again."""
+        with self.condition:
+            if self.state is WorkerState.REBOOTING:
+                return
+            self._cut_tasks()
+            now = self.clock.now()
+            self.reboot_end = now + seconds
+            if self.leaving_since is None:
+                self.leaving_since = now
+            self._start_generation()
+
+    def set_fault(self, fault: Fault) -> None:
+        """Replace the fault mode; ends held answers."""
+        with self.condition:
+            self.fault = fault
+            self._start_generation()
+
+    def shut_down(self) -> None:
+        """Cut everything that runs or waits."""
+        with self.condition:
+            self._cut_tasks()
+            self._start_generation()
+
+    def list_tasks(self) -> list[dict[str, object]]:
+        """Return the tasks that ran one report lag ago as JSON rows."""
+        with self.condition:
+            at = self.clock.now() - self.report_lag_s
+            self._forget_ended(at)
+            tasks = [*self.tasks.values(), *self.ended]
+            return [
+                task.describe(at)
+                for task in tasks
+                if task.started_at <= at < task.ended_at
+            ]
+
+    def await_running(self, count: int) -> None:
+        """Return once at least a number of tasks run; for tests."""
+        with self.condition:
+            self.condition.wait_for(lambda: len(self.tasks) >= count)
+
+    def await_ended(self, end: TaskEnd, count: int) -> None:
+        """Return once at least a number of tasks ended for a reason; for tests."""
+        with self.condition:
+            self.condition.wait_for(lambda: self.counters.ends[end] >= count)
+
+    def read_counters(self) -> dict[str, object]:
+        """Return a copy of the counters as a JSON object."""
+        with self.condition:
+            return self.counters.to_json()
+
+    def _start_generation(self) -> None:
+        """End held answers and wake all tasks."""
+        self.generation += 1
+        self.condition.notify_all()
+
+    def _end_reboot(self) -> None:
+        if self.reboot_end is not None and self.clock.now() >= self.reboot_end:
+            self.reboot_end = None
+            self.leaving_since = None
+
+    def _find_refusal(self, task_id: str) -> Refusal | None:
+        if self.state is not WorkerState.SERVING:
+            since = self.leaving_since
+            if since is not None and self.clock.now() - since > LEAVING_GRACE_S:
+                self.counters.late_attempts += 1
+            return Refusal.LEAVING
+        if len(self.tasks) >= self.slots:
+            return Refusal.FULL
+        if task_id in self.tasks:
+            return Refusal.DUPLICATE
+        return None
+
+    def _draw_fault(self) -> Fault:
+        fault = self.fault
+        if fault.mode is FaultMode.NONE or self.random.random() >= fault.probability:
+            return Fault()
+        if fault.count is not None:
+            left = fault.count - 1
+            self.fault = replace(fault, count=left) if left else Fault()
+        return fault
+
+    def _start(self, request: WorkRequest, fault: Fault) -> Task:
+        now = self.clock.now()
+        work_s = request.resume.work_left_s if request.resume else request.work_s
+        if fault.mode is FaultMode.HANG:
+            work_s = HANG_S
+        if fault.mode is FaultMode.FAIL:
+            work_s = 0.0
+        if fault.mode is FaultMode.SLOW:
+            work_s *= fault.factor
+        task = Task(request.task_id, now, now + request.lease_s, work_s, now)
+        self._count_start(request)
+        self.tasks[request.task_id] = task
+        self.condition.notify_all()
+        self.counters.peak_slots = max(self.counters.peak_slots, len(self.tasks))
+        return task
+
+    def _count_start(self, request: WorkRequest) -> None:
+        if self.leaving_since is not None:
+            self.counters.work_after_leaving += 1
+        if request.resume is not None:
+            self.counters.resumes[request.resume.checkpoint_id] += 1
+            return
+        self.counters.runs_by_request[request.request_id] += 1
+        if request.key is not None:
+            self.counters.runs_by_key[request.key] += 1
+
+    def _wait_for_end(self, task: Task) -> None:
+        task.advance(self.clock.now())
+        while task.end is None:
+            self.clock.wait_until(self.condition, task.next_event())
+            task.advance(self.clock.now())
+        del self.tasks[task.task_id]
+        self.ended.append(task)
+        self._forget_ended(self.clock.now() - self.report_lag_s)
+        self.counters.ends[task.end] += 1
+        self.condition.notify_all()
+
+    def _forget_ended(self, at: float) -> None:
+        while self.ended and self.ended[0].ended_at <= at:
+            self.ended.popleft()
+
+    def _cut_tasks(self) -> None:
+        now = self.clock.now()
+        for task in self.tasks.values():
+            task.advance(now)
+            if task.end is None:
+                task.finish(TaskEnd.CUT, now)
+                self.counters.cut_requests += 1
+
+    def _end(self, task_id: str, end: TaskEnd) -> bool:
+        def mark(task: Task) -> None:
+            task.finish(end, self.clock.now())
+
+        return self._change(task_id, mark)
+
+    def _change(self, task_id: str, change: Callable[[Task], None]) -> bool:
+        with self.condition:
+            task = self.tasks.get(task_id)
+            if task is None:
+                return False
+            task.advance(self.clock.now())
+            if task.end is not None:
+                return False
+            change(task)
+            self.condition.notify_all()
+            return True
