--- a/src/sesameladder/idempotency/__init__.py
+++ b/src/sesameladder/idempotency/__init__.py
@@ -81,6 +81,7 @@
     NeverStarted,
     NotWitness,
     Started,
+    WitnessState,
     WitnessTable,
     WitnessVerdict,
 )
@@ -139,6 +140,7 @@
     "UnknownReason",
     "WaitForRun",
     "WitnessAnswered",
+    "WitnessState",
     "WitnessTable",
     "WitnessUnreachable",
     "WitnessVerdict",
--- a/src/sesameladder/idempotency/_claims.py
+++ b/src/sesameladder/idempotency/_claims.py
@@ -126,7 +126,7 @@
             if entry is None and _too_old(first_attempt_age):
                 return BindRefused(False, UnknownReason.KEY_TOO_OLD)
             entry = entry or self._create(path, token, now)
-            return Bound(Token.from_text(entry.value.decode()), _is(entry, token))
+            return Bound(Token.from_text(entry.value.decode()), _names(entry, token))
         except _ClaimRateExceeded:
             return BindRefused(first_attempt, NotRunReason.CLAIM_RATE)
         except (TokenMalformed, UnicodeDecodeError):
@@ -141,21 +141,23 @@
         is read back as absent. Writing again is harmless: the second write
         then conflicts with this call's own, unique value.
         """
+        value = token.to_text().encode()
         for _ in range(CLAIM_TRIES):
             try:
-                entry = self._try_create(path, token.to_text().encode(), now)
+                entry = self._try_create(path, value, now)
             except StoreAnswerLost:
                 entry = self._store.get(path)
-            except StoreRefused:
-                self._drop_lease()
-                continue
             if entry is not None:
                 return entry
         raise StoreUnavailable("a claim was neither written nor read")
 
     def _try_create(self, path: str, value: bytes, now: float) -> StoreEntry | None:
         lease = self._lease_for(now)
-        outcome = self._store.compare_and_swap(path, 0, value, lease)
+        try:
+            outcome = self._store.compare_and_swap(path, 0, value, lease)
+        except StoreRefused:
+            self._drop_lease(lease)
+            return None
         if isinstance(outcome, Swapped):
             return StoreEntry(path, value, outcome.revision)
         return outcome.current
@@ -171,9 +173,11 @@
                 self._lease_granted_at = now
             return self._lease
 
-    def _drop_lease(self) -> None:
+    def _drop_lease(self, lease: int) -> None:
+        """Forget a lease that the store no longer knows."""
         with self._lock:
-            self._lease = None
+            if self._lease == lease:
+                self._lease = None
 
 
 class _ClaimRateExceeded(Exception):
@@ -184,5 +188,5 @@
     return first_attempt_age is not None and first_attempt_age >= KEY_LIFETIME_SECONDS
 
 
-def _is(entry: StoreEntry, token: Token) -> bool:
+def _names(entry: StoreEntry, token: Token) -> bool:
     return entry.value == token.to_text().encode()
--- a/src/sesameladder/specification/tests/test_protocols.py
+++ b/src/sesameladder/specification/tests/test_protocols.py
@@ -71,7 +71,7 @@
     """Replaces its state by any snapshot."""
 
     def offer_snapshot(self, number, state_bytes):
-        self._replace(decode_state(state_bytes), state_bytes)
+        self.state = decode_state(state_bytes)
 
 
 class SkipsNumbers(ConfigurationReplica):
