Report silent owners of cells and leave other regions' VMs alone

Cause: a cell whose owner neither reports nor is listed as gone stayed without a dispatcher and nobody was told; a planner that was given the whole configuration would have written rows for the VMs of every region. Change: an alarm after 60 s; the planner takes only the VMs of zones that its settings name, and refuses the plan of another region. Conclusion: a lost owner reaches the operators, and regions do not overlap.

--- a/src/sesameladder/planning/_basis.py
+++ b/src/sesameladder/planning/_basis.py
@@ -63,14 +63,23 @@
     place, and a configuration by its number.
     """
 
-    __slots__ = ("availability", "number", "rows", "survey")
+    __slots__ = ("availability", "limited", "number", "rows", "survey")
 
     def __init__(self) -> None:
         self.rows: dict[str, VmRow] | None = None
         self.number = 0
+        self.limited: FleetState | None = None
         self.survey = Survey()
         self.availability = Availability(frozenset(), {})
 
+    def limit_state(self, state: FleetState, zones: Set[str]) -> FleetState:
+        """Return a configuration without the VMs of other regions' zones."""
+        if self.limited is None or self.limited.number != state.number:
+            vms = {name: vm for name, vm in state.vms.items() if vm.zone in zones}
+            is_whole = not zones or len(vms) == len(state.vms)
+            self.limited = state if is_whole else replace(state, vms=vms)
+        return self.limited
+
     def find_survey(
         self, plan: RegionPlan, state: FleetState, settings: PlannerSettings
     ) -> Survey:
--- a/src/sesameladder/planning/_cells.py
+++ b/src/sesameladder/planning/_cells.py
@@ -54,6 +54,32 @@
         step.draft.cells.assign(row.pool, row.zone, instance, step.gone)
 
 
+def report_silent_owners(step: PlannerStep) -> None:
+    """Report entry instances whose cells stay without a dispatcher.
+
+    Without the platform's word that the instance is gone, its cells can't be
+    given to another one, so the operators have to find out.
+    """
+    silent: set[str] = set()
+    for key, row in step.draft.base.dispatchers.items():
+        report = step.observation.cells.get(key)
+        if report is None or not report.alive:
+            silent.add(row.instance)
+    since = step.memory.silent_since
+    for instance in [name for name in since if name not in silent]:
+        del since[instance]
+        step.clear_alarm("owner_silent", instance)
+    for instance in sorted(silent):
+        start = since.setdefault(instance, step.now)
+        if step.now - start >= step.settings.silent_alarm_s:
+            step.raise_alarm(
+                "owner_silent",
+                instance,
+                f"entry instance {instance} owns cells and has not reported for"
+                f" {step.settings.silent_alarm_s:g} s",
+            )
+
+
 def _drop_unused(step: PlannerStep) -> None:
     """Remove cells of pools that are neither configured nor hold a VM."""
     pools = step.draft.situation.state.pools
--- a/src/sesameladder/planning/_observation.py
+++ b/src/sesameladder/planning/_observation.py
@@ -49,7 +49,7 @@
     """Time in seconds since the Unix epoch."""
 
     configuration: FleetState
-    """Configuration in effect, limited to the planner's region."""
+    """Configuration in effect; its number identifies its contents."""
 
     vms: list[VmStatus] = field(default_factory=list)
     """Rows of the platform's VM list; entry VMs are named like instances."""
--- a/src/sesameladder/planning/_planner.py
+++ b/src/sesameladder/planning/_planner.py
@@ -4,7 +4,7 @@
 
 from sesameladder.planning._actions import Action, WritePlan
 from sesameladder.planning._basis import BasisCache
-from sesameladder.planning._cells import assign_cells
+from sesameladder.planning._cells import assign_cells, report_silent_owners
 from sesameladder.planning._draft import PlanDraft
 from sesameladder.planning._draft_rows import Situation
 from sesameladder.planning._estimates import StopEstimates
@@ -36,6 +36,7 @@
     start_waves,
     start_routine,
     assign_cells,
+    report_silent_owners,
 )
 
 
@@ -63,8 +64,11 @@
         """Return the actions that follow from a plan that stands in the store.
 
         The list is empty when the plan has a higher fence or a newer
-        configuration. All row changes are in one ``WritePlan``.
+        configuration. All row changes are in one ``WritePlan``. Raises
+        ``ValueError`` for the plan of another region.
         """
+        if plan.region != self.region:
+            raise ValueError(f"plan of {plan.region} given to planner of {self.region}")
         observation.now = now
         step = self._begin(observation, plan)
         if step.draft.check_writer() is not None:
@@ -76,7 +80,9 @@
         return step.actions
 
     def _begin(self, observation: Observation, plan: RegionPlan) -> PlannerStep:
-        state = observation.configuration
+        state = self.basis.limit_state(
+            observation.configuration, self.settings.instances.keys()
+        )
         survey = self.basis.find_survey(plan, state, self.settings)
         gone, absent = _find_absent(observation, plan)
         down = absent | observation.suspected | _find_dark(observation, survey)
--- a/src/sesameladder/planning/_settings.py
+++ b/src/sesameladder/planning/_settings.py
@@ -10,7 +10,11 @@
     """Times and limits of the planner; all times are in seconds."""
 
     instances: dict[str, tuple[str, ...]] = field(default_factory=dict)
-    """Configured entry instances by zone."""
+    """Configured entry instances by zone of the region.
+
+    VMs of other zones are left to other planners; an empty dictionary means
+    that every zone belongs to the region.
+    """
 
     quiet_hours_utc: tuple[int, int] | None = None
     """First and last-but-one hour of routine maintenance; None means any hour."""
@@ -33,6 +37,9 @@
     failure_alarm_s: float = 900.0
     """Time after which a VM that stays failed is reported."""
 
+    silent_alarm_s: float = 60.0
+    """Time after which an owner of cells that does not report is reported."""
+
     stop_retry_s: float = 60.0
     """Time until an abandoned stop is retried; doubles with each repetition."""
 
--- a/src/sesameladder/planning/_step.py
+++ b/src/sesameladder/planning/_step.py
@@ -50,6 +50,9 @@
     demand_at: float = 0.0
     """Time of the last demand reports."""
 
+    silent_since: dict[str, float] = field(default_factory=dict)
+    """Time since when an owner of cells does not report, by instance."""
+
     short_since: dict[str, float] = field(default_factory=dict)
     """Time since when a pool lacks VMs."""
 
--- a/src/sesameladder/planning/tests/test_policies.py
+++ b/src/sesameladder/planning/tests/test_policies.py
@@ -6,8 +6,16 @@
 import pytest
 
 from sesameladder.measure._planning_driver import start_driver
-from sesameladder.measure._planning_fleet import build_fleet, wave_over
-from sesameladder.planning import Phase, PlanRefusal, RefusalReason
+from sesameladder.measure._planning_fleet import build_fleet, entry_names, wave_over
+from sesameladder.measure._planning_region import FakeRegion
+from sesameladder.planning import (
+    Phase,
+    Planner,
+    PlannerSettings,
+    PlanRefusal,
+    RefusalReason,
+    RegionPlan,
+)
 from sesameladder.planning._cell_table import CellTable
 from sesameladder.planning._estimates import DurationEstimate
 
@@ -126,6 +134,33 @@
     assert all(row.previous is None for row in rows)
 
 
+def test_silent_owner_is_reported():
+    """Guards against cells that stay without a dispatcher unnoticed."""
+    driver = start_driver(build_fleet(30, 5), Random(1))
+    driver.region.cut = {"z1"}
+    driver.run(50.0)
+    assert "owner_silent" not in {alarm.kind for alarm in driver.region.alarms}
+    driver.run(50.0)
+    silent = [alarm for alarm in driver.region.alarms if alarm.kind == "owner_silent"]
+    owners = driver.plan.dispatchers.values()
+    assert {alarm.subject for alarm in silent} == {
+        row.instance for row in owners if row.zone == "z1"
+    }
+
+
+def test_vms_of_other_regions_are_left_alone():
+    """Guards against two planners that each write rows of the same VM."""
+    state = build_fleet(30, 5)
+    settings = PlannerSettings(instances={"z1": ("z1-e0",)})
+    planner = Planner("north", 1, settings)
+    region = FakeRegion(state, Random(1), entry_names(state))
+    plan = RegionPlan.empty("north")
+    actions = planner.step(region.observe(plan), plan, region.now)
+    assert {row.zone for row in actions[-1].plan.rows.values()} == {"z1"}
+    with pytest.raises(ValueError):
+        planner.step(region.observe(plan), RegionPlan.empty("south"), region.now)
+
+
 def test_one_outlier_does_not_stop_a_wave():
     """Guards against deadlines judged by the worst stop that was ever seen."""
     estimate = DurationEstimate(100.0)
