Simplify the fake region's check of budgets

Cause: a chained comparison hid which rows are checked. Change: the condition names the two phases; the check is the same. Conclusion: the check can be read without knowing the chaining of operators.

--- a/src/sesameladder/measure/_planning_region.py
+++ b/src/sesameladder/measure/_planning_region.py
@@ -315,12 +315,13 @@
             self.violations.append(f"plan version {plan.version} does not follow")
         for row in plan.rows.values():
             old = last.rows.get(row.vm)
-            if old is not None and old.phase is Phase.SERVING != row.phase:
+            was_serving = old is not None and old.phase is Phase.SERVING
+            if was_serving and row.phase is Phase.LEAVING:
                 self._check_budget(plan, row)
 
     def _check_budget(self, plan: RegionPlan, row: VmRow) -> None:
         budget = self.state.budgets.get(row.pool or "")
-        if row.phase is not Phase.LEAVING or budget is None:
+        if budget is None:
             return
         available = sum(
             other.pool == row.pool
