Run the planner through its session and spare the store

Cause: the entry process repeated the planner's loop; an AskCheckpoint was only logged; standby instances read two role keys twice a second each, 720 reads a second at 180 instances. Change: the planner task uses PlannerSession; stragglers on a leaving VM are checkpointed through their dispatcher; a cell's owner's report goes before any other; roles are asked for only when no relay is heard, or every 1.5 to 3 s for the planner.

--- a/src/sesameladder/entry/_cell_runtime.py
+++ b/src/sesameladder/entry/_cell_runtime.py
@@ -155,6 +155,12 @@
         if granted is not None:
             self.release(granted.grant_id, GrantOutcome(OutcomeKind.UNUSED), now)
 
+    def checkpoint_vm(self, vm: str) -> None:
+        """Order the forwarders to checkpoint what can be on a leaving VM."""
+        for grant in self.dispatcher.outstanding_grants():
+            if grant.vm == vm and grant.checkpointable:
+                self._send_order(Preempt(grant.grant_id, vm))
+
     def advance(self, now: float) -> None:
         """Carry out due decisions and answer polls that have waited."""
         for decision in self.dispatcher.poll(now):
--- a/src/sesameladder/entry/_dispatch_task.py
+++ b/src/sesameladder/entry/_dispatch_task.py
@@ -26,6 +26,7 @@
     CellQuery,
     CellReport,
     CellReports,
+    CheckpointRequest,
     DemandCancel,
     Failure,
     GrantAnswer,
@@ -258,6 +259,13 @@
         self.unconfirmed.discard(key)
         reply(HandOverAnswer(True))
 
+    @_receive_from_peer.register
+    def _(self, message: CheckpointRequest, sender: PeerIdentity, reply: Reply) -> None:
+        del sender, reply
+        cell = self.cells.get(cell_key(message.pool, message.zone))
+        if cell is not None:
+            cell.checkpoint_vm(message.vm)
+
     @_receive_from_peer.register
     def _(self, message: CellQuery, sender: PeerIdentity, reply: Reply) -> None:
         del message, sender
@@ -271,8 +279,15 @@
     def _report(self, key: str, cell: CellRuntime) -> CellReport:
         workers = cell.dispatcher.cell.workers.by_vm
         suspected = cell.dispatcher.cell.outliers.ejected
+        movable = {
+            grant.vm
+            for grant in cell.dispatcher.outstanding_grants()
+            if grant.checkpointable
+        }
         vms = tuple(
-            VmGrants(vm, cell.dispatcher.outstanding(vm), vm in suspected)
+            VmGrants(
+                vm, cell.dispatcher.outstanding(vm), vm in suspected, vm in movable
+            )
             for vm in sorted(workers)
         )
         return CellReport(
--- a/src/sesameladder/entry/_planner_task.py
+++ b/src/sesameladder/entry/_planner_task.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterable, Set
 from concurrent.futures import Future, ThreadPoolExecutor, wait
 from functools import singledispatchmethod
+from random import Random
 from threading import Event, Thread
 from time import time
 
@@ -15,6 +16,7 @@
     CellQuery,
     CellReport,
     CellReports,
+    CheckpointRequest,
     PeeringError,
     Peers,
 )
@@ -25,17 +27,11 @@
     HealthResult,
     Observation,
     PlanMalformed,
-    Planner,
+    PlannerSession,
     PlannerSettings,
-    PlanStore,
-    PlanStoreError,
-    PlanSuperseded,
-    PlanWritten,
     RaiseAlarm,
     RebootVm,
-    RoleLease,
-    StoredPlan,
-    WritePlan,
+    RegionPlan,
     cell_key,
 )
 from sesameladder.planning import CellReport as PlannerCellReport
@@ -47,6 +43,8 @@
 )
 
 STEP_SECONDS = 0.5
+# Bounds the reads of standby instances; a vacant role is taken within 3 s.
+STANDBY_SECONDS = 3.0
 QUERY_TIMEOUT_S = 0.5
 CALL_THREADS = 8
 
@@ -62,16 +60,14 @@
         "configuration",
         "executor",
         "health",
-        "lease",
+        "held",
         "membership",
         "peers",
-        "plan_store",
-        "planner",
         "platform",
-        "region",
-        "role_key",
+        "published",
+        "random",
+        "session",
         "stopping",
-        "stored",
         "tasks",
         "view",
         "zones",
@@ -87,6 +83,7 @@
         tasks: WorkerTasks,
         zones: tuple[str, ...],
         now: Callable[[], float],
+        random: Random,
     ) -> None:
         self.peers = peers
         self.view = view
@@ -94,13 +91,18 @@
         self.membership = membership
         self.platform = platform
         self.tasks = tasks
-        self.region = view.region
         self.zones = zones
-        self.role_key = f"roles/planner/{view.region}"
-        self.lease = RoleLease(platform, self.role_key, peers.identity.instance, now)
-        self.plan_store = PlanStore(platform, view.region)
-        self.planner: Planner | None = None
-        self.stored: StoredPlan | None = None
+        self.random = random
+        self.session = PlannerSession(
+            platform,
+            view.region,
+            peers.identity.instance,
+            now,
+            PlannerSettings(instances=self._list_configured()),
+            time,
+        )
+        self.held = False
+        self.published = 0
         self.health: dict[str, HealthResult] = {}
         self.accepted_reboots: dict[str, float] = {}
         self.alarms: dict[tuple[str, str], str] = {}
@@ -114,14 +116,14 @@
     def stop(self) -> None:
         """Give the role up and end the task."""
         self.stopping.set()
-        self.lease.release()
+        self.session.role.release()
         self.executor.shutdown(wait=False, cancel_futures=True)
 
     def dump(self) -> dict[str, object]:
         """Return role, fence and alarms as JSON-ready data."""
         return {
-            "held": self.planner is not None,
-            "fence": self.lease.fence,
+            "held": self.held,
+            "fence": self.session.role.fence,
             "alarms": [
                 {"kind": kind, "subject": subject, "text": text}
                 for (kind, subject), text in list(self.alarms.items())
@@ -129,51 +131,47 @@
         }
 
     def _run(self) -> None:
-        while not self.stopping.wait(STEP_SECONDS):
+        while not self.stopping.wait(STEP_SECONDS if self.held else self._standby()):
             try:
                 self._step()
-            except (PlanStoreError, PlanMalformed, PlatformError) as error:
-                self.stored = None
+            except (PlanMalformed, PlatformError) as error:
                 log_event(
                     logger, logging.INFO, "planner_step_put_off", reason=str(error)
                 )
             except Exception:
-                self.stored = None
                 logger.exception(
                     "planner step failed", extra={"event": "planner_error"}
                 )
 
+    def _standby(self) -> float:
+        """Return the time in seconds until an instance asks for the role again."""
+        return STANDBY_SECONDS * self.random.uniform(0.5, 1.0)
+
     def _step(self) -> None:
-        if not self._hold_role() or self.planner is None:
-            return
         if self.view.state.number == 0 or self.membership.draining:
             return
-        if self.stored is None:
-            self.stored = self.plan_store.read()
-            self.configuration.post(PlanRead(self.stored.plan.to_bytes()))
-        observation = self._observe()
-        for action in self.planner.step(observation, self.stored.plan, time()):
-            if self.lease.lost:
-                return
-            self._carry_out(action)
-
-    def _hold_role(self) -> bool:
-        if self.lease.renew():
-            return True
-        if self.planner is not None:
-            log_event(logger, logging.INFO, "planner_role_lost")
-        self.planner = None
-        self.stored = None
-        if self.membership.draining or self.platform.get(self.role_key) is not None:
-            return False
-        if not self.lease.acquire():
-            return False
-        settings = PlannerSettings(instances=self._list_configured())
-        self.planner = Planner(self.region, self.lease.fence, settings)
-        log_event(logger, logging.INFO, "planner_role_acquired", fence=self.lease.fence)
-        return True
-
-    def _observe(self) -> Observation:
+        actions = self.session.run(self._observe)
+        self._note_role()
+        self._publish_plan()
+        for action in actions:
+            if not self.session.role.lost:
+                self._carry_out(action)
+
+    def _note_role(self) -> None:
+        held = not self.session.role.lost
+        if held == self.held:
+            return
+        self.held = held
+        event = "planner_role_acquired" if held else "planner_role_lost"
+        log_event(logger, logging.INFO, event, fence=self.session.role.fence)
+
+    def _publish_plan(self) -> None:
+        stored = self.session.stored
+        if stored is not None and stored.plan.version != self.published:
+            self.published = stored.plan.version
+            self.configuration.post(PlanRead(stored.plan.to_bytes()))
+
+    def _observe(self, plan: RegionPlan) -> Observation:
         vms = self.platform.list_vms()
         reports = self._query_cells()
         draining = {name for name, report in reports.items() if report.draining}
@@ -183,7 +181,8 @@
             vms=vms,
             suspected=_list_suspected(reports.values()),
             unreachable=frozenset(),
-            cells=_index_cells(reports),
+            cells=_index_cells(reports, plan),
+            checkpointable=_list_checkpointable(reports.values()),
             entries=self._list_entries(reports.keys() - draining),
             leaving_entries=frozenset(draining),
             health=dict(self.health),
@@ -231,19 +230,6 @@
     def _carry_out(self, action: object) -> None:
         raise TypeError(f"unexpected action {action!r}")
 
-    @_carry_out.register
-    def _(self, action: WritePlan) -> None:
-        if self.stored is None:
-            return
-        outcome = self.plan_store.write(action.plan, self.stored.revision)
-        if isinstance(outcome, PlanWritten):
-            self.stored = StoredPlan(action.plan, outcome.revision)
-            self.configuration.post(PlanRead(action.plan.to_bytes()))
-        elif isinstance(outcome, PlanSuperseded):
-            self.stored = outcome.current
-        else:
-            self.stored = None
-
     @_carry_out.register
     def _(self, action: DrainVm) -> None:
         self.platform.drain(action.vm)
@@ -262,6 +248,15 @@
     @_carry_out.register
     def _(self, action: AskCheckpoint) -> None:
         log_event(logger, logging.INFO, "checkpoint_wanted", vm=action.vm)
+        configured = self.view.state.vms.get(action.vm)
+        plan = self.view.plan
+        row = plan.rows.get(action.vm) if plan else None
+        if configured is None or row is None or row.pool is None:
+            return
+        owner = self.view.find_dispatcher(row.pool, configured.zone)
+        if owner is not None:
+            order = CheckpointRequest(row.pool, configured.zone, action.vm)
+            self.peers.send(owner.instance, order)
 
     @_carry_out.register
     def _(self, action: RaiseAlarm) -> None:
@@ -295,11 +290,27 @@
     )
 
 
-def _index_cells(reports: dict[str, CellReports]) -> dict[str, PlannerCellReport]:
+def _list_checkpointable(reports: Iterable[CellReports]) -> frozenset[str]:
+    return frozenset(
+        grants.vm
+        for report in reports
+        for cell in report.items
+        for grants in cell.vms
+        if grants.checkpointable
+    )
+
+
+def _index_cells(
+    reports: dict[str, CellReports], plan: RegionPlan
+) -> dict[str, PlannerCellReport]:
+    """Return the reports by cell; an owner's report goes before any other."""
     cells: dict[str, PlannerCellReport] = {}
     for instance, report in reports.items():
         for cell in report.items:
-            cells[cell_key(cell.pool, cell.zone)] = _convert_report(instance, cell)
+            key = cell_key(cell.pool, cell.zone)
+            owner = plan.dispatchers.get(key)
+            if key not in cells or (owner and owner.instance == instance):
+                cells[key] = _convert_report(instance, cell)
     return cells
 
 
--- a/src/sesameladder/entry/_process.py
+++ b/src/sesameladder/entry/_process.py
@@ -126,6 +126,7 @@
             tasks,
             _list_region_zones(settings),
             now,
+            random,
         )
         self.held = HeldGrants()
         grants = GrantClient(
@@ -232,7 +233,7 @@
             "draining": self.membership.draining,
             "cells": sorted(self.dispatch.cells),
             "relay": self.relay.held,
-            "planner": self.planner.planner is not None,
+            "planner": self.planner.held,
         }
 
     def read_dump(self) -> dict[str, object]:
--- a/src/sesameladder/entry/_relay_task.py
+++ b/src/sesameladder/entry/_relay_task.py
@@ -43,7 +43,6 @@
         "lease",
         "plan_key",
         "platform",
-        "role_key",
         "schedules",
         "stopping",
         "tickets",
@@ -62,9 +61,8 @@
         self.platform = platform
         self.tickets = TicketLog(platform)
         self.plan_key = f"plan/{region}"
-        self.role_key = f"roles/relay/{zone}"
         instance = configuration.peers.identity.instance
-        self.lease = RoleLease(platform, self.role_key, instance, now)
+        self.lease = RoleLease(platform, f"roles/relay/{zone}", instance, now)
         self.schedules = {
             key: PollSchedule(now, random) for key in (HEAD_KEY, self.plan_key)
         }
@@ -88,20 +86,16 @@
 
     def _keep_role(self) -> None:
         while not self.stopping.wait(STEP_SECONDS):
-            held = self.lease.renew() or self._try_acquire()
+            held = self.lease.renew() or self._take_vacant_role()
             if held != self.held:
                 self.held = held
                 self.configuration.post(RelayRoleChanged(held))
                 log_event(logger, logging.INFO, "relay_role_changed", held=held)
 
-    def _try_acquire(self) -> bool:
-        # Reading first keeps standby instances from writing a lease each step.
-        try:
-            if self.platform.get(self.role_key) is not None:
-                return False
-        except PlatformError:
-            return False
-        return self.lease.acquire()
+    def _take_vacant_role(self) -> bool:
+        # While a relay is heard, asking the store would cost two reads a second
+        # for each instance of the fleet.
+        return not self.configuration.hears_relay and self.lease.acquire_if_vacant()
 
     def _follow(self, key: str, read: Callable[[], ConfigurationMessage]) -> None:
         revision = 0
--- a/src/sesameladder/entry/_router.py
+++ b/src/sesameladder/entry/_router.py
@@ -19,6 +19,7 @@
 from sesameladder.peering import (
     Acknowledgement,
     CellQuery,
+    CheckpointRequest,
     DemandCancel,
     Failure,
     ForwardedRequest,
@@ -47,7 +48,14 @@
 
 logger = logging.getLogger(__name__)
 
-DispatchRequest = GrantPoll | GrantRelease | DemandCancel | HandOverRequest | CellQuery
+DispatchRequest = (
+    GrantPoll
+    | GrantRelease
+    | DemandCancel
+    | HandOverRequest
+    | CellQuery
+    | CheckpointRequest
+)
 ConfigurationRequest = (
     PullConfiguration | Tickets | Snapshot | PullPlan | PlanUpdate | VmListUpdate
 )
--- a/src/sesameladder/peering/_messages.py
+++ b/src/sesameladder/peering/_messages.py
@@ -219,6 +219,16 @@
     vm: str
     outstanding: int
     suspected: bool
+    checkpointable: bool
+
+
+@dataclass(frozen=True, slots=True)
+class CheckpointRequest:
+    """Asks a dispatcher to have the tasks on a VM checkpointed."""
+
+    pool: str
+    zone: str
+    vm: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -352,6 +362,7 @@
     | GrantList
     | CellQuery
     | CellReports
+    | CheckpointRequest
     | HandOverRequest
     | HandOverAnswer
     | ForwardedRequest
--- a/src/sesameladder/peering/peer.capnp
+++ b/src/sesameladder/peering/peer.capnp
@@ -40,6 +40,7 @@
     witnessAnswer @31 :WitnessAnswer;
     witnessRecord @32 :WitnessRecord;
     tokenHandOver @33 :TokenHandOver;
+    checkpointRequest @34 :CheckpointRequest;
   }
 }
 
@@ -127,7 +128,13 @@
 }
 
 struct CellQuery { zones @0 :List(Text); }
-struct VmGrants { vm @0 :Text; outstanding @1 :UInt32; suspected @2 :Bool; }
+struct VmGrants {
+  vm @0 :Text;
+  outstanding @1 :UInt32;
+  suspected @2 :Bool;
+  checkpointable @3 :Bool;
+}
+struct CheckpointRequest { pool @0 :Text; zone @1 :Text; vm @2 :Text; }
 struct CellReport {
   pool @0 :Text;
   zone @1 :Text;
--- a/src/sesameladder/peering/tests/test_codec.py
+++ b/src/sesameladder/peering/tests/test_codec.py
@@ -27,7 +27,8 @@
     Heartbeat("zone-a", 7, 9, False, True, 3),
     Tickets((TicketItem(1, "d", b"{}"), TicketItem(2, "e", b""))),
     CellReports(
-        True, (CellReport("p", "z", 1, 2, 3.5, True, (VmGrants("vm", 1, True),)),)
+        True,
+        (CellReport("p", "z", 1, 2, 3.5, True, (VmGrants("vm", 1, True, False),)),),
     ),
     GrantAnswer("granted", "d-1", "g-1", "vm", "rack", "127.0.0.1:1"),
     WitnessAnswer("finished", ANSWER),
--- a/src/sesameladder/planning/_role.py
+++ b/src/sesameladder/planning/_role.py
@@ -54,6 +54,19 @@
         self._extend(asked_at)
         return not self.lost
 
+    def acquire_if_vacant(self) -> bool:
+        """Try to take the role after a read shows that nobody holds it.
+
+        Standby instances ask often; a read is cheaper for the store than the
+        write of a lease.
+        """
+        try:
+            if self.store.get(self.key) is not None:
+                return False
+        except PlatformError:
+            return False
+        return self.acquire()
+
     def renew(self) -> bool:
         """Extend the lease; False when the role is lost.
 
--- a/src/sesameladder/planning/_session.py
+++ b/src/sesameladder/planning/_session.py
@@ -22,11 +22,13 @@
 class PlannerSession:
     """One instance's attempt to be the planner of a region.
 
+    ``clock`` counts the role's lease and should be monotonic; ``epoch`` gives
+    the plan's times in seconds since the Unix epoch and defaults to ``clock``.
     ``run`` is called about once a second. It returns the actions on VMs that
     the caller carries out; before each the caller checks ``role.lost`` again.
     """
 
-    __slots__ = ("clock", "planner", "plans", "region", "role", "settings", "stored")
+    __slots__ = ("epoch", "planner", "plans", "region", "role", "settings", "stored")
 
     def __init__(
         self,
@@ -35,9 +37,10 @@
         instance: str,
         clock: Callable[[], float],
         settings: PlannerSettings,
+        epoch: Callable[[], float] | None = None,
     ) -> None:
         self.region = region
-        self.clock = clock
+        self.epoch = epoch or clock
         self.settings = settings
         self.role = RoleLease(store, f"roles/planner/{region}", instance, clock)
         self.plans = PlanStore(store, region)
@@ -53,7 +56,7 @@
         stored = self._read() if planner is not None else None
         if planner is None or stored is None:
             return []
-        actions = planner.step(observe(stored.plan), stored.plan, self.clock())
+        actions = planner.step(observe(stored.plan), stored.plan, self.epoch())
         writes = [action for action in actions if isinstance(action, WritePlan)]
         is_current = not writes or self._write(writes[0].plan, stored)
         if is_current and not self.role.lost:
@@ -65,7 +68,7 @@
             return self.planner
         self.planner = None
         self.stored = None
-        if self.role.acquire():
+        if self.role.acquire_if_vacant():
             self.planner = Planner(self.region, self.role.fence, self.settings)
         return self.planner
 
