Check late refusals of earlier tickets and bound unfinished handovers

Cause: the schedules' callers forgot how many attempts they had made with an earlier ticket, so a late "not run" for it covered none of them. A home table kept the parts of every handover that was never finished.

Change: callers count attempts by ticket. A table keeps the parts of at most four senders; the one that began first is dropped.

--- a/src/sesameladder/idempotency/_home.py
+++ b/src/sesameladder/idempotency/_home.py
@@ -34,6 +34,7 @@
 HOME_BYTES = 32 * 1024 * 1024
 UNSTATED_ATTEMPT = 0
 NO_ATTEMPT = -1
+MAX_INCOMING = 4
 
 
 class TokenState(StrEnum):
@@ -206,6 +207,9 @@
         chunk = HandoverChunk.from_bytes(data)
         with self._lock:
             parts = self._incoming.setdefault(chunk.sender, {})
+            if len(self._incoming) > MAX_INCOMING:
+                # The sender that began first has most likely ended.
+                del self._incoming[next(iter(self._incoming))]
             if any(part.export != chunk.export for part in parts.values()):
                 parts.clear()
             parts[chunk.index] = chunk
--- a/src/sesameladder/idempotency/tests/test_home.py
+++ b/src/sesameladder/idempotency/tests/test_home.py
@@ -20,6 +20,7 @@
     Unknown,
 )
 from sesameladder.idempotency._handover import CHUNK_BYTES
+from sesameladder.idempotency._home import MAX_INCOMING
 
 DONE = Done(200, (("Content-Type", "text/plain"),), b"order 1")
 QUEUE_FULL = NotRun("queue-limit", 2.0)
@@ -203,6 +204,23 @@
     assert hand_over(home, successor) == {PeerIdentity("a", 1)}
 
 
+def test_unfinished_handovers_are_bounded() -> None:
+    """Guards against memory held for peers that ended in mid-handover."""
+    successor = HomeTable("c", 1)
+    homes = [HomeTable("a", incarnation) for incarnation in range(1, 7)]
+    body = bytes(CHUNK_BYTES)
+    for home in homes:
+        for sequence in (1, 2):
+            token = make_token(sequence, home.identity.incarnation)
+            end(home, token, Done(200, (), body))
+    exports = [home.export() for home in homes]
+    for parts in exports:
+        successor.import_from(parts[0])
+    rests = [parts[1:] for parts in reversed(exports)]
+    adopted = [any(map(successor.import_from, rest)) for rest in rests]
+    assert adopted == [True] * MAX_INCOMING + [False] * 2
+
+
 def test_handover_keeps_dropped_tokens_unknown() -> None:
     """Guards against "not run" for a token dropped before the handover."""
     home, successor = make_home(max_bytes=1000), HomeTable("c", 1)
--- a/src/sesameladder/measure/_schedule_caller.py
+++ b/src/sesameladder/measure/_schedule_caller.py
@@ -103,8 +103,8 @@
         "attempts",
         "is_stated",
         "latest",
+        "made",
         "monitor",
-        "ordinal",
         "pending",
         "processes",
         "request",
@@ -128,7 +128,7 @@
         self.uses_key = schedule.chance(0.5) if uses_key is None else uses_key
         self.is_stated = schedule.chance(0.6)
         self.attempts = 0
-        self.ordinal = 0
+        self.made: Counter[str] = Counter()
         self.ticket: str | None = None
         self.latest: Outcome | None = None
         self.pending: dict[int, Process] = {}
@@ -152,7 +152,6 @@
         return self.schedule.random.choice(alive) if alive else None
 
     def _take_ticket(self, entry: Process) -> None:
-        self.ordinal = 0
         if self.uses_key:
             self.ticket = f"order-{self.request}-{self.attempts}"
         else:
@@ -161,9 +160,9 @@
     def _send(self, entry: Process) -> None:
         assert self.ticket is not None
         self.attempts += 1
-        self.ordinal += 1
+        self.made[self.ticket] += 1
         message = AttemptMessage(
-            self.request, self.ticket, self.ordinal, self.is_stated
+            self.request, self.ticket, self.made[self.ticket], self.is_stated
         )
         number = self.attempts
         self.pending[number] = entry
@@ -180,8 +179,9 @@
         self.schedule.after(patience, None, lambda: self._lose_patience(number))
 
     def _answered(self, message: AttemptMessage, outcome: Outcome) -> None:
-        self.monitor.saw_answer(message, outcome, self._made_with(message.ticket))
-        if message.ticket != self.ticket or message.ordinal != self.ordinal:
+        made = self.made[message.ticket]
+        self.monitor.saw_answer(message, outcome, made)
+        if message.ticket != self.ticket or message.ordinal != made:
             return
         self.latest = outcome
         keeps_ticket = self.schedule.chance(0.5)
@@ -189,9 +189,6 @@
             self.ticket = None
         self._again()
 
-    def _made_with(self, ticket: str) -> int:
-        return self.ordinal if ticket == self.ticket else 0
-
     def _lose_patience(self, number: int) -> None:
         if number == self.attempts and self.latest is None:
             self._again()
--- a/src/sesameladder/specification/_slots.py
+++ b/src/sesameladder/specification/_slots.py
@@ -1,7 +1,7 @@
 """Ownership of one worker slot by the dispatcher of its cell.
 
 Two instances may dispatch the cell, one after the other, and two forwarders
-use its grants. A dispatcher restarts or hands the cell over; a forwarder dies
+use its grants. A dispatcher restarts or the cell changes hands; a forwarder dies
 with a task that runs on until its lease has ended.
 """
 
@@ -49,7 +49,7 @@
     """``off``, ``asking``, ``reading`` or ``granting``."""
 
     holder: str = NOBODY
-    """Forwarder that holds the slot, as far as it knows, or ``unknown``."""
+    """Forwarder that holds the slot, as far as it knows."""
 
 
 class Slot(NamedTuple):
