Keep compaction safe from damaged markers and bundles

Cause: a damaged progress marker inside a block would have started a bundle where no reader looks for it, and an existing bundle was not compared with the archive before deletion. Deeply nested JSON and lone surrogates in a ticket file ended the command with a traceback. All were found by reading. Change: the marker is rounded down to a block, an archive entry is deleted only if it equals its bundle, and both kinds of JSON are refused.

--- a/src/sesameladder/client/_context.py
+++ b/src/sesameladder/client/_context.py
@@ -55,9 +55,7 @@
     def show(self, lines: Sequence[str], form: Any) -> None:
         """Print a result as lines, or as its JSON form."""
         if self.as_json:
-            print(
-                json.dumps(form, ensure_ascii=False, sort_keys=True), file=self.output
-            )
+            self._print_json(form)
             return
         for line in lines:
             print(line, file=self.output)
@@ -69,14 +67,15 @@
     def fail(self, failure: CommandFailed) -> ExitCode:
         """Print why the command failed; returns the exit code."""
         if self.as_json:
-            form = {"error": failure.message, **failure.details}
-            print(
-                json.dumps(form, ensure_ascii=False, sort_keys=True), file=self.output
-            )
+            self._print_json({"error": failure.message, **failure.details})
         else:
             print(failure.message, file=self.errors)
         return failure.code
 
+    def _print_json(self, form: Any) -> None:
+        text = json.dumps(form, ensure_ascii=False, sort_keys=True)
+        print(text, file=self.output)
+
 
 def find_settings_path(option: str | None) -> Path:
     """Return the path of the settings file; raises ``CommandFailed``."""
--- a/src/sesameladder/client/_follow.py
+++ b/src/sesameladder/client/_follow.py
@@ -41,6 +41,8 @@
 
     def run(self, context: Context) -> ExitCode:
         """Print the progress until the waves are finished or late."""
+        if self.interval <= 0:
+            raise CommandFailed(ExitCode.USAGE, "--interval has to be above 0")
         shown: list[str] = []
         while True:
             try:
--- a/src/sesameladder/client/_ticket_source.py
+++ b/src/sesameladder/client/_ticket_source.py
@@ -30,7 +30,7 @@
     form = _read_form(_read_file(path))
     if isinstance(form, dict):
         form = _fill_in(form, number, author, find_next)
-    return parse_ticket(json.dumps(form, ensure_ascii=False).encode())
+    return parse_ticket(json.dumps(form).encode())
 
 
 def _read_file(path: str) -> bytes:
--- a/src/sesameladder/tickets/_access.py
+++ b/src/sesameladder/tickets/_access.py
@@ -12,6 +12,7 @@
     Swapped,
 )
 from sesameladder.tickets._records import (
+    TicketLogCorrupt,
     TicketLogRefused,
     TicketLogUnavailable,
 )
@@ -58,12 +59,18 @@
                 return outcome.current.value
         raise TicketLogUnavailable(f"creating {key}: the answer stays lost")
 
-    def remove(self, key: str) -> None:
-        """Delete a key whatever its revision; an absent key is fine."""
+    def remove(self, key: str, kept: bytes | None = None) -> None:
+        """Delete a key whatever its revision; an absent key is fine.
+
+        With ``kept``, the value that stays readable elsewhere, another value
+        is not deleted; raises ``TicketLogCorrupt``.
+        """
         for attempt in range(SETTLE_ATTEMPTS):
             current = self.read(key)
             if current is None:
                 return
+            if kept is not None and current.value != kept:
+                raise TicketLogCorrupt(f"{key}: differs from its bundle")
             try:
                 self.store.delete(key, current.revision)
             except StoreAnswerLost:
--- a/src/sesameladder/tickets/_compaction.py
+++ b/src/sesameladder/tickets/_compaction.py
@@ -1,9 +1,9 @@
 """Compaction: old archive entries move into bundles, old snapshots go.
 
-A block's archive entries are deleted only after all its bundles were read
-back, so each number is readable after a crash at any step. Every write is a
-create of a value that all compactors derive from the same tickets, so racing
-compactors do no harm.
+A block's archive entries are deleted only after all its bundles stand, and
+only if they equal what the bundles hold, so each number is readable after a
+crash at any step. Bundles are created, never changed, from the same tickets
+by all compactors, so racing compactors do no harm.
 """
 
 from dataclasses import dataclass
@@ -14,6 +14,7 @@
     Bundle,
     build_bundle_key,
     find_block_end,
+    find_block_start,
     read_bundle,
 )
 from sesameladder.tickets._reader import LogReader
@@ -43,7 +44,7 @@
         """Bundle all old blocks; returns how many tickets were bundled."""
         head = self.reader.read_head()
         done = read_counter(self.access.read(COMPACTED_KEY))
-        first = done + 1
+        start = first = find_block_start(done + 1)
         if find_block_end(first) > head.number - KEPT_TICKETS:
             return 0
         # The state is loaded from the latest snapshot, so that block stays.
@@ -52,24 +53,22 @@
         while find_block_end(first) <= limit:
             self._bundle_block(first)
             first = find_block_end(first) + 1
-        return first - done - 1
+        return first - start
 
     def _bundle_block(self, first: int) -> None:
         last = find_block_end(first)
-        number = first
-        while number <= last:
-            number = self._ensure_bundle(number, last) + 1
-        for archived in range(first, last + 1):
-            self.access.remove(build_ticket_key(archived))
+        bundled: dict[int, bytes] = {}
+        while first + len(bundled) <= last:
+            bundled |= self._ensure_bundle(first + len(bundled), last).tickets
+        for number, raw in bundled.items():
+            self.access.remove(build_ticket_key(number), raw)
         self.access.remove(build_snapshot_key(last))
         self.access.raise_counter(COMPACTED_KEY, last)
 
-    def _ensure_bundle(self, first: int, last: int) -> int:
-        """Create the bundle that starts at a number; returns its last number."""
+    def _ensure_bundle(self, first: int, last: int) -> Bundle:
+        """Return the bundle that starts at a number, created if absent."""
         bundle = read_bundle(self.access, first)
-        if bundle is None:
-            bundle = self._create_bundle(first, last)
-        return bundle.last
+        return self._create_bundle(first, last) if bundle is None else bundle
 
     def _create_bundle(self, first: int, last: int) -> Bundle:
         filled = self._fill_bundle(first, last)
--- a/src/sesameladder/tickets/_json.py
+++ b/src/sesameladder/tickets/_json.py
@@ -45,17 +45,19 @@
     """
     try:
         value = load(raw.decode(), object_pairs_hook=JsonObject)
+        repeated = list(_find_repeated(value, ""))
     except (ValueError, RecursionError) as error:
         raise JsonUnreadable(str(error)) from error
-    problems = tuple(
-        Problem(shorten_value(path), "the key more than once in one object", NAMED_ONCE)
-        for path in _find_repeated(value, "")
-    )
-    if problems:
-        raise TicketInvalid(problems)
+    if repeated:
+        raise TicketInvalid(tuple(_describe_repeated(path) for path in repeated))
     return value
 
 
+def _describe_repeated(path: str) -> Problem:
+    found = "the key more than once in one object"
+    return Problem(shorten_value(path), found, NAMED_ONCE)
+
+
 def _find_repeated(value: Any, path: str) -> Iterator[str]:
     if isinstance(value, JsonObject):
         yield from (path + key for key in value.repeated)
--- a/src/sesameladder/tickets/_parse.py
+++ b/src/sesameladder/tickets/_parse.py
@@ -42,12 +42,17 @@
     try:
         read_json(raw)
     except JsonUnreadable as error:
-        problem = Problem("ticket", f"bytes that are no JSON ({error})", "UTF-8 JSON")
-        raise TicketInvalid((problem,)) from error
+        raise TicketInvalid((_describe_no_json(str(error)),)) from error
+
+
+def _describe_no_json(reason: str) -> Problem:
+    return Problem("ticket", f"bytes that are no JSON ({reason})", "UTF-8 JSON")
 
 
 def _describe(error: ErrorDetails) -> Problem:
     location = error["loc"]
+    if error["type"] == "json_invalid":
+        return _describe_no_json(error["msg"])
     path = ".".join(shorten_value(str(part)) for part in location) or "ticket"
     if error["type"] in ("unexpected_keyword_argument", "extra_forbidden"):
         return Problem(path, "an unknown key", _describe_keys(location))
--- a/src/sesameladder/tickets/tests/test_faults.py
+++ b/src/sesameladder/tickets/tests/test_faults.py
@@ -16,6 +16,7 @@
     TicketLogError,
     Unsettled,
 )
+from sesameladder.tickets._bundles import Bundle
 from sesameladder.tickets.tests.faulty_store import FaultyStore, fail_from
 from sesameladder.tickets.tests.samples import (
     build_follower,
@@ -139,6 +140,27 @@
     assert log.compact() == 0
 
 
+@pytest.mark.parametrize("value", [b"5", b"", b"x", b"64", b"999999"])
+def test_damaged_progress_of_compaction(value) -> None:
+    """Guards against bundles that start where no reader looks for them."""
+    store = create_faulty(OLD)
+    store.compare_and_swap("config/compacted", 0, value)
+    log = create_log(store)
+    log.compact()
+    assert [t.number for t in log.list_history(1, OLD)] == list(range(1, OLD + 1))
+
+
+def test_differing_bundle_deletes_nothing() -> None:
+    """Guards against archive entries that are deleted for a wrong bundle."""
+    store = create_faulty(OLD)
+    wrong = Bundle({n: build_follower(n, "ines").to_bytes() for n in range(1, 65)})
+    store.compare_and_swap("config/bundles/1", 0, wrong.to_bytes())
+    log = create_log(store)
+    with pytest.raises(TicketLogCorrupt, match="differs from its bundle"):
+        log.compact()
+    assert log.read_ticket(1).author == "mara"
+
+
 class RacingStore(FaultyStore):
     """Runs another compactor at a chosen call."""
 
--- a/src/sesameladder/tickets/tests/test_refusals.py
+++ b/src/sesameladder/tickets/tests/test_refusals.py
@@ -233,6 +233,8 @@
     (b"[1]", "[1]"),
     (b"\xff\xfe", "no JSON"),
     (b"[" * 100_000, "no JSON"),
+    (b"[" * 900 + b"]" * 900, "no JSON"),
+    (b'{"reason": "\\ud800"}', "no JSON"),
     (b'{"number": 1e999}', "Infinity"),
     (b'{"vms": {"w1": null, "w1": null}}', "more than once"),
     (b'{"number": 1, "number": 1}', "more than once"),
