--- a/src/sesameladder/dispatch/_config.py
+++ b/src/sesameladder/dispatch/_config.py
@@ -10,7 +10,7 @@
     """Limits and policy parameters of one cell's dispatcher."""
 
     queue_limit: int = 512
-    """Demands that may wait; resumed jobs are not counted against it."""
+    """Demands that may wait; resumed jobs are accepted beyond it."""
 
     wait_limit_ms: float = 10_000.0
     """Longest wait of a demand, in milliseconds."""
@@ -33,6 +33,9 @@
     patience: float = 0.25
     """Part of the wait limit after which waiting outweighs any run time."""
 
+    fair_slack: float = 1.0
+    """Lead in slot time, in median runs of all slots, that order may give a team."""
+
     long_share: float = 0.5
     """Largest share of the slots that long work may hold."""
 
@@ -42,13 +45,13 @@
     long_due_share: float = 0.25
     """Share of the slots that long work gets first once it waited for long."""
 
-    short_headroom: float = 0.5
+    short_headroom: float = 0.0
     """Slots kept free for short work, in square roots of its mean use."""
 
     load_window_s: float = 5.0
     """Time constant of the mean slot use by work class, in seconds."""
 
-    long_wait_factor: float = 0.3
+    long_wait_factor: float = 0.2
     """Wait, in expected run times, after which long work ignores the headroom."""
 
     start_headroom: float = -0.6
@@ -61,8 +64,11 @@
     start_reserve_share: float = 0.05
     """Share of the slots left free when long work starts that can be preempted."""
 
-    preempt_tolerance_share: float = 0.1
-    """Waiting short demands, as a share of the slots, that preempt nothing."""
+    preempt_tolerance: float = 0.24
+    """Part of the short jobs that end during a checkpoint which may wait."""
+
+    checkpoint_s: float = 0.1
+    """Time of a checkpoint assumed before any was observed, in seconds."""
 
     preempt_min_run_s: float = 0.1
     """Time in seconds for which a grant is not preempted for short work."""
--- a/src/sesameladder/dispatch/tests/test_fairness.py
+++ b/src/sesameladder/dispatch/tests/test_fairness.py
@@ -92,12 +92,35 @@
     cell.submit_many(waves[0], 0.0, team="a")
     cell.submit_many(waves[1], 0.0, team="b")
     queue = cell.dispatcher.cell.queue
-    assert {team: len(rows) for team, rows in queue.by_team.items()} == waiting
+    assert {team: rows.count for team, rows in queue.by_team.items()} == waiting
     displaced = [one for one in cell.poll(0.0) if isinstance(one, Refused)]
     assert all(one.reason == RefusalReason.QUEUE_FULL for one in displaced)
     assert len(displaced) == 10 - waiting["a"] if waves[0] > 10 else not displaced
 
 
+@pytest.mark.parametrize(
+    ("newcomer", "displaced"),
+    [
+        ({"kind": "preview"}, "blend"),
+        ({"kind": "blend"}, "newcomer"),
+        ({"kind": "blend", "urgent": True}, "blend"),
+        ({"kind": "huge"}, "newcomer"),
+    ],
+)
+def test_full_queue_displaces_the_costliest_demand(newcomer, displaced):
+    """Guards against refusing urgent or short work to keep costly work."""
+    cell = Cell(workers=1, slots=1, queue_limit=3)
+    cell.teach("preview", 100.0)
+    cell.teach("blend", 500.0)
+    cell.teach("huge", 700.0)
+    cell.run(0.0)
+    for name, kind in (("p1", "preview"), ("blend", "blend"), ("p2", "preview")):
+        cell.submit(0.0, demand_id=name, kind=kind)
+    answer = cell.submit(0.0, demand_id="newcomer", **newcomer)
+    refused = [answer, *cell.poll(0.0)]
+    assert [one.demand_id for one in refused if isinstance(one, Refused)] == [displaced]
+
+
 @pytest.mark.parametrize(
     ("wait_limit_ms", "deadline", "reason"),
     [
@@ -155,3 +178,22 @@
     assert isinstance(cell.submit(0.0, demand_id="same"), Queued)
     assert isinstance(cell.submit(0.0, demand_id="same"), Queued)
     assert len(grants_of(cell.poll(0.0))) == 1
+
+
+@pytest.mark.parametrize("declared_ms", [None, 100_000.0])
+def test_straggler_or_wrong_declaration_does_not_hold_back_its_team(declared_ms):
+    """Guards against a team's short work that pays for one long job at once."""
+    cell = Cell(workers=1, slots=2, teams=[Team("a"), Team("b")], queue_limit=10_000)
+    cell.teach("preview", 100.0, times=10)
+    cell.submit(0.0, team="a", kind="unknown", expected_ms=declared_ms)
+    (straggler,) = grants_of(cell.poll(0.0))
+    cell.release(straggler, 9.0, ran_ms=9_000.0)
+    served: Counter[str] = Counter()
+    for index in range(60):
+        now = 9.0 + index * 0.1
+        for team in ("a", "b"):
+            cell.submit_many(2, now, team=team, demand_id=f"{team}{index}")
+        for granted in grants_of(cell.poll(now)):
+            served[granted.demand_id[0]] += 1
+            cell.release(granted, now + 0.1)
+    assert served["a"] >= 0.4 * sum(served.values())
--- a/src/sesameladder/dispatch/tests/test_long_work.py
+++ b/src/sesameladder/dispatch/tests/test_long_work.py
@@ -171,3 +171,37 @@
     submit(cell, 60, "preview", 1.1, team="b")
     cell.poll(1.1)
     assert cell.dispatcher.dump()["held_by_team"]["b"] >= 24
+
+
+def test_resumed_job_is_not_refused_while_it_waits():
+    """Guards against answering "not run" for a job that has run in part."""
+    cell = make_cell(workers=1, slots=1)
+    cell.run(0.0)
+    cell.submit(0.0, demand_id="job", kind="blend", resumed=True, deadline=5.0)
+    assert cell.poll(60.0) == []
+    assert "job" in cell.dispatcher.cell.queue.by_id
+
+
+@pytest.mark.parametrize(("name", "total_ms"), [("job", 5_000.0), ("other", None)])
+def test_run_time_of_a_resumed_job_is_learned_only_as_a_whole(name, total_ms):
+    """Guards against learning the last part of a job as its run time."""
+    cell = make_cell(long_wait_factor=0.0)
+    granted = cell.run(1.0, demand_id="job", kind="rare", checkpointable=True)
+    cell.release(granted, 5.0, OutcomeKind.CHECKPOINTED, 4_000.0)
+    cell.release(
+        cell.run(5.0, demand_id=name, kind="rare", resumed=True), 6.0, ran_ms=1e3
+    )
+    entry = cell.dispatcher.cell.estimates.kinds.get("rare")
+    assert (entry.window.median() if entry else None) == total_ms
+
+
+@pytest.mark.parametrize("run_ms", [1.0, 100.0])
+def test_short_work_preempts_when_long_work_holds_every_slot(run_ms):
+    """Guards against tolerating a queue that no ending short job will serve."""
+    cell = Cell(workers=1, slots=8, long_share=1.0, long_wait_factor=0.0)
+    cell.teach("preview", run_ms, times=20)
+    cell.teach("blend", 50 * run_ms)
+    submit(cell, 8, "blend", 1.0, checkpointable=True)
+    cell.poll(1.0)
+    submit(cell, 1, "preview", 1.5)
+    assert any(isinstance(one, Preempt) for one in cell.poll(1.5))
--- a/src/sesameladder/entry/_configuration_task.py
+++ b/src/sesameladder/entry/_configuration_task.py
@@ -20,6 +20,7 @@
     SendTickets,
 )
 from sesameladder.entry._view import FleetView
+from sesameladder.observability import log_event
 from sesameladder.peering import (
     Failure,
     Heartbeat,
@@ -235,11 +236,14 @@
 
     @_receive.register
     def _(self, message: VmListRead) -> None:
+        # Live VMs are left out: at a thousand VMs a zone the whole list would
+        # take 80 KB for each receiver and change.
         items = tuple(
             VmItem(row.name, row.zone, row.state.value, row.changed_at)
             for row in message.rows
+            if row.state is not VmState.LIVE
         )
-        states = {row.name: row.state for row in message.rows}
+        states = {item.name: VmState(item.state) for item in items}
         if states == self.view.vm_states:
             return
         sequence = int(time() * 1000)
@@ -275,7 +279,9 @@
     @_receive_from_peer.register
     def _(self, message: Snapshot, sender: PeerIdentity, reply: Reply) -> None:
         del sender, reply
-        self._note(self.replica.offer_snapshot(message.number, message.data))
+        self._note(
+            self.replica.offer_snapshot(message.number, message.data, message.digest)
+        )
 
     @_receive_from_peer.register
     def _(self, message: PlanUpdate, sender: PeerIdentity, reply: Reply) -> None:
@@ -301,7 +307,7 @@
             )
             reply(Tickets(items))
         else:
-            reply(Snapshot(transfer.number, "", transfer.state_bytes))
+            reply(Snapshot(transfer.number, transfer.digest, transfer.state_bytes))
 
     @_receive_from_peer.register
     def _(self, message: PullPlan, sender: PeerIdentity, reply: Reply) -> None:
@@ -315,17 +321,13 @@
         if isinstance(outcome, Applied):
             self._publish_configuration()
         elif isinstance(outcome, Conflicting | Malformed):
-            logger.error(
-                "refused an offered ticket",
-                extra={"event": "ticket_refused", "reason": outcome.reason},
-            )
+            log_event(logger, logging.ERROR, "ticket_refused", reason=outcome.reason)
 
     def _publish_configuration(self) -> None:
         self.view.state = self.replica.state
         self.behind_since = 0.0
-        logger.info(
-            "configuration in effect",
-            extra={"event": "configuration_applied", "ticket": self.replica.number},
+        log_event(
+            logger, logging.INFO, "configuration_applied", ticket=self.replica.number
         )
         for instance, ticket in self.rules.plan_push(self.replica):
             item = TicketItem(ticket.number, ticket.digest, ticket.raw)
@@ -337,10 +339,7 @@
         try:
             plan = RegionPlan.from_bytes(data)
         except PlanMalformed as error:
-            logger.error(
-                "refused an offered plan",
-                extra={"event": "plan_refused", "reason": str(error)},
-            )
+            log_event(logger, logging.ERROR, "plan_refused", reason=str(error))
             return
         if plan.region != self.view.region or plan.version <= self._plan_version():
             return
@@ -363,10 +362,7 @@
         try:
             states = {item.name: VmState(item.state) for item in update.items}
         except ValueError as error:
-            logger.error(
-                "refused a VM list",
-                extra={"event": "vm_list_refused", "reason": str(error)},
-            )
+            log_event(logger, logging.ERROR, "vm_list_refused", reason=str(error))
             return
         self.view.vm_states = states
         self.view.vm_list_sequence = update.sequence
--- a/src/sesameladder/planning/tests/test_failures.py
+++ b/src/sesameladder/planning/tests/test_failures.py
@@ -99,6 +99,13 @@
 }
 
 
+# A move takes three writes; the stops of a pool follow each other.
+WRITES = [
+    *(("stop", write) for write in range(1, 9)),
+    *(("move", write) for write in range(1, 4)),
+]
+
+
 def is_done(scene, act, plan):
     if act == "move":
         return scene.is_settled(plan)
@@ -112,8 +119,7 @@
     assert scene.region.violations == []
 
 
-@pytest.mark.parametrize("act", ACTS)
-@pytest.mark.parametrize("write", range(1, 9))
+@pytest.mark.parametrize(("act", "write"), WRITES)
 def test_resumed_holder_does_no_harm(act, write):
     """Guards against a paused planner that writes after its lease lapsed."""
     scene = Scene()
@@ -128,8 +134,9 @@
     scene.first.plans.store = store
     ACTS[act](scene)
     scene.driver.run(scene.first, 400, lambda plan: store.writes >= write)
-    assert scene.first.role.lost or store.writes < write
-    finish(scene, act, other if scene.first.role.lost else scene.first)
+    assert store.writes >= write
+    assert scene.first.role.lost
+    finish(scene, act, other)
 
 
 @pytest.mark.parametrize("act", ACTS)
@@ -143,13 +150,14 @@
     finish(scene, act, scene.open_session("b"))
 
 
-@pytest.mark.parametrize("act", ACTS)
-@pytest.mark.parametrize("write", range(1, 9))
+@pytest.mark.parametrize(("act", "write"), WRITES)
 def test_lost_answer_at_any_write(act, write):
     """Guards against a write that is repeated or forgotten after a lost answer."""
     scene = Scene()
-    scene.first.plans.store = HookedStore(scene.store, write, lose_answer=True)
+    store = HookedStore(scene.store, write, lose_answer=True)
+    scene.first.plans.store = store
     ACTS[act](scene)
+    assert scene.driver.run(scene.first, 400, lambda plan: store.writes >= write)
     finish(scene, act, scene.first)
 
 
@@ -288,3 +296,50 @@
     assert scene.driver.run(scene.first, 3_000, scene.is_settled)
     assert scene.driver.plan.rows["w00000"].pool == "pool03"
     assert scene.region.violations == []
+
+
+def cause_something(scene, random):
+    """Let one thing fail, return or change."""
+    region = scene.region
+    names = sorted(region.vms)
+    event = random.choice(("fail", "rack", "repair", "cut", "heal", "ticket", "store"))
+    if event == "fail":
+        region.fail([random.choice(names)])
+    elif event == "rack":
+        region.fail(region.rack_vms(region.state.vms[random.choice(names)].rack))
+    elif event == "repair":
+        region.repair([name for name in names if not region.vms[name].up])
+    elif event == "cut":
+        region.cut.add(random.choice(("z1", "z2", "z3")))
+    elif event == "heal":
+        region.cut.clear()
+    elif event == "store":
+        scene.store.available = not scene.store.available
+    else:
+        first, second = random.sample(names, 2)
+        pools = {
+            first: region.state.vms[second].pool,
+            second: region.state.vms[first].pool,
+        }
+        region.state = reassign(region.state, pools)
+
+
+@pytest.mark.parametrize("seed", [0, 1, 2, 13, 30])
+def test_storm_of_failures_and_tickets(seed):
+    """Guards against promises that break when failures come together."""
+    scene = Scene(seed=seed)
+    random = Random(seed)
+    scene.file_wave(length_s=1e6)
+    session = scene.first
+    for number in range(25):
+        cause_something(scene, random)
+        scene.driver.run(session, random.randrange(1, 40))
+        scene.store.answers_to_lose = random.randrange(2)
+        if random.random() < 0.3:
+            session = scene.open_session(f"s{number}")
+    scene.store.available = True
+    scene.store.answers_to_lose = 0
+    scene.region.cut.clear()
+    scene.region.repair([name for name, vm in scene.region.vms.items() if not vm.up])
+    assert scene.driver.run(session, 8_000, scene.is_maintained)
+    assert scene.region.violations == []
