Keep a resumed job's demand and the home's successor known

Cause: a resumed job came back under a new demand id, so the dispatcher lost its progress and age; workers that refused a request counted against the job; peers did not learn who took a home's token table over; a malformed request with a key was answered as not run although an earlier attempt may have run. Change: the demand id stays through a checkpoint, only failed workers count as tried, the successor is announced to the zone, and such a malformed request is answered as unknown. A witness's refusal is told from its absence.

--- a/src/sesameladder/entry/_front_end.py
+++ b/src/sesameladder/entry/_front_end.py
@@ -144,7 +144,8 @@
         try:
             request = self._read_request(request_id, environ)
         except RequestInvalid as error:
-            return _refuse_invalid(str(error), request_id)
+            keyed = "HTTP_IDEMPOTENCY_KEY" in environ
+            return _refuse_invalid(str(error), request_id, keyed)
         started = monotonic()
         try:
             outcome = self.serve_request(request)
@@ -220,13 +221,14 @@
     return headers
 
 
-def _refuse_invalid(reason: str, request_id: str) -> HttpAnswer:
+def _refuse_invalid(reason: str, request_id: str, keyed: bool) -> HttpAnswer:
+    """Refuse a malformed request; an earlier attempt with its key may have run."""
     headers = (
         ("Content-Type", "text/plain"),
-        (OUTCOME_HEADER, "not-run"),
+        (OUTCOME_HEADER, "unknown" if keyed else "not-run"),
         (REQUEST_ID_HEADER, request_id),
     )
-    return HttpAnswer(400, headers, f"not run: {reason}\n".encode())
+    return HttpAnswer(400, headers, f"request invalid: {reason}\n".encode())
 
 
 def _plain(status: int, text: str) -> HttpAnswer:
--- a/src/sesameladder/entry/_grant_client.py
+++ b/src/sesameladder/entry/_grant_client.py
@@ -57,8 +57,11 @@
     tried_racks: tuple[str, ...] = ()
     """Racks of earlier attempts."""
 
-    resumed: bool = False
-    """Whether the attempt continues checkpointed work."""
+    resumed_demand: str = ""
+    """Demand id of the checkpointed work that the attempt continues, or empty.
+
+    The dispatcher knows the work's progress and age by this id.
+    """
 
 
 class GrantClient:
@@ -123,7 +126,7 @@
         row = self.view.find_dispatcher(request.pool, zone)
         if row is None:
             return NoGrant("the cell has no dispatcher", DEFAULT_RETRY_AFTER_S)
-        demand_id = uuid4().hex
+        demand_id = history.resumed_demand or uuid4().hex
         self.held.start_waiting(demand_id, request.pool, zone)
         try:
             return self._poll(request, history, row, demand_id, deadline)
@@ -188,7 +191,7 @@
         deadline_ms=left_ms,
         tried_workers=history.tried_workers,
         tried_racks=history.tried_racks,
-        resumed=history.resumed,
+        resumed=bool(history.resumed_demand),
     )
 
 
--- a/src/sesameladder/entry/_request_path.py
+++ b/src/sesameladder/entry/_request_path.py
@@ -2,6 +2,7 @@
 
 import logging
 from collections.abc import Callable
+from dataclasses import replace
 from random import Random
 
 from sesameladder.dispatch import OutcomeKind, RefusalReason
@@ -146,16 +147,17 @@
     def _prepare_next(self, grant: HeldGrant, result: UpstreamResult) -> bool:
         if isinstance(result, Checkpointed):
             self.checkpoint = result.checkpoint
-            self.history = AttemptHistory(self.history.attempt, resumed=True)
+            self.history = replace(self.history, resumed_demand=grant.demand_id)
             return True
         if self.history.attempt >= MAX_ATTEMPTS or not self._may_repeat(result):
             return False
-        self.history = AttemptHistory(
-            self.history.attempt + 1,
-            (*self.history.tried_workers, grant.vm),
-            (*self.history.tried_racks, grant.rack),
-            self.history.resumed,
-        )
+        self.history = replace(self.history, attempt=self.history.attempt + 1)
+        if not _is_refusal(result):
+            self.history = replace(
+                self.history,
+                tried_workers=(*self.history.tried_workers, grant.vm),
+                tried_racks=(*self.history.tried_racks, grant.rack),
+            )
         self._back_off()
         return self.path.now() < self.deadline
 
@@ -189,6 +191,12 @@
         return NotRun(NotRunReason.WORKER_REFUSED, 1.0)
 
 
+def _is_refusal(result: UpstreamResult) -> bool:
+    """Return whether the worker refused; a refusal says nothing of the work."""
+    refusals = (OutcomeKind.NOT_RUN_LEAVING, OutcomeKind.NOT_RUN_FULL)
+    return isinstance(result, NotSent) and result.kind in refusals
+
+
 def _grant_outcome(result: UpstreamResult) -> OutcomeKind:
     if isinstance(result, NotSent):
         return result.kind
--- a/src/sesameladder/entry/_router.py
+++ b/src/sesameladder/entry/_router.py
@@ -15,7 +15,6 @@
 from sesameladder.entry._task_keeper import TaskKeeper
 from sesameladder.entry._token_path import TokenPath
 from sesameladder.idempotency import HandoverMalformed, TokenMalformed
-from sesameladder.idempotency import PeerIdentity as TokenPeer
 from sesameladder.peering import (
     Acknowledgement,
     CellQuery,
@@ -29,6 +28,7 @@
     GrantRelease,
     HandOverRequest,
     Heartbeat,
+    HomeMovedNotice,
     Message,
     PeerIdentity,
     PlanUpdate,
@@ -163,13 +163,15 @@
 
     @_route.register
     def _(self, message: TokenHandOver, sender: PeerIdentity, reply: Reply) -> None:
-        homes = self.tokens.home.import_from(message.data)
-        own = TokenPeer(self.identity.instance, self.identity.incarnation)
-        for home in homes:
-            self.tokens.successors[home] = own
         del sender
+        self.tokens.adopt(message)
         reply(Acknowledgement(True))
 
+    @_route.register
+    def _(self, message: HomeMovedNotice, sender: PeerIdentity, reply: Reply) -> None:
+        del sender, reply
+        self.tokens.note_successor(message)
+
     def _serve_forwarded(self, message: ForwardedRequest, reply: Reply) -> None:
         try:
             self.tokens.serve_forwarded(message, reply)
--- a/src/sesameladder/entry/_token_path.py
+++ b/src/sesameladder/entry/_token_path.py
@@ -24,6 +24,7 @@
     ForwardToHome,
     HomeAnswered,
     HomeGone,
+    HomeMoved,
     HomeTable,
     HomeUnreachable,
     InProgress,
@@ -52,11 +53,13 @@
     ForwardedAnswer,
     ForwardedRequest,
     Header,
+    HomeMovedNotice,
     Message,
     PeeringError,
     Peers,
     PeerUnreachable,
     Reply,
+    TokenHandOver,
     WitnessAnswer,
     WitnessRecord,
     WitnessStart,
@@ -184,6 +187,23 @@
         token = Token.from_text(message.token)
         self.witness.record_answer(token, decode_outcome(message.answer))
 
+    def adopt(self, message: TokenHandOver) -> None:
+        """Take in a part of a home's table; tell the zone when it is complete."""
+        own = self.peers.identity
+        for home in self.home.import_from(message.data):
+            self.successors[home] = TokenPeer(own.instance, own.incarnation)
+            notice = HomeMovedNotice(
+                home.instance, home.incarnation, own.instance, own.incarnation
+            )
+            for instance in self.peers.list_zone(self.membership.zone):
+                self.peers.send(instance, notice)
+
+    def note_successor(self, message: HomeMovedNotice) -> None:
+        """Record who answers for a home that shut down."""
+        home = TokenPeer(message.home, message.home_incarnation)
+        successor = TokenPeer(message.successor, message.successor_incarnation)
+        self.successors[home] = successor
+
     def _resolve(
         self, token: Token, request: CallerRequest, deadline: float
     ) -> Outcome:
@@ -223,7 +243,8 @@
         if not isinstance(answer, ForwardedAnswer):
             return HomeUnreachable()
         if answer.outcome == NOT_HOME:
-            return HomeGone()
+            successor = self.successors.get(attempt.token.home_identity)
+            return HomeMoved(successor) if successor else HomeGone()
         return HomeAnswered(decode_outcome(answer))
 
     @_take_step.register
@@ -266,20 +287,24 @@
 
     def _record_start(self, token: Token) -> NotRun | None:
         """Have the witness record the start; returns why it may not start."""
-        if token.witness is not None and not self._ask_witness(token):
+        refusal = self._ask_witness(token) if token.witness is not None else None
+        if refusal is not None:
             self.home.refuse_start(token)
-            return NotRun(NotRunReason.WITNESS_UNAVAILABLE)
+            return NotRun(refusal)
         if not self.home.confirm_start(token):
             return NotRun(NotRunReason.TOKEN_VOID)
         return None
 
-    def _ask_witness(self, token: Token) -> bool:
+    def _ask_witness(self, token: Token) -> NotRunReason | None:
+        """Return why the start was not recorded, or None when it was."""
         message = WitnessStart(token.to_text())
         try:
             answer = self.peers.call(token.witness or "", message, WITNESS_TIMEOUT_S)
         except PeeringError:
-            return False
-        return isinstance(answer, WitnessAnswer) and answer.verdict == "recorded"
+            return NotRunReason.WITNESS_UNAVAILABLE
+        if isinstance(answer, WitnessAnswer) and answer.verdict == "recorded":
+            return None
+        return NotRunReason.TOKEN_VOID
 
     def _finish(self, token: Token, outcome: Outcome) -> Outcome:
         outcome = self.home.finish(token, outcome, self.now())
--- a/src/sesameladder/peering/_messages.py
+++ b/src/sesameladder/peering/_messages.py
@@ -342,6 +342,16 @@
     data: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class HomeMovedNotice:
+    """Tells that a successor answers for a home that shut down."""
+
+    home: str
+    home_incarnation: int
+    successor: str
+    successor_incarnation: int
+
+
 Message = (
     Failure
     | Acknowledgement
@@ -372,4 +382,5 @@
     | WitnessAnswer
     | WitnessRecord
     | TokenHandOver
+    | HomeMovedNotice
 )
--- a/src/sesameladder/peering/peer.capnp
+++ b/src/sesameladder/peering/peer.capnp
@@ -41,6 +41,7 @@
     witnessRecord @32 :WitnessRecord;
     tokenHandOver @33 :TokenHandOver;
     checkpointRequest @34 :CheckpointRequest;
+    homeMovedNotice @35 :HomeMovedNotice;
   }
 }
 
@@ -177,3 +178,10 @@
 }
 struct WitnessRecord { token @0 :Text; answer @1 :ForwardedAnswer; }
 struct TokenHandOver { home @0 :Text; homeIncarnation @1 :UInt64; data @2 :Data; }
+
+struct HomeMovedNotice {
+  home @0 :Text;
+  homeIncarnation @1 :UInt64;
+  successor @2 :Text;
+  successorIncarnation @3 :UInt64;
+}
