Refuse requests whose body ends early

Cause: a POST that announced 9 bytes and sent 4 ran on a worker and was answered as done; a HEAD answer carried a body; a drain or reboot of an unknown VM passed as accepted. Change: the body's length is compared with the announced one, HEAD answers have no body, and refused VM actions raise PlatformError.

--- a/src/sesameladder/entry/_front_end.py
+++ b/src/sesameladder/entry/_front_end.py
@@ -132,7 +132,7 @@
             with self.idle:
                 self.in_flight -= 1
                 self.idle.notify_all()
-        return self._write(answer, start_response)
+        return self._write(answer, environ["REQUEST_METHOD"], start_response)
 
     def _answer(self, environ: Environ) -> HttpAnswer:
         request_id = f"{self.prefix}-{next(self.numbers)}"
@@ -181,11 +181,7 @@
         target = environ["REQUEST_URI"]
         if isinstance(target, bytes):
             target = target.decode("latin-1")
-        body = environ["wsgi.input"].read()
-        if len(body) > self.max_body_bytes:
-            raise RequestInvalid(
-                f"body of {len(body)} bytes; send at most {self.max_body_bytes}"
-            )
+        body = self._read_body(environ)
         return build_request(
             request_id,
             environ["REQUEST_METHOD"],
@@ -195,18 +191,31 @@
             self.default_deadline_ms,
         )
 
+    def _read_body(self, environ: Environ) -> bytes:
+        """Return the whole body; a caller that broke off must not be served."""
+        body: bytes = environ["wsgi.input"].read()
+        if len(body) > self.max_body_bytes:
+            raise RequestInvalid(
+                f"body of {len(body)} bytes; send at most {self.max_body_bytes}"
+            )
+        announced = environ.get("CONTENT_LENGTH") or str(len(body))
+        if announced != str(len(body)):
+            raise RequestInvalid(
+                f"body ended after {len(body)} of {announced} bytes; send it whole"
+            )
+        return body
+
     def _write(
-        self, answer: HttpAnswer, start_response: StartResponse
+        self, answer: HttpAnswer, method: str, start_response: StartResponse
     ) -> Iterable[bytes]:
-        headers = [
-            *answer.headers,
-            ("Content-Length", str(len(answer.body))),
-        ]
+        # A body after HEAD would be read as the start of the next answer.
+        body = b"" if method == "HEAD" else answer.body
+        headers = [*answer.headers, ("Content-Length", str(len(body)))]
         if self.draining:
             headers.append(("Connection", "close"))
         phrase = REASON_PHRASES.get(answer.status, "Status")
         start_response(f"{answer.status} {phrase}", headers)
-        return [answer.body]
+        return [body]
 
 
 def _list_headers(environ: Environ) -> list[tuple[str, str]]:
--- a/src/sesameladder/platform/_http_client.py
+++ b/src/sesameladder/platform/_http_client.py
@@ -125,11 +125,16 @@
 
     def drain(self, vm: str) -> None:
         """Ask a VM to accept no new task; idempotent."""
-        self._call("POST", f"/v1/vms/{quote(vm)}/drain")
+        self._act(vm, "drain")
 
     def reboot(self, vm: str) -> None:
         """Reboot a VM; idempotent while the reboot is running."""
-        self._call("POST", f"/v1/vms/{quote(vm)}/reboot")
+        self._act(vm, "reboot")
+
+    def _act(self, vm: str, action: str) -> None:
+        response = self._call("POST", f"/v1/vms/{quote(vm)}/{action}")
+        if response.status >= 300:
+            raise PlatformError(f"{action} of VM {vm}: answered {response.status}")
 
     def _call(
         self,
