--- a/src/sesameladder/observability/_events.py
+++ b/src/sesameladder/observability/_events.py
@@ -32,6 +32,7 @@
     "token_hand_over_failed": "no peer took this instance's token table",
     "alarm_deadline_too_near": "a wave starts no more stops before its deadline",
     "alarm_failed": "a VM has been failed for some time",
+    "alarm_owner_silent": "an instance that owns cells has not reported for some time",
     "alarm_set_aside": "a VM did not return from its reboot within the limit",
     "alarm_spare_exhausted": "a pool is short and no spare VM can be lent",
     "alarm_wave_late": "a wave ended with VMs that were not rebooted",
--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -16,6 +16,8 @@
 from urllib3.exceptions import HTTPError
 
 from sesameladder.measure._callers import CallerEndpoint
+from sesameladder.planning import PlanStore, RegionPlan
+from sesameladder.platform import PlatformClient
 from sesameladder.settings import EntrySettings
 from sesameladder.settings.examples import write_example
 
@@ -141,6 +143,12 @@
             for address in self.worker_addresses
         ]
 
+    def read_plan(self) -> RegionPlan:
+        """Return the plan that stands in the store."""
+        settings = next(iter(self.settings.values()))
+        client = PlatformClient.from_address(self.platform_address, settings.zone)
+        return PlanStore(client, settings.region).read().plan
+
     def post(self, address: str, path: str, content: dict[str, Any]) -> None:
         """Send an order to a stand-in or an admin endpoint."""
         body = json.dumps(content).encode()
--- a/tests/processes/test_fleet.py
+++ b/tests/processes/test_fleet.py
@@ -5,6 +5,7 @@
 
 import json
 import signal
+import time
 from collections.abc import Iterator
 from pathlib import Path
 
@@ -13,12 +14,14 @@
 
 from sesameladder.measure._callers import Callers
 from sesameladder.measure._verdict import Witness, check_calls
+from sesameladder.planning import Phase
 from tests.processes.fleet import Fleet
 
 CALLER_THREADS = 12
 SEED = 7
 CALLS_PER_STEP = 60
 ZONE_COUNT = 3
+STOPPED = (Phase.LEAVING, Phase.DRAINED, Phase.REBOOTING, Phase.CHECKING)
 
 
 @pytest.fixture(params=["coral-strand", "pfennigblatt"])
@@ -66,6 +69,36 @@
     return sum(attempt.outcome == "done" for attempt in callers.list_attempts())
 
 
+def run_wave(fleet: Fleet, callers: Callers) -> None:
+    """Reboot VMs of one pool under load, then end the wave.
+
+    The plan in the store shows each planned stop, so it is the witness of the
+    budget: at most ``max_unavailable`` VMs of a pool are out at once.
+    """
+    content = json5.loads(fleet.tickets[0].read_text())
+    pool = callers.pools[0]
+    limit = content["budgets"][pool]["max_unavailable"]
+    start = time.time()
+    wave = {"pools": [pool], "start_s": start, "deadline_s": start + 36_000}
+    file_content(fleet, {"maintenance": {"test-wave": wave}})
+
+    def one_rebooted() -> bool:
+        rows = [row for row in fleet.read_plan().rows.values() if row.pool == pool]
+        assert sum(row.phase in STOPPED for row in rows) <= limit
+        return any(row.maintained_at > start for row in rows)
+
+    fleet.wait_for(one_rebooted, "a rebooted VM")
+    file_content(fleet, {"maintenance": {"test-wave": None}})
+    serve_more(fleet, callers)
+
+
+def file_content(fleet: Fleet, content: dict[str, object]) -> None:
+    path = fleet.directory / "ticket.jsonc"
+    path.write_text(json.dumps({"reason": "test", **content}))
+    code, output = fleet.run_client("ticket", "file", str(path))
+    assert code == 0, output
+
+
 def wait_until_relieved(fleet: Fleet, paused: str) -> None:
     """Wait until no lease of a paused instance can be valid any more.
 
@@ -92,7 +125,7 @@
 
 
 def test_promises_under_kills_pauses_and_cuts(fleet: Fleet) -> None:
-    """Guards P3 to P8 against lost, paused, replaced and cut off processes."""
+    """Guards P1 and P3 to P8 against lost, paused, replaced, cut off processes."""
     wait_entries(fleet)
     file_ticket(fleet, 0)
     wait_in_force(fleet, 1)
@@ -112,6 +145,7 @@
 
 def run_failures(fleet: Fleet, callers: Callers) -> set[str]:
     serve_more(fleet, callers)
+    run_wave(fleet, callers)
     killed = pick_dispatcher(fleet, set())
     fleet.send_signal(killed, signal.SIGKILL)
     fleet.wait_exit(killed)
@@ -142,7 +176,7 @@
     fleet.hidden.add(stopped)
     fleet.send_signal(stopped, signal.SIGTERM)
     assert fleet.wait_exit(stopped) == 0
-    file_ticket(fleet, 3)
+    file_content(fleet, {"teams": read_teams(fleet)})
     serve_more(fleet, callers)
     return {killed, paused}
 
@@ -160,6 +194,12 @@
     return tuple(content["pools"]), tuple(content["teams"])
 
 
+def read_teams(fleet: Fleet) -> dict[str, object]:
+    content = json5.loads(fleet.tickets[0].read_text())
+    return {name: {**team, "weight": 7} for name, team in content["teams"].items()}
+
+
+@pytest.mark.parametrize("fleet", ["coral-strand"], indirect=True)
 def test_client_reports_the_fleet(fleet: Fleet) -> None:
     """Guards against a status that hides an instance which is behind."""
     wait_entries(fleet)
