--- /dev/null
+++ b/tests/sessions/__init__.py
@@ -0,0 +1,1 @@
+"""Golden files of whole sessions under an injected clock."""
--- /dev/null
+++ b/tests/sessions/_checks.py
@@ -0,0 +1,44 @@
+"""Checks that a session makes after every step."""
+
+from sesameladder.measure._planning_region import FakeRegion
+from sesameladder.planning import Phase, RegionPlan
+
+
+def check_region(region: FakeRegion) -> None:
+    """Fail when the region saw a broken promise or a VM served by two cells."""
+    assert region.violations == []
+    served: dict[str, str] = {}
+    for key, plan in sorted(region.applied.items()):
+        for vm in _list_served(key, plan):
+            assert vm not in served, f"{vm} is in {served[vm]} and {key}"
+            served[vm] = key
+
+
+def check_stops(region: FakeRegion, old: RegionPlan, new: RegionPlan) -> None:
+    """Fail when a planned stop that a plan adds breaks its pool's budget."""
+    for vm, row in new.rows.items():
+        before = old.rows.get(vm)
+        was_serving = before is not None and before.phase is Phase.SERVING
+        if was_serving and row.phase is Phase.LEAVING and row.pool is not None:
+            _check_budget(region, new, row.pool)
+
+
+def _list_served(key: str, plan: RegionPlan) -> list[str]:
+    return [
+        row.vm
+        for row in plan.rows.values()
+        if f"{row.pool}/{row.zone}" == key and row.phase is Phase.SERVING
+    ]
+
+
+def _check_budget(region: FakeRegion, plan: RegionPlan, pool: str) -> None:
+    rows = [row for row in plan.rows.values() if row.pool == pool]
+    available = sum(
+        row.phase is Phase.SERVING
+        and region.vms[row.vm].up
+        and row.zone not in region.cut
+        for row in rows
+    )
+    budget = region.state.budgets[pool]
+    assert available >= budget.min_available, f"{pool}: {available} available"
+    assert len(rows) - available <= budget.max_unavailable, f"{pool}: {rows}"
--- /dev/null
+++ b/tests/sessions/_script.py
@@ -0,0 +1,117 @@
+"""The working day of a deployment, in short form."""
+
+from dataclasses import replace
+
+from tests.sessions._day import Day
+from tests.sessions._example import read_example
+from tests.sessions._requests import RequestDesk
+
+LEAD_S = 120.0
+SETTLE_S = 5_400.0
+
+
+def run_day(deployment: str) -> str:
+    """Run a deployment's day; returns the transcript."""
+    example = read_example(deployment)
+    (wave,) = (wave for wave in example.tickets[1].maintenance.values() if wave)
+    day = Day(example, wave.start_s - LEAD_S)
+    start_fleet(day)
+    RequestDesk(day).run()
+    run_wave(day)
+    move_during_outage(day)
+    replace_entry(day)
+    cut_zone(day)
+    end_day(day)
+    return day.transcript.to_text()
+
+
+def start_fleet(day: Day) -> None:
+    """File the first ticket and one with a VM in an unknown pool."""
+    first = day.example.tickets[0]
+    day.file("operator", first)
+    day.run(10)
+    name, vm = min(first.vms.items())
+    assert vm is not None
+    stray = replace(vm, pool="unknown-pool")
+    day.file(
+        "operator", replace(first, number=2, pools={}, budgets={}, vms={name: stray})
+    )
+
+
+def run_wave(day: Day) -> None:
+    """Run the maintenance wave, lose a race for its number and lose a rack."""
+    ticket = day.example.tickets[1]
+    day.file("operator", ticket)
+    day.file("deputy", replace(ticket, author="deputy", reason="The same wave."))
+    day.run(LEAD_S + 60)
+    rack = f"{list(day.example.entries)[1]}-r1"
+    lost = day.region.rack_vms(rack)
+    day.transcript.add("platform", f"rack {rack} lost with {', '.join(sorted(lost))}")
+    day.region.fail(lost)
+    day.run(180)
+    day.transcript.add("platform", f"rack {rack} repaired")
+    day.region.repair(lost)
+    (wave,) = (wave for wave in ticket.maintenance.values() if wave)
+    assert day.run(SETTLE_S, lambda: is_maintained(day, wave.pools, wave.start_s))
+    day.transcript.add("planner", f"wave {wave.id} complete")
+
+
+def is_maintained(day: Day, pools: tuple[str, ...], start_s: float) -> bool:
+    """Tell whether the fleet is settled and each VM of some pools was rebooted."""
+    return day.is_settled() and all(
+        row.maintained_at > start_s
+        for row in day.plan.rows.values()
+        if row.pool in pools
+    )
+
+
+def move_during_outage(day: Day) -> None:
+    """File a VM move while the store is down, and again when it is back."""
+    ticket = day.example.tickets[2]
+    day.transcript.add("platform", "store down")
+    day.store.available = False
+    day.file("operator", ticket)
+    day.run(30)
+    day.store.available = True
+    day.transcript.add("platform", "store up")
+    day.file("operator", ticket)
+    day.run(10)
+    assert day.run(SETTLE_S, day.is_settled)
+
+
+def replace_entry(day: Day) -> None:
+    """Lose an entry instance; its replacement catches up from a peer."""
+    peer, lost = day.instances[0], day.instances[1]
+    day.transcript.add("platform", f"{lost} is gone")
+    day.region.gone_entries.add(lost)
+    day.run(15)
+    day.replicas.replace(lost)
+    number = day.replicas.catch_up(lost, peer)
+    day.region.gone_entries.discard(lost)
+    day.transcript.add(lost, f"started blank, has ticket {number} from {peer}")
+    day.run(15)
+
+
+def cut_zone(day: Day) -> None:
+    """Cut a zone off, change a quota meanwhile and heal the zone."""
+    zone = list(day.example.entries)[2]
+    day.transcript.add("platform", f"{zone} cut off")
+    day.region.cut.add(zone)
+    day.run(5)
+    day.file("operator", day.example.tickets[3])
+    day.run(60)
+    day.transcript.add("entries", f"tickets in force: {day.replicas.numbers()}")
+    day.transcript.add("platform", f"{zone} healed")
+    for instance in day.example.entries[zone]:
+        number = day.replicas.catch_up(instance, day.instances[0])
+        day.transcript.add(instance, f"has ticket {number} from {day.instances[0]}")
+    day.region.cut.discard(zone)
+    day.run(10)
+
+
+def end_day(day: Day) -> None:
+    """Wait until every VM serves the pool of its configuration."""
+    assert day.run(SETTLE_S, day.is_settled)
+    text = f"end of day: {len(day.plan.rows)} VMs serving"
+    day.transcript.add("planner", text)
+    day.transcript.add("entries", f"tickets in force: {day.replicas.numbers()}")
