Keep VMs of a lost rack down during a golden session

Cause: the fake region lets a VM return from a reboot while its rack is lost. Change: the session fails the rack's VMs every second until the repair, names abandoned stops, and tests show that its checks find a stop beyond a budget and a VM of two cells.

--- a/tests/sessions/_plan_lines.py
+++ b/tests/sessions/_plan_lines.py
@@ -4,6 +4,9 @@
 
 from sesameladder.planning import Phase, RegionPlan, VmRow
 
+# A stop in these phases has not reached its reboot.
+UNSTARTED = (Phase.LEAVING, Phase.DRAINED)
+
 
 def describe_changes(old: RegionPlan, new: RegionPlan) -> Iterator[str]:
     """Return a line for each changed VM and dispatcher, by name."""
@@ -14,19 +17,21 @@
     for name in sorted(new.rows):
         before, after = old.rows.get(name), new.rows[name]
         if before is None or (before.phase, before.pool) != (after.phase, after.pool):
-            yield _describe_row(after)
+            yield _describe_row(before, after)
     for key in sorted(new.dispatchers):
         owner = new.dispatchers[key].instance
         if key in old.dispatchers and old.dispatchers[key].instance != owner:
             yield f"dispatcher of {key} is {owner}"
 
 
-def _describe_row(row: VmRow) -> str:
+def _describe_row(before: VmRow | None, row: VmRow) -> str:
     if row.phase is Phase.LEAVING and row.target_pool is not None:
         return f"move of {row.vm} to {row.target_pool} permitted"
     if row.phase is Phase.LEAVING:
         permit = (row.permit or "").replace(":", " ")
         return f"stop of {row.vm} permitted ({permit})"
+    if row.phase is Phase.SERVING and before and before.phase in UNSTARTED:
+        return f"stop of {row.vm} abandoned, it serves {row.pool}"
     if row.phase is Phase.SERVING:
         return f"{row.vm} serves {row.pool}"
     return f"{row.vm} is {row.phase.value.replace('_', ' ')}"
--- a/tests/sessions/_script.py
+++ b/tests/sessions/_script.py
@@ -8,6 +8,7 @@
 
 LEAD_S = 120.0
 SETTLE_S = 5_400.0
+RACK_LOSS_S = 180
 
 
 def run_day(deployment: str) -> str:
@@ -47,8 +48,7 @@
     rack = f"{list(day.example.entries)[1]}-r1"
     lost = day.region.rack_vms(rack)
     day.transcript.add("platform", f"rack {rack} lost with {', '.join(sorted(lost))}")
-    day.region.fail(lost)
-    day.run(180)
+    run_without(day, lost, RACK_LOSS_S)
     day.transcript.add("platform", f"rack {rack} repaired")
     day.region.repair(lost)
     (wave,) = (wave for wave in ticket.maintenance.values() if wave)
@@ -56,6 +56,13 @@
     day.transcript.add("planner", f"wave {wave.id} complete")
 
 
+def run_without(day: Day, lost: list[str], seconds: int) -> None:
+    """Run while VMs stay down, also those that the planner reboots meanwhile."""
+    for _ in range(seconds):
+        day.region.fail(lost)
+        day.step()
+
+
 def is_maintained(day: Day, pools: tuple[str, ...], start_s: float) -> bool:
     """Tell whether the fleet is settled and each VM of some pools was rebooted."""
     return day.is_settled() and all(
--- /dev/null
+++ b/tests/sessions/test_checks.py
@@ -0,0 +1,54 @@
+"""The checks that a session makes after every step."""
+
+from dataclasses import replace
+
+import pytest
+
+from sesameladder.planning import Phase, RegionPlan
+from tests.sessions._checks import check_region, check_stops
+from tests.sessions._day import Day
+from tests.sessions._example import read_example
+
+START_S = 1_800_000_000.0
+
+
+@pytest.fixture(name="day")
+def start_day() -> Day:
+    """Return a day whose first plan is in effect."""
+    example = read_example("coral-strand")
+    day = Day(example, START_S)
+    day.file("operator", example.tickets[0])
+    day.run(10)
+    return day
+
+
+def change_rows(plan: RegionPlan, pool: str, count: int) -> RegionPlan:
+    """Return a plan that stops some VMs of a pool."""
+    names = sorted(name for name, row in plan.rows.items() if row.pool == pool)
+    stopped = {
+        name: replace(plan.rows[name], phase=Phase.LEAVING) for name in names[:count]
+    }
+    return replace(plan, version=plan.version + 1, rows=plan.rows | stopped)
+
+
+def test_one_stop_is_within_the_budget(day: Day) -> None:
+    """Guards against a check that refuses stops which a budget allows."""
+    check_stops(day.region, day.plan, change_rows(day.plan, "orders", 1))
+
+
+def test_a_stop_beyond_the_budget_is_found(day: Day) -> None:
+    """Guards against sessions that pass although a stop breaks a budget."""
+    plan = change_rows(day.plan, "orders", 2)
+    with pytest.raises(AssertionError, match="orders"):
+        check_stops(day.region, day.plan, plan)
+
+
+def test_a_vm_of_two_cells_is_found(day: Day) -> None:
+    """Guards against sessions that pass although a VM is in two pools."""
+    key = "base-caps/reef-a"
+    moved = replace(day.plan.rows["coral-01"], pool="base-caps")
+    day.region.applied[key] = replace(
+        day.plan, rows=day.plan.rows | {"coral-01": moved}
+    )
+    with pytest.raises(AssertionError, match="coral-01 is in base-caps/reef-a"):
+        check_region(day.region)
