Let only allowed teams mark requests as urgent

Cause: the team's urgent_allowed was checked by no part, so every team could put its work before the others'. Change: the dispatcher treats urgent work of other teams, and of unknown ones, as ordinary; the refusal reason for unknown teams, never used, is gone. The test harness's own team may mark urgent work.

--- a/src/sesameladder/dispatch/_cell.py
+++ b/src/sesameladder/dispatch/_cell.py
@@ -72,6 +72,11 @@
         known = self.teams.get(team)
         return float(max(1, known.weight)) if known else 1.0
 
+    def allows_urgent(self, team: str) -> bool:
+        """Return whether a team's contract lets it mark requests as urgent."""
+        known = self.teams.get(team)
+        return known is not None and known.urgent_allowed
+
     def set_fair_slack(self) -> None:
         """Bring the lead that order may give a team up to date."""
         cell_run_ms = self.workers.serving_slots * self.estimates.cell_median_ms()
--- a/src/sesameladder/dispatch/_dispatcher.py
+++ b/src/sesameladder/dispatch/_dispatcher.py
@@ -1,6 +1,6 @@
 """The dispatcher of one cell: one pool's workers in one availability zone."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 
 from sesameladder.dispatch._admission import Admission
@@ -102,6 +102,8 @@
             return Queued(demand.demand_id, 0.0)
         if demand.demand_id in self.cell.grants.by_demand and not demand.resumed:
             return self._repeat_grant(demand)
+        if demand.urgent and not self.cell.allows_urgent(demand.team):
+            demand = replace(demand, urgent=False)
         work_class = self._classify(demand)
         refused = self._check(demand, work_class, now)
         if refused is not None:
--- a/src/sesameladder/dispatch/_types.py
+++ b/src/sesameladder/dispatch/_types.py
@@ -35,7 +35,6 @@
     RETRY_BUDGET = "retry_budget"
     NEVER_RUNS = "never_runs"
     NO_WORKER = "no_worker"
-    UNKNOWN_TEAM = "unknown_team"
     FORWARDER_GONE = "forwarder_gone"
     HANDED_OVER = "handed_over"
 
--- a/src/sesameladder/dispatch/tests/harness.py
+++ b/src/sesameladder/dispatch/tests/harness.py
@@ -59,7 +59,8 @@
     ) -> None:
         self.specs = make_workers(workers, slots)
         self.dispatcher = Dispatcher(DispatcherConfig(**config), Random(7), "g")
-        self.dispatcher.update_teams({team.name: team for team in teams or []})
+        listed = teams or [Team("fitting", urgent_allowed=True)]
+        self.dispatcher.update_teams({team.name: team for team in listed})
         self.dispatcher.update_workers(self.specs, -LEASE_S)
         self.dispatcher.recover([], -LEASE_S)
         for spec in self.specs:
--- a/src/sesameladder/dispatch/tests/test_fairness.py
+++ b/src/sesameladder/dispatch/tests/test_fairness.py
@@ -197,3 +197,21 @@
             served[granted.demand_id[0]] += 1
             cell.release(granted, now + 0.1)
     assert served["a"] >= 0.4 * sum(served.values())
+
+
+@pytest.mark.parametrize(
+    ("teams", "first"),
+    [
+        ([Team("fitting", urgent_allowed=True)], "marked"),
+        ([Team("fitting")], "plain"),
+        ([Team("other", urgent_allowed=True)], "plain"),
+    ],
+)
+def test_only_allowed_teams_mark_work_as_urgent(teams, first):
+    """Guards against a team that passes others by marking all its work."""
+    cell = Cell(workers=1, slots=1, teams=teams)
+    running = cell.run(0.0)
+    cell.submit(0.0, demand_id="plain")
+    cell.submit(0.0, demand_id="marked", urgent=True)
+    cell.release(running, 0.1)
+    assert [granted.demand_id for granted in grants_of(cell.poll(0.1))] == [first]
--- a/src/sesameladder/entry/_grant_client.py
+++ b/src/sesameladder/entry/_grant_client.py
@@ -26,9 +26,7 @@
 DEFAULT_RETRY_AFTER_S = 1.0
 
 # Refusals that another zone's dispatcher would repeat.
-FINAL_REASONS = frozenset(
-    {RefusalReason.NEVER_RUNS.value, RefusalReason.UNKNOWN_TEAM.value}
-)
+FINAL_REASONS = frozenset({RefusalReason.NEVER_RUNS.value})
 
 logger = logging.getLogger(__name__)
 
--- a/src/sesameladder/measure/overload_order.py
+++ b/src/sesameladder/measure/overload_order.py
@@ -117,7 +117,7 @@
     )
     trace = make_trace(shape, seed)
     runs = {name: set(OrderedRun(rank).run(trace)) for name, rank in ORDERS.items()}
-    teams = [Team(name, WEIGHTS[name]) for name in TEAMS]
+    teams = [Team(name, WEIGHTS[name], urgent_allowed=True) for name in TEAMS]
     runs["product"] = set(run_product(trace, seed, teams).completed)
     return {name: _summarise(trace, served) for name, served in runs.items()}
 
