Keep one identity class for entry processes

Cause: peering and idempotency each had a PeerIdentity with the same fields, and the entry process converted between them. Change: the class stands in model and both packages offer it. Measured: types and the tests of entry, peering and idempotency pass. Conclusion: no behaviour changed.

--- a/src/sesameladder/entry/_token_path.py
+++ b/src/sesameladder/entry/_token_path.py
@@ -48,7 +48,7 @@
     begin_outcome,
     is_token_text,
 )
-from sesameladder.idempotency import PeerIdentity as TokenPeer
+from sesameladder.model import PeerIdentity
 from sesameladder.peering import (
     ForwardedAnswer,
     ForwardedRequest,
@@ -122,14 +122,13 @@
         self.witness = witness
         self.issuer = issuer
         self.now = now
-        self.successors: dict[TokenPeer, TokenPeer] = {}
+        self.successors: dict[PeerIdentity, PeerIdentity] = {}
         self.ended = Condition()
 
     def issue(self) -> Token:
         """Return a new token with a live peer of the zone as its witness."""
         peer = self.membership.choose_zone_peer()
-        witness = TokenPeer(peer.instance, peer.incarnation) if peer else None
-        return self.issuer.issue(witness, self.now())
+        return self.issuer.issue(peer, self.now())
 
     def serve(self, request: CallerRequest, deadline: float) -> Outcome:
         """Return the outcome of a request with a token or key."""
@@ -191,7 +190,7 @@
         """Take in a part of a home's table; tell the zone when it is complete."""
         own = self.peers.identity
         for home in self.home.import_from(message.data):
-            self.successors[home] = TokenPeer(own.instance, own.incarnation)
+            self.successors[home] = own
             notice = HomeMovedNotice(
                 home.instance, home.incarnation, own.instance, own.incarnation
             )
@@ -200,15 +199,14 @@
 
     def note_successor(self, message: HomeMovedNotice) -> None:
         """Record who answers for a home that shut down."""
-        home = TokenPeer(message.home, message.home_incarnation)
-        successor = TokenPeer(message.successor, message.successor_incarnation)
+        home = PeerIdentity(message.home, message.home_incarnation)
+        successor = PeerIdentity(message.successor, message.successor_incarnation)
         self.successors[home] = successor
 
     def _resolve(
         self, token: Token, request: CallerRequest, deadline: float
     ) -> Outcome:
-        own = self.peers.identity
-        here = TokenPeer(own.instance, own.incarnation)
+        here = self.peers.identity
         successor = self.successors.get(token.home_identity)
         attempt = TokenAttempt(token, request, deadline)
         resolver = AttemptResolver(token, here, request.first_attempt, successor)
--- a/src/sesameladder/idempotency/__init__.py
+++ b/src/sesameladder/idempotency/__init__.py
@@ -72,11 +72,7 @@
     StartStep,
     WaitForRun,
 )
-from sesameladder.idempotency._token import (
-    PeerIdentity,
-    Token,
-    is_token_text,
-)
+from sesameladder.idempotency._token import Token, is_token_text
 from sesameladder.idempotency._witness import (
     NeverStarted,
     NotWitness,
@@ -85,6 +81,7 @@
     WitnessTable,
     WitnessVerdict,
 )
+from sesameladder.model import PeerIdentity
 
 __all__ = [
     "CLAIM_LEASE_SHARE_SECONDS",
--- a/src/sesameladder/idempotency/_handover.py
+++ b/src/sesameladder/idempotency/_handover.py
@@ -6,7 +6,8 @@
 
 from sesameladder.idempotency._errors import HandoverMalformed, TokenMalformed
 from sesameladder.idempotency._outcome import Done, NotRun, Outcome, Unknown
-from sesameladder.idempotency._token import PeerIdentity, Token
+from sesameladder.idempotency._token import Token
+from sesameladder.model import PeerIdentity
 
 # Below the limit of one peer frame (2 MiB) with room for its envelope.
 CHUNK_BYTES = 1_500_000
--- a/src/sesameladder/idempotency/_home.py
+++ b/src/sesameladder/idempotency/_home.py
@@ -29,7 +29,8 @@
     outcome_bytes,
 )
 from sesameladder.idempotency._retention import RETENTION_SECONDS, RetainedRecords
-from sesameladder.idempotency._token import PeerIdentity, Token
+from sesameladder.idempotency._token import Token
+from sesameladder.model import PeerIdentity
 
 HOME_BYTES = 32 * 1024 * 1024
 UNSTATED_ATTEMPT = 0
--- a/src/sesameladder/idempotency/_issuer.py
+++ b/src/sesameladder/idempotency/_issuer.py
@@ -3,7 +3,8 @@
 import random
 import threading
 
-from sesameladder.idempotency._token import PeerIdentity, Token
+from sesameladder.idempotency._token import Token
+from sesameladder.model import PeerIdentity
 
 TOKEN_LIFETIME_SECONDS = 24 * 3600.0
 NONCE_BITS = 64
--- a/src/sesameladder/idempotency/_resolver.py
+++ b/src/sesameladder/idempotency/_resolver.py
@@ -14,8 +14,9 @@
     Unknown,
     UnknownReason,
 )
-from sesameladder.idempotency._token import PeerIdentity, Token
+from sesameladder.idempotency._token import Token
 from sesameladder.idempotency._witness import NeverStarted, Started, WitnessVerdict
+from sesameladder.model import PeerIdentity
 
 MAX_HOME_MOVES = 4
 
--- a/src/sesameladder/idempotency/_start.py
+++ b/src/sesameladder/idempotency/_start.py
@@ -16,7 +16,8 @@
 from sesameladder.idempotency._home import HomeTable
 from sesameladder.idempotency._outcome import NotRun, NotRunReason, Outcome
 from sesameladder.idempotency._resolver import Answer
-from sesameladder.idempotency._token import PeerIdentity, Token
+from sesameladder.idempotency._token import Token
+from sesameladder.model import PeerIdentity
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/sesameladder/idempotency/_token.py
+++ b/src/sesameladder/idempotency/_token.py
@@ -8,23 +8,13 @@
 from hashlib import blake2b
 
 from sesameladder.idempotency._errors import TokenMalformed
+from sesameladder.model import PeerIdentity
 
 TOKEN_PREFIX = "slt1."
 MAX_TOKEN_CHARACTERS = 1024
 CHECKSUM_BYTES = 8
 
 
-@dataclass(frozen=True, slots=True)
-class PeerIdentity:
-    """One run of an entry instance's process."""
-
-    instance: str
-    """Instance id from the settings."""
-
-    incarnation: int
-    """Number that differs between any two processes of the instance."""
-
-
 @dataclass(frozen=True, slots=True)
 class Token:
     """The right to run one request at most once, at one home."""
--- a/src/sesameladder/idempotency/_witness.py
+++ b/src/sesameladder/idempotency/_witness.py
@@ -7,7 +7,8 @@
 from sesameladder.idempotency._begin import Finished
 from sesameladder.idempotency._outcome import Done, Outcome, outcome_bytes
 from sesameladder.idempotency._retention import RETENTION_SECONDS, RetainedRecords
-from sesameladder.idempotency._token import PeerIdentity, Token
+from sesameladder.idempotency._token import Token
+from sesameladder.model import PeerIdentity
 
 WITNESS_BYTES = 16 * 1024 * 1024
 MAX_ANSWER_BYTES = 256 * 1024
--- a/src/sesameladder/measure/slopes.py
+++ b/src/sesameladder/measure/slopes.py
@@ -26,10 +26,9 @@
     WorkerSpec,
 )
 from sesameladder.idempotency import Done, HomeTable, TokenIssuer
-from sesameladder.idempotency import PeerIdentity as TokenPeer
 from sesameladder.measure._planning_driver import start_driver
 from sesameladder.measure._planning_fleet import build_fleet
-from sesameladder.model import FleetState, Pool
+from sesameladder.model import FleetState, PeerIdentity, Pool
 from sesameladder.peering import (
     Envelope,
     Heartbeat,
@@ -249,7 +248,7 @@
         issuer = TokenIssuer("a", 1, random_source=Random(1))
         table = HomeTable("a", 1)
         for index in range(count):
-            token = issuer.issue(TokenPeer("b", 1), float(index))
+            token = issuer.issue(PeerIdentity("b", 1), float(index))
             table.begin(token, b"d", float(index))
             table.confirm_start(token)
             answer = Done(200, (), bytes([index % 256]) * ANSWER_BYTES)
--- a/src/sesameladder/model/__init__.py
+++ b/src/sesameladder/model/__init__.py
@@ -2,6 +2,7 @@
 
 from sesameladder.model._budget import AvailabilityBudget, FailureDomain
 from sesameladder.model._fleet import FleetState
+from sesameladder.model._identity import PeerIdentity
 from sesameladder.model._maintenance import MaintenanceWave
 from sesameladder.model._pool import Pool
 from sesameladder.model._team import Team
@@ -15,6 +16,7 @@
     "FleetState",
     "Link",
     "MaintenanceWave",
+    "PeerIdentity",
     "Pool",
     "Rack",
     "Region",
--- a/src/sesameladder/peering/__init__.py
+++ b/src/sesameladder/peering/__init__.py
@@ -1,5 +1,6 @@
 """Messages and connections between entry instances."""
 
+from sesameladder.model import PeerIdentity
 from sesameladder.peering._codec import (
     Envelope,
     decode_envelope,
@@ -13,7 +14,6 @@
 )
 from sesameladder.peering._identity import (
     PeerAddress,
-    PeerIdentity,
     split_address,
 )
 from sesameladder.peering._link import (
--- a/src/sesameladder/peering/_identity.py
+++ b/src/sesameladder/peering/_identity.py
@@ -1,19 +1,8 @@
-"""Identity of an entry instance in messages."""
+"""Where entry instances listen for peers."""
 
 from dataclasses import dataclass
 
 
-@dataclass(frozen=True, slots=True)
-class PeerIdentity:
-    """An instance id with the incarnation of the process behind it."""
-
-    instance: str
-    """Configured instance id."""
-
-    incarnation: int
-    """Random 63-bit number that the process drew at its start."""
-
-
 @dataclass(frozen=True, slots=True)
 class PeerAddress:
     """Where a configured instance listens for peers."""
--- a/src/sesameladder/peering/_link.py
+++ b/src/sesameladder/peering/_link.py
@@ -8,6 +8,7 @@
 from queue import SimpleQueue
 from threading import Lock, Thread
 
+from sesameladder.model import PeerIdentity
 from sesameladder.peering._codec import Envelope, decode_envelope, encode_envelope
 from sesameladder.peering._errors import (
     FrameInvalid,
@@ -15,7 +16,7 @@
     PeerUnreachable,
 )
 from sesameladder.peering._framing import receive_frame, send_frame
-from sesameladder.peering._identity import PeerAddress, PeerIdentity, split_address
+from sesameladder.peering._identity import PeerAddress, split_address
 from sesameladder.peering._messages import Message
 
 CONNECT_TIMEOUT_S = 0.5
--- a/src/sesameladder/peering/_peers.py
+++ b/src/sesameladder/peering/_peers.py
@@ -4,8 +4,9 @@
 from concurrent.futures import Future
 from concurrent.futures import TimeoutError as FutureTimeout
 
+from sesameladder.model import PeerIdentity
 from sesameladder.peering._errors import PeerAnswerLost, PeerUnreachable
-from sesameladder.peering._identity import PeerAddress, PeerIdentity
+from sesameladder.peering._identity import PeerAddress
 from sesameladder.peering._link import PeerLink
 from sesameladder.peering._messages import Failure, Message
 from sesameladder.peering._server import MessageHandler, PeerServer
--- a/src/sesameladder/peering/_server.py
+++ b/src/sesameladder/peering/_server.py
@@ -8,10 +8,11 @@
 from threading import Lock, Thread
 from typing import Protocol
 
+from sesameladder.model import PeerIdentity
 from sesameladder.peering._codec import Envelope, decode_envelope, encode_envelope
 from sesameladder.peering._errors import FrameInvalid
 from sesameladder.peering._framing import receive_frame, send_frame
-from sesameladder.peering._identity import PeerIdentity, split_address
+from sesameladder.peering._identity import split_address
 from sesameladder.peering._messages import Message
 
 ACCEPT_BACKLOG = 64
