Test ownership of cells and the search for a slot step by step

Cause: epochs, hand-over, reconciliation and late grants were only covered by runs of whole deployments, where a fault in them shows rarely.

--- /dev/null
+++ b/src/sesameladder/entry/tests/test_dispatch_task.py
@@ -0,0 +1,292 @@
+"""Ownership of cells, repeated polls and lost messages, step by step."""
+
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+import pytest
+
+from sesameladder.entry._dispatch_messages import GrantsReported, ViewChanged
+from sesameladder.entry._dispatch_task import DispatchTask
+from sesameladder.entry._task_messages import PeerMessage
+from sesameladder.entry._view import FleetView
+from sesameladder.model import FleetState, PeerIdentity, Pool, VirtualMachine
+from sesameladder.observability import Metrics
+from sesameladder.peering import (
+    CellQuery,
+    CellReports,
+    DemandCancel,
+    GrantAnswer,
+    GrantItem,
+    GrantList,
+    GrantPoll,
+    GrantRelease,
+    HandOverAnswer,
+    HandOverRequest,
+    Message,
+    PeerUnreachable,
+)
+from sesameladder.planning import DispatcherRow, Phase, RegionPlan, VmRow
+from sesameladder.platform import TaskReport, VmState
+
+OWN = "entry-1"
+FORWARDER = PeerIdentity("entry-2", 5)
+
+
+class FakePeers:
+    """Answers calls from a table; everybody else is unreachable."""
+
+    def __init__(self) -> None:
+        self.identity = PeerIdentity(OWN, 1)
+        self.addresses: dict[str, object] = {}
+        self.answers: dict[str, Message] = {}
+        self.sent: list[tuple[str, Message]] = []
+
+    def send(self, instance: str, message: Message) -> None:
+        self.sent.append((instance, message))
+
+    def call(self, instance: str, message: Message, timeout: float) -> Message:
+        if instance not in self.answers:
+            raise PeerUnreachable(instance)
+        return self.answers[instance]
+
+
+class FakeTasks:
+    """Reports no running tasks."""
+
+    def report(self, address: str) -> list[TaskReport]:
+        return []
+
+
+class InlineExecutor:
+    """Runs each call at once, so that its answer is posted in order."""
+
+    def submit(self, call: Callable[..., None], *arguments: Any) -> None:
+        call(*arguments)
+
+
+class Harness:
+    """A dispatch task that is stepped by hand under a simulated clock."""
+
+    def __init__(self, row: DispatcherRow) -> None:
+        self.now = 0.0
+        self.peers = FakePeers()
+        self.view = FleetView("north")
+        peers: Any = self.peers
+        tasks: Any = FakeTasks()
+        self.task = DispatchTask(
+            peers, self.view, tasks, lambda: self.now, Random(1), Metrics(None)
+        )
+        executor: Any = InlineExecutor()
+        self.task.executor = executor
+        self.set_plan(row)
+
+    def set_plan(self, row: DispatcherRow, phase: Phase = Phase.SERVING) -> None:
+        vm = VirtualMachine("vm-1", "p", "z", "r", "10.0.0.1:80", slots=1)
+        self.view.state = FleetState(1, {"p": Pool("p", "p")}, {"vm-1": vm})
+        rows = {"vm-1": VmRow("vm-1", "p", phase, 0.0)}
+        version = (self.view.plan.version if self.view.plan else 0) + 1
+        self.view.plan = RegionPlan("north", version, 1, 1, rows, {"p/z": row})
+        self.task.post(ViewChanged())
+        self.step()
+
+    def step(self, until: float | None = None) -> None:
+        self.now = until if until is not None else self.now
+        for _ in range(3):
+            while not self.task.inbox.empty():
+                self.task._receive(self.task.inbox.get())
+            self.task._advance()
+
+    def ask(self, message: Message) -> list[Message]:
+        replies: list[Message] = []
+        self.task.post(PeerMessage(FORWARDER, message, replies.append))
+        self.step()
+        return replies
+
+    def poll(self, demand_id: str, epoch: int = 1) -> list[Message]:
+        return self.ask(
+            GrantPoll(
+                "p", "z", epoch, demand_id, "", "k", False, True, 1, 0.0, False,
+                60_000.0, (), (), False,
+            )
+        )  # fmt: skip
+
+    def recover(self) -> None:
+        for _ in range(40):
+            self.step(self.now + 0.1)
+
+    def outstanding(self) -> int:
+        return self.task.cells["p/z"].dispatcher.outstanding("vm-1")
+
+
+@pytest.fixture
+def owner() -> Harness:
+    harness = Harness(DispatcherRow("p", "z", OWN))
+    harness.recover()
+    return harness
+
+
+def test_nothing_is_granted_before_the_recovery() -> None:
+    """Guards against a restarted dispatcher that grants slots still in use."""
+    harness = Harness(DispatcherRow("p", "z", OWN))
+    assert harness.poll("d-1") == []
+    harness.step(1.0)
+    assert harness.outstanding() == 0
+
+
+def test_repeated_poll_gets_the_same_grant(owner: Harness) -> None:
+    """Guards against a second slot for a demand whose answer was lost."""
+    first = owner.poll("d-1")
+    assert isinstance(first[0], GrantAnswer)
+    assert first[0].status == "granted"
+    assert owner.poll("d-1") == first
+    assert owner.outstanding() == 1
+
+
+def test_waiting_demand_is_answered_and_then_dropped(owner: Harness) -> None:
+    """Guards against demands of forwarders that have gone away."""
+    owner.poll("d-1")
+    waiting = owner.poll("d-2")
+    assert waiting == []
+    owner.step(owner.now + 0.6)
+    assert waiting == [GrantAnswer("waiting", "d-2")]
+    owner.step(owner.now + 2.5)
+    assert "d-2" not in owner.task.cells["p/z"].polls
+
+
+def test_released_slot_goes_to_the_next_demand(owner: Harness) -> None:
+    """Guards against slots that stay held after their release."""
+    (granted,) = owner.poll("d-1")
+    assert isinstance(granted, GrantAnswer)
+    answers = owner.poll("d-2")
+    owner.ask(GrantRelease("p", "z", granted.grant_id, "succeeded", 5.0))
+    assert [a.status for a in answers if isinstance(a, GrantAnswer)] == ["granted"]
+    owner.ask(GrantRelease("p", "z", granted.grant_id, "succeeded", 5.0))
+    assert owner.outstanding() == 1
+
+
+def test_cancel_returns_a_granted_slot(owner: Harness) -> None:
+    """Guards against a slot whose grant reached nobody."""
+    owner.poll("d-1")
+    owner.ask(DemandCancel("p", "z", "d-1"))
+    assert owner.outstanding() == 0
+
+
+@pytest.mark.parametrize(
+    ("held", "demands", "outstanding"),
+    [(True, (), 1), (False, ("d-1",), 1), (False, (), 0)],
+)
+def test_lost_release_is_made_up(
+    owner: Harness, held: bool, demands: tuple[str, ...], outstanding: int
+) -> None:
+    """Guards against slots lost with a release, and against freeing live ones."""
+    (granted,) = owner.poll("d-1")
+    assert isinstance(granted, GrantAnswer)
+    item = GrantItem(granted.grant_id, "vm-1", "k", "", "d-1", False, False, 10.0)
+    report = GrantsReported(
+        "p/z",
+        1,
+        FORWARDER,
+        (item,) if held else (),
+        demands,
+        frozenset({granted.grant_id}),
+    )
+    owner.task.post(report)
+    owner.step()
+    assert owner.outstanding() == outstanding
+
+
+@pytest.mark.parametrize(("epoch", "owns"), [(1, True), (2, False)])
+def test_poll_of_a_newer_epoch_ends_ownership(
+    owner: Harness, epoch: int, owns: bool
+) -> None:
+    """Guards against an old owner with an old plan that grants beside the new."""
+    (answer,) = owner.poll("d-1", epoch)
+    assert isinstance(answer, GrantAnswer)
+    assert (answer.status == "granted") is owns
+    assert ("p/z" in owner.task.cells) is owns
+
+
+def test_poll_of_an_older_epoch_is_refused() -> None:
+    """Guards against a forwarder that follows an old plan."""
+    harness = Harness(DispatcherRow("p", "z", OWN, epoch=3))
+    harness.recover()
+    (answer,) = harness.poll("d-1", 2)
+    assert isinstance(answer, GrantAnswer)
+    assert answer.status == "refused"
+
+
+@pytest.mark.parametrize(
+    ("gone", "answer", "grants"),
+    [
+        (True, None, True),
+        (False, HandOverAnswer(True), True),
+        (False, HandOverAnswer(False), False),
+        (False, None, False),
+    ],
+)
+def test_new_owner_waits_for_the_previous_one(
+    gone: bool, answer: Message | None, grants: bool
+) -> None:
+    """Guards against two dispatchers of one cell during a change of owner."""
+    row = DispatcherRow("p", "z", OWN, "entry-9", gone, 2)
+    harness = Harness(DispatcherRow("p", "z", "entry-9"))
+    if answer is not None:
+        harness.peers.answers["entry-9"] = answer
+    harness.set_plan(row)
+    harness.recover()
+    answers = harness.poll("d-1", 2)
+    granted = [a for a in answers if isinstance(a, GrantAnswer) and a.grant_id]
+    assert bool(granted) is grants
+
+
+def test_previous_owner_confirms_only_after_it_stopped(owner: Harness) -> None:
+    """Guards against a confirmation by an owner that still grants."""
+    request = HandOverRequest("p", "z", 1, 1)
+    assert owner.ask(request) == [HandOverAnswer(False)]
+    assert owner.ask(HandOverRequest("p", "z", 2, 2)) == [HandOverAnswer(True)]
+    assert "p/z" not in owner.task.cells
+    owner.set_plan(DispatcherRow("p", "z", OWN))
+    assert "p/z" not in owner.task.cells
+
+
+@pytest.mark.parametrize(
+    ("phase", "listed", "grants"),
+    [
+        (Phase.SERVING, None, True),
+        (Phase.LEAVING, None, False),
+        (Phase.SERVING, VmState.LEAVING, False),
+        (Phase.SERVING, VmState.GONE, False),
+    ],
+)
+def test_leaving_vm_gets_no_grant(
+    owner: Harness, phase: Phase, listed: VmState | None, grants: bool
+) -> None:
+    """Guards against new work for a VM that leaves by plan or by list."""
+    owner.view.vm_states = {"vm-1": listed} if listed else {}
+    owner.set_plan(DispatcherRow("p", "z", OWN), phase)
+    answers = owner.poll("d-1")
+    granted = [a for a in answers if isinstance(a, GrantAnswer) and a.grant_id]
+    assert bool(granted) is grants
+
+
+def test_report_names_version_and_outstanding_grants(owner: Harness) -> None:
+    """Guards against a VM that is rebooted while a grant is outstanding."""
+    owner.poll("d-1")
+    (reports,) = owner.ask(CellQuery(("z",)))
+    assert isinstance(reports, CellReports)
+    (report,) = reports.items
+    assert report.plan_version == 1
+    assert [(vm.vm, vm.outstanding) for vm in report.vms] == [("vm-1", 1)]
+
+
+def test_recovery_adopts_grants_of_forwarders() -> None:
+    """Guards against a slot granted twice after the dispatcher restarts."""
+    harness = Harness(DispatcherRow("p", "z", "entry-9"))
+    item = GrantItem("g-old", "vm-1", "k", "", "d-old", False, False, 10.0)
+    harness.peers.addresses = {"entry-2": object()}
+    harness.peers.answers["entry-2"] = GrantList(True, 5, (item,), ())
+    harness.set_plan(DispatcherRow("p", "z", OWN, epoch=2))
+    harness.recover()
+    assert harness.poll("d-1", 2) == []
+    assert harness.outstanding() == 1
