Let pool limits and a new relay's VM list take effect at once

Cause: a ticket that changed a pool's queue or wait limit did nothing until the cell changed hands; a relay whose clock was behind its predecessor's sent VM lists that everybody ignored, so that a leaving VM could stay unknown for as long as the clocks differed. Change: limits follow the view; the list's sequence is at least one more than the last one seen. The process's constructor is split by layer. Conclusion: both were found by reading.

--- a/src/sesameladder/dispatch/_dispatcher.py
+++ b/src/sesameladder/dispatch/_dispatcher.py
@@ -30,7 +30,7 @@
     WorkerSpec,
 )
 from sesameladder.dispatch._workers import Worker
-from sesameladder.model import Team
+from sesameladder.model import Pool, Team
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,6 +85,14 @@
         """Replace the teams and their quotas."""
         self.cell.teams = dict(teams)
 
+    def update_limits(self, pool: Pool) -> None:
+        """Follow the pool's limits; demands that wait keep their expiry."""
+        self.cell.config = replace(
+            self.cell.config,
+            queue_limit=pool.queue_limit,
+            wait_limit_ms=pool.wait_limit_ms,
+        )
+
     def submit(self, demand: Demand, now: float) -> Queued | Refused:
         """Queue a demand or refuse it at once.
 
--- a/src/sesameladder/entry/_cell_runtime.py
+++ b/src/sesameladder/entry/_cell_runtime.py
@@ -113,6 +113,8 @@
         if view.plan is None:
             return
         self.dispatcher.update_teams(view.state.teams)
+        if self.pool in view.state.pools:
+            self.dispatcher.update_limits(view.state.pools[self.pool])
         rows = [
             row
             for row in view.plan.rows.values()
--- a/src/sesameladder/entry/_configuration_task.py
+++ b/src/sesameladder/entry/_configuration_task.py
@@ -178,7 +178,8 @@
         states = {item.name: VmState(item.state) for item in items}
         if states == self.view.vm_states:
             return
-        sequence = int(time() * 1000)
+        # A relay whose clock is behind its predecessor's must still be heard.
+        sequence = max(int(time() * 1000), self.view.vm_list_sequence + 1)
         self._apply_vm_list(VmListUpdate(sequence, items))
         for instance in self._list_receivers():
             self.peers.send(instance, VmListUpdate(sequence, items))
--- a/src/sesameladder/entry/_process.py
+++ b/src/sesameladder/entry/_process.py
@@ -73,14 +73,18 @@
         "held",
         "keeper",
         "membership",
+        "metrics",
         "path",
         "peers",
         "planner",
+        "platform",
+        "random",
         "relay",
         "router",
         "settings",
         "state_dump",
         "stopped",
+        "tasks",
         "tokens",
         "upstream",
         "view",
@@ -89,19 +93,34 @@
     def __init__(self, settings: EntrySettings) -> None:
         self.settings = settings
         self.stopped = Event()
-        now = time.monotonic
-        random = Random(SystemRandom().getrandbits(64))
-        metrics = Metrics.from_settings(settings.statsd)
+        self.random = Random(SystemRandom().getrandbits(64))
+        self.metrics = Metrics.from_settings(settings.statsd)
+        self.platform = PlatformClient.from_address(
+            settings.platform_address, settings.zone
+        )
+        self.tasks = HttpWorkerTasks.create()
+        self.view = FleetView(settings.region)
+        self._build_peers()
+        self._build_control()
+        self._build_request_path()
+        self._build_endpoints()
+        self.state_dump = StateDump()
+        self._register_dump()
+        self._attach()
+
+    def _build_peers(self) -> None:
+        settings = self.settings
         identity = PeerIdentity(settings.instance, draw_incarnation())
-        self.router = Router(identity, settings.http_threads, now)
+        self.router = Router(identity, settings.http_threads, time.monotonic)
         addresses = [
             PeerAddress(item.instance, item.zone, item.peer_address)
             for item in settings.instances
         ]
         self.peers = Peers(settings.deployment, identity, addresses, self.router)
-        platform = PlatformClient.from_address(settings.platform_address, settings.zone)
-        tasks = HttpWorkerTasks.create()
-        self.view = FleetView(settings.region)
+
+    def _build_control(self) -> None:
+        settings = self.settings
+        now = time.monotonic
         self.configuration = ConfigurationTask(
             self.peers, self.view, settings.zone, now
         )
@@ -113,50 +132,64 @@
             now,
             self._note_new_incarnation,
         )
-        self.dispatch = DispatchTask(self.peers, self.view, tasks, now, random, metrics)
+        self.dispatch = DispatchTask(
+            self.peers, self.view, self.tasks, now, self.random, self.metrics
+        )
         self.relay = RelayTask(
-            self.configuration, platform, settings.region, settings.zone, now, random
+            self.configuration,
+            self.platform,
+            settings.region,
+            settings.zone,
+            now,
+            self.random,
         )
         self.planner = PlannerTask(
             self.peers,
             self.view,
             self.configuration,
             self.membership,
-            platform,
-            tasks,
+            self.platform,
+            self.tasks,
             _list_region_zones(settings),
             now,
-            random,
+            self.random,
         )
+
+    def _build_request_path(self) -> None:
+        settings = self.settings
+        now = time.monotonic
+        identity = self.peers.identity
         self.held = HeldGrants()
-        grants = GrantClient(
-            self.peers, self.view, self.held, _order_zones(settings), now
-        )
-        self.keeper = TaskKeeper(grants, tasks, now)
+        zones = _order_zones(settings)
+        grants = GrantClient(self.peers, self.view, self.held, zones, now)
+        self.keeper = TaskKeeper(grants, self.tasks, now)
         self.upstream = UpstreamClient(_limit_idle_connections(settings))
         self.path = RequestPath(
-            grants, self.upstream, self.keeper, now, time.sleep, random
+            grants, self.upstream, self.keeper, now, time.sleep, self.random
         )
         self.tokens = TokenPath(
             self.peers,
             self.membership,
             self.path,
-            ClaimBinder(platform),
+            ClaimBinder(self.platform),
             HomeTable(identity.instance, identity.incarnation),
             WitnessTable(identity.instance, identity.incarnation),
             TokenIssuer(identity.instance, identity.incarnation),
             now,
         )
+
+    def _build_endpoints(self) -> None:
+        settings = self.settings
         self.front_end = FrontEnd(
             settings.http_address,
             settings.http_threads,
-            f"{settings.instance}-{identity.incarnation:x}",
+            f"{settings.instance}-{self.peers.identity.incarnation:x}",
             settings.max_body_bytes,
             settings.request_timeout_ms,
             self._serve,
             lambda: self.tokens.issue().to_text(),
             lambda: self.view.plan is not None,
-            metrics,
+            self.metrics,
         )
         self.admin = AdminEndpoint(
             settings.admin_address,
@@ -164,9 +197,6 @@
             self.read_dump,
             self._cut_zones if settings.fault_injection else None,
         )
-        self.state_dump = StateDump()
-        self._register_dump()
-        self._attach()
 
     @classmethod
     def from_file(cls, path: Path) -> "EntryProcess":
--- /dev/null
+++ b/src/sesameladder/entry/tests/test_configuration_task.py
@@ -0,0 +1,166 @@
+"""What peers and the store offer only moves an instance forward."""
+
+import json
+from concurrent.futures import Future
+from typing import Any
+
+import pytest
+
+from sesameladder.entry._configuration_messages import (
+    PlanRead,
+    RelayRoleChanged,
+    TicketsRead,
+    VmListRead,
+)
+from sesameladder.entry._configuration_task import ConfigurationTask
+from sesameladder.entry._task_messages import PeerMessage
+from sesameladder.entry._view import FleetView
+from sesameladder.model import PeerIdentity
+from sesameladder.peering import (
+    Heartbeat,
+    Message,
+    PeerAddress,
+    PlanUpdate,
+    PullConfiguration,
+    PullPlan,
+    TicketItem,
+    Tickets,
+    VmItem,
+    VmListUpdate,
+)
+from sesameladder.planning import RegionPlan
+from sesameladder.platform import VmState, VmStatus
+from sesameladder.tickets import Ticket, parse_ticket
+
+FAR_FUTURE_MS = 10**15
+SENDER = PeerIdentity("entry-2", 9)
+
+
+class FakePeers:
+    """Records what is sent and asked."""
+
+    def __init__(self) -> None:
+        self.identity = PeerIdentity("entry-1", 1)
+        zones = {"entry-1": "a", "entry-2": "a", "entry-3": "b"}
+        self.addresses = {n: PeerAddress(n, z, "x") for n, z in zones.items()}
+        self.sent: list[tuple[str, Message]] = []
+        self.asked: list[Message] = []
+
+    def send(self, instance: str, message: Message) -> None:
+        self.sent.append((instance, message))
+
+    def request(self, instance: str, message: Message) -> "Future[Message]":
+        self.asked.append(message)
+        return Future()
+
+
+class Harness:
+    """A configuration task that is stepped by hand."""
+
+    def __init__(self) -> None:
+        self.peers = FakePeers()
+        self.view = FleetView("north")
+        peers: Any = self.peers
+        self.task = ConfigurationTask(peers, self.view, "a", lambda: 100.0)
+
+    def take(self, message: Any) -> None:
+        self.task._receive(message)
+        self.task._pull_if_behind()
+
+    def hear(self, message: Message) -> list[Message]:
+        replies: list[Message] = []
+        self.take(PeerMessage(SENDER, message, replies.append))
+        return replies
+
+
+@pytest.fixture
+def harness() -> Harness:
+    return Harness()
+
+
+def make_ticket(number: int) -> Ticket:
+    content = {
+        "number": number,
+        "author": "a",
+        "reason": "r",
+        "teams": {"t": {"weight": number}},
+    }
+    return parse_ticket(json.dumps(content).encode())
+
+
+def wrap(ticket: Ticket) -> Tickets:
+    return Tickets((TicketItem(ticket.number, ticket.digest, ticket.to_bytes()),))
+
+
+def make_plan(version: int, region: str = "north") -> bytes:
+    return RegionPlan(region, version).to_bytes()
+
+
+def test_number_follows_tickets_and_never_falls(harness: Harness) -> None:
+    """Guards against a configuration that reverts to an older offer."""
+    first, second = make_ticket(1), make_ticket(2)
+    harness.take(TicketsRead((first, second)))
+    harness.hear(wrap(first))
+    assert harness.view.state.number == 2
+
+
+@pytest.mark.parametrize(
+    ("offers", "version"),
+    [
+        ([make_plan(3), make_plan(2)], 3),
+        ([make_plan(2), make_plan(3)], 3),
+        ([make_plan(2), b"garbage"], 2),
+        ([make_plan(2), make_plan(9, "south")], 2),
+    ],
+)
+def test_plan_only_moves_forward(
+    harness: Harness, offers: list[bytes], version: int
+) -> None:
+    """Guards against an old, malformed or foreign plan that takes effect."""
+    for data in offers:
+        harness.hear(PlanUpdate("north", 0, data))
+    assert harness.view.plan is not None
+    assert harness.view.plan.version == version
+
+
+def test_higher_numbers_of_a_peer_are_pulled(harness: Harness) -> None:
+    """Guards against an instance that stays behind after a lost push."""
+    harness.hear(Heartbeat("a", 5, 4, False, False, 0))
+    assert PullConfiguration(0) in harness.peers.asked
+    assert PullPlan("north", 0) in harness.peers.asked
+
+
+def test_pull_is_answered_with_what_is_missing(harness: Harness) -> None:
+    """Guards against a blank instance that can't catch up from its peers."""
+    harness.take(TicketsRead((make_ticket(1), make_ticket(2))))
+    harness.take(PlanRead(make_plan(3)))
+    (answer,) = harness.hear(PullConfiguration(1))
+    assert isinstance(answer, Tickets)
+    assert [item.number for item in answer.items] == [2]
+    assert harness.hear(PullPlan("north", 3)) == [PlanUpdate("north", 3, b"")]
+
+
+@pytest.mark.parametrize(("relay", "receivers"), [(False, []), (True, ["entry-2"])])
+def test_only_the_relay_pushes(
+    harness: Harness, relay: bool, receivers: list[str]
+) -> None:
+    """Guards against every instance sending each plan to every other."""
+    harness.take(RelayRoleChanged(relay))
+    harness.take(PlanRead(make_plan(1)))
+    pushed = [to for to, m in harness.peers.sent if isinstance(m, PlanUpdate)]
+    assert pushed == receivers
+
+
+def test_vm_list_of_a_relay_with_a_slow_clock_counts(harness: Harness) -> None:
+    """Guards against a leaving VM that stays unknown after a change of relay."""
+    item = VmItem("vm-1", "a", "leaving", 1.0)
+    harness.hear(VmListUpdate(FAR_FUTURE_MS, (item,)))
+    rows = (VmStatus("vm-1", "a", VmState.GONE, 2.0),)
+    harness.take(VmListRead(rows))
+    assert harness.view.vm_states == {"vm-1": VmState.GONE}
+
+
+def test_malformed_vm_list_changes_nothing(harness: Harness) -> None:
+    """Guards against a peer's unknown state that ends the task."""
+    harness.hear(VmListUpdate(5, (VmItem("vm-1", "a", "melted", 1.0),)))
+    assert harness.view.vm_states == {}
--- a/src/sesameladder/entry/tests/test_dispatch_task.py
+++ b/src/sesameladder/entry/tests/test_dispatch_task.py
@@ -280,6 +280,19 @@
     assert [(vm.vm, vm.outstanding) for vm in report.vms] == [("vm-1", 1)]
 
 
+def test_ticket_changes_the_limits_of_a_running_cell(owner: Harness) -> None:
+    """Guards against a pool's limits that take effect only after a restart."""
+    owner.poll("d-1")
+    assert owner.poll("d-2") == []
+    vms = owner.view.state.vms
+    pool = Pool("p", "p", queue_limit=1)
+    owner.view.state = FleetState(2, {"p": pool}, vms)
+    owner.task.post(ViewChanged())
+    (answer,) = owner.poll("d-3")
+    assert isinstance(answer, GrantAnswer)
+    assert answer.reason == "queue_full"
+
+
 def test_recovery_adopts_grants_of_forwarders() -> None:
     """Guards against a slot granted twice after the dispatcher restarts."""
     harness = Harness(DispatcherRow("p", "z", "entry-9"))
