Replace an instance inside a cut off zone in the process test

Cause: that a blank instance learns from its zone alone was only shown for plain objects. Change: while a zone is cut off, one of its instances is killed and started blank; it has to have number and plan before the cut is healed.

--- a/tests/processes/test_fleet.py
+++ b/tests/processes/test_fleet.py
@@ -99,6 +99,27 @@
     assert code == 0, output
 
 
+def replace_in_zone(fleet: Fleet, zone: str) -> str:
+    """Replace an instance of a cut off zone by a blank one.
+
+    Neither the store nor the other zones answer it, so what it learns comes
+    from the instances of its own zone.
+    """
+    instance = next(n for n, s in fleet.settings.items() if s.zone == zone)
+    fleet.send_signal(instance, signal.SIGKILL)
+    fleet.wait_exit(instance)
+    fleet.start_entry(instance)
+
+    def caught_up() -> bool:
+        status = fleet.read_status(instance)
+        return bool(
+            status and status["configuration_number"] and status["plan_version"]
+        )
+
+    fleet.wait_for(caught_up, "the blank instance to catch up from its zone")
+    return instance
+
+
 def wait_until_relieved(fleet: Fleet, paused: str) -> None:
     """Wait until no lease of a paused instance can be valid any more.
 
@@ -166,19 +187,21 @@
     cut = sorted(zones)[-1]
     fleet.cut_zone(cut, zones)
     serve_more(fleet, callers)
+    replaced = replace_in_zone(fleet, cut)
+    serve_more(fleet, callers)
     fleet.heal_zone(cut, zones)
 
     fleet.post(fleet.platform_address, "/faults", {"mode": "down"})
     serve_more(fleet, callers)
     fleet.post(fleet.platform_address, "/faults", {"mode": "up"})
 
-    stopped = pick_dispatcher(fleet, {killed, paused})
+    stopped = pick_dispatcher(fleet, {killed, paused, replaced})
     fleet.hidden.add(stopped)
     fleet.send_signal(stopped, signal.SIGTERM)
     assert fleet.wait_exit(stopped) == 0
     file_content(fleet, {"teams": read_teams(fleet)})
     serve_more(fleet, callers)
-    return {killed, paused}
+    return {killed, paused, replaced}
 
 
 def wait_entries(fleet: Fleet) -> None:
