Take a cell over when its previous owner is found gone

Cause: a new owner that waits for the previous one's confirmation never started when that one died first: the plan's row changed without a new epoch and was passed over, so nobody served the cell. One refused action on a VM also ended all later actions of a planner step. Change: the row's news ends the wait; each action fails for itself. Measured: the test of the gone owner fails without the change and passes with it; five cases for actions. Conclusion: found by reading; the demo's kill goes another way, since there the owner is gone before the row is written.

--- a/src/sesameladder/entry/_dispatch_task.py
+++ b/src/sesameladder/entry/_dispatch_task.py
@@ -304,6 +304,7 @@
             return
         cell = self.cells.get(key)
         if cell is not None and cell.epoch == row.epoch:
+            self._stop_awaiting_gone_owner(key, row)
             return
         pool = self.view.state.pools.get(row.pool)
         if pool is None:
@@ -326,6 +327,11 @@
         else:
             self._start_recovery(key)
 
+    def _stop_awaiting_gone_owner(self, key: str, row: DispatcherRow) -> None:
+        if key in self.awaiting and (row.previous is None or row.previous_gone):
+            del self.awaiting[key]
+            self._start_recovery(key)
+
     def _give_away(self, key: str, epoch: int) -> None:
         cell = self.cells.pop(key)
         self.awaiting.pop(key, None)
--- a/src/sesameladder/entry/_planner_task.py
+++ b/src/sesameladder/entry/_planner_task.py
@@ -22,6 +22,7 @@
     Peers,
 )
 from sesameladder.planning import (
+    Action,
     AskCheckpoint,
     CheckHealth,
     DrainVm,
@@ -154,9 +155,19 @@
         actions = self.session.run(self._observe)
         self._note_role()
         self._publish_plan()
+        self.carry_out_all(actions)
+
+    def carry_out_all(self, actions: Iterable[Action]) -> None:
+        """Carry out actions while the role is held; one failure stops no other."""
         for action in actions:
-            if not self.session.role.lost:
+            if self.session.role.lost:
+                return
+            try:
                 self._carry_out(action)
+            except PlatformError as error:
+                log_event(
+                    logger, logging.WARNING, "planner_action_failed", reason=str(error)
+                )
 
     def _note_role(self) -> None:
         held = not self.session.role.lost
--- a/src/sesameladder/entry/tests/test_dispatch_task.py
+++ b/src/sesameladder/entry/tests/test_dispatch_task.py
@@ -240,6 +240,19 @@
     assert bool(granted) is grants
 
 
+def test_new_owner_starts_when_the_previous_one_is_found_gone() -> None:
+    """Guards against a cell that nobody serves after its owner died mid-way."""
+    harness = Harness(DispatcherRow("p", "z", "entry-9"))
+    harness.set_plan(DispatcherRow("p", "z", OWN, "entry-9", False, 2))
+    harness.recover()
+    assert harness.poll("d-1", 2) == []
+    harness.set_plan(DispatcherRow("p", "z", OWN, "entry-9", True, 2))
+    harness.recover()
+    (answer,) = harness.poll("d-1", 2)
+    assert isinstance(answer, GrantAnswer)
+    assert answer.status == "granted"
+
+
 def test_previous_owner_confirms_only_after_it_stopped(owner: Harness) -> None:
     """Guards against a confirmation by an owner that still grants."""
     request = HandOverRequest("p", "z", 1, 1)
--- /dev/null
+++ b/src/sesameladder/entry/tests/test_planner_task.py
@@ -0,0 +1,81 @@
+"""The planner's actions on VMs are carried out one by one."""
+
+from random import Random
+from typing import Any
+
+import pytest
+
+from sesameladder.entry._planner_task import PlannerTask
+from sesameladder.entry._view import FleetView
+from sesameladder.model import PeerIdentity
+from sesameladder.planning import Action, DrainVm, RebootVm
+from sesameladder.platform import PlatformError
+
+
+class FakePeers:
+    """An instance without peers."""
+
+    def __init__(self) -> None:
+        self.identity = PeerIdentity("entry-1", 1)
+        self.addresses: dict[str, Any] = {}
+
+
+class FakePlatform:
+    """Accepts actions except on some VMs."""
+
+    def __init__(self, refused: set[str]) -> None:
+        self.refused = refused
+        self.done: list[tuple[str, str]] = []
+
+    def drain(self, vm: str) -> None:
+        self._act("drain", vm)
+
+    def reboot(self, vm: str) -> None:
+        self._act("reboot", vm)
+
+    def _act(self, action: str, vm: str) -> None:
+        if vm in self.refused:
+            raise PlatformError(f"{action} of {vm}")
+        self.done.append((action, vm))
+
+
+class FakeRole:
+    """A role that is lost after a number of checks."""
+
+    def __init__(self, checks: int) -> None:
+        self.checks = checks
+
+    @property
+    def lost(self) -> bool:
+        self.checks -= 1
+        return self.checks < 0
+
+
+ACTIONS: list[Action] = [DrainVm("a"), RebootVm("b"), DrainVm("c")]
+
+
+@pytest.mark.parametrize(
+    ("refused", "checks", "done"),
+    [
+        (set(), 9, [("drain", "a"), ("reboot", "b"), ("drain", "c")]),
+        ({"a"}, 9, [("reboot", "b"), ("drain", "c")]),
+        ({"b"}, 9, [("drain", "a"), ("drain", "c")]),
+        (set(), 1, [("drain", "a")]),
+        (set(), 0, []),
+    ],
+)
+def test_actions(refused: set[str], checks: int, done: list[tuple[str, str]]) -> None:
+    """Guards against one VM that blocks the rest, and acts after the role is lost."""
+    platform: Any = FakePlatform(refused)
+    anything: Any = FakePeers()
+    task = PlannerTask(
+        anything, FleetView("north"), anything, anything, platform, anything,
+        (), lambda: 0.0, Random(1),
+    )  # fmt: skip
+    role: Any = FakeRole(checks)
+    task.session.role = role
+    task.carry_out_all(ACTIONS)
+    assert platform.done == done
+    assert set(task.accepted_reboots) == {
+        vm for action, vm in done if action == "reboot"
+    }
--- a/src/sesameladder/measure/__main__.py
+++ b/src/sesameladder/measure/__main__.py
@@ -26,6 +26,7 @@
 from sesameladder.measure._report import write_plot, write_table
 
 DEPLOYMENTS = ("coral-strand", "pfennigblatt")
+TARGET_SIZE = "target-size"
 SEED = 20261204
 PROCESSES = 4
 
@@ -38,6 +39,8 @@
     configuration.measure,
 )
 
+SIZED_MEASURES: tuple[Measure, ...] = (planning.measure, configuration.measure)
+
 
 @cappa.command(name="measure", help="Measure the decision code.")
 @dataclass(frozen=True, slots=True)
@@ -52,10 +55,10 @@
 def run_all() -> list[MeasureEntry]:
     """Return the entries of all measurements, each entry once."""
     with ProcessPoolExecutor(PROCESSES) as executor:
+        runs = [(measure, name) for measure in MEASURES for name in DEPLOYMENTS]
+        runs += [(measure, TARGET_SIZE) for measure in SIZED_MEASURES]
         futures: list[Future[list[MeasureEntry]]] = [
-            executor.submit(measure, deployment, SEED)
-            for measure in MEASURES
-            for deployment in DEPLOYMENTS
+            executor.submit(measure, deployment, SEED) for measure, deployment in runs
         ]
         entries = [entry for future in futures for entry in future.result()]
     # Sockets and threads are timed alone, after the other measurements.
--- a/src/sesameladder/measure/request_path.py
+++ b/src/sesameladder/measure/request_path.py
@@ -10,7 +10,8 @@
 from sesameladder.measure._deployment import SCENARIOS, Deployment
 from sesameladder.measure._entry import MeasureEntry
 
-REQUESTS = 200
+REQUESTS = 400
+IDLE_S = 3.0
 SETTLE_LIMIT_S = 30.0
 WORK_MS = 5
 MS_PER_S = 1000.0
@@ -20,7 +21,8 @@
     """Return added latency and requests per core-second; ``seed`` is not used.
 
     Entries, workers and callers share one interpreter here, so the requests
-    per core-second are a lower limit for an entry instance.
+    per core-second are a lower limit for an entry instance. What the
+    instances use without requests is subtracted.
     """
     del seed
     running = Deployment.create(SCENARIOS[deployment])
@@ -50,9 +52,11 @@
         http.request("GET", url, headers=headers)
 
     direct_ms = _time(call_direct)
-    cpu_before = _read_cpu_seconds()
+    idle_share = _measure_idle_share()
+    cpu_before, started = _read_cpu_seconds(), time.perf_counter()
     entry_ms = _time(call_entry)
-    cpu_s = _read_cpu_seconds() - cpu_before
+    took_s = time.perf_counter() - started
+    cpu_s = _read_cpu_seconds() - cpu_before - idle_share * took_s
     return [
         MeasureEntry(
             "added_latency_p50",
@@ -87,6 +91,13 @@
     return median(samples)
 
 
+def _measure_idle_share() -> float:
+    """Return the processor time per second of the deployment without requests."""
+    cpu_before, started = _read_cpu_seconds(), time.perf_counter()
+    time.sleep(IDLE_S)
+    return (_read_cpu_seconds() - cpu_before) / (time.perf_counter() - started)
+
+
 def _read_cpu_seconds() -> float:
     usage = getrusage(RUSAGE_SELF)
     return usage.ru_utime + usage.ru_stime
--- a/src/sesameladder/observability/_events.py
+++ b/src/sesameladder/observability/_events.py
@@ -19,6 +19,7 @@
     "planner_role_acquired": "this instance plans its region",
     "planner_role_lost": "this instance no longer plans its region",
     "planner_step_put_off": "a planner step waits for the store",
+    "planner_action_failed": "the platform refused an action on a VM",
     "planner_error": "a planner step failed",
     "checkpoint_wanted": "running work holds up the planned stop of vm",
     "cell_adopted": "this instance dispatches the cell of pool and zone",
