Spread witnesses over the zone and keep workers' connections

Cause: every instance chose the peer with the lowest id as witness, so one instance would witness a whole zone; the client of the workers' task interface kept the connections of ten workers only and opened one for each renewal beyond them. Change: peers are ranked by rendezvous hash; connections of 512 workers are kept; the library's warnings about closed extra connections are off. No timing was measured. Conclusion: found by reading.

--- a/src/sesameladder/entry/_command.py
+++ b/src/sesameladder/entry/_command.py
@@ -1,5 +1,6 @@
 """Command line of ``sesameladder-entry``."""
 
+import logging
 import signal
 import sys
 from dataclasses import dataclass
@@ -55,6 +56,9 @@
         sys.stdout.write(f"{command.settings}: ok\n")
         return EXIT_OK
     configure_logging(settings.log_level, "sesameladder-entry", settings.instance)
+    # Connections beyond the idle limit are closed on purpose, which the library
+    # reports as a warning for each of them.
+    logging.getLogger("urllib3.connectionpool").setLevel(logging.ERROR)
     return _serve(settings)
 
 
--- a/src/sesameladder/entry/_membership.py
+++ b/src/sesameladder/entry/_membership.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from threading import Event, Lock, Thread
 
+from sesameladder.configuration import rank_members
 from sesameladder.entry._configuration_task import ConfigurationTask
 from sesameladder.entry._view import FleetView
 from sesameladder.peering import Heartbeat, PeerIdentity, Peers
@@ -95,13 +96,18 @@
         return peers.get(instance)
 
     def choose_zone_peer(self) -> PeerIdentity | None:
-        """Return a live peer of the zone that does not shut down, or None."""
-        candidates = [
-            peer.identity
+        """Return a live peer of the zone that does not shut down, or None.
+
+        Each instance ranks its peers differently, so that no single one is the
+        witness of a whole zone.
+        """
+        candidates = {
+            peer.identity.instance: peer.identity
             for peer in self.list_live()
             if peer.heartbeat.zone == self.zone and not peer.heartbeat.draining
-        ]
-        return min(candidates, key=lambda peer: peer.instance, default=None)
+        }
+        ranked = rank_members(self.peers.identity.instance, list(candidates))
+        return candidates[ranked[0]] if ranked else None
 
     def dump(self) -> dict[str, object]:
         """Return the age of each peer's last heartbeat as JSON-ready data."""
--- a/src/sesameladder/platform/_tasks.py
+++ b/src/sesameladder/platform/_tasks.py
@@ -9,6 +9,8 @@
 from sesameladder.platform._errors import WorkerUnavailable
 
 CALL_TIMEOUT_S = 1.0
+# Workers whose connections are kept; more than an instance's cells and spills.
+WORKER_POOLS = 512
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,7 +61,8 @@
     def create(cls) -> "HttpWorkerTasks":
         """Return a client with its own connections."""
         timeout = Timeout(connect=CALL_TIMEOUT_S, read=CALL_TIMEOUT_S)
-        return cls(PoolManager(timeout=timeout, retries=Retry(0), maxsize=1))
+        http = PoolManager(WORKER_POOLS, timeout=timeout, retries=Retry(0), maxsize=1)
+        return cls(http)
 
     def report(self, address: str) -> list[TaskReport]:
         """Return the running tasks; the report lags behind the truth."""
