Declare the client's options as an abstract class

Cause: the base class of subcommands raised at run time when a subcommand lacked its method. Change: the method is abstract; trial requests use another path.

--- a/src/sesameladder/client/_options.py
+++ b/src/sesameladder/client/_options.py
@@ -1,5 +1,6 @@
 """Options that every subcommand has."""
 
+from abc import ABC, abstractmethod
 from dataclasses import dataclass
 from typing import Annotated
 
@@ -10,7 +11,7 @@
 
 
 @dataclass(kw_only=True)
-class CommonOptions:
+class CommonOptions(ABC):
     """Options of every subcommand."""
 
     settings: Annotated[
@@ -26,6 +27,6 @@
         Arg(long="--json", help="Print JSON values, one a line, instead of text."),
     ] = False
 
+    @abstractmethod
     def run(self, context: Context) -> ExitCode:
         """Run the subcommand; raises ``CommandFailed`` and log errors."""
-        raise NotImplementedError
--- a/src/sesameladder/measure/_callers.py
+++ b/src/sesameladder/measure/_callers.py
@@ -185,7 +185,7 @@
         entry = random.choice(self.balancer.list_endpoints())
         name = entry.instance
         method = "POST" if record.key else "GET"
-        url = f"http://{entry.address}/pools/{record.pool}/work"
+        url = f"http://{entry.address}/pools/{record.pool}/preview"
         started = time.monotonic()
         try:
             response = self.http.request(
--- a/src/sesameladder/measure/_deployment.py
+++ b/src/sesameladder/measure/_deployment.py
@@ -224,7 +224,7 @@
         """Return whether an entry serves one request for each pool."""
         url = f"http://{entry.settings.http_address}/pools"
         statuses = [
-            self.http.request("GET", f"{url}/{pool}/work").status
+            self.http.request("GET", f"{url}/{pool}/preview").status
             for pool in self.scenario.pools
         ]
         return all(status == 200 for status in statuses)
--- a/src/sesameladder/measure/request_path.py
+++ b/src/sesameladder/measure/request_path.py
@@ -45,10 +45,10 @@
     headers = {"Work-Ms": str(WORK_MS), "Sesameladder-Team": running.scenario.teams[0]}
 
     def call_direct() -> None:
-        http.request("GET", f"http://{worker.address}/work", headers=headers)
+        http.request("GET", f"http://{worker.address}/preview", headers=headers)
 
     def call_entry() -> None:
-        url = f"http://{entry.settings.http_address}/pools/{pool}/work"
+        url = f"http://{entry.settings.http_address}/pools/{pool}/preview"
         http.request("GET", url, headers=headers)
 
     direct_ms = _time(call_direct)
