Hold the slot of a restarted forwarder for one task lease

Cause: a dispatcher that asked a restarted forwarder about an old grant freed the slot at once, while the task of the old process could still run for up to its lease; a worker could be given one task more than it has slots. Change: grants of an earlier life come back after one lease; grants that the dispatcher ended by itself are forgotten by the cell as well. Measured: the new test found the slot free at once before the change, and held for 3 s after it. Conclusion: found by reading; the witness of the process test had not shown it, because workers drop tasks of closed connections quickly.

--- a/src/sesameladder/entry/_cell_runtime.py
+++ b/src/sesameladder/entry/_cell_runtime.py
@@ -1,6 +1,6 @@
 """One cell that this instance dispatches, with the callers it has to answer."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Set
 from dataclasses import dataclass, field
 from random import Random
 
@@ -184,12 +184,35 @@
 
     def list_unconfirmed(self, now: float) -> dict[PeerIdentity, set[str]]:
         """Return older grants by forwarder, to be checked with it."""
+        self._drop_ended_grants()
         unconfirmed: dict[PeerIdentity, set[str]] = {}
         for grant_id, (holder, _) in self.holders.items():
             if now - self.granted_at[grant_id] > RECONCILE_AFTER_SECONDS:
                 unconfirmed.setdefault(holder, set()).add(grant_id)
         return unconfirmed
 
+    def settle_report(
+        self,
+        forwarder: PeerIdentity,
+        held: Set[str],
+        demand_ids: Iterable[str],
+        asked: Iterable[str],
+        now: float,
+    ) -> None:
+        """Return slots that a forwarder was asked about and does not hold.
+
+        A grant of an earlier life of the forwarder comes back after one task
+        lease, since its task may still run.
+        """
+        self.dispatcher.forget_forwarder(
+            forwarder.instance, forwarder.incarnation - 1, now
+        )
+        waiting = set(demand_ids)
+        for grant_id in set(asked) - held:
+            holder, demand_id = self.holders.get(grant_id, (None, ""))
+            if holder == forwarder and demand_id not in waiting:
+                self.release(grant_id, GrantOutcome(OutcomeKind.UNUSED), now)
+
     def adopt(
         self, forwarder: PeerIdentity, items: Iterable[GrantItem], now: float
     ) -> None:
@@ -261,6 +284,12 @@
         )
         self.send_order(holder[0].instance, message)
 
+    def _drop_ended_grants(self) -> None:
+        """Forget grants that the dispatcher ended by itself."""
+        outstanding = {g.grant_id for g in self.dispatcher.outstanding_grants()}
+        for grant_id in self.holders.keys() - outstanding:
+            self._drop_grant(grant_id)
+
     def _drop_grant(self, grant_id: str) -> None:
         self.granted_at.pop(grant_id, None)
         holder = self.holders.pop(grant_id, None)
--- a/src/sesameladder/entry/_dispatch_task.py
+++ b/src/sesameladder/entry/_dispatch_task.py
@@ -180,11 +180,13 @@
         if cell is None:
             return
         now = self.now()
-        held = {item.grant_id for item in message.items}
-        for grant_id in message.asked - held:
-            holder = cell.holders.get(grant_id)
-            if holder is not None and holder[1] not in message.demand_ids:
-                cell.release(grant_id, GrantOutcome(OutcomeKind.UNUSED), now)
+        cell.settle_report(
+            message.forwarder,
+            {item.grant_id for item in message.items},
+            message.demand_ids,
+            message.asked,
+            now,
+        )
         cell.adopt(message.forwarder, message.items, now)
 
     @_receive.register
--- a/src/sesameladder/entry/tests/test_dispatch_task.py
+++ b/src/sesameladder/entry/tests/test_dispatch_task.py
@@ -31,6 +31,7 @@
 
 OWN = "entry-1"
 FORWARDER = PeerIdentity("entry-2", 5)
+LEASE_S = 3.0
 
 
 class FakePeers:
@@ -196,6 +197,20 @@
     assert owner.outstanding() == outstanding
 
 
+def test_slot_of_a_restarted_forwarder_returns_after_one_lease(owner: Harness) -> None:
+    """Guards against a second task on a slot whose old task still has its lease."""
+    (granted,) = owner.poll("d-1")
+    assert isinstance(granted, GrantAnswer)
+    new_life = PeerIdentity(FORWARDER.instance, FORWARDER.incarnation + 1)
+    asked = frozenset({granted.grant_id})
+    owner.task.post(GrantsReported("p/z", 1, new_life, (), (), asked))
+    owner.step()
+    assert owner.outstanding() == 1
+    owner.step(owner.now + LEASE_S)
+    assert owner.outstanding() == 0
+    assert owner.task.cells["p/z"].holders == {}
+
+
 @pytest.mark.parametrize(("epoch", "owns"), [(1, True), (2, False)])
 def test_poll_of_a_newer_epoch_ends_ownership(
     owner: Harness, epoch: int, owns: bool
