Watch numbers for going back in the process test

Cause: that no process goes back to a lower configuration or plan was only sampled inside one process. Change: each status that the process test reads is compared with the last one of the same incarnation.

--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -42,6 +42,8 @@
     platform_address: str
     processes: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
     hidden: set[str] = field(default_factory=set)
+    numbers: dict[tuple[str, int], tuple[int, int]] = field(default_factory=dict)
+    reverted: int = 0
     http: PoolManager = field(
         default_factory=lambda: PoolManager(
             maxsize=16, timeout=Timeout(connect=1.0, read=20.0), retries=Retry(0)
@@ -134,7 +136,19 @@
             response = self.http.request("GET", f"http://{address}/-/status")
         except HTTPError:
             return None
-        return response.json() if response.status == 200 else None
+        if response.status != 200:
+            return None
+        status: dict[str, Any] = response.json()
+        self._note_numbers(status)
+        return status
+
+    def _note_numbers(self, status: dict[str, Any]) -> None:
+        """Count numbers that are lower than one that the same process had."""
+        life = (status["instance"], status["incarnation"])
+        numbers = (status["configuration_number"], status["plan_version"])
+        known = self.numbers.get(life, (0, 0))
+        self.reverted += sum(new < old for new, old in zip(numbers, known, strict=True))
+        self.numbers[life] = numbers
 
     def read_counters(self) -> list[dict[str, Any]]:
         """Return the counters of all workers."""
--- a/tests/processes/test_fleet.py
+++ b/tests/processes/test_fleet.py
@@ -59,6 +59,9 @@
 
 
 def serve_more(fleet: Fleet, callers: Callers) -> None:
+    for name in fleet.entries:
+        if name not in fleet.hidden:
+            fleet.read_status(name)
     before = count_done(callers)
     fleet.wait_for(
         lambda: count_done(callers) >= before + CALLS_PER_STEP, "served requests"
@@ -161,6 +164,8 @@
     witness = Witness.from_counters(fleet.read_counters())
     broken = [c for c in check_calls(callers.records, witness, excused) if c.violations]
     assert broken == []
+    assert fleet.reverted == 0
+    assert fleet.numbers
     assert witness.runs_by_key
 
 
