Share the fake executor of the entry tests

Change: one fake for both; the reason for the drain delay stands beside it. Conclusion: no check changed.

--- a/src/sesameladder/entry/_process.py
+++ b/src/sesameladder/entry/_process.py
@@ -229,6 +229,7 @@
         self.dispatch.draining = True
         self.membership.send_heartbeats()
         self.planner.stop()
+        # The load balancer needs this long to notice the failing health answer.
         time.sleep(self.settings.drain_delay_ms / 1000)
         self._wait_for_hand_over(limit)
         finished = self.front_end.wait_until_idle(limit - time.monotonic())
--- a/src/sesameladder/entry/tests/test_dispatch_task.py
+++ b/src/sesameladder/entry/tests/test_dispatch_task.py
@@ -1,6 +1,5 @@
 """Ownership of cells, repeated polls and lost messages, step by step."""
 
-from collections.abc import Callable
 from random import Random
 from typing import Any
 
@@ -10,6 +9,7 @@
 from sesameladder.entry._dispatch_task import DispatchTask
 from sesameladder.entry._task_messages import PeerMessage
 from sesameladder.entry._view import FleetView
+from sesameladder.entry.tests.fakes import InlineExecutor
 from sesameladder.model import FleetState, PeerIdentity, Pool, VirtualMachine
 from sesameladder.observability import Metrics
 from sesameladder.peering import (
@@ -59,13 +59,6 @@
         return []
 
 
-class InlineExecutor:
-    """Runs each call at once, so that its answer is posted in order."""
-
-    def submit(self, call: Callable[..., None], *arguments: Any) -> None:
-        call(*arguments)
-
-
 class Harness:
     """A dispatch task that is stepped by hand under a simulated clock."""
 
--- a/src/sesameladder/entry/tests/test_task_keeper.py
+++ b/src/sesameladder/entry/tests/test_task_keeper.py
@@ -1,6 +1,5 @@
 """Slots of tasks whose answer was given up, and orders on running tasks."""
 
-from collections.abc import Callable
 from typing import Any
 
 import pytest
@@ -8,6 +7,7 @@
 from sesameladder.dispatch import OutcomeKind
 from sesameladder.entry._held_grants import HeldGrant, HeldGrants
 from sesameladder.entry._task_keeper import TaskKeeper
+from sesameladder.entry.tests.fakes import InlineExecutor
 from sesameladder.platform import WorkerUnavailable
 
 LEASE_S = 3.0
@@ -45,13 +45,6 @@
         self.released.append((grant.grant_id, outcome))
 
 
-class InlineExecutor:
-    """Runs each call at once."""
-
-    def submit(self, call: Callable[..., None], *arguments: Any) -> None:
-        call(*arguments)
-
-
 class Harness:
     """A task keeper under a simulated clock with one running task."""
 
