Run both inbox tasks through one loop

Cause: the dispatch task and the configuration task each had the same loop: wait for a message, stop, take a step, log what fails. Change: run_inbox holds the loop; each task keeps its wait and its step.

--- a/src/sesameladder/entry/_configuration_task.py
+++ b/src/sesameladder/entry/_configuration_task.py
@@ -3,7 +3,7 @@
 import logging
 from collections.abc import Callable
 from functools import singledispatchmethod
-from queue import Empty, SimpleQueue
+from queue import SimpleQueue
 from threading import Thread
 from time import time
 
@@ -28,7 +28,8 @@
     TicketsRead,
     VmListRead,
 )
-from sesameladder.entry._task_messages import PeerMessage, Stop
+from sesameladder.entry._inbox import run_inbox
+from sesameladder.entry._task_messages import PeerMessage
 from sesameladder.entry._view import FleetView
 from sesameladder.observability import Metric, Metrics, log_event
 from sesameladder.peering import (
@@ -120,22 +121,13 @@
         }
 
     def _run(self) -> None:
-        while True:
-            try:
-                message = self.inbox.get(timeout=TICK_SECONDS)
-            except Empty:
-                message = None
-            if isinstance(message, Stop):
-                return
-            try:
-                if message is not None:
-                    self._receive(message)
-                self._pull_if_behind()
-                self._publish_rules()
-            except Exception:
-                logger.exception(
-                    "configuration step failed", extra={"event": "configuration_error"}
-                )
+        run_inbox(self.inbox, lambda: TICK_SECONDS, self._step, "configuration_error")
+
+    def _step(self, message: ConfigurationMessage | None) -> None:
+        if message is not None:
+            self._receive(message)
+        self._pull_if_behind()
+        self._publish_rules()
 
     @singledispatchmethod
     def _receive(self, message: object) -> None:
--- a/src/sesameladder/entry/_dispatch_task.py
+++ b/src/sesameladder/entry/_dispatch_task.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from functools import singledispatchmethod
-from queue import Empty, SimpleQueue
+from queue import SimpleQueue
 from random import Random
 from threading import Thread
 
@@ -18,7 +18,8 @@
     TasksReported,
     ViewChanged,
 )
-from sesameladder.entry._task_messages import PeerMessage, Stop
+from sesameladder.entry._inbox import run_inbox
+from sesameladder.entry._task_messages import PeerMessage
 from sesameladder.entry._view import FleetView
 from sesameladder.observability import Metric, Metrics, log_event
 from sesameladder.peering import (
@@ -116,28 +117,19 @@
         }
 
     def _run(self) -> None:
-        while True:
-            message = self._next_message()
-            if isinstance(message, Stop):
-                self.executor.shutdown(wait=False, cancel_futures=True)
-                return
-            try:
-                if message is not None:
-                    self._receive(message)
-                self._advance()
-            except Exception:
-                logger.exception(
-                    "dispatch step failed", extra={"event": "dispatch_error"}
-                )
+        run_inbox(self.inbox, self._find_wait, self._step, "dispatch_error")
+        self.executor.shutdown(wait=False, cancel_futures=True)
 
-    def _next_message(self) -> DispatchMessage | None:
+    def _find_wait(self) -> float:
+        """Return the time in seconds until a cell has something to decide."""
         now = self.now()
         wakeups = [cell.next_wakeup(now) for cell in self.cells.values()]
-        timeout = min([*wakeups, now + MAX_IDLE_SECONDS]) - now
-        try:
-            return self.inbox.get(timeout=max(0.0, timeout))
-        except Empty:
-            return None
+        return min([*wakeups, now + MAX_IDLE_SECONDS]) - now
+
+    def _step(self, message: DispatchMessage | None) -> None:
+        if message is not None:
+            self._receive(message)
+        self._advance()
 
     def _advance(self) -> None:
         now = self.now()
