--- a/src/sesameladder/client/_context.py
+++ b/src/sesameladder/client/_context.py
@@ -12,7 +12,7 @@
 from sesameladder.client._errors import CommandFailed
 from sesameladder.client._exit_codes import ExitCode
 from sesameladder.client._instances import fetch_json
-from sesameladder.platform import PlatformClient, Store
+from sesameladder.environment import PlatformClient, Store
 from sesameladder.settings import ClientSettings, SettingsInvalid
 from sesameladder.tickets import TicketLog
 
--- a/src/sesameladder/client/_follow.py
+++ b/src/sesameladder/client/_follow.py
@@ -10,9 +10,9 @@
 from sesameladder.client._exit_codes import EXIT_CODE_HELP, ExitCode
 from sesameladder.client._options import CommonOptions
 from sesameladder.client._progress import WaveProgress, compute_progress
+from sesameladder.environment import PlatformError
 from sesameladder.model import FleetState, MaintenanceWave
 from sesameladder.planning import PlanMalformed, RegionPlan, VmRow
-from sesameladder.platform import PlatformError
 from sesameladder.tickets import TicketLogUnavailable
 
 PLAN_PREFIX = "plan/"
--- a/src/sesameladder/client/_main.py
+++ b/src/sesameladder/client/_main.py
@@ -26,7 +26,7 @@
 from sesameladder.client._show import ShowTicket
 from sesameladder.client._status import ShowStatus
 from sesameladder.client._wording import encode_problems, list_problems
-from sesameladder.platform import PlatformError
+from sesameladder.environment import PlatformError
 from sesameladder.settings import ClientSettings
 from sesameladder.tickets import (
     TicketInvalid,
--- a/src/sesameladder/client/tests/session.py
+++ b/src/sesameladder/client/tests/session.py
@@ -8,7 +8,7 @@
 from sesameladder.client._context import Context
 from sesameladder.client._errors import InstanceUnreachable
 from sesameladder.client._main import run
-from sesameladder.platform import FakeStore
+from sesameladder.environment import FakeStore
 
 NOW = 1_764_840_000.0
 
--- a/src/sesameladder/entry/_cell_runtime.py
+++ b/src/sesameladder/entry/_cell_runtime.py
@@ -20,6 +20,7 @@
     WorkerSpec,
 )
 from sesameladder.entry._view import FleetView
+from sesameladder.environment import VmState
 from sesameladder.model import Pool
 from sesameladder.peering import (
     GrantAnswer,
@@ -32,7 +33,6 @@
     ThrottleOrder,
 )
 from sesameladder.planning import Phase
-from sesameladder.platform import VmState
 
 ANSWER_SECONDS = 0.5
 UNPOLLED_SECONDS = 2.0
--- a/src/sesameladder/entry/_configuration_messages.py
+++ b/src/sesameladder/entry/_configuration_messages.py
@@ -3,8 +3,8 @@
 from dataclasses import dataclass
 
 from sesameladder.entry._task_messages import PeerMessage, Stop
+from sesameladder.environment import VmStatus
 from sesameladder.peering import Message
-from sesameladder.platform import VmStatus
 from sesameladder.tickets import Ticket
 
 
--- a/src/sesameladder/entry/_configuration_task.py
+++ b/src/sesameladder/entry/_configuration_task.py
@@ -31,6 +31,7 @@
 from sesameladder.entry._inbox import run_inbox
 from sesameladder.entry._task_messages import PeerMessage
 from sesameladder.entry._view import FleetView
+from sesameladder.environment import VmState
 from sesameladder.observability import Metric, Metrics, log_event
 from sesameladder.peering import (
     Failure,
@@ -49,7 +50,6 @@
     VmListUpdate,
 )
 from sesameladder.planning import PlanMalformed, RegionPlan
-from sesameladder.platform import VmState
 
 TICK_SECONDS = 0.25
 
--- a/src/sesameladder/entry/_dispatch_task.py
+++ b/src/sesameladder/entry/_dispatch_task.py
@@ -21,6 +21,7 @@
 from sesameladder.entry._inbox import run_inbox
 from sesameladder.entry._task_messages import PeerMessage
 from sesameladder.entry._view import FleetView
+from sesameladder.environment import WorkerTasks, WorkerUnavailable
 from sesameladder.observability import Metric, Metrics, log_event
 from sesameladder.peering import (
     CellQuery,
@@ -43,7 +44,6 @@
     VmGrants,
 )
 from sesameladder.planning import DispatcherRow, cell_key
-from sesameladder.platform import WorkerTasks, WorkerUnavailable
 
 MAX_IDLE_SECONDS = 0.5
 RECONCILE_SECONDS = 1.0
--- a/src/sesameladder/entry/_planner_task.py
+++ b/src/sesameladder/entry/_planner_task.py
@@ -12,6 +12,12 @@
 from sesameladder.entry._configuration_task import ConfigurationTask
 from sesameladder.entry._membership import Membership
 from sesameladder.entry._view import FleetView
+from sesameladder.environment import (
+    PlatformClient,
+    PlatformError,
+    WorkerTasks,
+    WorkerUnavailable,
+)
 from sesameladder.observability import Metric, Metrics, log_event
 from sesameladder.peering import (
     CellQuery,
@@ -37,12 +43,6 @@
     cell_key,
 )
 from sesameladder.planning import CellReport as PlannerCellReport
-from sesameladder.platform import (
-    PlatformClient,
-    PlatformError,
-    WorkerTasks,
-    WorkerUnavailable,
-)
 
 STEP_SECONDS = 0.5
 # Bounds the reads of standby instances; a vacant role is taken within 3 s.
--- a/src/sesameladder/entry/_process.py
+++ b/src/sesameladder/entry/_process.py
@@ -26,6 +26,7 @@
 from sesameladder.entry._token_path import TokenPath
 from sesameladder.entry._upstream import UpstreamClient
 from sesameladder.entry._view import FleetView
+from sesameladder.environment import HttpWorkerTasks, PlatformClient
 from sesameladder.idempotency import (
     ClaimBinder,
     HomeTable,
@@ -41,7 +42,6 @@
     Peers,
     TokenHandOver,
 )
-from sesameladder.platform import HttpWorkerTasks, PlatformClient
 from sesameladder.settings import EntrySettings
 
 WORKER_CONNECTIONS = 64
--- a/src/sesameladder/entry/_relay_task.py
+++ b/src/sesameladder/entry/_relay_task.py
@@ -15,9 +15,9 @@
     VmListRead,
 )
 from sesameladder.entry._configuration_task import ConfigurationTask
+from sesameladder.environment import PlatformClient, PlatformError
 from sesameladder.observability import log_event
 from sesameladder.planning import PlanMalformed, RoleLease
-from sesameladder.platform import PlatformClient, PlatformError
 from sesameladder.tickets import HEAD_KEY, TicketLog, TicketLogError, encode_state
 
 STEP_SECONDS = 0.5
--- a/src/sesameladder/entry/_task_keeper.py
+++ b/src/sesameladder/entry/_task_keeper.py
@@ -10,8 +10,8 @@
 from sesameladder.entry._grant_client import GrantClient
 from sesameladder.entry._held_grants import HeldGrant
 from sesameladder.entry._upstream import TASK_LEASE_MS
+from sesameladder.environment import WorkerTasks, WorkerUnavailable
 from sesameladder.observability import log_event
-from sesameladder.platform import WorkerTasks, WorkerUnavailable
 
 RENEW_SECONDS = 1.0
 CALL_THREADS = 8
--- a/src/sesameladder/entry/_view.py
+++ b/src/sesameladder/entry/_view.py
@@ -3,9 +3,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from sesameladder.environment import VmState
 from sesameladder.model import FleetState
 from sesameladder.planning import DispatcherRow, RegionPlan, cell_key
-from sesameladder.platform import VmState
 
 
 @dataclass(slots=True)
--- a/src/sesameladder/entry/tests/test_configuration_task.py
+++ b/src/sesameladder/entry/tests/test_configuration_task.py
@@ -15,6 +15,7 @@
 from sesameladder.entry._configuration_task import ConfigurationTask
 from sesameladder.entry._task_messages import PeerMessage
 from sesameladder.entry._view import FleetView
+from sesameladder.environment import VmState, VmStatus
 from sesameladder.model import PeerIdentity
 from sesameladder.observability import Metrics
 from sesameladder.peering import (
@@ -30,7 +31,6 @@
     VmListUpdate,
 )
 from sesameladder.planning import RegionPlan
-from sesameladder.platform import VmState, VmStatus
 from sesameladder.tickets import Ticket, parse_ticket
 
 FAR_FUTURE_MS = 10**15
--- a/src/sesameladder/entry/tests/test_dispatch_task.py
+++ b/src/sesameladder/entry/tests/test_dispatch_task.py
@@ -10,6 +10,7 @@
 from sesameladder.entry._task_messages import PeerMessage
 from sesameladder.entry._view import FleetView
 from sesameladder.entry.tests.fakes import InlineExecutor
+from sesameladder.environment import TaskReport, VmState
 from sesameladder.model import FleetState, PeerIdentity, Pool, VirtualMachine
 from sesameladder.observability import Metrics
 from sesameladder.peering import (
@@ -27,7 +28,6 @@
     PeerUnreachable,
 )
 from sesameladder.planning import DispatcherRow, Phase, RegionPlan, VmRow
-from sesameladder.platform import TaskReport, VmState
 
 OWN = "entry-1"
 FORWARDER = PeerIdentity("entry-2", 5)
--- a/src/sesameladder/entry/tests/test_planner_task.py
+++ b/src/sesameladder/entry/tests/test_planner_task.py
@@ -7,10 +7,10 @@
 
 from sesameladder.entry._planner_task import PlannerTask
 from sesameladder.entry._view import FleetView
+from sesameladder.environment import PlatformError
 from sesameladder.model import PeerIdentity
 from sesameladder.observability import Metrics
 from sesameladder.planning import Action, DrainVm, RebootVm
-from sesameladder.platform import PlatformError
 
 
 class FakePeers:
--- a/src/sesameladder/entry/tests/test_task_keeper.py
+++ b/src/sesameladder/entry/tests/test_task_keeper.py
@@ -8,7 +8,7 @@
 from sesameladder.entry._held_grants import HeldGrant, HeldGrants
 from sesameladder.entry._task_keeper import TaskKeeper
 from sesameladder.entry.tests.fakes import InlineExecutor
-from sesameladder.platform import WorkerUnavailable
+from sesameladder.environment import WorkerUnavailable
 
 LEASE_S = 3.0
 
--- a/src/sesameladder/platform/_fake_store.py
+++ b/src/sesameladder/environment/_fake_store.py
@@ -3,12 +3,12 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from sesameladder.platform._errors import (
+from sesameladder.environment._errors import (
     StoreAnswerLost,
     StoreRefused,
     StoreUnavailable,
 )
-from sesameladder.platform._store import (
+from sesameladder.environment._store import (
     MAX_VALUE_BYTES,
     StoreEntry,
     SwapConflict,
--- a/src/sesameladder/platform/_http_client.py
+++ b/src/sesameladder/environment/_http_client.py
@@ -6,14 +6,14 @@
 from urllib3 import BaseHTTPResponse, PoolManager, Retry, Timeout
 from urllib3.exceptions import HTTPError, NewConnectionError
 
-from sesameladder.platform._errors import (
+from sesameladder.environment._errors import (
     PlatformError,
     StoreAnswerLost,
     StoreRefused,
     StoreUnavailable,
 )
-from sesameladder.platform._fleet import VmState, VmStatus
-from sesameladder.platform._store import (
+from sesameladder.environment._fleet import VmState, VmStatus
+from sesameladder.environment._store import (
     MAX_VALUE_BYTES,
     StoreEntry,
     SwapConflict,
--- a/src/sesameladder/platform/_tasks.py
+++ b/src/sesameladder/environment/_tasks.py
@@ -6,7 +6,7 @@
 from urllib3 import PoolManager, Retry, Timeout
 from urllib3.exceptions import HTTPError
 
-from sesameladder.platform._errors import WorkerUnavailable
+from sesameladder.environment._errors import WorkerUnavailable
 
 CALL_TIMEOUT_S = 1.0
 # Workers whose connections are kept; more than an instance's cells and spills.
--- a/src/sesameladder/platform/tests/test_fake_store.py
+++ b/src/sesameladder/environment/tests/test_fake_store.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from sesameladder.platform import (
+from sesameladder.environment import (
     FakeStore,
     StoreAnswerLost,
     StoreUnavailable,
--- a/src/sesameladder/observability/_logging.py
+++ b/src/sesameladder/eventlog/_logging.py
@@ -10,7 +10,7 @@
 
 from pythonjsonlogger.json import JsonFormatter
 
-from sesameladder.observability._events import EVENTS
+from sesameladder.eventlog._events import EVENTS
 
 UNNAMED_EVENT = "message"
 """Event name of lines that libraries log as plain text."""
--- /dev/null
+++ b/src/sesameladder/fleet/__init__.py
@@ -0,0 +1,6 @@
+"""VMs, pools and upkeep: decisions without sockets or clocks."""
+
+from sesameladder.fleet._model import PoolSummary, Vm, VmPhase, Wave
+from sesameladder.fleet._upkeep import UpkeepPlan, UpkeepPlanner
+
+__all__ = ["PoolSummary", "UpkeepPlan", "UpkeepPlanner", "Vm", "VmPhase", "Wave"]
--- /dev/null
+++ b/src/sesameladder/fleet/_model.py
@@ -0,0 +1,59 @@
+"""VMs, upkeep waves and what pool owners tell about their pools."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from sesameladder.jobs import Resources
+
+
+class VmPhase(StrEnum):
+    """What a VM is doing."""
+
+    UP = "up"
+    MOVING = "moving"
+    IN_UPKEEP = "in_upkeep"
+    DOWN = "down"
+
+
+@dataclass(frozen=True, slots=True)
+class Vm:
+    """One VM in the platform's list."""
+
+    name: str
+    pool: str
+    phase: VmPhase
+    zone: str
+    labels: tuple[str, ...]
+    capacity: Resources
+    worker: str
+    """Identifier of the worker that runs on it; empty while it is down."""
+
+
+@dataclass(frozen=True, slots=True)
+class Wave:
+    """An order to take VMs through upkeep."""
+
+    number: int
+    vms: tuple[str, ...]
+    finish_by_s: float
+    """Time from the order to the end of the wave."""
+
+    max_down: int
+    """Most VMs of the wave that may be in upkeep at the same time."""
+
+
+@dataclass(frozen=True, slots=True)
+class PoolSummary:
+    """What a pool's owner tells the other processes."""
+
+    pending: dict[str, int]
+    """Jobs that haven't begun, by queue."""
+
+    drained: tuple[str, ...]
+    """Workers that were asked to be emptied and run nothing now."""
+
+    busy_cores: float
+    """Cores that running subtasks ask for."""
+
+    waiting_cores: float
+    """Cores that waiting subtasks ask for."""
--- a/src/sesameladder/idempotency/_claims.py
+++ b/src/sesameladder/idempotency/_claims.py
@@ -4,10 +4,7 @@
 from dataclasses import dataclass
 from hashlib import blake2b
 
-from sesameladder.idempotency._errors import TokenMalformed
-from sesameladder.idempotency._outcome import NotRunReason, UnknownReason
-from sesameladder.idempotency._token import Token
-from sesameladder.platform import (
+from sesameladder.environment import (
     PlatformError,
     Store,
     StoreAnswerLost,
@@ -16,6 +13,9 @@
     StoreUnavailable,
     Swapped,
 )
+from sesameladder.idempotency._errors import TokenMalformed
+from sesameladder.idempotency._outcome import NotRunReason, UnknownReason
+from sesameladder.idempotency._token import Token
 
 CLAIM_PREFIX = "claims/"
 CLAIM_HASH_BYTES = 20
--- a/src/sesameladder/idempotency/tests/faulty_variants.py
+++ b/src/sesameladder/idempotency/tests/faulty_variants.py
@@ -2,6 +2,7 @@
 
 from dataclasses import replace
 
+from sesameladder.environment import StoreAnswerLost, StoreEntry
 from sesameladder.idempotency import (
     ClaimBinder,
     HomeTable,
@@ -12,7 +13,6 @@
 )
 from sesameladder.measure._schedule_process import Variant
 from sesameladder.measure.at_most_once import WithoutWitnessRule
-from sesameladder.platform import StoreAnswerLost, StoreEntry
 
 SMALL_TABLE_BYTES = 1500
 
--- a/src/sesameladder/idempotency/tests/test_claims.py
+++ b/src/sesameladder/idempotency/tests/test_claims.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from sesameladder.environment import FakeStore, StoreAnswerLost
 from sesameladder.idempotency import (
     CLAIM_LEASE_SHARE_SECONDS,
     KEY_LIFETIME_SECONDS,
@@ -17,7 +18,6 @@
     UnknownReason,
     claim_key,
 )
-from sesameladder.platform import FakeStore, StoreAnswerLost
 
 HOUR = 3600.0
 
--- /dev/null
+++ b/src/sesameladder/jobs/__init__.py
@@ -0,0 +1,72 @@
+"""Jobs and their placement on workers: decisions without sockets or clocks."""
+
+from sesameladder.jobs._book import Job, JobBook, Step, Submission, Subtask
+from sesameladder.jobs._commands import (
+    AdviceCommand,
+    Command,
+    PaceCommand,
+    StartCommand,
+    StopCommand,
+)
+from sesameladder.jobs._model import (
+    AdvicePolicy,
+    Configuration,
+    EndReason,
+    JobRecord,
+    JobSpec,
+    JobState,
+    PoolPolicy,
+    QueuePolicy,
+    Resources,
+    RunEnd,
+    RunStatus,
+    StartOrder,
+    StartOutcome,
+    StepSpec,
+    SubtaskId,
+    WorkerRecord,
+    WorkerReport,
+)
+from sesameladder.jobs._progress import (
+    ProgressInvalid,
+    decode_progress,
+    encode_progress,
+)
+from sesameladder.jobs._runs import Run, WorkerView
+from sesameladder.jobs._scheduler import PoolScheduler
+
+__all__ = [
+    "AdviceCommand",
+    "AdvicePolicy",
+    "Command",
+    "Configuration",
+    "EndReason",
+    "Job",
+    "JobBook",
+    "JobRecord",
+    "JobSpec",
+    "JobState",
+    "PaceCommand",
+    "PoolPolicy",
+    "PoolScheduler",
+    "ProgressInvalid",
+    "QueuePolicy",
+    "Resources",
+    "Run",
+    "RunEnd",
+    "RunStatus",
+    "StartCommand",
+    "StartOrder",
+    "StartOutcome",
+    "Step",
+    "StepSpec",
+    "StopCommand",
+    "Submission",
+    "Subtask",
+    "SubtaskId",
+    "WorkerRecord",
+    "WorkerReport",
+    "WorkerView",
+    "decode_progress",
+    "encode_progress",
+]
--- /dev/null
+++ b/src/sesameladder/jobs/_placement.py
@@ -0,0 +1,73 @@
+"""Which worker a subtask is sent to."""
+
+from collections.abc import Iterable
+
+from sesameladder.jobs._book import Step, Subtask
+from sesameladder.jobs._runs import WorkerView
+
+
+def choose_worker(
+    subtask: Subtask,
+    workers: Iterable[WorkerView],
+    tickets: dict[str, str] | None,
+    now: float,
+    rack: str = "",
+) -> WorkerView | None:
+    """Return the best worker with room, or None.
+
+    ``tickets`` limits the choice to the workers that the queue's policy allows,
+    ``rack`` to one rack. The fullest worker that fits is best, which leaves room
+    for wide subtasks elsewhere; a worker near the data and one on which the
+    subtask has not failed go before that.
+    """
+    step = subtask.step
+    spec = step.spec
+    best: WorkerView | None = None
+    best_score: tuple[float, ...] = ()
+    for worker in workers:
+        if not worker.accepts_work(now) or not worker.has_room(spec.needs, spec.fills):
+            continue
+        if spec.label and spec.label not in worker.record.labels:
+            continue
+        if rack and worker.rack != rack:
+            continue
+        if tickets is not None and worker.id not in tickets:
+            continue
+        if spec.max_per_worker and _count_beside(step, worker) >= spec.max_per_worker:
+            continue
+        score = _score(subtask, worker)
+        if best is None or score < best_score:
+            best, best_score = worker, score
+    return best
+
+
+def _score(subtask: Subtask, worker: WorkerView) -> tuple[float, ...]:
+    spec = subtask.step.spec
+    is_far = bool(spec.data_rack) and spec.data_rack not in worker.record.labels
+    # Work that fills disturbs work that serves on the same worker, and work that
+    # serves lasts: it is spread, all else is packed.
+    beside = _count_disturbing(subtask, worker)
+    left = worker.free_cpu if not spec.lasting else -worker.free_cpu
+    return (
+        worker.id in subtask.failed_on,
+        is_far,
+        beside,
+        round(worker.slowness),
+        left,
+    )
+
+
+def _count_beside(step: Step, worker: WorkerView) -> int:
+    """Return the runs of the same step on a worker."""
+    return sum(1 for run in worker.runs.values() if run.subtask.step is step)
+
+
+def _count_disturbing(subtask: Subtask, worker: WorkerView) -> int:
+    spec = subtask.step.spec
+    if spec.fills:
+        return sum(
+            1 for run in worker.runs.values() if run.subtask.step.spec.tail_target_ms
+        )
+    if spec.tail_target_ms:
+        return sum(1 for run in worker.runs.values() if run.subtask.step.spec.fills)
+    return 0
--- /dev/null
+++ b/src/sesameladder/jobs/_progress.py
@@ -0,0 +1,72 @@
+"""Stored forms of submissions and of their progress."""
+
+import json
+from typing import Any
+
+from sesameladder.jobs._book import Job
+from sesameladder.jobs._model import JobRecord, JobSpec, JobState, SubtaskId
+
+
+class ProgressInvalid(ValueError):
+    """A stored progress record is malformed."""
+
+
+def encode_progress(job: Job) -> bytes:
+    """Encode the state, the subtasks done and the failures of a job."""
+    body: dict[str, Any] = {"queue": job.submission.queue, "state": job.state.value}
+    if not job.state.is_final:
+        body["done"] = _encode_done(job)
+        body["failures"] = {
+            _join_name(subtask.id): subtask.failures
+            for subtask in job.list_subtasks()
+            if subtask.failures
+        }
+    return json.dumps(body, separators=(",", ":")).encode()
+
+
+def decode_progress(job: str, value: bytes, spec: JobSpec | None) -> JobRecord:
+    """Decode a progress record; raises ``ProgressInvalid``.
+
+    Without the job's ``spec`` only the state is read.
+    """
+    try:
+        body = json.loads(value)
+        record = JobRecord(job, body["queue"], spec or JobSpec("", ()))
+        record.state = JobState(body["state"])
+        if spec is not None:
+            record.done = _decode_done(job, body.get("done") or {}, spec)
+            for name, count in (body.get("failures") or {}).items():
+                record.failures[_split_name(job, name)] = int(count)
+    except (ValueError, KeyError, TypeError, IndexError) as error:
+        raise ProgressInvalid(f"progress of job {job} is malformed") from error
+    return record
+
+
+def _encode_done(job: Job) -> dict[str, str]:
+    """Return a bit mask in hexadecimal for each step with subtasks done."""
+    masks = {}
+    for (occurrence, number), step in job.steps.items():
+        mask = sum(1 << i for i, subtask in enumerate(step.subtasks) if subtask.done)
+        if mask:
+            masks[f"{occurrence}.{number}"] = f"{mask:x}"
+    return masks
+
+
+def _decode_done(job: str, masks: dict[str, str], spec: JobSpec) -> set[SubtaskId]:
+    done = set()
+    for name, text in masks.items():
+        occurrence, number = map(int, name.split("."))
+        mask = int(text, 16)
+        for index in range(spec.steps[number].count):
+            if mask >> index & 1:
+                done.add(SubtaskId(job, occurrence, number, index))
+    return done
+
+
+def _join_name(subtask: SubtaskId) -> str:
+    return f"{subtask.occurrence}.{subtask.step}.{subtask.position}"
+
+
+def _split_name(job: str, name: str) -> SubtaskId:
+    occurrence, step, index = map(int, name.split("."))
+    return SubtaskId(job, occurrence, step, index)
--- /dev/null
+++ b/src/sesameladder/jobs/_scheduler.py
@@ -0,0 +1,703 @@
+"""Decides what runs where in one pool.
+
+The scheduler has no sockets, threads or clock of its own: events come in with the
+time, commands go out. A subtask has at most one run that may be present on a
+worker; a run is given up only when the worker lists its end, has barred it, has
+begun another life, or when its lease has lapsed for sure.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from sesameladder.jobs._book import Job, JobBook, Step, Submission, Subtask
+from sesameladder.jobs._commands import (
+    AdviceCommand,
+    Command,
+    StartCommand,
+    StopCommand,
+)
+from sesameladder.jobs._durations import DurationTable
+from sesameladder.jobs._evacuation import choose_evacuations
+from sesameladder.jobs._model import (
+    EndReason,
+    JobRecord,
+    JobSpec,
+    JobState,
+    Resources,
+    RunEnd,
+    RunStatus,
+    StartOrder,
+    StartOutcome,
+    StepSpec,
+    SubtaskId,
+    WorkerRecord,
+    WorkerReport,
+)
+from sesameladder.jobs._ordering import rank_step
+from sesameladder.jobs._pacing import Pacer
+from sesameladder.jobs._placement import choose_worker
+from sesameladder.jobs._runs import Run, WorkerView
+
+RUNS_PER_TERM = 1000  # run numbers set aside for each owner of a pool
+START_RETRY_S = 0.1  # after a start without an answer, which took its time limit
+STOP_RETRY_S = 0.6  # an answer takes a few ms
+FAILURE_PAUSE_S = 0.05  # lets a report of other failures on the worker arrive first
+NO_ROOM_PAUSE_S = 0.1  # about the time until the worker's next report
+UNREACHED_PAUSE_S = 0.5
+GANG_PATIENCE_S = 1.5  # half the time after which members give up on the others
+
+Note = Callable[..., None]
+
+
+@dataclass(slots=True, eq=False)
+class StepTickets:
+    """Advice on one step."""
+
+    tickets: dict[str, str]
+    valid_until: float
+
+
+@dataclass(slots=True, eq=False)
+class PoolScheduler:
+    """State and decisions of one pool's owner."""
+
+    term: int
+    """Number of this ownership of the pool; rises with each owner."""
+
+    note: Note
+    """Logs one decision: event name and fields."""
+
+    stop_grace_s: float = 0.9
+    book: JobBook = field(default_factory=JobBook)
+    workers: dict[str, WorkerView] = field(default_factory=dict)
+    runs: dict[SubtaskId, Run] = field(default_factory=dict)
+    """The run of each subtask that has one."""
+
+    strays: list[Run] = field(default_factory=list)
+    """Runs of ended jobs or superseded runs, until they are gone."""
+
+    durations: DurationTable = field(default_factory=DurationTable)
+    pacer: Pacer = field(default_factory=Pacer)
+    commands: list[Command] = field(default_factory=list)
+    dirty: dict[str, Job] = field(default_factory=dict)
+    """Jobs whose progress has changed since it was last taken."""
+
+    tickets: dict[tuple[str, int, int], StepTickets] = field(default_factory=dict)
+    asked: set[tuple[str, int, int]] = field(default_factory=set)
+    fence: int = 0
+    """Revision of the store at which this owner took over."""
+
+    may_start_from: float = 0.0
+    """Steady time from which unread workers no longer hold up starts."""
+
+    missing: set[str] = field(default_factory=set)
+    """Workers of earlier owners that the list of workers doesn't name."""
+
+    emptying: set[str] = field(default_factory=set)
+    """Workers that are to be emptied for upkeep."""
+
+    is_paused: bool = False
+    """Whether nothing is started, since the store hasn't confirmed the owner."""
+
+    # Events ----------------------------------------------------------------
+
+    def add_job(
+        self, submission: Submission, record: JobRecord | None, now: float
+    ) -> None:
+        """Take on an accepted job, with its progress under earlier owners."""
+        if submission.job in self.book.jobs or submission.job in self.book.ended:
+            return
+        if record is not None and record.state.is_final:
+            self.book.ended[submission.job] = (record.state, now)
+            return
+        job = self.book.add(submission, record, now)
+        self.note("job_taken", job=job.id, queue=submission.queue)
+        self._end_if_settled(job, now)
+
+    def cancel_job(self, job_id: str, now: float) -> None:
+        """Cancel a job; its runs are stopped."""
+        job = self.book.jobs.get(job_id)
+        if job is not None:
+            self._end_job(job, JobState.CANCELLED, now)
+
+    def update_workers(self, records: list[WorkerRecord], now: float) -> None:
+        """Take over a new reading of the list of this pool's workers."""
+        listed = {record.worker for record in records}
+        self.missing -= listed
+        for record in records:
+            view = self.workers.get(record.worker)
+            if view is not None and view.record.born_ms != record.born_ms:
+                self._lose_worker(view, now, "worker_reborn")
+                view = None
+            if view is None:
+                view = self.workers[record.worker] = WorkerView(record)
+                view.is_drained_for = "upkeep" if view.id in self.emptying else ""
+                self.note("worker_seen", worker=record.worker)
+            else:
+                if record.is_draining and not view.record.is_draining:
+                    self.note("worker_draining", worker=record.worker)
+                view.record = record
+                view.is_listed = True
+        for view in list(self.workers.values()):
+            if view.id not in listed:
+                if view.is_listed:
+                    self.note("worker_unlisted", worker=view.id)
+                view.is_listed = False
+
+    def apply_report(
+        self, worker_id: str, report: WorkerReport, sent_at: float, now: float
+    ) -> None:
+        """Take a worker's lists into account."""
+        worker = self.workers.get(worker_id)
+        if worker is None:
+            return
+        if report.born_ms and report.born_ms != worker.record.born_ms:
+            self._lose_worker(worker, now, "worker_reborn")
+            return
+        if worker.failed_reports:
+            self.note("worker_regained", worker=worker_id)
+        worker.failed_reports = 0
+        present = {(status.subtask, status.run) for status in report.running}
+        for end in report.ended:
+            if end.number > worker.ends_seen:
+                self._apply_end(worker, end, now)
+        for status in report.running:
+            self._apply_status(worker, status, now)
+        listed = {(end.subtask, end.run) for end in report.ended}
+        self._drop_missing(worker, present | listed, sent_at, now)
+        if not worker.is_known:
+            worker.is_known = True
+            self.note("worker_learned", worker=worker_id, running=len(present))
+        self.commands.extend(self.pacer.adjust(worker, now))
+
+    def report_failed(self, worker_id: str, now: float) -> None:
+        """Note that a worker did not answer a report."""
+        worker = self.workers.get(worker_id)
+        if worker is None:
+            return
+        worker.failed_reports += 1
+        if worker.failed_reports == 1:
+            self.note("worker_silent", worker=worker_id)
+        self._drop_lapsed(worker, now)
+
+    def lose_worker(self, worker_id: str, now: float) -> None:
+        """Note that another life has taken a worker's place."""
+        worker = self.workers.get(worker_id)
+        if worker is not None:
+            self._lose_worker(worker, now, "worker_replaced")
+
+    def apply_start(
+        self,
+        worker_id: str,
+        subtask_id: SubtaskId,
+        number: int,
+        outcome: StartOutcome,
+        now: float,
+    ) -> None:
+        """Take the answer to a start into account."""
+        run = self._find_run(worker_id, subtask_id, number)
+        if run is None:
+            return
+        if outcome is StartOutcome.STARTED:
+            run.confirmed_at = run.confirmed_at or now
+            run.progress_at = now
+            run.retry_at = None
+            return
+        if run.confirmed_at is not None:
+            return
+        if outcome is not StartOutcome.UNANSWERED:
+            self.note(
+                "start_refused",
+                job=subtask_id.job,
+                subtask=subtask_id[1:],
+                worker=worker_id,
+                reason=outcome.value,
+            )
+        if outcome is StartOutcome.UNANSWERED:
+            run.was_unanswered = True
+            run.retry_at = now + START_RETRY_S
+            return
+        worker = run.worker
+        if outcome is StartOutcome.NO_ROOM:
+            worker.full_until = now + NO_ROOM_PAUSE_S
+        elif outcome in (StartOutcome.NOT_SENT, StartOutcome.UNHEALTHY):
+            worker.ejected_until = max(worker.ejected_until, now + UNREACHED_PAUSE_S)
+        elif outcome is StartOutcome.NO_TICKET:
+            self.tickets.pop(run.subtask.step.key, None)
+        elif outcome is StartOutcome.OTHER_LIFE:
+            self._lose_worker(worker, now, "worker_replaced")
+            return
+        if run.was_unanswered and outcome is not StartOutcome.SUPERSEDED:
+            # A copy of the start may still arrive; only a stop bars it.
+            run.is_refused = True
+            run.retry_at = None
+            self._stop(run, now)
+        else:
+            self._release(run, now)
+
+    def apply_stop(
+        self, worker_id: str, subtask_id: SubtaskId, number: int, now: float
+    ) -> None:
+        """Note that a worker has answered a stop."""
+        run = self._find_run(worker_id, subtask_id, number)
+        if run is not None and run.stop_answered_at is None:
+            run.stop_answered_at = now
+
+    def apply_advice(
+        self,
+        step: tuple[str, int, int],
+        tickets: dict[str, str] | None,
+        valid_s: float,
+        now: float,
+    ) -> None:
+        """Take advice on a step; None when the call failed."""
+        self.asked.discard(step)
+        if tickets is not None:
+            self.tickets[step] = StepTickets(tickets, now + valid_s)
+
+    def set_emptying(self, workers: set[str]) -> None:
+        """Set which workers are to be emptied for upkeep."""
+        self.emptying = workers
+        for view in self.workers.values():
+            view.is_drained_for = "upkeep" if view.id in workers else ""
+
+    # Decisions -------------------------------------------------------------
+
+    def schedule(self, now: float, wall_ms: float) -> list[Command]:
+        """Return the commands that follow from all events so far."""
+        self.book.open_due(wall_ms)
+        for worker in list(self.workers.values()):
+            if worker.failed_reports or not worker.is_listed:
+                self._drop_lapsed(worker, now)
+        self._repeat_orders(now)
+        for run in choose_evacuations(self.workers.values(), self.runs, now):
+            self.note(
+                "subtask_evacuated",
+                job=run.subtask.id.job,
+                subtask=run.subtask.id[1:],
+                worker=run.worker.id,
+            )
+            self._stop(run, now)
+        if not self.is_paused:
+            self._place(now)
+        commands, self.commands = self.commands, []
+        return commands
+
+    def knows_workers(self, now: float) -> bool:
+        """Return whether all that earlier owners started is known or has lapsed."""
+        if now >= self.may_start_from:
+            return True
+        if self.missing:
+            return False
+        return all(view.is_known for view in self.workers.values() if view.is_listed)
+
+    def take_dirty(self) -> list[Job]:
+        """Return the jobs whose progress has to be stored, and forget them."""
+        jobs = list(self.dirty.values())
+        self.dirty.clear()
+        return jobs
+
+    def mark_ends(self) -> dict[str, int]:
+        """Return the last end taken into account, by worker."""
+        return {worker.id: worker.ends_seen for worker in self.workers.values()}
+
+    # Placement -------------------------------------------------------------
+
+    def _place(self, now: float) -> None:
+        steps = sorted(
+            self.book.open_steps.values(),
+            key=lambda step: rank_step(step, self.durations, now),
+        )
+        accepting = [view for view in self.workers.values() if view.accepts_work(now)]
+        takes_old = self.knows_workers(now)
+        for step in steps:
+            if not accepting:
+                return
+            # An earlier owner may have started older jobs on a worker whose
+            # lists haven't been read.
+            if not takes_old and step.job.submission.revision < self.fence:
+                continue
+            if step.job.submission.advice and not self._has_tickets(step, now):
+                continue
+            if step.spec.gang:
+                self._place_gang(step, accepting, now)
+            else:
+                self._place_step(step, accepting, now)
+
+    def _place_step(self, step: Step, accepting: list[WorkerView], now: float) -> None:
+        tickets = self._list_tickets(step)
+        placed = []
+        for subtask in list(step.waiting.values()):
+            if subtask.not_before > now:
+                continue
+            worker = choose_worker(subtask, accepting, tickets, now)
+            if worker is None:
+                break
+            self._start(subtask, worker, subtask.last_run + 1, now)
+            placed.append(worker.id)
+        if placed:
+            self.note(
+                "subtasks_placed",
+                job=step.job.id,
+                step=step.number,
+                workers=placed,
+                waiting=len(step.waiting),
+            )
+
+    def _place_gang(self, step: Step, accepting: list[WorkerView], now: float) -> None:
+        """Place all members at once, or the missing ones beside the others."""
+        active = [run for run in map(self._run_of, step.subtasks) if run is not None]
+        if any(run.stopping_since is not None for run in active):
+            return
+        waiting = list(step.waiting.values())
+        if len(active) + len(waiting) < len(step.subtasks):
+            return
+        if active and now - min(run.sent_at for run in active) > GANG_PATIENCE_S:
+            for run in active:
+                self._stop(run, now)
+            return
+        if any(subtask.not_before > now for subtask in waiting):
+            return
+        number = max(subtask.last_run for subtask in step.subtasks)
+        number += 0 if active else 1
+        racks = {view.rack for view in accepting} if step.spec.same_rack else {""}
+        for rack in sorted(racks):
+            placed = self._try_gang(waiting, accepting, number, rack, now)
+            if placed:
+                self.note("gang_placed", job=step.job.id, step=step.number, rack=rack)
+                return
+
+    def _try_gang(
+        self,
+        waiting: list[Subtask],
+        accepting: list[WorkerView],
+        number: int,
+        rack: str,
+        now: float,
+    ) -> bool:
+        reserved: list[Run] = []
+        tickets = self._list_tickets(waiting[0].step)
+        for subtask in waiting:
+            worker = choose_worker(subtask, accepting, tickets, now, rack)
+            if worker is None:
+                for run in reserved:
+                    run.worker.remove(run)
+                return False
+            run = Run(subtask, number, worker, now)
+            worker.add(run)
+            reserved.append(run)
+        for run in reserved:
+            run.worker.remove(run)
+            self._start(run.subtask, run.worker, number, now)
+        return True
+
+    def _start(
+        self, subtask: Subtask, worker: WorkerView, number: int, now: float
+    ) -> None:
+        floor = (self.term - 1) * RUNS_PER_TERM
+        run = Run(subtask, max(number, floor + 1), worker, now)
+        subtask.last_run = run.number
+        self.runs[subtask.id] = run
+        worker.add(run)
+        self.book.set_placed(subtask)
+        job = subtask.step.job
+        if job.state is JobState.QUEUED:
+            job.state = JobState.RUNNING
+            self.dirty[job.id] = job
+        self._send_start(run)
+
+    def _send_start(self, run: Run) -> None:
+        subtask = run.subtask
+        step = subtask.step
+        tickets = self._list_tickets(step) or {}
+        saved = step.saved if step.spec.gang else subtask.saved
+        order = StartOrder(
+            subtask.id,
+            run.number,
+            step.job.submission.spec.payload,
+            saved,
+            tickets.get(run.worker.id, ""),
+        )
+        self.commands.append(StartCommand(run.worker.id, order))
+
+    def _has_tickets(self, step: Step, now: float) -> bool:
+        known = self.tickets.get(step.key)
+        if known is not None and now < known.valid_until:
+            return True
+        if step.key not in self.asked:
+            policy = step.job.submission.advice
+            assert policy is not None
+            names = tuple(view.id for view in self.workers.values() if view.is_listed)
+            expected_ms = policy.decision_ms + policy.per_worker_ms * len(names)
+            self.asked.add(step.key)
+            self.commands.append(AdviceCommand(step.key, names, expected_ms / 1000))
+        return False
+
+    def _list_tickets(self, step: Step) -> dict[str, str] | None:
+        if not step.job.submission.advice:
+            return None
+        known = self.tickets.get(step.key)
+        return known.tickets if known is not None else {}
+
+    # Runs ------------------------------------------------------------------
+
+    def _run_of(self, subtask: Subtask) -> Run | None:
+        return self.runs.get(subtask.id)
+
+    def _find_run(self, worker: str, subtask: SubtaskId, number: int) -> Run | None:
+        run = self.runs.get(subtask)
+        if run is not None and run.worker.id == worker and run.number == number:
+            return run
+        for stray in self.strays:
+            same = stray.subtask.id == subtask and stray.number == number
+            if same and stray.worker.id == worker:
+                return stray
+        return None
+
+    def _list_runs(self, worker: WorkerView) -> list[Run]:
+        """Return all runs that may be present on a worker."""
+        runs = list(worker.runs.values())
+        runs.extend(stray for stray in self.strays if stray.worker is worker)
+        return list(dict.fromkeys(runs))
+
+    def _stop(self, run: Run, now: float) -> None:
+        if run.stopping_since is None:
+            run.stopping_since = now
+        run.retry_at = None
+        run.stop_sent_at = now
+        run.stop_answered_at = None
+        self.commands.append(StopCommand(run.worker.id, run.subtask.id, run.number))
+
+    def _release(self, run: Run, now: float, pause_s: float = 0.0) -> None:
+        """Forget a run that is surely not present; its subtask waits again."""
+        run.worker.remove(run)
+        if run in self.strays:
+            self.strays.remove(run)
+            return
+        if self.runs.get(run.subtask.id) is run:
+            del self.runs[run.subtask.id]
+            run.subtask.not_before = now + pause_s
+            self.book.set_waiting(run.subtask)
+
+    def _repeat_orders(self, now: float) -> None:
+        for run in [*self.runs.values(), *self.strays]:
+            if run.stopping_since is not None:
+                if now - run.stop_sent_at >= STOP_RETRY_S:
+                    self._stop(run, now)
+            elif run.retry_at is not None and now >= run.retry_at:
+                run.retry_at = None
+                self._send_start(run)
+
+    # Reports ---------------------------------------------------------------
+
+    def _apply_end(self, worker: WorkerView, end: RunEnd, now: float) -> None:
+        worker.ends_seen = end.number
+        subtask = self.book.find(end.subtask)
+        run = self._find_run(worker.id, end.subtask, end.run)
+        if subtask is None:
+            if run is not None:
+                self._release(run, now)
+            return
+        subtask.last_run = max(subtask.last_run, end.run)
+        if end.saved:
+            subtask.saved = subtask.step.saved = end.saved
+        if end.reason is EndReason.DONE:
+            self._apply_done(worker, subtask, run, now)
+        elif end.reason is EndReason.FAILED:
+            self._apply_failure(worker, subtask, run, end, now)
+        elif run is not None:
+            self._release(run, now)
+        if end.reason not in (EndReason.DONE, EndReason.STOPPED):
+            self.note(
+                "run_ended",
+                job=end.subtask.job,
+                subtask=end.subtask[1:],
+                worker=worker.id,
+                reason=end.reason.value,
+                failures=subtask.failures,
+            )
+
+    def _apply_done(
+        self, worker: WorkerView, subtask: Subtask, run: Run | None, now: float
+    ) -> None:
+        worker.note_success()
+        step = subtask.step
+        if run is not None:
+            if run.confirmed_at is not None and not step.spec.lasting:
+                self.durations.add(step, max(0.001, now - run.confirmed_at))
+            self._release(run, now)
+        if step.spec.lasting:
+            return
+        members = step.subtasks if step.spec.gang else [subtask]
+        finished = False
+        for member in members:
+            finished |= self.book.set_done(member)
+            other = self.runs.get(member.id)
+            if other is not None and not step.spec.gang:
+                self._abandon(other, now)
+        self.dirty[step.job.id] = step.job
+        if finished:
+            self._end_job(step.job, JobState.DONE, now)
+
+    def _apply_failure(
+        self,
+        worker: WorkerView,
+        subtask: Subtask,
+        run: Run | None,
+        end: RunEnd,
+        now: float,
+    ) -> None:
+        step = subtask.step
+        if worker.note_failure(now):
+            self.note("worker_ejected", worker=worker.id, until=worker.ejected_until)
+        subtask.failures += 1
+        subtask.failed_on.add(worker.id)
+        self.dirty[step.job.id] = step.job
+        if run is not None:
+            self._release(run, now, FAILURE_PAUSE_S)
+        failures = subtask.failures
+        if step.spec.gang:
+            failures = sum(member.failures for member in step.subtasks)
+        if not step.spec.lasting and failures >= step.job.submission.max_attempts:
+            self.note("job_failed", job=end.subtask.job, subtask=end.subtask[1:])
+            self._end_job(step.job, JobState.FAILED, now)
+
+    def _apply_status(self, worker: WorkerView, status: RunStatus, now: float) -> None:
+        run = self._find_run(worker.id, status.subtask, status.run)
+        if run is None:
+            run = self._adopt(worker, status, now)
+        run.confirmed_at = run.confirmed_at or now
+        run.retry_at = None
+        if status.percent > run.percent:
+            run.progress_at = now
+        run.percent = status.percent
+        run.load = status.load
+        if status.saved and not run.is_refused:
+            run.subtask.saved = run.subtask.step.saved = status.saved
+
+    def _adopt(self, worker: WorkerView, status: RunStatus, now: float) -> Run:
+        """Take on a run that an earlier owner started, or a late order."""
+        subtask = self.book.find(status.subtask)
+        if subtask is None:
+            run = self._adopt_stray(_build_orphan(status), worker, status.run, now)
+            self.note(
+                "run_unwanted",
+                job=status.subtask.job,
+                subtask=status.subtask[1:],
+                worker=worker.id,
+            )
+            return run
+        subtask.last_run = max(subtask.last_run, status.run)
+        current = self.runs.get(subtask.id)
+        if subtask.done or (current is not None and current.confirmed_at is not None):
+            return self._adopt_stray(subtask, worker, status.run, now)
+        if current is not None:
+            self._abandon(current, now)
+        run = Run(subtask, status.run, worker, now, confirmed_at=now, progress_at=now)
+        worker.add(run)
+        self.runs[subtask.id] = run
+        self.book.set_placed(subtask)
+        if subtask.step.job.state is JobState.QUEUED:
+            subtask.step.job.state = JobState.RUNNING
+        self.note(
+            "run_adopted",
+            job=status.subtask.job,
+            subtask=status.subtask[1:],
+            worker=worker.id,
+        )
+        return run
+
+    def _adopt_stray(
+        self, subtask: Subtask, worker: WorkerView, number: int, now: float
+    ) -> Run:
+        run = Run(subtask, number, worker, now, confirmed_at=now, progress_at=now)
+        # The worker's room is counted by subtask; a stray beside the current
+        # run of the same subtask is not counted twice.
+        if subtask.id not in worker.runs:
+            worker.add(run)
+        self.strays.append(run)
+        self._stop(run, now)
+        return run
+
+    def _abandon(self, run: Run, now: float) -> None:
+        """Stop a run that is no longer its subtask's current one."""
+        if self.runs.get(run.subtask.id) is run:
+            del self.runs[run.subtask.id]
+        self.strays.append(run)
+        self._stop(run, now)
+
+    def _drop_missing(
+        self,
+        worker: WorkerView,
+        listed: set[tuple[SubtaskId, int]],
+        sent_at: float,
+        now: float,
+    ) -> None:
+        """Release runs that a report would list if they were still there."""
+        for run in self._list_runs(worker):
+            if (run.subtask.id, run.number) in listed:
+                continue
+            known_at = run.stop_answered_at or run.confirmed_at
+            if known_at is not None and sent_at > known_at:
+                self._release(run, now)
+
+    def _drop_lapsed(self, worker: WorkerView, now: float) -> None:
+        """Release all runs of a silent worker once their leases have lapsed."""
+        if now < worker.lapse_at:
+            return
+        for run in self._list_runs(worker):
+            self.note(
+                "run_lapsed",
+                job=run.subtask.id.job,
+                subtask=run.subtask.id[1:],
+                worker=worker.id,
+            )
+            self._release(run, now)
+        if not worker.is_listed and worker.failed_reports:
+            self.workers.pop(worker.id, None)
+            self.note("worker_gone", worker=worker.id)
+
+    def _lose_worker(self, worker: WorkerView, now: float, event: str) -> None:
+        """Release all runs of a life that has ended."""
+        self.note(event, worker=worker.id, runs=len(worker.runs))
+        for run in self._list_runs(worker):
+            self._release(run, now)
+        if self.workers.get(worker.id) is worker:
+            del self.workers[worker.id]
+
+    # Jobs ------------------------------------------------------------------
+
+    def _end_if_settled(self, job: Job, now: float) -> None:
+        """End a job whose stored progress shows it at its end."""
+        if job.unfinished == 0:
+            self._end_job(job, JobState.DONE, now)
+            return
+        limit = job.submission.max_attempts
+        for subtask in job.list_subtasks():
+            if subtask.failures >= limit and not subtask.step.spec.lasting:
+                self._end_job(job, JobState.FAILED, now)
+                return
+
+    def _end_job(self, job: Job, state: JobState, now: float) -> None:
+        self.book.end(job, state, now)
+        self.dirty[job.id] = job
+        age_s = round(now - job.accepted_at, 3)
+        self.note("job_ended", job=job.id, state=state.value, age_s=age_s)
+        for subtask in job.list_subtasks():
+            run = self.runs.get(subtask.id)
+            if run is not None:
+                self._abandon(run, now)
+        for step in job.steps.values():
+            self.tickets.pop(step.key, None)
+
+
+def _build_orphan(status: RunStatus) -> Subtask:
+    """Return a stand-in for a subtask of a job that isn't open."""
+    submission = Submission(status.subtask.job, "", JobSpec("", ()))
+    step = Step(
+        Job(submission, 0.0),
+        status.subtask.occurrence,
+        status.subtask.step,
+        StepSpec(1, Resources()),
+    )
+    return Subtask(status.subtask, step)
--- a/src/sesameladder/measure/_deployment.py
+++ b/src/sesameladder/measure/_deployment.py
@@ -10,9 +10,9 @@
 from urllib3 import PoolManager, Retry, Timeout
 
 from sesameladder.entry import EntryProcess
+from sesameladder.environment import PlatformClient
 from sesameladder.measure._callers import CallerEndpoint
 from sesameladder.model import Link, Region
-from sesameladder.platform import PlatformClient
 from sesameladder.settings import (
     EntrySettings,
     InstanceSettings,
--- a/src/sesameladder/measure/_planning_driver.py
+++ b/src/sesameladder/measure/_planning_driver.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
+from sesameladder.environment import FakeStore
 from sesameladder.measure._planning_fleet import entry_names
 from sesameladder.measure._planning_region import FakeRegion, RegionTimes
 from sesameladder.model import FleetState
@@ -16,7 +17,6 @@
     VmRow,
     WritePlan,
 )
-from sesameladder.platform import FakeStore
 
 STEP_S = 1.0
 FIRST_PLAN_S = 10.0
--- a/src/sesameladder/measure/_planning_region.py
+++ b/src/sesameladder/measure/_planning_region.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field, replace
 from random import Random
 
+from sesameladder.environment import VmState, VmStatus
 from sesameladder.model import FleetState
 from sesameladder.planning import (
     Action,
@@ -25,7 +26,6 @@
     RegionPlan,
     VmRow,
 )
-from sesameladder.platform import VmState, VmStatus
 
 MIN_PLAN_LAG_S = 0.3
 PLAN_LAG_SPREAD_S = 1.4
--- a/src/sesameladder/measure/_schedule_network.py
+++ b/src/sesameladder/measure/_schedule_network.py
@@ -6,14 +6,14 @@
 from dataclasses import dataclass
 from typing import Generic, TypeVar
 
-from sesameladder.idempotency import PeerIdentity
-from sesameladder.platform import (
+from sesameladder.environment import (
     FakeStore,
     StoreAnswerLost,
     StoreEntry,
     StoreUnavailable,
     SwapOutcome,
 )
+from sesameladder.idempotency import PeerIdentity
 
 CALL_TIMEOUT_SECONDS = 1.0
 SHORT_DELAY_SECONDS = 0.01
--- /dev/null
+++ b/src/sesameladder/node/__init__.py
@@ -0,0 +1,5 @@
+"""The process that runs on each entry VM of the users' platform."""
+
+from sesameladder.node._process import main
+
+__all__ = ["main"]
--- /dev/null
+++ b/src/sesameladder/node/_configuration_task.py
@@ -0,0 +1,91 @@
+"""Keeps the newest configuration and the upkeep waves."""
+
+from threading import Event, Thread
+
+from sesameladder.fleet import Wave
+from sesameladder.jobs import Configuration
+from sesameladder.node._dependency import DependencyState
+from sesameladder.node._telemetry import note, warn
+from sesameladder.platform import (
+    CONFIGURATION_KEY,
+    OPERATOR_PREFIX,
+    WAVE_PREFIX,
+    HistoryLost,
+    PlatformCallError,
+    RecordInvalid,
+    StoreClient,
+    decode_configuration,
+    decode_wave,
+)
+
+WATCH_WAIT_MS = 700  # a watch gone silent is noticed within 1.4 s of the 2 s allowed
+RETRY_PAUSE_S = 0.15
+
+
+class ConfigurationTask:
+    """Follows what the operators write; never goes back to a lower version."""
+
+    __slots__ = ("current", "dependency", "stopping", "store", "thread", "waves")
+
+    def __init__(self, store: StoreClient) -> None:
+        self.store = store
+        self.current: Configuration | None = None
+        self.waves: dict[int, Wave] = {}
+        self.dependency = DependencyState("store:configuration")
+        self.stopping = Event()
+        self.thread = Thread(target=self._run, name="configuration", daemon=True)
+
+    def start(self) -> None:
+        """Start following."""
+        self.thread.start()
+
+    def stop(self) -> None:
+        """Stop following."""
+        self.stopping.set()
+
+    def _run(self) -> None:
+        revision: int | None = None
+        while not self.stopping.is_set():
+            try:
+                revision = self._follow(revision)
+            except HistoryLost:
+                revision = None
+            except PlatformCallError as error:
+                self.dependency.note_failure(error)
+                # Changes may have been missed in a way that the store does not
+                # tell; a full read costs one call.
+                revision = None
+                self.stopping.wait(RETRY_PAUSE_S)
+            else:
+                self.dependency.note_success()
+
+    def _follow(self, revision: int | None) -> int:
+        if revision is None:
+            page = self.store.read_range(OPERATOR_PREFIX)
+            for item in page.items:
+                self._apply(item.key, item.value)
+            return page.revision
+        batch = self.store.watch(OPERATOR_PREFIX, revision, WATCH_WAIT_MS)
+        for change in batch.changes:
+            if change.value is not None:
+                self._apply(change.key, change.value)
+        return batch.revision
+
+    def _apply(self, key: str, value: bytes) -> None:
+        try:
+            if key == CONFIGURATION_KEY:
+                self._apply_configuration(decode_configuration(value))
+            elif key.startswith(WAVE_PREFIX):
+                wave = decode_wave(value)
+                if wave.number not in self.waves:
+                    note("wave_ordered", wave=wave.number, vms=len(wave.vms))
+                self.waves[wave.number] = wave
+        except RecordInvalid as error:
+            warn("operator_record_refused", key=key, error=str(error))
+
+    def _apply_configuration(self, configuration: Configuration) -> None:
+        current = self.current
+        if current is not None and configuration.version <= current.version:
+            return
+        self.current = configuration
+        note("configuration_applied", version=configuration.version)
--- /dev/null
+++ b/src/sesameladder/node/_dependency.py
@@ -0,0 +1,31 @@
+"""Logs once when a dependency is lost and once when it is back."""
+
+from sesameladder.node._clock import read_steady
+from sesameladder.node._telemetry import STORE_FAILURES, note, warn
+
+
+class DependencyState:
+    """Whether one task reaches what it depends on."""
+
+    __slots__ = ("last_success", "lost_at", "name")
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.lost_at: float | None = None
+        self.last_success = read_steady()
+
+    def note_success(self) -> None:
+        """Note an answer."""
+        now = read_steady()
+        if self.lost_at is not None:
+            away_s = round(now - self.lost_at, 3)
+            note("dependency_regained", dependency=self.name, away_s=away_s)
+            self.lost_at = None
+        self.last_success = now
+
+    def note_failure(self, error: Exception) -> None:
+        """Note a call that failed."""
+        STORE_FAILURES.labels(self.name).inc()
+        if self.lost_at is None:
+            self.lost_at = read_steady()
+            warn("dependency_lost", dependency=self.name, error=str(error))
--- /dev/null
+++ b/src/sesameladder/node/_fleet_task.py
@@ -0,0 +1,194 @@
+"""Holds the fleet role: takes VMs through upkeep."""
+
+from collections.abc import Callable
+from threading import Event, Thread
+
+from sesameladder.fleet import PoolSummary, UpkeepPlan, UpkeepPlanner, Vm, Wave
+from sesameladder.jobs import Configuration
+from sesameladder.node._clock import read_steady
+from sesameladder.node._dependency import DependencyState
+from sesameladder.node._keys import SUMMARY_PREFIX, emptying_key, role_key
+from sesameladder.node._records import decode_summary, encode_names
+from sesameladder.node._roles import HeldRole
+from sesameladder.node._telemetry import logger, note, warn
+from sesameladder.platform import (
+    WAVE_STATUS_PREFIX,
+    Conflict,
+    MachineClient,
+    OrderOutcome,
+    PlatformCallError,
+    Put,
+    RecordInvalid,
+    StoreClient,
+    encode_wave_status,
+)
+
+STEP_S = 0.5  # a VM is away for 1.5 to 2 s
+IDLE_STEP_S = 1.0
+ORDER_CUTOFF_S = 1.0  # the role's lease is 1.5 s; nobody else orders before its end
+WAVE_STATUS_RUNNING = False
+WAVE_STATUS_DONE = True
+
+
+class FleetTask:
+    """One thread that orders upkeep while this process holds the fleet role."""
+
+    __slots__ = (
+        "dependency",
+        "done",
+        "emptying",
+        "get_configuration",
+        "is_confirmed",
+        "list_waves",
+        "machines",
+        "node",
+        "planner",
+        "quiet_until",
+        "role",
+        "running",
+        "stopping",
+        "store",
+        "thread",
+        "vms",
+    )
+
+    def __init__(
+        self,
+        role: HeldRole,
+        node: str,
+        store: StoreClient,
+        machines: MachineClient,
+        order_gap_s: float,
+        list_waves: Callable[[], list[Wave]],
+        get_configuration: Callable[[], Configuration | None],
+        is_confirmed: Callable[[float], bool],
+    ) -> None:
+        self.role = role
+        self.node = node
+        self.store = store
+        self.machines = machines
+        self.list_waves = list_waves
+        self.get_configuration = get_configuration
+        self.is_confirmed = is_confirmed
+        self.planner = UpkeepPlanner()
+        self.vms: dict[str, Vm] = {}
+        self.done: set[int] = set()
+        self.running: set[int] = set()
+        self.emptying: dict[str, tuple[str, ...]] = {}
+        # An earlier holder's last order has to be this old before the first one.
+        self.quiet_until = read_steady() + (order_gap_s if role.term > 1 else 0.0)
+        self.dependency = DependencyState("machines")
+        self.stopping = Event()
+        self.thread = Thread(target=self._run, name="fleet", daemon=True)
+
+    def start(self) -> None:
+        """Start ordering."""
+        self.thread.start()
+
+    def stop(self) -> None:
+        """Order nothing more; returns after an order under way."""
+        self.stopping.set()
+
+    def _run(self) -> None:
+        self._load_done()
+        while not self.stopping.is_set():
+            waves = [w for w in self.list_waves() if w.number not in self.done]
+            try:
+                if waves:
+                    self._step(waves)
+                    self.dependency.note_success()
+            except PlatformCallError as error:
+                self.dependency.note_failure(error)
+            except Exception:
+                extra = {"event": "fleet_step_failed"}
+                logger.exception("fleet step failed", extra=extra)
+            self.stopping.wait(STEP_S if waves else IDLE_STEP_S)
+
+    def _load_done(self) -> None:
+        """Read which waves earlier holders have ended."""
+        while not self.stopping.is_set():
+            try:
+                for item in self.store.read_range(WAVE_STATUS_PREFIX).items:
+                    number = item.key.removeprefix(WAVE_STATUS_PREFIX)
+                    if item.value == encode_wave_status(done=True):
+                        self.done.add(int(number))
+                    else:
+                        self.running.add(int(number))
+                return
+            except PlatformCallError as error:
+                self.dependency.note_failure(error)
+                self.stopping.wait(STEP_S)
+
+    def _step(self, waves: list[Wave]) -> None:
+        configuration = self.get_configuration()
+        if configuration is None:
+            return
+        self.vms = {vm.name: vm for vm in self.machines.list_vms()}
+        spare = frozenset(
+            pool.name for pool in configuration.pools.values() if pool.is_spare
+        )
+        drained = self._read_drained()
+        plan = self.planner.plan(waves, self.vms, drained, spare, read_steady())
+        self._write_emptying(plan)
+        for name, wave in plan.begin:
+            self._begin(name, wave)
+        self._write_status(waves, plan)
+
+    def _read_drained(self) -> frozenset[str]:
+        drained: set[str] = set()
+        for item in self.store.read_range(SUMMARY_PREFIX).items:
+            try:
+                summary: PoolSummary = decode_summary(item.value)
+            except RecordInvalid as error:
+                warn("summary_refused", key=item.key, error=str(error))
+                continue
+            drained.update(summary.drained)
+        return frozenset(drained)
+
+    def _write_emptying(self, plan: UpkeepPlan) -> None:
+        pools = set(plan.empty) | set(self.emptying)
+        changed = [
+            pool for pool in pools if plan.empty.get(pool) != self.emptying.get(pool)
+        ]
+        if not changed:
+            return
+        puts = tuple(
+            Put(emptying_key(pool), encode_names(plan.empty.get(pool, ())))
+            for pool in sorted(changed)
+        )
+        if self._commit(puts):
+            self.emptying = dict(plan.empty)
+            note("workers_emptied", pools=plan.empty)
+
+    def _begin(self, name: str, wave: int) -> None:
+        now = read_steady()
+        if now < self.quiet_until or not self.is_confirmed(ORDER_CUTOFF_S):
+            return
+        if self.stopping.is_set():
+            return
+        vm = self.vms[name]
+        outcome = self.machines.maintain(name, wave, self.node, self.role.fence)
+        note("upkeep_ordered", vm=name, wave=wave, pool=vm.pool, outcome=outcome.value)
+        if outcome is OrderOutcome.DONE:
+            self.planner.note_begun(wave, name, now)
+
+    def _write_status(self, waves: list[Wave], plan: UpkeepPlan) -> None:
+        for wave in waves:
+            is_done = wave.number in plan.finished
+            if not is_done and wave.number in self.running:
+                continue
+            key = f"{WAVE_STATUS_PREFIX}{wave.number}"
+            if not self._commit((Put(key, encode_wave_status(is_done)),)):
+                return
+            self.running.add(wave.number)
+            if is_done:
+                self.done.add(wave.number)
+                note("wave_done", wave=wave.number)
+
+    def _commit(self, puts: tuple[Put, ...]) -> bool:
+        precondition = ((role_key(self.role.role), self.role.fence),)
+        outcome = self.store.commit(puts, (), precondition)
+        if isinstance(outcome, Conflict):
+            warn("fleet_write_refused", fence=self.role.fence)
+            return False
+        return True
--- /dev/null
+++ b/src/sesameladder/node/_pool_writer.py
@@ -0,0 +1,149 @@
+"""Writes a pool's progress to the store, one transaction at a time.
+
+Every transaction names the revision of a sequence key and rewrites that key. A
+transaction without an answer that takes effect late can therefore neither undo a
+later one nor be mistaken for another.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from queue import SimpleQueue
+from threading import Thread
+from time import sleep
+
+from sesameladder.jobs import Job
+from sesameladder.node._dependency import DependencyState
+from sesameladder.node._keys import role_key, sequence_key
+from sesameladder.node._roles import HeldRole
+from sesameladder.platform import (
+    Conflict,
+    LeaseEnded,
+    PlatformCallError,
+    Put,
+    StoreClient,
+)
+
+RETRY_PAUSE_S = 0.15
+
+
+@dataclass(frozen=True, slots=True)
+class WriteBatch:
+    """What one transaction stores."""
+
+    puts: tuple[Put, ...]
+    removals: tuple[str, ...]
+    jobs: tuple[Job, ...]
+    """Jobs whose progress is among the puts."""
+
+    ends: dict[str, int]
+    """Last end by worker that is accounted for once this is stored."""
+
+
+@dataclass(frozen=True, slots=True)
+class WriteDone:
+    """A batch was stored, or given up without effect."""
+
+    batch: WriteBatch
+    is_stored: bool
+
+
+class PoolWriter:
+    """One thread that stores batches in order."""
+
+    __slots__ = (
+        "batches",
+        "dependency",
+        "is_busy",
+        "lose_role",
+        "number",
+        "pool",
+        "post",
+        "revision",
+        "role",
+        "store",
+        "thread",
+    )
+
+    def __init__(
+        self,
+        pool: str,
+        role: HeldRole,
+        store: StoreClient,
+        post: Callable[[WriteDone], None],
+        lose_role: Callable[[str], None],
+    ) -> None:
+        self.pool = pool
+        self.role = role
+        self.store = store
+        self.post = post
+        self.lose_role = lose_role
+        self.batches: SimpleQueue[WriteBatch | None] = SimpleQueue()
+        self.is_busy = False
+        self.number = 0
+        self.revision = 0
+        self.dependency = DependencyState(f"store:pool {pool}")
+        self.thread = Thread(target=self._run, name=f"writer {pool}", daemon=True)
+
+    def load_sequence(self) -> None:
+        """Read the sequence key; raises ``PlatformCallError``."""
+        item = self.store.read(sequence_key(self.pool))
+        self.revision = item.revision if item is not None else 0
+
+    def start(self) -> None:
+        """Start writing."""
+        self.thread.start()
+
+    def stop(self) -> None:
+        """Stop after the transaction under way."""
+        self.batches.put(None)
+
+    def write(self, batch: WriteBatch) -> None:
+        """Store a batch; ``WriteDone`` follows. One batch at a time."""
+        self.is_busy = True
+        self.batches.put(batch)
+
+    def _run(self) -> None:
+        while True:
+            batch = self.batches.get()
+            if batch is None:
+                return
+            is_stored = self._store(batch)
+            self.is_busy = False
+            self.post(WriteDone(batch, is_stored))
+
+    def _store(self, batch: WriteBatch) -> bool:
+        self.number += 1
+        mark = f"{self.role.fence}.{self.number}".encode()
+        puts = (*batch.puts, Put(sequence_key(self.pool), mark))
+        preconditions = (
+            (role_key(self.role.role), self.role.fence),
+            (sequence_key(self.pool), self.revision),
+        )
+        while self.batches.empty():
+            try:
+                outcome = self.store.commit(puts, batch.removals, preconditions)
+            except LeaseEnded:
+                return False
+            except PlatformCallError as error:
+                self.dependency.note_failure(error)
+                sleep(RETRY_PAUSE_S)
+                continue
+            self.dependency.note_success()
+            if not isinstance(outcome, Conflict):
+                self.revision = outcome.revision
+                return True
+            return self._settle_conflict(outcome, mark)
+        return False
+
+    def _settle_conflict(self, conflict: Conflict, mark: bytes) -> bool:
+        """Tell a transaction that took effect unanswered from a lost role."""
+        items = {item.key: item for item in conflict.items}
+        sequence = items.get(sequence_key(self.pool))
+        if sequence is not None:
+            self.revision = sequence.revision
+            if sequence.value == mark:
+                return True
+        holder = items.get(role_key(self.role.role))
+        if holder is None or holder.revision != self.role.fence:
+            self.lose_role("another owner has written")
+        return False
--- /dev/null
+++ b/src/sesameladder/node/_records.py
@@ -0,0 +1,100 @@
+"""Stored forms of submissions, roles and summaries."""
+
+import json
+from dataclasses import asdict, dataclass
+from typing import Any
+
+from sesameladder.fleet import PoolSummary
+from sesameladder.jobs import AdvicePolicy, QueuePolicy, Submission
+from sesameladder.platform import RecordInvalid, decode_job
+
+
+@dataclass(frozen=True, slots=True)
+class RoleHolder:
+    """Who holds a role."""
+
+    node: str
+    term: int
+
+
+def encode_submission(queue: QueuePolicy, body: bytes) -> bytes:
+    """Encode a job with the policy of its queue at the time of acceptance."""
+    fields = {
+        "queue": queue.name,
+        "priority": queue.priority,
+        "max_attempts": queue.max_attempts,
+        "stretch": queue.stretch,
+        "goal_ms": queue.goal_ms,
+        "advice": asdict(queue.advice) if queue.advice else None,
+        "body": body.decode(),
+    }
+    return _dump(fields)
+
+
+def decode_submission(job: str, value: bytes, revision: int) -> Submission:
+    """Decode a stored job; raises ``RecordInvalid``."""
+    try:
+        fields = json.loads(value)
+        return Submission(
+            job=job,
+            queue=fields["queue"],
+            spec=decode_job(fields["body"].encode()),
+            priority=int(fields["priority"]),
+            max_attempts=int(fields["max_attempts"]),
+            stretch=float(fields["stretch"]),
+            goal_ms=int(fields["goal_ms"]),
+            advice=AdvicePolicy(**fields["advice"]) if fields["advice"] else None,
+            revision=revision,
+        )
+    except (ValueError, KeyError, TypeError) as error:
+        raise RecordInvalid(f"stored job {job} is malformed: {error!r}") from error
+
+
+def encode_holder(holder: RoleHolder) -> bytes:
+    """Encode the holder of a role."""
+    return _dump(asdict(holder))
+
+
+def decode_holder(value: bytes) -> RoleHolder:
+    """Decode the holder of a role; raises ``RecordInvalid``."""
+    try:
+        fields = json.loads(value)
+        return RoleHolder(fields["node"], int(fields["term"]))
+    except (ValueError, KeyError, TypeError) as error:
+        raise RecordInvalid("the holder of a role is malformed") from error
+
+
+def encode_names(names: tuple[str, ...]) -> bytes:
+    """Encode a list of names."""
+    return _dump(list(names))
+
+
+def decode_names(value: bytes) -> tuple[str, ...]:
+    """Decode a list of names; raises ``RecordInvalid``."""
+    try:
+        return tuple(map(str, json.loads(value)))
+    except (ValueError, TypeError) as error:
+        raise RecordInvalid("a list of names is malformed") from error
+
+
+def encode_summary(summary: PoolSummary) -> bytes:
+    """Encode what a pool's owner tells of its pool."""
+    return _dump(asdict(summary))
+
+
+def decode_summary(value: bytes) -> PoolSummary:
+    """Decode what a pool's owner tells; raises ``RecordInvalid``."""
+    try:
+        fields = json.loads(value)
+        return PoolSummary(
+            pending={str(name): int(n) for name, n in fields["pending"].items()},
+            drained=tuple(fields["drained"]),
+            busy_cores=float(fields["busy_cores"]),
+            waiting_cores=float(fields["waiting_cores"]),
+        )
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        raise RecordInvalid("a pool's summary is malformed") from error
+
+
+def _dump(fields: Any) -> bytes:
+    return json.dumps(fields, separators=(",", ":")).encode()
--- /dev/null
+++ b/src/sesameladder/node/_roles.py
@@ -0,0 +1,272 @@
+"""Election of one owner for each pool and for the fleet.
+
+Each process has one lease in the store; the roles that it holds are keys that go
+with the lease. A role's fencing token is the revision at which its key was
+written, so a later holder always has a higher one.
+"""
+
+import random
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from threading import Event, Lock, Thread
+
+from sesameladder.node._clock import read_steady
+from sesameladder.node._dependency import DependencyState
+from sesameladder.node._keys import ROLE_PREFIX, role_key, term_key
+from sesameladder.node._records import (
+    RoleHolder,
+    decode_holder,
+    encode_holder,
+)
+from sesameladder.node._telemetry import note, warn
+from sesameladder.platform import (
+    AnswerMissing,
+    Conflict,
+    HistoryLost,
+    LeaseEnded,
+    PlatformCallError,
+    Put,
+    RecordInvalid,
+    StoreClient,
+)
+
+LEASE_TTL_MS = 1500  # a dead owner's pools stand still for this long
+RENEW_INTERVAL_S = 0.4  # three renewals fit into the lease
+WATCH_WAIT_MS = 1500
+RETRY_PAUSE_S = 0.15
+STEP_S = 0.02
+CAMPAIGN_PAUSE_S = 0.25  # for each role held, so that roles spread over processes
+CAMPAIGN_JITTER_S = 0.1
+GIVE_UP_S = 8.0  # without the store; until then leases of running work are extended
+
+
+@dataclass(frozen=True, slots=True)
+class HeldRole:
+    """A role that this process holds."""
+
+    role: str
+    fence: int
+    """Revision of the store at which it was taken."""
+
+    term: int
+
+
+class RoleTask:
+    """Takes vacant roles and gives up lost ones."""
+
+    __slots__ = (
+        "dependency",
+        "held",
+        "lease",
+        "list_roles",
+        "lock",
+        "node",
+        "on_gained",
+        "on_lost",
+        "owners",
+        "renewed_at",
+        "stopping",
+        "store",
+        "threads",
+        "vacant_since",
+        "watched",
+    )
+
+    def __init__(
+        self,
+        store: StoreClient,
+        node: str,
+        list_roles: Callable[[], Iterable[str]],
+        on_gained: Callable[[HeldRole], None],
+        on_lost: Callable[[HeldRole], None],
+    ) -> None:
+        self.store = store
+        self.node = node
+        self.list_roles = list_roles
+        self.on_gained = on_gained
+        self.on_lost = on_lost
+        self.lock = Lock()
+        self.lease: int | None = None
+        self.renewed_at = read_steady()
+        self.held: dict[str, HeldRole] = {}
+        self.owners: dict[str, tuple[int, RoleHolder | None]] = {}
+        """Revision and holder by role, as last seen; None for a vacant role."""
+
+        self.vacant_since: dict[str, float] = {}
+        self.watched = False
+        self.dependency = DependencyState("store:roles")
+        self.stopping = Event()
+        self.threads = [
+            Thread(target=self._run, name="roles", daemon=True),
+            Thread(target=self._watch, name="role-watch", daemon=True),
+        ]
+
+    def start(self) -> None:
+        """Start to take part in the election."""
+        for thread in self.threads:
+            thread.start()
+
+    def stop(self) -> None:
+        """Give up all roles and the lease, so that others take over at once."""
+        self.stopping.set()
+        for thread in self.threads[:1]:
+            thread.join(2.0)
+        for held in list(self.held.values()):
+            self._drop(held, "shutdown")
+        if self.lease is not None:
+            try:
+                self.store.end_lease(self.lease)
+            except PlatformCallError as error:
+                warn("lease_end_failed", error=str(error))
+
+    def is_confirmed(self, within_s: float) -> bool:
+        """Return whether the store has confirmed the lease recently."""
+        return read_steady() - self.renewed_at < within_s
+
+    def drop(self, role: str, fence: int, reason: str) -> None:
+        """Give up a role that is known to be lost."""
+        held = self.held.get(role)
+        if held is not None and held.fence == fence:
+            self._drop(held, reason)
+
+    def _run(self) -> None:
+        next_renewal = 0.0
+        while not self.stopping.is_set():
+            now = read_steady()
+            try:
+                if now >= next_renewal:
+                    next_renewal = now + RENEW_INTERVAL_S
+                    self._renew(now)
+                if self.lease is not None and self.watched:
+                    self._campaign(now)
+            except PlatformCallError as error:
+                self.dependency.note_failure(error)
+            if self.held and read_steady() - self.renewed_at > GIVE_UP_S:
+                for held in list(self.held.values()):
+                    self._drop(held, "store unreachable")
+            self.stopping.wait(STEP_S)
+
+    def _renew(self, now: float) -> None:
+        if self.lease is None:
+            self.lease = self.store.grant_lease(LEASE_TTL_MS)
+        else:
+            try:
+                self.store.renew_lease(self.lease)
+            except LeaseEnded:
+                self.lease = None
+                for held in list(self.held.values()):
+                    self._drop(held, "lease ended")
+                return
+        self.renewed_at = now
+        self.dependency.note_success()
+
+    def _campaign(self, now: float) -> None:
+        for role in self.list_roles():
+            known = self.owners.get(role)
+            if role in self.held or (known is not None and known[1] is not None):
+                self.vacant_since.pop(role, None)
+                continue
+            pause_s = CAMPAIGN_PAUSE_S * len(self.held)
+            start = self.vacant_since.setdefault(
+                role, now + random.random() * CAMPAIGN_JITTER_S
+            )
+            if now >= start + pause_s:
+                self._try_take(role)
+                self.vacant_since.pop(role, None)
+
+    def _try_take(self, role: str) -> None:
+        assert self.lease is not None
+        item = self.store.read(term_key(role))
+        revision = item.revision if item is not None else 0
+        term = int(item.value) + 1 if item is not None else 1
+        holder = encode_holder(RoleHolder(self.node, term))
+        puts = (
+            Put(role_key(role), holder, self.lease),
+            Put(term_key(role), str(term).encode()),
+        )
+        preconditions = ((role_key(role), 0), (term_key(role), revision))
+        try:
+            outcome = self.store.commit(puts, (), preconditions)
+        except LeaseEnded:
+            self.lease = None
+            return
+        except AnswerMissing:
+            self._clear_unanswered(role)
+            raise
+        if isinstance(outcome, Conflict):
+            for taken in outcome.items:
+                if taken.key == role_key(role):
+                    self._see(taken.key, taken.value, taken.revision)
+            return
+        held = HeldRole(role, outcome.revision, term)
+        with self.lock:
+            self.owners[role] = outcome.revision, RoleHolder(self.node, term)
+            self.held[role] = held
+        note("role_gained", role=role, term=term, fence=held.fence)
+        self.on_gained(held)
+
+    def _clear_unanswered(self, role: str) -> None:
+        """Let the lease go: the role may have been taken without an answer."""
+        warn("role_unanswered", role=role)
+        if self.lease is None or self.held:
+            return
+        lease, self.lease = self.lease, None
+        try:
+            self.store.end_lease(lease)
+        except PlatformCallError as error:
+            # The lease then runs out by itself.
+            warn("lease_end_failed", error=str(error))
+
+    def _drop(self, held: HeldRole, reason: str) -> None:
+        with self.lock:
+            if self.held.get(held.role) is not held:
+                return
+            del self.held[held.role]
+        warn("role_lost", role=held.role, fence=held.fence, reason=reason)
+        self.on_lost(held)
+
+    def _watch(self) -> None:
+        revision: int | None = None
+        while not self.stopping.is_set():
+            try:
+                if revision is None:
+                    revision = self._read_owners()
+                batch = self.store.watch(ROLE_PREFIX, revision, WATCH_WAIT_MS)
+                for change in batch.changes:
+                    self._see(change.key, change.value, change.revision)
+                revision = batch.revision
+            except HistoryLost:
+                revision = None
+            except PlatformCallError as error:
+                warn("role_watch_failed", error=str(error))
+                revision = None
+                self.stopping.wait(RETRY_PAUSE_S)
+
+    def _read_owners(self) -> int:
+        page = self.store.read_range(ROLE_PREFIX)
+        seen = set()
+        for item in page.items:
+            seen.add(item.key)
+            self._see(item.key, item.value, item.revision)
+        for role, (revision, _) in list(self.owners.items()):
+            if role_key(role) not in seen and revision <= page.revision:
+                self._see(role_key(role), None, page.revision)
+        self.watched = True
+        return page.revision
+
+    def _see(self, key: str, value: bytes | None, revision: int) -> None:
+        role = key.removeprefix(ROLE_PREFIX)
+        holder: RoleHolder | None = None
+        if value is not None:
+            try:
+                holder = decode_holder(value)
+            except RecordInvalid as error:
+                warn("role_record_refused", role=role, error=str(error))
+        with self.lock:
+            known = self.owners.get(role)
+            if known is not None and known[0] > revision:
+                return
+            self.owners[role] = revision, holder
+            held = self.held.get(role)
+        if held is not None and revision > held.fence:
+            self._drop(held, "taken away in the store")
--- /dev/null
+++ b/src/sesameladder/node/_telemetry.py
@@ -0,0 +1,102 @@
+"""Logs and metrics of the process.
+
+Log lines go to standard output through a bounded queue and a thread of their own:
+a reader that stalls costs lines, which are counted, and never service.
+"""
+
+import logging
+import sys
+from logging.handlers import QueueHandler, QueueListener
+from queue import Full, Queue
+from typing import Any
+
+from prometheus_client import CollectorRegistry, Counter, Histogram, generate_latest
+
+from sesameladder.eventlog import EventFormatter
+
+MAX_QUEUED_LINES = 5000  # about 1.5 MB; half a minute of a busy pool's decisions
+PROGRAM = "sesameladder-node"
+LATENCY_BUCKETS_S = (0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10)
+
+REGISTRY = CollectorRegistry()
+LINES_DROPPED = Counter(
+    "sesameladder_log_lines_dropped", "Log lines dropped", registry=REGISTRY
+)
+REQUESTS = Counter(
+    "sesameladder_requests",
+    "Answers to callers",
+    ["action", "status"],
+    registry=REGISTRY,
+)
+REQUEST_SECONDS = Histogram(
+    "sesameladder_request_seconds",
+    "From a caller's request to its answer",
+    ["action"],
+    buckets=LATENCY_BUCKETS_S,
+    registry=REGISTRY,
+)
+EVENTS_COUNTED = Counter(
+    "sesameladder_events",
+    "Decisions and changes of belief",
+    ["event"],
+    registry=REGISTRY,
+)
+JOB_SECONDS = Histogram(
+    "sesameladder_job_seconds",
+    "From a job's arrival at its owner to its end",
+    ["state"],
+    buckets=(*LATENCY_BUCKETS_S, 20, 40),
+    registry=REGISTRY,
+)
+STORE_FAILURES = Counter(
+    "sesameladder_store_failures", "Failed store calls", ["task"], registry=REGISTRY
+)
+
+logger = logging.getLogger("sesameladder.node")
+
+
+class DroppingQueueHandler(QueueHandler):
+    """Drops a line and counts it when the queue is full."""
+
+    def enqueue(self, record: logging.LogRecord) -> None:
+        """Queue a record without waiting."""
+        try:
+            self.queue.put_nowait(record)
+        except Full:
+            LINES_DROPPED.inc()
+
+    def prepare(self, record: logging.LogRecord) -> logging.LogRecord:
+        """Leave the formatting to the listener's thread."""
+        return record
+
+
+def start_logging(node: str, level: int = logging.INFO) -> QueueListener:
+    """Send log lines to standard output; stop the listener at the end."""
+    writer = logging.StreamHandler(sys.stdout)
+    writer.setFormatter(EventFormatter(PROGRAM, node))
+    lines: Queue[Any] = Queue(MAX_QUEUED_LINES)
+    logging.basicConfig(level=level, handlers=[DroppingQueueHandler(lines)], force=True)
+    # cheroot and urllib3 log each broken connection; the tasks log what follows.
+    logging.getLogger("urllib3").setLevel(logging.ERROR)
+    listener = QueueListener(lines, writer)
+    listener.start()
+    return listener
+
+
+def note(event: str, /, **fields: object) -> None:
+    """Log one decision or change of belief and count it."""
+    EVENTS_COUNTED.labels(event).inc()
+    if event == "job_ended":
+        JOB_SECONDS.labels(fields["state"]).observe(float(str(fields["age_s"])))
+    logger.info(event, extra={"event": event, "event_fields": fields})
+
+
+def warn(event: str, /, **fields: object) -> None:
+    """Log a failure that the process works around, and count it."""
+    EVENTS_COUNTED.labels(event).inc()
+    logger.warning(event, extra={"event": event, "event_fields": fields})
+
+
+def render_metrics() -> bytes:
+    """Return all metrics in the text format."""
+    return generate_latest(REGISTRY)
--- /dev/null
+++ b/src/sesameladder/node/_worker_link.py
@@ -0,0 +1,206 @@
+"""Carries the orders and reports of one worker."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from queue import SimpleQueue
+from threading import Event, Thread
+
+from sesameladder.jobs import (
+    PaceCommand,
+    StartCommand,
+    StartOutcome,
+    StopCommand,
+    SubtaskId,
+    WorkerRecord,
+    WorkerReport,
+)
+from sesameladder.node._clock import read_steady
+from sesameladder.platform import (
+    PlatformCallError,
+    WorkerClient,
+    WorkerFenced,
+    WorkerReplaced,
+)
+
+LEASE_MS = 5000  # outlives an owner's end: 1.5 s of lease, election and reading
+CLOCK_DRIFT = 1.03  # a worker's clock may be 2 % slow
+LAPSE_SLACK_S = 0.3  # for a round trip and the age of the worker's clock reading
+REPORT_WAIT_MS = 400  # age of what is known about progress and load
+REPORT_GAP_S = 0.05  # ends that aren't stored yet make reports return at once
+RETRY_PAUSE_S = 0.25
+
+
+@dataclass(frozen=True, slots=True)
+class ReportArrived:
+    """A worker's lists."""
+
+    worker: str
+    report: WorkerReport
+    sent_at: float
+    lapse_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class ReportFailed:
+    """A worker did not answer."""
+
+    worker: str
+    lapse_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerLost:
+    """Another life of the worker answered."""
+
+    worker: str
+
+
+@dataclass(frozen=True, slots=True)
+class FencedOff:
+    """A worker has taken orders of a newer owner."""
+
+    worker: str
+
+
+@dataclass(frozen=True, slots=True)
+class StartAnswered:
+    """Outcome of a start."""
+
+    worker: str
+    subtask: SubtaskId
+    run: int
+    outcome: StartOutcome
+
+
+@dataclass(frozen=True, slots=True)
+class StopAnswered:
+    """A worker has taken a stop."""
+
+    worker: str
+    subtask: SubtaskId
+    run: int
+
+
+LinkMessage = (
+    ReportArrived | ReportFailed | WorkerLost | FencedOff | StartAnswered | StopAnswered
+)
+Order = StartCommand | StopCommand | PaceCommand
+
+
+class WorkerLink:
+    """Two threads for one life of a worker: one for orders, one for reports."""
+
+    __slots__ = (
+        "acknowledged",
+        "client",
+        "clock_offset",
+        "lapse_at",
+        "lease_ms",
+        "may_hold",
+        "orders",
+        "post",
+        "record",
+        "stopping",
+        "threads",
+    )
+
+    def __init__(
+        self,
+        record: WorkerRecord,
+        fence: int,
+        lease_ms: int,
+        may_hold: Callable[[], bool],
+        post: Callable[[LinkMessage], None],
+    ) -> None:
+        self.record = record
+        self.client = WorkerClient(record.address, record.worker, fence)
+        self.lease_ms = lease_ms
+        self.may_hold = may_hold
+        self.post = post
+        self.orders: SimpleQueue[Order | None] = SimpleQueue()
+        self.acknowledged = 0
+        """Last end that the worker may forget."""
+
+        self.clock_offset: float | None = None
+        """Worker's clock less this VM's steady clock, in seconds."""
+
+        # An earlier owner may have extended leases up to now.
+        self.lapse_at = read_steady() + lease_ms / 1000 * CLOCK_DRIFT + LAPSE_SLACK_S
+        self.stopping = Event()
+        name = record.worker
+        self.threads = [
+            Thread(target=self._send_orders, name=f"orders {name}", daemon=True),
+            Thread(target=self._read_reports, name=f"reports {name}", daemon=True),
+        ]
+
+    def start(self) -> None:
+        """Start both threads."""
+        for thread in self.threads:
+            thread.start()
+
+    def stop(self) -> None:
+        """End both threads once their calls have returned."""
+        self.stopping.set()
+        self.orders.put(None)
+
+    def send(self, order: Order) -> None:
+        """Queue an order."""
+        self.orders.put(order)
+
+    def _extend_lease(self) -> int | None:
+        """Return the end of a new lease on the worker's clock in milliseconds."""
+        if self.clock_offset is None or not self.may_hold():
+            return None
+        now = read_steady()
+        lapse_at = now + self.lease_ms / 1000 * CLOCK_DRIFT + LAPSE_SLACK_S
+        self.lapse_at = max(self.lapse_at, lapse_at)
+        return int((now + self.clock_offset) * 1000) + self.lease_ms
+
+    def _send_orders(self) -> None:
+        while True:
+            order = self.orders.get()
+            if order is None or self.stopping.is_set():
+                self.client.close()
+                return
+            if isinstance(order, StartCommand):
+                self._send_start(order)
+            elif isinstance(order, StopCommand):
+                if self.client.stop(order.subtask, order.run):
+                    self.post(StopAnswered(order.worker, order.subtask, order.run))
+            else:
+                self.client.pace(order.subtask, order.run, order.percent)
+
+    def _send_start(self, command: StartCommand) -> None:
+        order = command.order
+        lease_until_ms = self._extend_lease()
+        if lease_until_ms is None:
+            outcome = StartOutcome.NOT_SENT
+        else:
+            outcome = self.client.start(order, lease_until_ms)
+        self.post(StartAnswered(command.worker, order.subtask, order.run, outcome))
+        if outcome is StartOutcome.FENCED:
+            self.post(FencedOff(command.worker))
+
+    def _read_reports(self) -> None:
+        name = self.record.worker
+        while not self.stopping.is_set():
+            sent_at = read_steady()
+            wait_ms = REPORT_WAIT_MS if self.clock_offset is not None else 0
+            try:
+                report = self.client.report(
+                    self.acknowledged, self._extend_lease(), wait_ms
+                )
+            except WorkerReplaced:
+                self.post(WorkerLost(name))
+                return
+            except WorkerFenced:
+                self.post(FencedOff(name))
+                self.stopping.wait(RETRY_PAUSE_S)
+                continue
+            except PlatformCallError:
+                self.post(ReportFailed(name, self.lapse_at))
+                self.stopping.wait(RETRY_PAUSE_S)
+                continue
+            self.clock_offset = report.clock_ms / 1000 - read_steady()
+            self.post(ReportArrived(name, report, sent_at, self.lapse_at))
+            self.stopping.wait(REPORT_GAP_S)
--- a/src/sesameladder/observability/__init__.py
+++ b/src/sesameladder/observability/__init__.py
@@ -1,7 +1,6 @@
 """JSON-lines logging, statsd metrics and state dumps."""
 
-from sesameladder.observability._events import EVENTS
-from sesameladder.observability._logging import configure_logging, log_event
+from sesameladder.eventlog import EVENTS, configure_logging, log_event
 from sesameladder.observability._metrics import (
     METRICS,
     Metric,
--- a/src/sesameladder/observability/_state_dump.py
+++ b/src/sesameladder/observability/_state_dump.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Iterable
 from concurrent.futures import Future, wait
 
-from sesameladder.observability._logging import log_event
+from sesameladder.eventlog._logging import log_event
 
 DEFAULT_LIMIT_S = 1.0
 
--- a/src/sesameladder/observability/tests/test_observability.py
+++ b/src/sesameladder/observability/tests/test_observability.py
@@ -11,6 +11,7 @@
 
 import pytest
 
+from sesameladder.eventlog._logging import EventFormatter
 from sesameladder.observability import (
     EVENTS,
     METRICS,
@@ -19,7 +20,6 @@
     StateDump,
     log_event,
 )
-from sesameladder.observability._logging import EventFormatter
 from sesameladder.settings import StatsdSettings
 
 PAGE = Path(__file__).parents[4] / "docs" / "observability.md"
--- a/src/sesameladder/planning/_observation.py
+++ b/src/sesameladder/planning/_observation.py
@@ -3,8 +3,8 @@
 from collections.abc import Set
 from dataclasses import dataclass, field
 
+from sesameladder.environment import VmStatus
 from sesameladder.model import FleetState
-from sesameladder.platform import VmStatus
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/sesameladder/planning/_plan_store.py
+++ b/src/sesameladder/planning/_plan_store.py
@@ -2,14 +2,14 @@
 
 from dataclasses import dataclass
 
-from sesameladder.planning._plan import RegionPlan
-from sesameladder.platform import (
+from sesameladder.environment import (
     PlatformError,
     Store,
     StoreAnswerLost,
     StoreEntry,
     SwapConflict,
 )
+from sesameladder.planning._plan import RegionPlan
 
 
 class PlanStoreError(Exception):
--- a/src/sesameladder/planning/_planner.py
+++ b/src/sesameladder/planning/_planner.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from sesameladder.environment import VmState, VmStatus
 from sesameladder.planning._actions import Action, WritePlan
 from sesameladder.planning._basis import BasisCache
 from sesameladder.planning._cells import assign_cells, report_silent_owners
@@ -23,7 +24,6 @@
 from sesameladder.planning._stops import advance_stops
 from sesameladder.planning._survey import Survey
 from sesameladder.planning._waves import start_routine, start_waves
-from sesameladder.platform import VmState, VmStatus
 
 STAGES: tuple[Callable[[PlannerStep], None], ...] = (
     note_demand,
--- a/src/sesameladder/planning/_role.py
+++ b/src/sesameladder/planning/_role.py
@@ -3,7 +3,7 @@
 import json
 from collections.abc import Callable
 
-from sesameladder.platform import (
+from sesameladder.environment import (
     PlatformError,
     Store,
     StoreAnswerLost,
--- a/src/sesameladder/planning/_session.py
+++ b/src/sesameladder/planning/_session.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from sesameladder.environment import Store
 from sesameladder.planning._actions import Action, RaiseAlarm, WritePlan
 from sesameladder.planning._observation import Observation
 from sesameladder.planning._plan import PlanMalformed, RegionPlan
@@ -16,7 +17,6 @@
 from sesameladder.planning._planner import Planner
 from sesameladder.planning._role import RoleLease
 from sesameladder.planning._settings import PlannerSettings
-from sesameladder.platform import Store
 
 
 class PlannerSession:
--- a/src/sesameladder/planning/tests/test_failures.py
+++ b/src/sesameladder/planning/tests/test_failures.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from sesameladder.environment import FakeStore, StoreAnswerLost
 from sesameladder.measure._planning_driver import SessionDriver
 from sesameladder.measure._planning_fleet import build_fleet, entry_names, wave_over
 from sesameladder.measure._planning_region import FakeRegion, reassign
@@ -18,7 +19,6 @@
     PlanSuperseded,
     PlanWritten,
 )
-from sesameladder.platform import FakeStore, StoreAnswerLost
 
 
 class Scene:
--- a/src/sesameladder/planning/tests/test_role_and_store.py
+++ b/src/sesameladder/planning/tests/test_role_and_store.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from sesameladder.environment import FakeStore
 from sesameladder.planning import (
     ROLE_LEASE_S,
     PlanNotWritten,
@@ -12,7 +13,6 @@
     RegionPlan,
     RoleLease,
 )
-from sesameladder.platform import FakeStore
 
 
 class Clock:
--- a/src/sesameladder/platform/__init__.py
+++ b/src/sesameladder/platform/__init__.py
@@ -1,43 +1,90 @@
-"""Interfaces to the platform: store, VM list, VM actions and worker tasks."""
+"""Adapter of the users' platform: translation of its calls and documents only."""
 
+from sesameladder.platform._advice import Advice, AdviceClient
+from sesameladder.platform._documents import (
+    decode_configuration,
+    decode_job,
+    decode_wave,
+    encode_wave_status,
+)
 from sesameladder.platform._errors import (
-    PlatformError,
-    StoreAnswerLost,
-    StoreRefused,
-    StoreUnavailable,
-    WorkerUnavailable,
+    AnswerMissing,
+    AnswerUnreadable,
+    CallNotSent,
+    HistoryLost,
+    LeaseEnded,
+    PlatformCallError,
+    RecordInvalid,
+    SettingsInvalid,
+    StoreRejected,
+)
+from sesameladder.platform._machines import MachineClient, OrderOutcome
+from sesameladder.platform._settings import (
+    NodeSettings,
+    find_settings_path,
+    parse_settings,
+    read_settings,
 )
-from sesameladder.platform._fake_store import FakeStore
-from sesameladder.platform._fleet import Fleet, VmState, VmStatus
-from sesameladder.platform._http_client import PlatformClient
 from sesameladder.platform._store import (
-    MAX_VALUE_BYTES,
-    Store,
-    StoreEntry,
-    SwapConflict,
-    SwapOutcome,
-    Swapped,
+    Committed,
+    Conflict,
+    Put,
+    RangePage,
+    StoreChange,
+    StoreClient,
+    StoredItem,
+    WatchBatch,
 )
-from sesameladder.platform._tasks import HttpWorkerTasks, TaskReport, WorkerTasks
+from sesameladder.platform._workers import (
+    WorkerClient,
+    WorkerFenced,
+    WorkerReplaced,
+    decode_worker,
+)
+
+CONFIGURATION_KEY = "op/config"
+OPERATOR_PREFIX = "op/"
+WAVE_PREFIX = "op/wave/"
+WAVE_STATUS_PREFIX = "status/wave/"
+WORKER_PREFIX = "servers/"
 
 __all__ = [
-    "MAX_VALUE_BYTES",
-    "FakeStore",
-    "Fleet",
-    "HttpWorkerTasks",
-    "PlatformClient",
-    "PlatformError",
-    "Store",
-    "StoreAnswerLost",
-    "StoreEntry",
-    "StoreRefused",
-    "StoreUnavailable",
-    "SwapConflict",
-    "SwapOutcome",
-    "Swapped",
-    "TaskReport",
-    "VmState",
-    "VmStatus",
-    "WorkerTasks",
-    "WorkerUnavailable",
+    "CONFIGURATION_KEY",
+    "OPERATOR_PREFIX",
+    "WAVE_PREFIX",
+    "WAVE_STATUS_PREFIX",
+    "WORKER_PREFIX",
+    "Advice",
+    "AdviceClient",
+    "AnswerMissing",
+    "AnswerUnreadable",
+    "CallNotSent",
+    "Committed",
+    "Conflict",
+    "HistoryLost",
+    "LeaseEnded",
+    "MachineClient",
+    "NodeSettings",
+    "OrderOutcome",
+    "PlatformCallError",
+    "Put",
+    "RangePage",
+    "RecordInvalid",
+    "SettingsInvalid",
+    "StoreChange",
+    "StoreClient",
+    "StoreRejected",
+    "StoredItem",
+    "WatchBatch",
+    "WorkerClient",
+    "WorkerFenced",
+    "WorkerReplaced",
+    "decode_configuration",
+    "decode_job",
+    "decode_wave",
+    "decode_worker",
+    "encode_wave_status",
+    "find_settings_path",
+    "parse_settings",
+    "read_settings",
 ]
--- a/src/sesameladder/platform/_errors.py
+++ b/src/sesameladder/platform/_errors.py
@@ -1,21 +1,37 @@
-"""Errors of the platform layer."""
+"""Errors of calls to the platform."""
 
 
-class PlatformError(Exception):
-    """Base class of the platform layer's errors."""
+class PlatformCallError(Exception):
+    """Base class of failed calls to the platform or to a worker."""
 
 
-class StoreUnavailable(PlatformError):
-    """The store was not reached; the call took no effect."""
+class CallNotSent(PlatformCallError):
+    """No connection was made; the call took no effect."""
 
 
-class StoreAnswerLost(PlatformError):
-    """The call was sent but its answer was lost; it may have taken effect."""
+class AnswerMissing(PlatformCallError):
+    """The call was sent and not answered; it may take effect, also later."""
 
 
-class StoreRefused(PlatformError):
-    """The store rejected the call as invalid, for example over the size limit."""
+class AnswerUnreadable(PlatformCallError):
+    """The answer does not have the published form."""
 
 
-class WorkerUnavailable(PlatformError):
-    """A worker's task interface did not answer."""
+class StoreRejected(PlatformCallError):
+    """The store turned the call away; it took no effect."""
+
+
+class HistoryLost(PlatformCallError):
+    """The store no longer has the changes after the revision asked for."""
+
+
+class LeaseEnded(PlatformCallError):
+    """The store does not know the lease."""
+
+
+class SettingsInvalid(PlatformCallError):
+    """The settings file lacks a field or has one of another form."""
+
+
+class RecordInvalid(PlatformCallError):
+    """A stored record or request body does not have the published form."""
--- /dev/null
+++ b/src/sesameladder/platform/_http.py
@@ -0,0 +1,105 @@
+"""HTTP client that every call to the platform and to workers goes through."""
+
+import json
+from threading import Lock
+from typing import Any
+
+from urllib3 import HTTPConnectionPool, Retry, Timeout
+from urllib3.exceptions import (
+    ConnectTimeoutError,
+    HTTPError,
+    NewConnectionError,
+)
+
+from sesameladder.platform._errors import (
+    AnswerMissing,
+    AnswerUnreadable,
+    CallNotSent,
+)
+
+CONNECT_TIMEOUT_S = 0.5  # a round trip takes a few ms; a dropped SYN repeats after 1 s
+IDLE_CONNECTIONS = 4  # connections kept for each address
+
+
+class Reply:
+    """Status and decoded body of an answer."""
+
+    __slots__ = ("body", "status")
+
+    def __init__(self, status: int, body: dict[str, Any]) -> None:
+        self.status = status
+        self.body = body
+
+
+class HttpCaller:
+    """Calls one address; safe to share by threads."""
+
+    __slots__ = ("address", "host", "lock", "pool", "port")
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self.host, _, port = address.rpartition(":")
+        self.port = int(port)
+        self.lock = Lock()
+        self.pool = self._build_pool()
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        body: dict[str, Any] | None = None,
+        headers: dict[str, str] | None = None,
+        timeout_s: float = 1.0,
+    ) -> Reply:
+        """Send one request and return its answer, whatever the status.
+
+        Raises ``CallNotSent`` when nothing was sent, ``AnswerMissing`` when the
+        call may have been executed, ``AnswerUnreadable`` on a malformed body.
+        """
+        pool = self.pool
+        sent_headers = {"Content-Type": "application/json", **(headers or {})}
+        data = None if body is None else json.dumps(body, separators=(",", ":"))
+        try:
+            response = pool.request(
+                method,
+                path,
+                body=data,
+                headers=sent_headers,
+                timeout=Timeout(connect=CONNECT_TIMEOUT_S, read=timeout_s),
+            )
+        except (NewConnectionError, ConnectTimeoutError) as error:
+            raise CallNotSent(f"{self.address} was not reached: {error}") from error
+        except HTTPError as error:
+            self._drop_connections(pool)
+            raise AnswerMissing(f"{self.address} did not answer: {error}") from error
+        return Reply(response.status, _decode_body(response.data, self.address))
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        self.pool.close()
+
+    def _build_pool(self) -> HTTPConnectionPool:
+        return HTTPConnectionPool(
+            self.host,
+            self.port,
+            maxsize=IDLE_CONNECTIONS,
+            retries=Retry(0, redirect=0),
+        )
+
+    def _drop_connections(self, failed: HTTPConnectionPool) -> None:
+        """Forget the idle connections; they may be as silent as the one that failed."""
+        with self.lock:
+            if self.pool is not failed:
+                return
+            self.pool = self._build_pool()
+        failed.close()
+
+
+def _decode_body(data: bytes, address: str) -> dict[str, Any]:
+    if not data:
+        return {}
+    try:
+        body = json.loads(data)
+    except ValueError as error:
+        raise AnswerUnreadable(f"{address} sent a body that is not JSON") from error
+    return body if isinstance(body, dict) else {}
--- /dev/null
+++ b/src/sesameladder/platform/_machines.py
@@ -0,0 +1,99 @@
+"""Client of the platform's VM list and of its orders to VMs."""
+
+from enum import StrEnum
+from typing import Any
+from urllib.parse import urlencode
+
+from sesameladder.fleet import Vm, VmPhase
+from sesameladder.platform._errors import AnswerMissing, StoreRejected
+from sesameladder.platform._http import HttpCaller
+from sesameladder.platform._workers import decode_resources
+
+CALL_TIMEOUT_S = 2.0  # an answer takes milliseconds, 50 times that when slow
+
+PHASES = {
+    "up": VmPhase.UP,
+    "moving": VmPhase.MOVING,
+    "upkeep": VmPhase.IN_UPKEEP,
+    "down": VmPhase.DOWN,
+}
+
+
+class OrderOutcome(StrEnum):
+    """Answer to an order to a VM."""
+
+    DONE = "done"
+    FENCED = "fenced"
+    BUSY = "busy"
+    WRONG_WAVE = "wrong_wave"
+    INVALID = "invalid"
+
+
+class MachineClient:
+    """Lists VMs and orders moves and upkeep; one holder at a time."""
+
+    __slots__ = ("caller",)
+
+    def __init__(self, address: str) -> None:
+        self.caller = HttpCaller(address)
+
+    def list_vms(self) -> list[Vm]:
+        """Return all VMs of all pools; raises ``PlatformCallError``."""
+        vms: list[Vm] = []
+        token = ""
+        while True:
+            query = f"?{urlencode({'pageToken': token})}" if token else ""
+            reply = self.caller.call(
+                "GET", f"/v1/machines{query}", timeout_s=CALL_TIMEOUT_S
+            )
+            if reply.status != 200:
+                raise StoreRejected(f"the VM list answered {reply.status}")
+            vms.extend(_decode_vm(row) for row in reply.body.get("machines") or ())
+            token = str(reply.body.get("nextToken") or "")
+            if not token:
+                return vms
+
+    def move(self, vm: str, pool: str, holder: str, fence: int) -> OrderOutcome:
+        """Move a VM to a pool; ends what it runs."""
+        body = {"machine": vm, "pool": pool}
+        return self._order("/v1/machine-move", body, holder, fence)
+
+    def maintain(self, vm: str, wave: int, holder: str, fence: int) -> OrderOutcome:
+        """Start a VM's upkeep; ends what it runs."""
+        body = {"machine": vm, "wave": wave}
+        return self._order("/v1/machine-upkeep", body, holder, fence)
+
+    def _order(
+        self, path: str, body: dict[str, Any], holder: str, fence: int
+    ) -> OrderOutcome:
+        headers = {
+            "X-Sesameladder-Duty-Holder": holder,
+            "X-Sesameladder-Fence-Token": str(fence),
+        }
+        reply = self.caller.call("POST", path, body, headers, timeout_s=CALL_TIMEOUT_S)
+        if reply.status == 200:
+            return OrderOutcome.DONE
+        if reply.status == 409:
+            reasons = {
+                "fence": OrderOutcome.FENCED,
+                "busy": OrderOutcome.BUSY,
+                "wave": OrderOutcome.WRONG_WAVE,
+            }
+            return reasons.get(str(reply.body.get("reason")), OrderOutcome.INVALID)
+        if reply.status == 400:
+            return OrderOutcome.INVALID
+        if reply.status in (429, 503):
+            raise StoreRejected(f"the platform answered {reply.status} to {path}")
+        raise AnswerMissing(f"the platform answered {reply.status} to {path}")
+
+
+def _decode_vm(row: dict[str, Any]) -> Vm:
+    return Vm(
+        name=row["machine"],
+        pool=row["pool"],
+        phase=PHASES.get(row["state"], VmPhase.DOWN),
+        zone=row.get("zone") or "",
+        labels=tuple(row.get("labels") or ()),
+        capacity=decode_resources(row.get("capacity") or {}),
+        worker=row.get("id") or "",
+    )
--- /dev/null
+++ b/src/sesameladder/platform/_settings.py
@@ -0,0 +1,90 @@
+"""Reader of the platform's settings file."""
+
+import os
+from dataclasses import dataclass
+from pathlib import Path
+
+from sesameladder.platform._errors import SettingsInvalid
+
+PATH_VARIABLE = "SESAMELADDER_BOOT"
+DEFAULT_PATH = "/etc/sesameladder/settings.conf"
+
+
+@dataclass(frozen=True, slots=True)
+class NodeSettings:
+    """What a process is told by the platform at its start."""
+
+    node: str
+    zone: str
+    client_address: str
+    """Where callers connect, as ``host:port``."""
+
+    readiness_address: str
+    store_address: str
+    machines_address: str
+    advice_address: str
+    """Empty where no queue has a policy."""
+
+    grace_s: float
+    """Time between SIGTERM and SIGKILL."""
+
+    stop_grace_ms: int
+    """Longest time a worker takes to stop a run."""
+
+    max_lease_ms: int
+    order_gap_ms: int
+    """Least time between the orders of two holders to one VM."""
+
+    notice_ms: int
+    status_s: float
+    """How long the state of an ended job stays readable."""
+
+    move_s: float
+    upkeep_s: float
+
+
+def find_settings_path() -> Path:
+    """Return where the platform has put the settings file."""
+    return Path(os.environ.get(PATH_VARIABLE, DEFAULT_PATH))
+
+
+def read_settings(path: Path) -> NodeSettings:
+    """Read the settings file; raises ``SettingsInvalid``."""
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsInvalid(f"settings file {path} is not readable") from error
+    return parse_settings(text)
+
+
+def parse_settings(text: str) -> NodeSettings:
+    """Parse lines of ``name=value``; raises ``SettingsInvalid``."""
+    fields: dict[str, str] = {}
+    for line in text.splitlines():
+        name, separator, value = line.partition("=")
+        if separator:
+            fields[name.strip()] = value.strip()
+    try:
+        return NodeSettings(
+            node=fields["node"],
+            zone=fields["zone"],
+            client_address=fields["listen.front"],
+            readiness_address=fields["listen.readyAddr"],
+            store_address=fields["platform.addr"],
+            machines_address=fields.get("cloud.addr", ""),
+            advice_address=fields.get("advice", ""),
+            grace_s=float(fields.get("bounds.graceS") or 6),
+            stop_grace_ms=int(float(fields.get("bounds.stopGraceMs") or 900)),
+            max_lease_ms=int(float(fields.get("bounds.holdMaxMs") or 10_000)),
+            order_gap_ms=int(float(fields.get("bounds.leaseMs") or 3_000)),
+            notice_ms=int(float(fields.get("bounds.noticeMs") or 4_500)),
+            status_s=float(fields.get("bounds.status_s") or 120),
+            move_s=float(fields.get("bounds.moveS") or 1.5),
+            upkeep_s=float(fields.get("bounds.upkeepS") or 2),
+        )
+    except KeyError as error:
+        raise SettingsInvalid(f"settings lack {error.args[0]!r}") from error
+    except ValueError as error:
+        raise SettingsInvalid(
+            f"settings have a value of another form: {error}"
+        ) from error
--- a/src/sesameladder/platform/_store.py
+++ b/src/sesameladder/platform/_store.py
@@ -1,75 +1,207 @@
-"""The platform's key-value store, as the project uses it."""
+"""Client of the platform's key-value store."""
 
+from base64 import b64decode, b64encode
 from dataclasses import dataclass
-from typing import Protocol
+from typing import Any
+from urllib.parse import urlencode
 
-MAX_VALUE_BYTES = 1_000_000
+from sesameladder.platform._errors import (
+    AnswerMissing,
+    AnswerUnreadable,
+    HistoryLost,
+    LeaseEnded,
+    StoreRejected,
+)
+from sesameladder.platform._http import HttpCaller, Reply
+
+CALL_TIMEOUT_S = 1.0  # an answer takes 4 ms; 250 times that counts as lost
+WATCH_SLACK_S = 0.7  # beyond the wait asked for, before a watch counts as dead
+MAX_TRANSACTION_ENTRIES = 32  # published limit of rows, puts and removals together
 
 
 @dataclass(frozen=True, slots=True)
-class StoreEntry:
-    """A key with its value."""
+class StoredItem:
+    """One key of the store."""
 
     key: str
-    """Key, with ``/`` between its parts."""
-
     value: bytes
-    """Value, at most ``MAX_VALUE_BYTES`` bytes."""
-
     revision: int
-    """The store's global revision at the last write of this key."""
+    """Revision of the last change; 0 for a key that is absent."""
+
+    lease: int = 0
 
 
 @dataclass(frozen=True, slots=True)
-class Swapped:
-    """The write took effect."""
+class RangePage:
+    """Items under a prefix."""
 
+    items: tuple[StoredItem, ...]
     revision: int
-    """The store's global revision of the write."""
+    """Revision of the store when the first page was read."""
 
 
 @dataclass(frozen=True, slots=True)
-class SwapConflict:
-    """The key did not have the expected revision; nothing was written."""
-
-    current: StoreEntry | None
-    """The entry that stands there, or None when the key is absent."""
+class StoreChange:
+    """One change that a watch delivers; the value is None for a removal."""
 
+    key: str
+    value: bytes | None
+    revision: int
 
-SwapOutcome = Swapped | SwapConflict
 
+@dataclass(frozen=True, slots=True)
+class WatchBatch:
+    """Changes since a revision, and the revision to go on from."""
 
-class Store(Protocol):
-    """Operations of the store.
+    changes: tuple[StoreChange, ...]
+    revision: int
 
-    Each raises ``StoreUnavailable`` when the call was not sent,
-    ``StoreAnswerLost`` when it may have taken effect, and ``StoreRefused``
-    when the store rejects the call.
-    """
 
-    def get(self, key: str) -> StoreEntry | None:
-        """Return the entry of a key, or None when it is absent."""
+@dataclass(frozen=True, slots=True)
+class Put:
+    """A value to write."""
 
-    def list_entries(self, prefix: str) -> list[StoreEntry]:
-        """Return the entries whose keys start with a prefix, by key."""
+    key: str
+    value: bytes
+    lease: int = 0
 
-    def compare_and_swap(
-        self,
-        key: str,
-        expected_revision: int,
-        value: bytes,
-        lease: int | None = None,
-    ) -> SwapOutcome:
-        """Write a value if the key has a revision; 0 expects an absent key."""
 
-    def delete(self, key: str, expected_revision: int) -> SwapOutcome:
-        """Delete a key if it has a revision."""
+@dataclass(frozen=True, slots=True)
+class Committed:
+    """The transaction took effect at a revision."""
 
-    def grant_lease(self, seconds: float) -> int:
-        """Create a lease; keys attached to it vanish when it lapses."""
+    revision: int
 
-    def keep_alive(self, lease: int) -> bool:
-        """Renew a lease; returns False when it has lapsed."""
 
-    def watch(self, key: str, after_revision: int, timeout: float) -> StoreEntry | None:
-        """Wait up to ``timeout`` seconds for a write after a revision."""
+@dataclass(frozen=True, slots=True)
+class Conflict:
+    """A precondition did not hold; nothing was written."""
+
+    items: tuple[StoredItem, ...]
+    """The keys of the preconditions that exist, as they are now."""
+
+
+class StoreClient:
+    """Calls the store; safe to share by threads."""
+
+    __slots__ = ("caller",)
+
+    def __init__(self, caller: HttpCaller) -> None:
+        self.caller = caller
+
+    @classmethod
+    def from_address(cls, address: str) -> "StoreClient":
+        """Return a client of the store at ``host:port``."""
+        return cls(HttpCaller(address))
+
+    def read(self, key: str) -> StoredItem | None:
+        """Return a key's item, or None when it is absent."""
+        query = urlencode({"key": key})
+        reply = self._call("GET", f"/v1/kv-key?{query}")
+        return None if reply.status == 404 else _decode_item(reply.body)
+
+    def read_range(self, prefix: str) -> RangePage:
+        """Return all items under a prefix, page by page; not a snapshot."""
+        items: list[StoredItem] = []
+        revision: int | None = None
+        after = ""
+        while True:
+            fields = {"prefix": prefix} | ({"after": after} if after else {})
+            reply = self._call("GET", f"/v1/kv-range?{urlencode(fields)}")
+            page = [_decode_item(row) for row in reply.body.get("items") or ()]
+            items.extend(page)
+            if revision is None:
+                revision = int(reply.body["asOf"])
+            if not reply.body.get("morePages") or not page:
+                return RangePage(tuple(items), revision)
+            after = page[-1].key
+
+    def watch(self, prefix: str, after: int, wait_ms: int) -> WatchBatch:
+        """Wait for changes under a prefix; an empty batch after ``wait_ms``.
+
+        Raises ``HistoryLost`` when the changes after ``after`` are gone.
+        """
+        fields = {"prefix": prefix, "after": after, "waitMs": wait_ms}
+        timeout_s = wait_ms / 1000 + WATCH_SLACK_S
+        path = f"/v1/kv-watch?{urlencode(fields)}"
+        reply = self._call("GET", path, timeout_s=timeout_s)
+        if reply.status == 410:
+            raise HistoryLost(f"no changes of {prefix} after revision {after}")
+        changes = tuple(_decode_change(row) for row in reply.body.get("events") or ())
+        return WatchBatch(changes, int(reply.body["asOf"]))
+
+    def commit(
+        self,
+        puts: tuple[Put, ...] = (),
+        removals: tuple[str, ...] = (),
+        preconditions: tuple[tuple[str, int], ...] = (),
+    ) -> Committed | Conflict:
+        """Write all or nothing; a precondition is a key and its revision.
+
+        Raises ``LeaseEnded`` when a lease of the puts does not exist.
+        """
+        body: dict[str, Any] = {}
+        if preconditions:
+            rows = [{"key": key, "rev": revision} for key, revision in preconditions]
+            body["precondition"] = rows
+        if puts:
+            body["puts"] = [_encode_put(put) for put in puts]
+        if removals:
+            body["remove"] = list(removals)
+        reply = self._call("POST", "/v1/kv-txn", body)
+        if reply.status == 412:
+            items = (_decode_item(row) for row in reply.body.get("items") or ())
+            return Conflict(tuple(item for item in items if item.revision))
+        if reply.status == 404:
+            raise LeaseEnded("a lease of the transaction does not exist")
+        return Committed(int(reply.body["rev"]))
+
+    def grant_lease(self, ttl_ms: int) -> int:
+        """Return the number of a new lease."""
+        return int(self._call("POST", "/v1/kv-lease", {"ttlMs": ttl_ms}).body["lease"])
+
+    def renew_lease(self, lease: int) -> None:
+        """Renew a lease; raises ``LeaseEnded`` when it is gone."""
+        if self._call("POST", f"/v1/kv-keep/{lease}", {}).status == 404:
+            raise LeaseEnded(f"lease {lease} has ended")
+
+    def end_lease(self, lease: int) -> None:
+        """End a lease; its keys are removed."""
+        self._call("DELETE", f"/v1/kv-lease-end/{lease}")
+
+    def _call(
+        self,
+        method: str,
+        path: str,
+        body: dict[str, Any] | None = None,
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> Reply:
+        reply = self.caller.call(method, path, body, timeout_s=timeout_s)
+        if reply.status in (429, 503):
+            raise StoreRejected(f"the store answered {reply.status} to {path}")
+        if reply.status in (200, 404, 410, 412):
+            return reply
+        if reply.status in (400, 403):
+            raise AnswerUnreadable(f"the store answered {reply.status} to {path}")
+        raise AnswerMissing(f"the store answered {reply.status} to {path}")
+
+
+def _encode_put(put: Put) -> dict[str, Any]:
+    row: dict[str, Any] = {"key": put.key, "value": b64encode(put.value).decode()}
+    if put.lease:
+        row["lease"] = put.lease
+    return row
+
+
+def _decode_item(row: dict[str, Any]) -> StoredItem:
+    return StoredItem(
+        str(row["key"]),
+        b64decode(row.get("value") or ""),
+        int(row.get("rev") or 0),
+        int(row.get("lease") or 0),
+    )
+
+
+def _decode_change(row: dict[str, Any]) -> StoreChange:
+    value = None if row.get("removed") else b64decode(row.get("value") or "")
+    return StoreChange(str(row["key"]), value, int(row["rev"]))
--- /dev/null
+++ b/src/sesameladder/platform/_workers.py
@@ -0,0 +1,221 @@
+"""Client of a worker, and the decoder of the list of workers."""
+
+import json
+from typing import Any
+
+from sesameladder.jobs import (
+    EndReason,
+    Resources,
+    RunEnd,
+    RunStatus,
+    StartOrder,
+    StartOutcome,
+    SubtaskId,
+    WorkerRecord,
+    WorkerReport,
+)
+from sesameladder.platform._errors import (
+    AnswerMissing,
+    AnswerUnreadable,
+    CallNotSent,
+    RecordInvalid,
+)
+from sesameladder.platform._http import HttpCaller, Reply
+
+ORDER_TIMEOUT_S = 0.8  # a round trip takes a few ms; the same order is then repeated
+REPORT_SLACK_S = 0.8  # beyond the wait asked for, before a report counts as lost
+EXPECTED_LIFE_HEADER = "X-Sesameladder-Expect-Instance"
+
+REJECTIONS = {
+    "fence": StartOutcome.FENCED,
+    "old": StartOutcome.SUPERSEDED,
+    "late": StartOutcome.LATE,
+    "room": StartOutcome.NO_ROOM,
+    "ticket": StartOutcome.NO_TICKET,
+}
+
+
+class WorkerFenced(Exception):
+    """A newer owner has given the worker orders."""
+
+
+class WorkerReplaced(Exception):
+    """Another life of the worker answered."""
+
+
+class WorkerClient:
+    """Gives one life of a worker its orders; safe to share by threads."""
+
+    __slots__ = ("caller", "fence", "headers", "reports")
+
+    def __init__(self, address: str, worker: str, fence: int) -> None:
+        self.caller = HttpCaller(address)
+        # Reports wait for ends; they have connections of their own.
+        self.reports = HttpCaller(address)
+        self.headers = {EXPECTED_LIFE_HEADER: worker}
+        self.fence = fence
+
+    def start(self, order: StartOrder, lease_until_ms: int) -> StartOutcome:
+        """Start a run; the lease ends at a time of the worker's clock."""
+        body: dict[str, Any] = {
+            "task": encode_subtask(order.subtask),
+            "run": order.run,
+            "spec": order.payload,
+            "deadlineMs": lease_until_ms,
+            "fence": self.fence,
+        }
+        if order.saved:
+            body["saved"] = order.saved
+        if order.ticket:
+            body["ticket"] = order.ticket
+        try:
+            reply = self._order("/v1/run-start", body)
+        except CallNotSent:
+            return StartOutcome.NOT_SENT
+        except (AnswerMissing, AnswerUnreadable):
+            return StartOutcome.UNANSWERED
+        if reply.status == 409:
+            reason = reply.body.get("reason")
+            return REJECTIONS.get(str(reason), StartOutcome.INVALID)
+        outcomes = {
+            200: StartOutcome.STARTED,
+            400: StartOutcome.INVALID,
+            421: StartOutcome.OTHER_LIFE,
+            429: StartOutcome.UNHEALTHY,
+            503: StartOutcome.UNHEALTHY,
+        }
+        return outcomes.get(reply.status, StartOutcome.UNANSWERED)
+
+    def stop(self, subtask: SubtaskId, run: int) -> bool:
+        """Stop a run, or bar it if it has not arrived; False without an answer."""
+        body = {"task": encode_subtask(subtask), "run": run, "fence": self.fence}
+        try:
+            return self._order("/v1/run-stop", body).status in (200, 400, 409, 421)
+        except (CallNotSent, AnswerMissing, AnswerUnreadable):
+            return False
+
+    def pace(self, subtask: SubtaskId, run: int, percent: int) -> bool:
+        """Let a run work at a share of its speed; False unless it was taken."""
+        body = {
+            "task": encode_subtask(subtask),
+            "run": run,
+            "percent": percent,
+            "fence": self.fence,
+        }
+        try:
+            return self._order("/v1/pace", body).status == 200
+        except (CallNotSent, AnswerMissing, AnswerUnreadable):
+            return False
+
+    def report(
+        self, acknowledged: int, lease_until_ms: int | None, wait_ms: int
+    ) -> WorkerReport:
+        """Extend the lease and return what runs and what has ended.
+
+        ``acknowledged`` is the last end that the worker may forget. Raises
+        ``WorkerFenced``, ``WorkerReplaced`` or ``PlatformCallError``.
+        """
+        body: dict[str, Any] = {"fence": self.fence, "lastSeen": acknowledged}
+        if lease_until_ms is not None:
+            body["deadlineMs"] = lease_until_ms
+        if wait_ms:
+            body["waitMs"] = wait_ms
+        reply = self.reports.call(
+            "POST",
+            "/v1/hold",
+            body,
+            self.headers,
+            timeout_s=wait_ms / 1000 + REPORT_SLACK_S,
+        )
+        if reply.status == 421:
+            raise WorkerReplaced
+        if reply.status == 409:
+            raise WorkerFenced
+        if reply.status != 200:
+            raise AnswerMissing(f"the worker answered {reply.status} to a report")
+        return _decode_report(reply.body)
+
+    def close(self) -> None:
+        """Close the connections."""
+        self.caller.close()
+        self.reports.close()
+
+    def _order(self, path: str, body: dict[str, Any]) -> Reply:
+        return self.caller.call(
+            "POST", path, body, self.headers, timeout_s=ORDER_TIMEOUT_S
+        )
+
+
+def encode_subtask(subtask: SubtaskId) -> str:
+    """Return the wire form of a subtask's name."""
+    return f"{subtask.job}.{subtask.occurrence}.{subtask.step}.{subtask.position}"
+
+
+def decode_subtask(text: str) -> SubtaskId:
+    """Return the subtask of a wire name; raises ``RecordInvalid``."""
+    try:
+        job, occurrence, step, index = text.split(".")
+        return SubtaskId(job, int(occurrence), int(step), int(index))
+    except ValueError as error:
+        raise RecordInvalid(f"subtask name {text!r} is malformed") from error
+
+
+def decode_worker(worker: str, value: bytes) -> WorkerRecord:
+    """Decode an entry of the list of workers; raises ``RecordInvalid``."""
+    try:
+        body = json.loads(value)
+        if body["state"] not in ("ready", "draining"):
+            raise RecordInvalid(f"worker {worker} has state {body['state']!r}")
+        remaining = body.get("remainingMs")
+        return WorkerRecord(
+            worker=worker,
+            born_ms=int(body.get("born") or 0),
+            pool=_read_text(body["service"]),
+            address=_read_text(body["addr"]),
+            zone=_read_text(body["zone"]),
+            capacity=decode_resources(body["capacity"]),
+            labels=tuple(_read_text(label) for label in body["labels"]),
+            is_draining=body["state"] == "draining",
+            remaining_ms=None if remaining is None else int(remaining),
+        )
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        raise RecordInvalid(f"entry of worker {worker} is malformed") from error
+
+
+def decode_resources(body: dict[str, Any]) -> Resources:
+    """Decode amounts; absent fields are 0."""
+    return Resources(
+        int(body.get("cpu") or 0),
+        int(body.get("memMb") or 0),
+        int(body.get("gpu") or 0),
+    )
+
+
+def _read_text(value: object) -> str:
+    if not isinstance(value, str) or not value:
+        raise TypeError(f"{value!r} is not a text")
+    return value
+
+
+def _decode_report(body: dict[str, Any]) -> WorkerReport:
+    try:
+        return WorkerReport(
+            clock_ms=int(body["clockMs"]),
+            born_ms=int(body.get("born") or 0),
+            running=tuple(_decode_run(row) for row in body.get("running") or ()),
+            ended=tuple(_decode_end(row) for row in body.get("ended") or ()),
+        )
+    except (ValueError, KeyError, TypeError, IndexError) as error:
+        raise AnswerUnreadable("a worker's report is malformed") from error
+
+
+def _decode_run(row: list[Any]) -> RunStatus:
+    load = int(row[4]) if len(row) > 4 and row[4] is not None else 0
+    return RunStatus(decode_subtask(row[0]), int(row[1]), row[2], int(row[3]), load)
+
+
+def _decode_end(row: list[Any]) -> RunEnd:
+    number, subtask, run, reason, saved = row
+    return RunEnd(
+        int(number), decode_subtask(subtask), int(run), EndReason(reason), saved
+    )
--- a/src/sesameladder/specification/_claims.py
+++ b/src/sesameladder/specification/_claims.py
@@ -11,14 +11,14 @@
 
 import minicheck
 
-from sesameladder.idempotency import BindRefused, ClaimBinder, Token, claim_key
-from sesameladder.platform import (
+from sesameladder.environment import (
     FakeStore,
     StoreAnswerLost,
     StoreEntry,
     StoreUnavailable,
     SwapOutcome,
 )
+from sesameladder.idempotency import BindRefused, ClaimBinder, Token, claim_key
 from sesameladder.specification._protocol import build_protocol
 
 KEY = "order"
--- a/src/sesameladder/specification/tests/test_ticket_log.py
+++ b/src/sesameladder/specification/tests/test_ticket_log.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from sesameladder.platform import FakeStore, StoreAnswerLost
+from sesameladder.environment import FakeStore, StoreAnswerLost
 from sesameladder.specification._tickets import NUMBERS, Acceptance, Filing, Rules
 from sesameladder.tickets import (
     Accepted,
--- a/src/sesameladder/standins/platform/_shared_store.py
+++ b/src/sesameladder/standins/platform/_shared_store.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from typing import TypeVar
 
-from sesameladder.platform import FakeStore, StoreEntry
+from sesameladder.environment import FakeStore, StoreEntry
 from sesameladder.standins._clock import Clock
 
 T = TypeVar("T")
--- a/src/sesameladder/standins/platform/_store_api.py
+++ b/src/sesameladder/standins/platform/_store_api.py
@@ -3,7 +3,7 @@
 import re
 from functools import partial
 
-from sesameladder.platform import (
+from sesameladder.environment import (
     MAX_VALUE_BYTES,
     StoreEntry,
     StoreRefused,
--- a/src/sesameladder/standins/platform/_vm_list.py
+++ b/src/sesameladder/standins/platform/_vm_list.py
@@ -10,7 +10,7 @@
 from urllib3 import PoolManager, Retry, Timeout
 from urllib3.exceptions import HTTPError
 
-from sesameladder.platform import VmState
+from sesameladder.environment import VmState
 from sesameladder.settings import PlatformStandinSettings, VmRow
 from sesameladder.standins._clock import Clock
 from sesameladder.standins._http import RequestRefused
--- a/src/sesameladder/standins/platform/tests/test_platform_standin.py
+++ b/src/sesameladder/standins/platform/tests/test_platform_standin.py
@@ -6,7 +6,7 @@
 import pytest
 from urllib3 import PoolManager, Retry
 
-from sesameladder.platform import (
+from sesameladder.environment import (
     PlatformClient,
     PlatformError,
     StoreAnswerLost,
--- a/src/sesameladder/standins/upstream/tests/test_upstream_standin.py
+++ b/src/sesameladder/standins/upstream/tests/test_upstream_standin.py
@@ -8,7 +8,7 @@
 from urllib3 import BaseHTTPResponse, PoolManager, Retry
 from urllib3.exceptions import HTTPError
 
-from sesameladder.platform import HttpWorkerTasks
+from sesameladder.environment import HttpWorkerTasks
 from sesameladder.settings import UpstreamSettings, UpstreamStandinSettings
 from sesameladder.standins import ManualClock
 from sesameladder.standins.upstream import UpstreamStandin
--- a/src/sesameladder/tickets/_access.py
+++ b/src/sesameladder/tickets/_access.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from sesameladder.platform import (
+from sesameladder.environment import (
     PlatformError,
     Store,
     StoreAnswerLost,
--- a/src/sesameladder/tickets/_bundles.py
+++ b/src/sesameladder/tickets/_bundles.py
@@ -9,7 +9,7 @@
 import zlib
 from dataclasses import dataclass
 
-from sesameladder.platform import MAX_VALUE_BYTES
+from sesameladder.environment import MAX_VALUE_BYTES
 from sesameladder.tickets._access import StoreAccess
 from sesameladder.tickets._json import encode_json
 from sesameladder.tickets._records import (
--- a/src/sesameladder/tickets/_filing.py
+++ b/src/sesameladder/tickets/_filing.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from sesameladder.platform import (
+from sesameladder.environment import (
     PlatformError,
     StoreAnswerLost,
     StoreRefused,
--- a/src/sesameladder/tickets/_log.py
+++ b/src/sesameladder/tickets/_log.py
@@ -3,8 +3,8 @@
 import time
 from collections.abc import Callable
 
+from sesameladder.environment import Store
 from sesameladder.model import FleetState
-from sesameladder.platform import Store
 from sesameladder.tickets._access import StoreAccess
 from sesameladder.tickets._compaction import Compactor
 from sesameladder.tickets._filing import Filer
--- a/src/sesameladder/tickets/_parse.py
+++ b/src/sesameladder/tickets/_parse.py
@@ -7,7 +7,7 @@
 from pydantic import TypeAdapter, ValidationError
 from pydantic_core import ErrorDetails
 
-from sesameladder.platform import MAX_VALUE_BYTES
+from sesameladder.environment import MAX_VALUE_BYTES
 from sesameladder.tickets._json import JsonUnreadable, read_json
 from sesameladder.tickets._problems import Problem, TicketInvalid, shorten_value
 from sesameladder.tickets._rows import NAME_RULE, TicketRow
--- a/src/sesameladder/tickets/_records.py
+++ b/src/sesameladder/tickets/_records.py
@@ -3,7 +3,7 @@
 import json
 from dataclasses import dataclass
 
-from sesameladder.platform import StoreEntry
+from sesameladder.environment import StoreEntry
 from sesameladder.tickets._json import encode_json
 from sesameladder.tickets._problems import TicketInvalid
 from sesameladder.tickets._ticket import Ticket
--- a/src/sesameladder/tickets/tests/faulty_store.py
+++ b/src/sesameladder/tickets/tests/faulty_store.py
@@ -1,6 +1,6 @@
 """A store that fails at a chosen call."""
 
-from sesameladder.platform import FakeStore, StoreAnswerLost, StoreUnavailable
+from sesameladder.environment import FakeStore, StoreAnswerLost, StoreUnavailable
 
 
 class FaultyStore(FakeStore):
--- a/src/sesameladder/tickets/tests/samples.py
+++ b/src/sesameladder/tickets/tests/samples.py
@@ -3,7 +3,7 @@
 import json
 from copy import deepcopy
 
-from sesameladder.platform import FakeStore
+from sesameladder.environment import FakeStore
 from sesameladder.tickets import SNAPSHOT_INTERVAL, Ticket, TicketLog, parse_ticket
 
 BASE = {
--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -17,7 +17,7 @@
 
 from sesameladder.measure._callers import CallerEndpoint
 from sesameladder.planning import PlanStore, RegionPlan
-from sesameladder.platform import PlatformClient
+from sesameladder.environment import PlatformClient
 from sesameladder.settings import EntrySettings
 from sesameladder.settings.examples import write_example
 
--- a/tests/sessions/_day.py
+++ b/tests/sessions/_day.py
@@ -12,7 +12,7 @@
     RaiseAlarm,
     RegionPlan,
 )
-from sesameladder.platform import FakeStore
+from sesameladder.environment import FakeStore
 from sesameladder.tickets import (
     Accepted,
     FileOutcome,
