Give up runs of a worker that went down for upkeep

Change: a silent worker's lease is not extended; the fleet role tells owners which workers ended with their VM's upkeep.

--- a/src/sesameladder/fleet/__init__.py
+++ b/src/sesameladder/fleet/__init__.py
@@ -1,6 +1,14 @@
 """VMs, pools and upkeep: decisions without sockets or clocks."""
 
-from sesameladder.fleet._model import PoolSummary, Vm, VmPhase, Wave
+from sesameladder.fleet._model import PoolOrders, PoolSummary, Vm, VmPhase, Wave
 from sesameladder.fleet._upkeep import UpkeepPlan, UpkeepPlanner
 
-__all__ = ["PoolSummary", "UpkeepPlan", "UpkeepPlanner", "Vm", "VmPhase", "Wave"]
+__all__ = [
+    "PoolOrders",
+    "PoolSummary",
+    "UpkeepPlan",
+    "UpkeepPlanner",
+    "Vm",
+    "VmPhase",
+    "Wave",
+]
--- a/src/sesameladder/fleet/_model.py
+++ b/src/sesameladder/fleet/_model.py
@@ -57,3 +57,14 @@
 
     waiting_cores: float
     """Cores that waiting subtasks ask for."""
+
+
+@dataclass(frozen=True, slots=True)
+class PoolOrders:
+    """What the holder of the fleet role tells a pool's owner."""
+
+    emptying: tuple[str, ...] = ()
+    """Workers that get no new work and are to be emptied."""
+
+    ended: tuple[str, ...] = ()
+    """Workers whose VM has begun its upkeep or move; nothing runs there."""
--- a/src/sesameladder/node/_fleet_task.py
+++ b/src/sesameladder/node/_fleet_task.py
@@ -3,12 +3,19 @@
 from collections.abc import Callable
 from threading import Event, Thread
 
-from sesameladder.fleet import PoolSummary, UpkeepPlan, UpkeepPlanner, Vm, Wave
+from sesameladder.fleet import (
+    PoolOrders,
+    PoolSummary,
+    UpkeepPlan,
+    UpkeepPlanner,
+    Vm,
+    Wave,
+)
 from sesameladder.jobs import Configuration
 from sesameladder.node._clock import read_steady
 from sesameladder.node._dependency import DependencyState
-from sesameladder.node._keys import SUMMARY_PREFIX, emptying_key, role_key
-from sesameladder.node._records import decode_summary, encode_names
+from sesameladder.node._keys import SUMMARY_PREFIX, orders_key, role_key
+from sesameladder.node._records import decode_summary, encode_orders
 from sesameladder.node._roles import HeldRole
 from sesameladder.node._telemetry import logger, note, warn
 from sesameladder.platform import (
@@ -26,8 +33,7 @@
 STEP_S = 0.5  # a VM is away for 1.5 to 2 s
 IDLE_STEP_S = 1.0
 ORDER_CUTOFF_S = 1.0  # the role's lease is 1.5 s; nobody else orders before its end
-WAVE_STATUS_RUNNING = False
-WAVE_STATUS_DONE = True
+ENDED_NOTICE_S = 10.0  # owners read a new order within a second
 
 
 class FleetTask:
@@ -36,12 +42,13 @@
     __slots__ = (
         "dependency",
         "done",
-        "emptying",
+        "ended",
         "get_configuration",
         "is_confirmed",
         "list_waves",
         "machines",
         "node",
+        "orders",
         "planner",
         "quiet_until",
         "role",
@@ -74,7 +81,12 @@
         self.vms: dict[str, Vm] = {}
         self.done: set[int] = set()
         self.running: set[int] = set()
-        self.emptying: dict[str, tuple[str, ...]] = {}
+        self.orders: dict[str, PoolOrders] = {}
+        """What each pool's owner was told last."""
+
+        self.ended: dict[str, tuple[str, float]] = {}
+        """Pool and time of the order, by worker whose VM has gone down."""
+
         # An earlier holder's last order has to be this old before the first one.
         self.quiet_until = read_steady() + (order_gap_s if role.term > 1 else 0.0)
         self.dependency = DependencyState("machines")
@@ -129,9 +141,9 @@
         )
         drained = self._read_drained()
         plan = self.planner.plan(waves, self.vms, drained, spare, read_steady())
-        self._write_emptying(plan)
         for name, wave in plan.begin:
             self._begin(name, wave)
+        self._write_orders(plan)
         self._write_status(waves, plan)
 
     def _read_drained(self) -> frozenset[str]:
@@ -145,20 +157,28 @@
             drained.update(summary.drained)
         return frozenset(drained)
 
-    def _write_emptying(self, plan: UpkeepPlan) -> None:
-        pools = set(plan.empty) | set(self.emptying)
-        changed = [
-            pool for pool in pools if plan.empty.get(pool) != self.emptying.get(pool)
-        ]
+    def _write_orders(self, plan: UpkeepPlan) -> None:
+        """Tell pool owners which workers to empty and which have ended."""
+        now = read_steady()
+        for worker, (_, at) in list(self.ended.items()):
+            if now - at > ENDED_NOTICE_S:
+                del self.ended[worker]
+        wanted = {}
+        for pool in {*plan.empty, *self.orders, *(p for p, _ in self.ended.values())}:
+            ended = tuple(w for w, (p, _) in self.ended.items() if p == pool)
+            emptying = tuple(w for w in plan.empty.get(pool, ()) if w not in ended)
+            wanted[pool] = PoolOrders(emptying, ended)
+        changed = [p for p in sorted(wanted) if wanted[p] != self.orders.get(p)]
         if not changed:
             return
-        puts = tuple(
-            Put(emptying_key(pool), encode_names(plan.empty.get(pool, ())))
-            for pool in sorted(changed)
-        )
+        puts = tuple(Put(orders_key(p), encode_orders(wanted[p])) for p in changed)
         if self._commit(puts):
-            self.emptying = dict(plan.empty)
-            note("workers_emptied", pools=plan.empty)
+            self.orders = wanted
+            for pool in changed:
+                told = wanted[pool]
+                note(
+                    "pool_ordered", pool=pool, emptying=told.emptying, ended=told.ended
+                )
 
     def _begin(self, name: str, wave: int) -> None:
         now = read_steady()
@@ -171,6 +191,8 @@
         note("upkeep_ordered", vm=name, wave=wave, pool=vm.pool, outcome=outcome.value)
         if outcome is OrderOutcome.DONE:
             self.planner.note_begun(wave, name, now)
+            if vm.worker:
+                self.ended[vm.worker] = vm.pool, now
 
     def _write_status(self, waves: list[Wave], plan: UpkeepPlan) -> None:
         for wave in waves:
--- a/src/sesameladder/node/_keys.py
+++ b/src/sesameladder/node/_keys.py
@@ -37,9 +37,9 @@
     return f"pool/{pool}/cancel/{job}"
 
 
-def emptying_key(pool: str) -> str:
-    """Return the key with the workers that a pool's owner shall empty."""
-    return f"pool/{pool}/emptying"
+def orders_key(pool: str) -> str:
+    """Return the key with what the fleet role tells a pool's owner."""
+    return f"pool/{pool}/orders"
 
 
 def progress_prefix(pool: str) -> str:
--- a/src/sesameladder/node/_pool_task.py
+++ b/src/sesameladder/node/_pool_task.py
@@ -5,7 +5,7 @@
 from queue import Empty, SimpleQueue
 from threading import Event, Thread
 
-from sesameladder.fleet import PoolSummary
+from sesameladder.fleet import PoolOrders, PoolSummary
 from sesameladder.jobs import (
     AdviceCommand,
     Command,
@@ -30,6 +30,7 @@
 from sesameladder.node._pool_writer import PoolWriter, WriteBatch, WriteDone
 from sesameladder.node._records import (
     decode_names,
+    decode_orders,
     decode_submission,
     encode_names,
     encode_summary,
@@ -308,8 +309,8 @@
         cancelled = []
         for key, value, revision in rows:
             kind, _, name = key.removeprefix(prefix).partition("/")
-            if kind == "emptying":
-                self._apply_emptying(value)
+            if kind == "orders":
+                self._apply_orders(value, now)
             elif value is None:
                 continue
             elif kind == "in":
@@ -334,13 +335,15 @@
             self._forget_later(job)
         self.scheduler.add_job(submission, record, now)
 
-    def _apply_emptying(self, value: bytes | None) -> None:
+    def _apply_orders(self, value: bytes | None, now: float) -> None:
         try:
-            names = set(decode_names(value)) if value is not None else set()
+            orders = decode_orders(value) if value is not None else PoolOrders()
         except RecordInvalid as error:
-            warn("emptying_refused", pool=self.pool, error=str(error))
+            warn("orders_refused", pool=self.pool, error=str(error))
             return
-        self.scheduler.set_emptying(names)
+        self.scheduler.set_emptying(set(orders.emptying))
+        for worker in orders.ended:
+            self.scheduler.lose_worker(worker, now)
 
     def _apply_workers(self, records: list[WorkerRecord], now: float) -> None:
         own = [record for record in records if record.pool == self.pool]
--- a/src/sesameladder/node/_records.py
+++ b/src/sesameladder/node/_records.py
@@ -4,7 +4,7 @@
 from dataclasses import asdict, dataclass
 from typing import Any
 
-from sesameladder.fleet import PoolSummary
+from sesameladder.fleet import PoolOrders, PoolSummary
 from sesameladder.jobs import AdvicePolicy, QueuePolicy, Submission
 from sesameladder.platform import RecordInvalid, decode_job
 
@@ -77,6 +77,20 @@
         raise RecordInvalid("a list of names is malformed") from error
 
 
+def encode_orders(orders: PoolOrders) -> bytes:
+    """Encode what a pool's owner is told by the fleet role."""
+    return _dump(asdict(orders))
+
+
+def decode_orders(value: bytes) -> PoolOrders:
+    """Decode what a pool's owner is told; raises ``RecordInvalid``."""
+    try:
+        fields = json.loads(value)
+        return PoolOrders(tuple(fields["emptying"]), tuple(fields["ended"]))
+    except (ValueError, KeyError, TypeError) as error:
+        raise RecordInvalid("a pool's orders are malformed") from error
+
+
 def encode_summary(summary: PoolSummary) -> bytes:
     """Encode what a pool's owner tells of its pool."""
     return _dump(asdict(summary))
--- a/src/sesameladder/node/_worker_link.py
+++ b/src/sesameladder/node/_worker_link.py
@@ -94,8 +94,10 @@
         "acknowledged",
         "client",
         "clock_offset",
+        "is_silent",
         "lapse_at",
         "lease_ms",
+        "lease_until_ms",
         "may_hold",
         "orders",
         "post",
@@ -124,6 +126,12 @@
         self.clock_offset: float | None = None
         """Worker's clock less this VM's steady clock, in seconds."""
 
+        self.lease_until_ms: int | None = None
+        """End of the latest lease on the worker's clock."""
+
+        self.is_silent = False
+        """Whether the last report failed; the lease then isn't extended."""
+
         # An earlier owner may have extended leases up to now.
         self.lapse_at = read_steady() + lease_ms / 1000 * CLOCK_DRIFT + LAPSE_SLACK_S
         self.stopping = Event()
@@ -151,10 +159,15 @@
         """Return the end of a new lease on the worker's clock in milliseconds."""
         if self.clock_offset is None or not self.may_hold():
             return None
+        if self.is_silent:
+            # An order may arrive late; with a new lease it would also end late,
+            # and what runs there could not be given up in time.
+            return self.lease_until_ms
         now = read_steady()
         lapse_at = now + self.lease_ms / 1000 * CLOCK_DRIFT + LAPSE_SLACK_S
         self.lapse_at = max(self.lapse_at, lapse_at)
-        return int((now + self.clock_offset) * 1000) + self.lease_ms
+        self.lease_until_ms = int((now + self.clock_offset) * 1000) + self.lease_ms
+        return self.lease_until_ms
 
     def _send_orders(self) -> None:
         while True:
@@ -198,9 +211,11 @@
                 self.stopping.wait(RETRY_PAUSE_S)
                 continue
             except PlatformCallError:
+                self.is_silent = True
                 self.post(ReportFailed(name, self.lapse_at))
                 self.stopping.wait(RETRY_PAUSE_S)
                 continue
+            self.is_silent = False
             self.clock_offset = report.clock_ms / 1000 - read_steady()
             self.post(ReportArrived(name, report, sent_at, self.lapse_at))
             self.stopping.wait(REPORT_GAP_S)
