Wait for unread workers, and empty workers of lasting work before upkeep

(1) A new fleet holder took the answer to a repeated upkeep order for the VM going down, and owners gave up runs that were there. (2) A new owner started old jobs as soon as the workers still listed were read; an unlisted one behind a cut still ran them. (3) AVAIL: upkeep began after its patience although lasting work was on the worker. Change: ended workers are read from the VM list; unread workers hold old jobs back until their leases have surely lapsed; summaries say which orders they answer and which workers hold nothing lasting; begun upkeep is stored.

--- a/src/sesameladder/fleet/_model.py
+++ b/src/sesameladder/fleet/_model.py
@@ -52,11 +52,11 @@
     drained: tuple[str, ...]
     """Workers that were asked to be emptied and run nothing now."""
 
-    busy_cores: float
-    """Cores that running subtasks ask for."""
+    stoppable: tuple[str, ...]
+    """Workers to be emptied that run nothing that lasts."""
 
-    waiting_cores: float
-    """Cores that waiting subtasks ask for."""
+    orders_revision: int
+    """Revision of the orders that this takes into account."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/sesameladder/fleet/_upkeep.py
+++ b/src/sesameladder/fleet/_upkeep.py
@@ -62,6 +62,7 @@
         waves: list[Wave],
         vms: dict[str, Vm],
         drained: frozenset[str],
+        stoppable: frozenset[str],
         spare_pools: frozenset[str],
         now: float,
     ) -> UpkeepPlan:
@@ -83,6 +84,7 @@
                 down,
                 vms,
                 drained,
+                stoppable,
                 spare_pools,
                 leaving,
                 plan,
@@ -99,6 +101,7 @@
         down: int,
         vms: dict[str, Vm],
         drained: frozenset[str],
+        stoppable: frozenset[str],
         spare_pools: frozenset[str],
         leaving: dict[str, list[str]],
         plan: UpkeepPlan,
@@ -123,6 +126,7 @@
             is_free = vm.pool in spare_pools
             since = progress.emptying_since.get(name)
             late = since is not None and now - since >= PATIENCE_S
+            late = late and vm.worker in stoppable
             if room > 0 and (is_free or vm.worker in drained or late):
                 plan.begin.append((name, wave.number))
                 room -= 1
--- a/src/sesameladder/jobs/_runs.py
+++ b/src/sesameladder/jobs/_runs.py
@@ -122,6 +122,10 @@
             and self.used_gpus + needs.gpus <= capacity.gpus
         )
 
+    def runs_lasting(self) -> bool:
+        """Return whether a subtask that lasts may be there."""
+        return any(run.subtask.step.spec.lasting for run in self.runs.values())
+
     def add(self, run: Run) -> None:
         """Count a run's share of the worker."""
         self.runs[run.subtask.id] = run
--- a/src/sesameladder/jobs/_scheduler.py
+++ b/src/sesameladder/jobs/_scheduler.py
@@ -96,6 +96,9 @@
     emptying: set[str] = field(default_factory=set)
     """Workers that are to be emptied for upkeep."""
 
+    can_lapse: bool = True
+    """Whether no newer owner can have extended the leases of silent workers."""
+
     is_paused: bool = False
     """Whether nothing is started, since the store hasn't confirmed the owner."""
 
@@ -289,7 +292,7 @@
             return True
         if self.missing:
             return False
-        return all(view.is_known for view in self.workers.values() if view.is_listed)
+        return all(view.is_known for view in self.workers.values())
 
     def take_dirty(self) -> list[Job]:
         """Return the jobs whose progress has to be stored, and forget them."""
@@ -643,7 +646,9 @@
 
     def _drop_lapsed(self, worker: WorkerView, now: float) -> None:
         """Release all runs of a silent worker once their leases have lapsed."""
-        if now < worker.lapse_at:
+        if now < worker.lapse_at or not self.can_lapse:
+            return
+        if not worker.is_known and now < self.may_start_from:
             return
         for run in self._list_runs(worker):
             self.note(
--- a/src/sesameladder/node/_fleet_task.py
+++ b/src/sesameladder/node/_fleet_task.py
@@ -9,13 +9,25 @@
     UpkeepPlan,
     UpkeepPlanner,
     Vm,
+    VmPhase,
     Wave,
 )
 from sesameladder.jobs import Configuration
 from sesameladder.node._clock import read_steady
 from sesameladder.node._dependency import DependencyState
-from sesameladder.node._keys import SUMMARY_PREFIX, orders_key, role_key
-from sesameladder.node._records import decode_summary, encode_orders
+from sesameladder.node._keys import (
+    SUMMARY_PREFIX,
+    UPKEEP_PREFIX,
+    orders_key,
+    role_key,
+    upkeep_key,
+)
+from sesameladder.node._records import (
+    decode_names,
+    decode_summary,
+    encode_names,
+    encode_orders,
+)
 from sesameladder.node._roles import HeldRole
 from sesameladder.node._telemetry import logger, note, warn
 from sesameladder.platform import (
@@ -33,6 +45,7 @@
 STEP_S = 0.5  # a VM is away for 1.5 to 2 s
 IDLE_STEP_S = 1.0
 ORDER_CUTOFF_S = 1.0  # the role's lease is 1.5 s; nobody else orders before its end
+AWAY_PHASES = (VmPhase.IN_UPKEEP, VmPhase.MOVING)
 ENDED_NOTICE_S = 10.0  # owners read a new order within a second
 
 
@@ -44,10 +57,12 @@
         "done",
         "ended",
         "get_configuration",
+        "going",
         "is_confirmed",
         "list_waves",
         "machines",
         "node",
+        "order_revisions",
         "orders",
         "planner",
         "quiet_until",
@@ -84,6 +99,12 @@
         self.orders: dict[str, PoolOrders] = {}
         """What each pool's owner was told last."""
 
+        self.order_revisions: dict[str, int] = {}
+        """Revision of the store at which each pool's owner was told."""
+
+        self.going: dict[str, tuple[str, str]] = {}
+        """Worker and pool, by VM that was ordered down."""
+
         self.ended: dict[str, tuple[str, float]] = {}
         """Pool and time of the order, by worker whose VM has gone down."""
 
@@ -126,6 +147,11 @@
                         self.done.add(int(number))
                     else:
                         self.running.add(int(number))
+                now = read_steady()
+                for item in self.store.read_range(UPKEEP_PREFIX).items:
+                    number = item.key.removeprefix(UPKEEP_PREFIX)
+                    for vm in decode_names(item.value):
+                        self.planner.note_begun(int(number), vm, now)
                 return
             except PlatformCallError as error:
                 self.dependency.note_failure(error)
@@ -136,26 +162,47 @@
         if configuration is None:
             return
         self.vms = {vm.name: vm for vm in self.machines.list_vms()}
+        self._note_ended()
         spare = frozenset(
             pool.name for pool in configuration.pools.values() if pool.is_spare
         )
-        drained = self._read_drained()
-        plan = self.planner.plan(waves, self.vms, drained, spare, read_steady())
+        drained, stoppable = self._read_emptied()
+        plan = self.planner.plan(
+            waves, self.vms, drained, stoppable, spare, read_steady()
+        )
         for name, wave in plan.begin:
             self._begin(name, wave)
         self._write_orders(plan)
         self._write_status(waves, plan)
 
-    def _read_drained(self) -> frozenset[str]:
+    def _note_ended(self) -> None:
+        """Note the workers whose VMs are seen to have gone down as ordered.
+
+        The answer to an order doesn't tell: a repeated order is answered alike.
+        """
+        now = read_steady()
+        for name, (worker, pool) in list(self.going.items()):
+            vm = self.vms.get(name)
+            if vm is None or vm.phase in AWAY_PHASES or vm.worker not in ("", worker):
+                self.ended[worker] = pool, now
+                del self.going[name]
+
+    def _read_emptied(self) -> tuple[frozenset[str], frozenset[str]]:
+        """Return the workers that run nothing, and those that run nothing lasting."""
         drained: set[str] = set()
+        stoppable: set[str] = set()
         for item in self.store.read_range(SUMMARY_PREFIX).items:
             try:
                 summary: PoolSummary = decode_summary(item.value)
             except RecordInvalid as error:
                 warn("summary_refused", key=item.key, error=str(error))
                 continue
-            drained.update(summary.drained)
-        return frozenset(drained)
+            pool = item.key.removeprefix(SUMMARY_PREFIX)
+            # An older summary may speak of a worker that has been filled since.
+            if summary.orders_revision >= self.order_revisions.get(pool, 1 << 62):
+                drained.update(summary.drained)
+                stoppable.update(summary.stoppable)
+        return frozenset(drained), frozenset(stoppable)
 
     def _write_orders(self, plan: UpkeepPlan) -> None:
         """Tell pool owners which workers to empty and which have ended."""
@@ -172,14 +219,24 @@
         if not changed:
             return
         puts = tuple(Put(orders_key(p), encode_orders(wanted[p])) for p in changed)
-        if self._commit(puts):
+        revision = self._commit((*puts, *self._put_begun()))
+        if revision is not None:
             self.orders = wanted
             for pool in changed:
+                self.order_revisions[pool] = revision
                 told = wanted[pool]
                 note(
                     "pool_ordered", pool=pool, emptying=told.emptying, ended=told.ended
                 )
 
+    def _put_begun(self) -> list[Put]:
+        """Store which VMs have begun their upkeep, for the next holder."""
+        return [
+            Put(upkeep_key(number), encode_names(tuple(progress.begun)))
+            for number, progress in self.planner.progress.items()
+            if progress.begun and number not in self.done
+        ]
+
     def _begin(self, name: str, wave: int) -> None:
         now = read_steady()
         if now < self.quiet_until or not self.is_confirmed(ORDER_CUTOFF_S):
@@ -192,7 +249,7 @@
         if outcome is OrderOutcome.DONE:
             self.planner.note_begun(wave, name, now)
             if vm.worker:
-                self.ended[vm.worker] = vm.pool, now
+                self.going[name] = vm.worker, vm.pool
 
     def _write_status(self, waves: list[Wave], plan: UpkeepPlan) -> None:
         for wave in waves:
@@ -200,17 +257,18 @@
             if not is_done and wave.number in self.running:
                 continue
             key = f"{WAVE_STATUS_PREFIX}{wave.number}"
-            if not self._commit((Put(key, encode_wave_status(is_done)),)):
+            if self._commit((Put(key, encode_wave_status(is_done)),)) is None:
                 return
             self.running.add(wave.number)
             if is_done:
                 self.done.add(wave.number)
                 note("wave_done", wave=wave.number)
 
-    def _commit(self, puts: tuple[Put, ...]) -> bool:
+    def _commit(self, puts: tuple[Put, ...]) -> int | None:
+        """Write as the holder of the role; None when it is held by another."""
         precondition = ((role_key(self.role.role), self.role.fence),)
         outcome = self.store.commit(puts, (), precondition)
         if isinstance(outcome, Conflict):
             warn("fleet_write_refused", fence=self.role.fence)
-            return False
-        return True
+            return None
+        return outcome.revision
--- a/src/sesameladder/node/_keys.py
+++ b/src/sesameladder/node/_keys.py
@@ -68,3 +68,11 @@
 def summary_key(pool: str) -> str:
     """Return the key with what a pool's owner tells of the pool."""
     return f"{SUMMARY_PREFIX}{pool}"
+
+
+UPKEEP_PREFIX = "upkeep/"
+
+
+def upkeep_key(wave: int) -> str:
+    """Return the key with the VMs of a wave that have begun their upkeep."""
+    return f"{UPKEEP_PREFIX}{wave}"
--- a/src/sesameladder/node/_pool_task.py
+++ b/src/sesameladder/node/_pool_task.py
@@ -18,6 +18,7 @@
     encode_progress,
 )
 from sesameladder.node._clock import read_steady, read_wall_ms
+from sesameladder.node._dependency import DependencyState
 from sesameladder.node._keys import (
     cancel_key,
     inbox_prefix,
@@ -63,9 +64,9 @@
 MAX_BATCH_ENTRIES = 24  # of the 32 that a transaction takes
 WATCH_WAIT_MS = 1000
 RETRY_PAUSE_S = 0.15
-START_CUTOFF_S = 4.0  # without the store, a newer owner may exist
-HOLD_CUTOFF_S = 8.0  # running work is kept longer, since a newer owner is fenced
-UNREAD_WORKER_WAIT_S = 12.5  # the cutoff above less the role's lease, and one lease
+STORE_CUTOFF_S = 6.0  # outages last about 5 s; a newer owner fences each worker first
+LAPSE_CUTOFF_S = 1.0  # the role's lease is 1.5 s; a newer owner holds workers too
+UNREAD_WORKER_WAIT_S = 11.5  # the cutoff above and one lease of running work
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,6 +113,7 @@
         "lease_ms",
         "links",
         "on_fenced",
+        "orders_revision",
         "pool",
         "removals",
         "role",
@@ -124,6 +126,7 @@
         "summary_at",
         "thread",
         "tracked",
+        "watching",
         "writer",
         "written_at",
     )
@@ -153,11 +156,13 @@
         self.scheduler = PoolScheduler(role.term, self._note, fence=role.fence)
         self.links: dict[str, WorkerLink] = {}
         self.writer = PoolWriter(pool, role, store, self.inbox.put, self._lose)
+        self.watching = DependencyState(f"store:inbox {pool}")
         self.stopping = Event()
         self.is_loaded = False
         self.removals: list[str] = []
         self.cleaned_at = self.written_at = self.summary_at = read_steady()
         self.summary: PoolSummary | None = None
+        self.orders_revision = 0
         self.tracked: tuple[str, ...] = ()
         self.thread = Thread(target=self._run, name=f"pool {pool}", daemon=True)
 
@@ -250,10 +255,11 @@
                 revision = None
                 continue
             except PlatformCallError as error:
-                warn("inbox_watch_failed", pool=self.pool, error=str(error))
+                self.watching.note_failure(error)
                 revision = None
                 self.stopping.wait(RETRY_PAUSE_S)
                 continue
+            self.watching.note_success()
             if rows:
                 self.inbox.put(InboxChanges(rows))
 
@@ -310,7 +316,7 @@
         for key, value, revision in rows:
             kind, _, name = key.removeprefix(prefix).partition("/")
             if kind == "orders":
-                self._apply_orders(value, now)
+                self._apply_orders(value, revision, now)
             elif value is None:
                 continue
             elif kind == "in":
@@ -335,12 +341,13 @@
             self._forget_later(job)
         self.scheduler.add_job(submission, record, now)
 
-    def _apply_orders(self, value: bytes | None, now: float) -> None:
+    def _apply_orders(self, value: bytes | None, revision: int, now: float) -> None:
         try:
             orders = decode_orders(value) if value is not None else PoolOrders()
         except RecordInvalid as error:
             warn("orders_refused", pool=self.pool, error=str(error))
             return
+        self.orders_revision = revision
         self.scheduler.set_emptying(set(orders.emptying))
         for worker in orders.ended:
             self.scheduler.lose_worker(worker, now)
@@ -373,7 +380,8 @@
         if not self.is_loaded:
             return
         now = read_steady()
-        self.scheduler.is_paused = not self.is_confirmed(START_CUTOFF_S)
+        self.scheduler.can_lapse = self.is_confirmed(LAPSE_CUTOFF_S)
+        self.scheduler.is_paused = not self.is_confirmed(STORE_CUTOFF_S)
         commands = self.scheduler.schedule(now, read_wall_ms())
         self._match_links()
         for command in commands:
@@ -393,7 +401,7 @@
                     view.record,
                     self.role.fence,
                     self.lease_ms,
-                    lambda: self.is_confirmed(HOLD_CUTOFF_S),
+                    lambda: self.is_confirmed(STORE_CUTOFF_S),
                     self.inbox.put,
                 )
                 view.lapse_at = max(view.lapse_at, link.lapse_at)
@@ -472,17 +480,27 @@
         if summary == self.summary or lease is None:
             return puts
         is_due = now - self.summary_at >= SUMMARY_INTERVAL_S
-        drained = self.summary.drained if self.summary else ()
-        if is_due or summary.drained != drained:
+        known = self.summary
+        is_urgent = known is None or (
+            (summary.drained, summary.stoppable, summary.orders_revision)
+            != (known.drained, known.stoppable, known.orders_revision)
+        )
+        if is_due or is_urgent:
             self.summary, self.summary_at = summary, now
             puts.append(Put(summary_key(self.pool), encode_summary(summary), lease))
         return puts
 
     def _summarize(self) -> PoolSummary:
         views = self.scheduler.workers.values()
-        drained = sorted(v.id for v in views if v.is_drained_for and not v.runs)
-        pending = self.scheduler.book.count_pending()
-        return PoolSummary(pending, tuple(drained), 0.0, 0.0)
+        emptying = [view for view in views if view.is_drained_for and view.is_known]
+        drained = sorted(view.id for view in emptying if not view.runs)
+        stoppable = sorted(view.id for view in emptying if not view.runs_lasting())
+        return PoolSummary(
+            self.scheduler.book.count_pending(),
+            tuple(drained),
+            tuple(stoppable),
+            self.orders_revision,
+        )
 
     def _forget_later(self, job: str) -> None:
         self.removals.append(submission_key(self.pool, job))
--- a/src/sesameladder/node/_records.py
+++ b/src/sesameladder/node/_records.py
@@ -103,8 +103,8 @@
         return PoolSummary(
             pending={str(name): int(n) for name, n in fields["pending"].items()},
             drained=tuple(fields["drained"]),
-            busy_cores=float(fields["busy_cores"]),
-            waiting_cores=float(fields["waiting_cores"]),
+            stoppable=tuple(fields["stoppable"]),
+            orders_revision=int(fields["orders_revision"]),
         )
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         raise RecordInvalid("a pool's summary is malformed") from error
--- a/src/sesameladder/node/_roles.py
+++ b/src/sesameladder/node/_roles.py
@@ -70,6 +70,7 @@
         "threads",
         "vacant_since",
         "watched",
+        "watching",
     )
 
     def __init__(
@@ -95,6 +96,7 @@
         self.vacant_since: dict[str, float] = {}
         self.watched = False
         self.dependency = DependencyState("store:roles")
+        self.watching = DependencyState("store:role watch")
         self.stopping = Event()
         self.threads = [
             Thread(target=self._run, name="roles", daemon=True),
@@ -235,10 +237,11 @@
                 for change in batch.changes:
                     self._see(change.key, change.value, change.revision)
                 revision = batch.revision
+                self.watching.note_success()
             except HistoryLost:
                 revision = None
             except PlatformCallError as error:
-                warn("role_watch_failed", error=str(error))
+                self.watching.note_failure(error)
                 revision = None
                 self.stopping.wait(RETRY_PAUSE_S)
 
