Start nothing on news that an owner can no longer trust

(1) An owner behind a cut took silence for lapsed leases while its successor extended them. (2) After the heal it started new jobs from its inbox before it had learned that its role was lost. (3) A successor opened a step whose runs it had already adopted, and placed it again. Change: lapses and inbox news count only while the role is surely held; placed subtasks are not opened again; a VM whose listed worker has changed ends the old worker at once; the cutoff without the store is 4 s (unread wait 9.5 s).

--- a/src/sesameladder/jobs/_book.py
+++ b/src/sesameladder/jobs/_book.py
@@ -20,6 +20,9 @@
     id: SubtaskId
     step: "Step"
     done: bool = False
+    placed: bool = False
+    """Whether a run of it may be present on a worker."""
+
     failures: int = 0
     """Runs that ended by a failure."""
 
@@ -161,6 +164,7 @@
 
     def set_waiting(self, subtask: Subtask) -> None:
         """Let a subtask without a run be started again."""
+        subtask.placed = False
         step = subtask.step
         if subtask.done or not step.opened or step.job.id not in self.jobs:
             return
@@ -169,6 +173,7 @@
 
     def set_placed(self, subtask: Subtask) -> None:
         """Take a subtask out of the waiting ones."""
+        subtask.placed = True
         step = subtask.step
         step.waiting.pop(subtask.id, None)
         if not step.waiting:
@@ -219,7 +224,9 @@
             return
         step.opened = True
         for subtask in step.subtasks:
-            self.set_waiting(subtask)
+            # An earlier owner, which knew of ends first, may have started it.
+            if not subtask.placed:
+                self.set_waiting(subtask)
 
 
 def _build_step(
--- /dev/null
+++ b/src/sesameladder/jobs/tests/simulation.py
@@ -0,0 +1,455 @@
+"""A pool's owners and workers under a virtual clock, with faults.
+
+Orders and reports travel between real schedulers and simulated workers through the
+adapter's own encodings. A witness beside the workers checks what starts.
+"""
+
+import heapq
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from sesameladder.jobs import (
+    Command,
+    JobSpec,
+    JobState,
+    PaceCommand,
+    PoolScheduler,
+    ProgressInvalid,
+    Resources,
+    StartCommand,
+    StartOutcome,
+    StepSpec,
+    StopCommand,
+    Submission,
+    SubtaskId,
+    WorkerRecord,
+    decode_progress,
+    encode_progress,
+)
+from sesameladder.platform._workers import (
+    REJECTIONS,
+    _decode_report,
+    decode_subtask,
+    encode_subtask,
+)
+from sesameladder.standins.system import SimulatedWorker, WorkerWork
+
+STEP_S = 0.02
+LEASE_S = 5.0
+CUTOFF_S = 4.0
+LAPSE_SLACK_S = 0.3
+DRIFT = 1.03
+ROLE_LEASE_S = 1.5
+UNREAD_WAIT_S = 9.5
+SILENCE_S = 4.5
+"""After this the list of workers drops a worker that doesn't reach it."""
+
+
+class Witness:
+    """Checks every start against what has truly happened."""
+
+    def __init__(self, now: Callable[[], float]) -> None:
+        self.now = now
+        self.active: dict[str, str] = {}
+        self.done: dict[str, float] = {}
+        self.untold: set[str] = set()
+        """Ends done that no owner has to know of.
+
+        A crash took them along, or the lease lapsed, before they were acknowledged.
+        """
+
+        self.failed: dict[str, int] = {}
+        self.cancelled: dict[str, float] = {}
+        self.jobs: dict[str, Submission] = {}
+        self.starts = 0
+        self.violations: list[str] = []
+
+    def note_start(self, worker: SimulatedWorker, task: str, run: int) -> None:
+        self.starts += 1
+        subtask = decode_subtask(task)
+        submission = self.jobs.get(subtask.job)
+        where = f"{self.now():.2f} {task} run {run} on {worker.name}"
+        if submission is None:
+            self.violations.append(f"UNASKED {where}")
+            return
+        step = submission.spec.steps[subtask.step]
+        if task in self.active:
+            self.violations.append(f"TWICE {where}, active on {self.active[task]}")
+        if task in self.done and task not in self.untold and not step.lasting:
+            self.violations.append(f"TWICE {where}, done at {self.done[task]:.2f}")
+        for before in step.after:
+            for position in range(submission.spec.steps[before].count):
+                earlier = SubtaskId(subtask.job, subtask.occurrence, before, position)
+                if encode_subtask(earlier) not in self.done:
+                    self.violations.append(f"ORDER {where}, {earlier} is not done")
+        limit = submission.max_attempts
+        if not step.lasting and self.failed.get(task, 0) >= limit:
+            self.violations.append(f"BUDGET {where}")
+        if self.now() - self.cancelled.get(subtask.job, 1e9) > 3.0:
+            self.violations.append(f"UNASKED {where}, cancelled")
+        self.active[task] = worker.name
+
+    def note_end(
+        self, worker: SimulatedWorker, task: str, run: int, reason: str
+    ) -> None:
+        if self.active.get(task) == worker.name:
+            del self.active[task]
+        if reason == "done":
+            self.done.setdefault(task, self.now())
+        if reason == "failed":
+            self.failed[task] = self.failed.get(task, 0) + 1
+
+
+@dataclass(eq=False)
+class Owner:
+    """One owner of the pool with its view of each worker's lease."""
+
+    scheduler: PoolScheduler
+    fence: int
+    confirmed_at: float
+    silent: set[str] = field(default_factory=set)
+    lease_until: dict[str, float] = field(default_factory=dict)
+    lapse_at: dict[str, float] = field(default_factory=dict)
+    acknowledged: dict[str, int] = field(default_factory=dict)
+    is_deposed: bool = False
+    is_cut_from_store: bool = False
+
+
+class Simulation:
+    """One pool."""
+
+    def __init__(self, seed: int, workers: int = 4, trace: bool = False) -> None:
+        self.random = random.Random(seed)
+        self.time = 0.0
+        self.trace = trace
+        self.witness = Witness(lambda: self.time)
+        self.workers = [self._build_worker(number) for number in range(workers)]
+        self.last_heard = {worker.name: 0.0 for worker in self.workers}
+        self.cut: set[str] = set()
+        """Workers that nothing reaches but an owner behind the same cut."""
+
+        self.near: set[str] = set()
+        """Workers that a deposed owner still reaches."""
+
+        self.queue: list[tuple[float, int, Callable[[], None]]] = []
+        self.sequence = 0
+        self.submissions: dict[str, Submission] = {}
+        self.cancels: set[str] = set()
+        self.progress: dict[str, bytes] = {}
+        self.tracked: set[str] = set()
+        self.revision = 10
+        self.owners: list[Owner] = []
+        self.loss = 0.0
+        """Share of orders that are carried out without an answer."""
+
+        self.lateness = 0.0
+        """Share of orders that are carried out seconds late, without an answer."""
+
+        self.notes: list[tuple[float, str, dict[str, object]]] = []
+        self.take_over()
+
+    @property
+    def owner(self) -> Owner:
+        """Return the present owner."""
+        return self.owners[-1]
+
+    def submit(self, submission: Submission) -> None:
+        """Accept a job."""
+        self.revision += 1
+        submission.revision = self.revision
+        self.submissions[submission.job] = submission
+        self.witness.jobs[submission.job] = submission
+        self._to_owner(lambda o: o.scheduler.add_job(submission, None, self.time))
+
+    def cancel(self, job: str) -> None:
+        """Cancel a job."""
+        self.cancels.add(job)
+        self.witness.cancelled[job] = self.time
+        self._to_owner(lambda o: o.scheduler.cancel_job(job, self.time))
+
+    def crash(self, worker: SimulatedWorker) -> None:
+        """End a worker's life with all that it has not been told to forget."""
+        self._forget_ends(worker)
+        worker.crash()
+
+    def take_over(self, cuts_old_owner: bool = False) -> None:
+        """Let another process become the owner."""
+        if self.owners:
+            self.owner.is_deposed = True
+            self.owner.is_cut_from_store = cuts_old_owner
+            if not cuts_old_owner:
+                self.owner.confirmed_at = -1e9
+        self.revision += 1
+        term = len(self.owners) + 1
+        scheduler = PoolScheduler(term, self._note, fence=self.revision)
+        scheduler.may_start_from = self.time + UNREAD_WAIT_S
+        scheduler.missing = set(self.tracked)
+        owner = Owner(scheduler, self.revision, self.time)
+        self.owners.append(owner)
+        for job, submission in self.submissions.items():
+            record = None
+            if job in self.progress:
+                try:
+                    record = decode_progress(job, self.progress[job], submission.spec)
+                except ProgressInvalid as error:  # pragma: no cover
+                    raise AssertionError(error) from error
+            scheduler.add_job(submission, record, self.time)
+        for job in self.cancels:
+            scheduler.cancel_job(job, self.time)
+        scheduler.update_workers(self._list_workers(), self.time)
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        until = self.time + seconds
+        while self.time < until:
+            self.time = round(self.time + STEP_S, 6)
+            while self.queue and self.queue[0][0] <= self.time:
+                heapq.heappop(self.queue)[2]()
+            for worker in self.workers:
+                if worker.is_up:
+                    worker.advance()
+                    if worker.now_ms() >= worker.lease_ms:
+                        self._forget_ends(worker)
+                    if worker.name not in self.cut:
+                        self.last_heard[worker.name] = self.time
+            for owner in self.owners[-2:]:
+                self._step(owner)
+
+    def count_states(self) -> dict[JobState, int]:
+        """Return how many jobs the owner holds in each state."""
+        counts: dict[JobState, int] = {}
+        book = self.owner.scheduler.book
+        states = [state for state, _ in book.ended.values()]
+        states.extend(job.state for job in book.jobs.values())
+        for state in states:
+            counts[state] = counts.get(state, 0) + 1
+        return counts
+
+    # Inner parts -----------------------------------------------------------
+
+    def _build_worker(self, number: int) -> SimulatedWorker:
+        rate = 0.98 if number % 2 else 1.0
+        return SimulatedWorker(
+            f"i-{number}",
+            lambda: self.time * 1000 * rate + 1000,
+            on_start=self.witness.note_start,
+            on_end=self.witness.note_end,
+        )
+
+    def _forget_ends(self, worker: SimulatedWorker) -> None:
+        self.witness.untold.update(end[1] for end in worker.ends if end[3] == "done")
+
+    def _note(self, event: str, /, **fields: object) -> None:
+        self.notes.append((self.time, event, fields))
+        if self.trace:  # pragma: no cover
+            print(f"{self.time:8.2f} {event} {fields}")
+
+    def _to_owner(self, act: Callable[[Owner], None]) -> None:
+        for owner in self.owners[-2:]:
+            if not owner.is_deposed:
+                act(owner)
+
+    def _list_workers(self) -> list[WorkerRecord]:
+        return [
+            WorkerRecord(
+                worker.name,
+                worker.born_ms,
+                "pool",
+                worker.name,
+                "zone-a",
+                Resources(worker.capacity, 64_000),
+                ("a", "r1-1"),
+                is_draining=False,
+            )
+            for worker in self.workers
+            if self.time - self.last_heard[worker.name] < SILENCE_S
+        ]
+
+    def _step(self, owner: Owner) -> None:
+        scheduler = owner.scheduler
+        if not owner.is_deposed:
+            owner.confirmed_at = self.time
+        age = self.time - owner.confirmed_at
+        if age > CUTOFF_S:
+            return
+        scheduler.can_lapse = age < 1.0
+        scheduler.is_paused = False
+        if not owner.is_deposed and round(self.time / STEP_S) % 35 == 0:
+            scheduler.update_workers(self._list_workers(), self.time)
+        for command in scheduler.schedule(self.time, self.time * 1000):
+            self._send(owner, command)
+        if round(self.time / STEP_S) % 5 == 0:
+            for worker in self.workers:
+                self._report(owner, worker)
+        if not owner.is_deposed and round(self.time / STEP_S) % 10 == 0:
+            self._store(owner)
+
+    def _store(self, owner: Owner) -> None:
+        for job in owner.scheduler.take_dirty():
+            self.progress[job.id] = encode_progress(job)
+        if not owner.scheduler.missing:
+            self.tracked = set(owner.scheduler.workers)
+        owner.acknowledged.update(owner.scheduler.mark_ends())
+
+    def _reaches(self, owner: Owner, worker: SimulatedWorker) -> bool:
+        if owner.is_cut_from_store:
+            return worker.name in self.near
+        return worker.name not in self.cut
+
+    def _extend(self, owner: Owner, worker: SimulatedWorker) -> float:
+        """Return the end of the lease on the worker's clock."""
+        if worker.name not in owner.silent:
+            owner.lease_until[worker.name] = worker.now_ms() + LEASE_S * 1000
+            lapse_at = self.time + LEASE_S * DRIFT + LAPSE_SLACK_S
+            owner.lapse_at[worker.name] = max(
+                lapse_at, owner.lapse_at.get(worker.name, 0.0)
+            )
+            view = owner.scheduler.workers.get(worker.name)
+            if view is not None:
+                view.lapse_at = owner.lapse_at[worker.name]
+        return owner.lease_until.get(worker.name, 0.0)
+
+    def _later(self, delay_s: float, act: Callable[[], None]) -> None:
+        self.sequence += 1
+        heapq.heappush(self.queue, (self.time + delay_s, self.sequence, act))
+
+    def _send(self, owner: Owner, command: Command) -> None:
+        if isinstance(command, (StartCommand, StopCommand)):
+            worker = next(w for w in self.workers if w.name == command.worker)
+            if isinstance(command, StartCommand):
+                self._send_start(owner, worker, command)
+            else:
+                self._send_stop(owner, worker, command)
+        else:
+            assert isinstance(command, PaceCommand)
+
+    def _send_start(
+        self, owner: Owner, worker: SimulatedWorker, command: StartCommand
+    ) -> None:
+        order = command.order
+        body = {
+            "task": encode_subtask(order.subtask),
+            "run": order.run,
+            "spec": order.payload,
+            "deadlineMs": self._extend(owner, worker),
+            "fence": owner.fence,
+        }
+        born = owner.scheduler.workers[worker.name].record.born_ms
+
+        def answer(outcome: StartOutcome) -> None:
+            owner.scheduler.apply_start(
+                worker.name, order.subtask, order.run, outcome, self.time
+            )
+
+        def deliver(is_answered: bool) -> None:
+            if not worker.is_up or not self._reaches(owner, worker):
+                if is_answered:
+                    self._later(0.5, lambda: answer(StartOutcome.UNANSWERED))
+                return
+            if worker.born_ms != born:
+                outcome = StartOutcome.OTHER_LIFE
+            else:
+                status, reply = worker.start(body)
+                outcome = (
+                    StartOutcome.STARTED
+                    if status == 200
+                    else REJECTIONS[reply["reason"]]
+                )
+            if is_answered:
+                self._later(0.002, lambda: answer(outcome))
+
+        self._deliver(deliver, lambda: answer(StartOutcome.UNANSWERED))
+
+    def _send_stop(
+        self, owner: Owner, worker: SimulatedWorker, command: StopCommand
+    ) -> None:
+        task = encode_subtask(command.subtask)
+        body = {"task": task, "run": command.run, "fence": owner.fence}
+        view = owner.scheduler.workers.get(worker.name)
+        born = view.record.born_ms if view is not None else 0
+
+        def deliver(is_answered: bool) -> None:
+            if not worker.is_up or not self._reaches(owner, worker):
+                return
+            if worker.born_ms == born:
+                worker.stop(body)
+            if is_answered:
+                self._later(
+                    0.002,
+                    lambda: owner.scheduler.apply_stop(
+                        worker.name, command.subtask, command.run, self.time
+                    ),
+                )
+
+        self._deliver(deliver, lambda: None)
+
+    def _deliver(
+        self, deliver: Callable[[bool], None], time_out: Callable[[], None]
+    ) -> None:
+        draw = self.random.random()
+        if draw < self.loss:
+            self._later(0.002, lambda: deliver(False))
+            self._later(0.8, time_out)
+        elif draw < self.loss + self.lateness:
+            self._later(self.random.uniform(2.0, 8.0), lambda: deliver(False))
+            self._later(0.8, time_out)
+        else:
+            self._later(0.002, lambda: deliver(True))
+
+    def _report(self, owner: Owner, worker: SimulatedWorker) -> None:
+        view = owner.scheduler.workers.get(worker.name)
+        if view is None:
+            return
+        if not worker.is_up or not self._reaches(owner, worker):
+            owner.silent.add(worker.name)
+            owner.scheduler.report_failed(worker.name, self.time)
+            return
+        if worker.born_ms != view.record.born_ms:
+            owner.scheduler.lose_worker(worker.name, self.time)
+            owner.acknowledged.pop(worker.name, None)
+            return
+        body = {
+            "fence": owner.fence,
+            "lastSeen": min(owner.acknowledged.get(worker.name, 0), view.ends_seen),
+        }
+        owner.silent.discard(worker.name)
+        body["deadlineMs"] = self._extend(owner, worker)
+        status, reply = worker.report(body)
+        if status != 200:
+            owner.is_deposed = True
+            owner.confirmed_at = -1e9
+            return
+        sent_at = self.time
+        report = _decode_report(reply)
+        owner.scheduler.apply_report(worker.name, report, sent_at, self.time)
+
+
+def build_submission(
+    job: str,
+    steps: int = 2,
+    width: int = 3,
+    work: WorkerWork | None = None,
+    max_attempts: int = 3,
+) -> Submission:
+    """Return a job whose steps follow one another."""
+    work = work or WorkerWork()
+    spec = StepSpec(width, Resources(work.cpu, 100), estimate_ms=work.duration_ms)
+    rows = [
+        StepSpec(
+            spec.count,
+            spec.needs,
+            spec.estimate_ms,
+            after=(number - 1,) if number else (),
+            lasting=work.lasts,
+        )
+        for number in range(steps)
+    ]
+    return Submission(
+        job,
+        "queue",
+        JobSpec(work.to_text(), tuple(rows)),
+        max_attempts=max_attempts,
+        stretch=1.6,
+        goal_ms=600,
+    )
--- a/src/sesameladder/node/_fleet_task.py
+++ b/src/sesameladder/node/_fleet_task.py
@@ -44,7 +44,6 @@
 
 STEP_S = 0.5  # a VM is away for 1.5 to 2 s
 IDLE_STEP_S = 1.0
-ORDER_CUTOFF_S = 1.0  # the role's lease is 1.5 s; nobody else orders before its end
 AWAY_PHASES = (VmPhase.IN_UPKEEP, VmPhase.MOVING)
 ENDED_NOTICE_S = 10.0  # owners read a new order within a second
 
@@ -57,8 +56,7 @@
         "done",
         "ended",
         "get_configuration",
-        "going",
-        "is_confirmed",
+        "is_sure",
         "list_waves",
         "machines",
         "node",
@@ -83,7 +81,7 @@
         order_gap_s: float,
         list_waves: Callable[[], list[Wave]],
         get_configuration: Callable[[], Configuration | None],
-        is_confirmed: Callable[[float], bool],
+        is_sure: Callable[[], bool],
     ) -> None:
         self.role = role
         self.node = node
@@ -91,7 +89,7 @@
         self.machines = machines
         self.list_waves = list_waves
         self.get_configuration = get_configuration
-        self.is_confirmed = is_confirmed
+        self.is_sure = is_sure
         self.planner = UpkeepPlanner()
         self.vms: dict[str, Vm] = {}
         self.done: set[int] = set()
@@ -102,9 +100,6 @@
         self.order_revisions: dict[str, int] = {}
         """Revision of the store at which each pool's owner was told."""
 
-        self.going: dict[str, tuple[str, str]] = {}
-        """Worker and pool, by VM that was ordered down."""
-
         self.ended: dict[str, tuple[str, float]] = {}
         """Pool and time of the order, by worker whose VM has gone down."""
 
@@ -127,9 +122,8 @@
         while not self.stopping.is_set():
             waves = [w for w in self.list_waves() if w.number not in self.done]
             try:
-                if waves:
-                    self._step(waves)
-                    self.dependency.note_success()
+                self._step(waves)
+                self.dependency.note_success()
             except PlatformCallError as error:
                 self.dependency.note_failure(error)
             except Exception:
@@ -161,8 +155,8 @@
         configuration = self.get_configuration()
         if configuration is None:
             return
-        self.vms = {vm.name: vm for vm in self.machines.list_vms()}
-        self._note_ended()
+        known, self.vms = self.vms, {vm.name: vm for vm in self.machines.list_vms()}
+        self._note_ended(known)
         spare = frozenset(
             pool.name for pool in configuration.pools.values() if pool.is_spare
         )
@@ -175,17 +169,20 @@
         self._write_orders(plan)
         self._write_status(waves, plan)
 
-    def _note_ended(self) -> None:
-        """Note the workers whose VMs are seen to have gone down as ordered.
+    def _note_ended(self, known: dict[str, Vm]) -> None:
+        """Note the workers whose VMs are seen to have gone down or come back.
 
         The answer to an order doesn't tell: a repeated order is answered alike.
         """
         now = read_steady()
-        for name, (worker, pool) in list(self.going.items()):
+        for name, before in known.items():
+            if not before.worker:
+                continue
             vm = self.vms.get(name)
-            if vm is None or vm.phase in AWAY_PHASES or vm.worker not in ("", worker):
-                self.ended[worker] = pool, now
-                del self.going[name]
+            is_other = vm is not None and vm.worker not in ("", before.worker)
+            is_away = vm is not None and vm.phase in AWAY_PHASES
+            if is_other or (is_away and before.phase is VmPhase.UP):
+                self.ended[before.worker] = before.pool, now
 
     def _read_emptied(self) -> tuple[frozenset[str], frozenset[str]]:
         """Return the workers that run nothing, and those that run nothing lasting."""
@@ -239,7 +236,7 @@
 
     def _begin(self, name: str, wave: int) -> None:
         now = read_steady()
-        if now < self.quiet_until or not self.is_confirmed(ORDER_CUTOFF_S):
+        if now < self.quiet_until or not self.is_sure():
             return
         if self.stopping.is_set():
             return
@@ -248,8 +245,6 @@
         note("upkeep_ordered", vm=name, wave=wave, pool=vm.pool, outcome=outcome.value)
         if outcome is OrderOutcome.DONE:
             self.planner.note_begun(wave, name, now)
-            if vm.worker:
-                self.going[name] = vm.worker, vm.pool
 
     def _write_status(self, waves: list[Wave], plan: UpkeepPlan) -> None:
         for wave in waves:
--- a/src/sesameladder/node/_pool_task.py
+++ b/src/sesameladder/node/_pool_task.py
@@ -64,9 +64,8 @@
 MAX_BATCH_ENTRIES = 24  # of the 32 that a transaction takes
 WATCH_WAIT_MS = 1000
 RETRY_PAUSE_S = 0.15
-STORE_CUTOFF_S = 6.0  # outages last about 5 s; a newer owner fences each worker first
-LAPSE_CUTOFF_S = 1.0  # the role's lease is 1.5 s; a newer owner holds workers too
-UNREAD_WORKER_WAIT_S = 11.5  # the cutoff above and one lease of running work
+STORE_CUTOFF_S = 4.0  # running work outlives it by a lease, 9 s in all
+UNREAD_WORKER_WAIT_S = 9.5  # the cutoff above and one lease of running work
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,9 +106,11 @@
     __slots__ = (
         "advice",
         "cleaned_at",
+        "held_back",
         "inbox",
         "is_confirmed",
         "is_loaded",
+        "is_sure",
         "lease_ms",
         "links",
         "on_fenced",
@@ -140,6 +141,7 @@
         lease_ms: int,
         status_s: float,
         is_confirmed: Callable[[float], bool],
+        is_sure: Callable[[], bool],
         role_lease: Callable[[], int | None],
         on_fenced: Callable[[HeldRole, str], None],
     ) -> None:
@@ -150,6 +152,7 @@
         self.lease_ms = lease_ms
         self.status_s = status_s
         self.is_confirmed = is_confirmed
+        self.is_sure = is_sure
         self.role_lease = role_lease
         self.on_fenced = on_fenced
         self.inbox: SimpleQueue[PoolMessage] = SimpleQueue()
@@ -159,6 +162,9 @@
         self.watching = DependencyState(f"store:inbox {pool}")
         self.stopping = Event()
         self.is_loaded = False
+        self.held_back: list[tuple[str, bytes | None, int]] = []
+        """Changes of the inbox that wait for the role to be confirmed."""
+
         self.removals: list[str] = []
         self.cleaned_at = self.written_at = self.summary_at = read_steady()
         self.summary: PoolSummary | None = None
@@ -290,7 +296,7 @@
         elif isinstance(message, StopAnswered):
             scheduler.apply_stop(message.worker, message.subtask, message.run, now)
         elif isinstance(message, InboxChanges):
-            self._apply_inbox(message.rows, {})
+            self.held_back.extend(message.rows)
         elif isinstance(message, WorkersRead):
             self._apply_workers(message.records, now)
         elif isinstance(message, WriteDone):
@@ -380,7 +386,11 @@
         if not self.is_loaded:
             return
         now = read_steady()
-        self.scheduler.can_lapse = self.is_confirmed(LAPSE_CUTOFF_S)
+        # After a cut, news may arrive before the loss of the role does.
+        if self.held_back and self.is_sure():
+            rows, self.held_back = tuple(self.held_back), []
+            self._apply_inbox(rows, {})
+        self.scheduler.can_lapse = self.is_sure()
         self.scheduler.is_paused = not self.is_confirmed(STORE_CUTOFF_S)
         commands = self.scheduler.schedule(now, read_wall_ms())
         self._match_links()
--- a/src/sesameladder/node/_process.py
+++ b/src/sesameladder/node/_process.py
@@ -174,6 +174,7 @@
             min(LEASE_MS, self.settings.max_lease_ms),
             self.settings.status_s,
             self.roles.is_confirmed,
+            self.roles.is_sure,
             lambda: self.roles.lease,
             lambda role, reason: self.roles.drop(role.role, role.fence, reason),
         )
@@ -187,7 +188,7 @@
             self.settings.order_gap_ms / 1000,
             lambda: list(self.configuration.waves.values()),
             lambda: self.configuration.current,
-            self.roles.is_confirmed,
+            self.roles.is_sure,
         )
 
     def _pass_workers(self, records: list[WorkerRecord]) -> None:
--- a/src/sesameladder/node/_roles.py
+++ b/src/sesameladder/node/_roles.py
@@ -37,6 +37,7 @@
 STEP_S = 0.02
 CAMPAIGN_PAUSE_S = 0.25  # for each role held, so that roles spread over processes
 CAMPAIGN_JITTER_S = 0.1
+SURE_S = 1.0  # less than the lease; a renewal may be lost in between
 GIVE_UP_S = 8.0  # without the store; until then leases of running work are extended
 
 
@@ -125,6 +126,10 @@
         """Return whether the store has confirmed the lease recently."""
         return read_steady() - self.renewed_at < within_s
 
+    def is_sure(self) -> bool:
+        """Return whether nobody else can hold this process's roles yet."""
+        return self.watched and self.is_confirmed(SURE_S)
+
     def drop(self, role: str, fence: int, reason: str) -> None:
         """Give up a role that is known to be lost."""
         held = self.held.get(role)
@@ -242,6 +247,7 @@
                 revision = None
             except PlatformCallError as error:
                 self.watching.note_failure(error)
+                self.watched = False
                 revision = None
                 self.stopping.wait(RETRY_PAUSE_S)
 
--- /dev/null
+++ b/src/sesameladder/standins/system/_server.py
@@ -0,0 +1,181 @@
+"""HTTP server of the stand-in: one port for the store, the VM list and workers."""
+
+import json
+import time
+from collections.abc import Callable, Iterable
+from threading import Lock, Thread
+from typing import Any
+from urllib.parse import parse_qsl
+
+from cheroot.wsgi import Server
+
+from sesameladder.standins.system._store import KeyValueStore
+from sesameladder.standins.system._worker import SimulatedWorker
+
+THREADS = 48  # each waiting watch and report holds one
+POLL_S = 0.005
+HEARTBEAT_S = 0.5
+
+Answer = tuple[int, dict[str, Any]]
+
+
+class SystemStandin:
+    """A platform with one pool of workers, for tests of the real processes.
+
+    Each worker has a port of its own, since orders name no worker.
+    """
+
+    def __init__(self, pool: str, workers: int, capacity: int = 8000) -> None:
+        self.pool = pool
+        self.store = KeyValueStore(time.monotonic)
+        self.lock = Lock()
+        self.stopping = False
+        self.servers = [_build_server(self._handle_store)]
+        self.workers: dict[str, SimulatedWorker] = {}
+        self.addresses: dict[str, str] = {}
+        for number in range(workers):
+            name = f"i-{number:04d}"
+            worker = SimulatedWorker(name, _read_clock_ms, capacity)
+            server = _build_server(self._worker_handler(worker))
+            self.workers[name] = worker
+            self.servers.append(server)
+        self.threads = [
+            Thread(target=server.serve, daemon=True) for server in self.servers
+        ]
+        self.threads.append(Thread(target=self._beat, daemon=True))
+
+    @property
+    def address(self) -> str:
+        """Return the store's ``host:port``."""
+        return _address_of(self.servers[0])
+
+    def start(self) -> None:
+        """Start serving and registering the workers."""
+        for server in self.servers:
+            server.prepare()
+        for name, server in zip(self.workers, self.servers[1:], strict=True):
+            self.addresses[name] = _address_of(server)
+        for thread in self.threads:
+            thread.start()
+
+    def stop(self) -> None:
+        """Stop serving."""
+        self.stopping = True
+        for server in self.servers:
+            server.stop()
+
+    def configure(self, configuration: dict[str, Any]) -> None:
+        """Write the operators' configuration."""
+        self.store.put("op/config", json.dumps(configuration).encode())
+
+    def _beat(self) -> None:
+        sequence = 0
+        while not self.stopping:
+            sequence += 1
+            for name, worker in self.workers.items():
+                if worker.is_up:
+                    self.store.put(f"servers/{name}", self._describe(worker, sequence))
+                else:
+                    self.store.commit({"remove": [f"servers/{name}"]})
+            time.sleep(HEARTBEAT_S)
+
+    def _describe(self, worker: SimulatedWorker, sequence: int) -> bytes:
+        entry = {
+            "service": self.pool,
+            "addr": self.addresses[worker.name],
+            "zone": "zone-a",
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "coldLeftMs": 0,
+            "capacity": {"cpu": worker.capacity, "memMb": 64_000, "gpu": 0},
+            "labels": ["a", "r1-1"],
+            "clockMs": int(_read_clock_ms()),
+            "born": worker.born_ms,
+            "seq": sequence,
+        }
+        return json.dumps(entry).encode()
+
+    def _handle_store(
+        self, method: str, path: str, query: dict[str, str], body: Any
+    ) -> Answer:
+        store = self.store
+        store.calls += 1
+        if store.is_down:
+            return 503, {}
+        if path == "/v1/kv-key":
+            return store.get(query["key"])
+        if path == "/v1/kv-range":
+            return store.list_range(query["prefix"], query.get("after", ""))
+        if path == "/v1/kv-watch":
+            wait_s = int(query.get("waitMs", 0)) / 1000
+            return store.watch(query["prefix"], int(query["after"]), wait_s)
+        if path == "/v1/kv-txn":
+            answer = store.commit(body)
+            if store.answers_to_lose > 0:
+                store.answers_to_lose -= 1
+                return 502, {}
+            return answer
+        if path == "/v1/kv-lease":
+            return store.grant(body["ttlMs"])
+        if path.startswith("/v1/kv-keep/"):
+            return store.keep(int(path.rpartition("/")[2]))
+        if path.startswith("/v1/kv-lease-end/"):
+            return store.end_lease(int(path.rpartition("/")[2]))
+        if path == "/v1/machines":
+            return 200, {"machines": [], "nextToken": None}
+        return 404, {"error": f"no {method} {path}"}
+
+    def _worker_handler(self, worker: SimulatedWorker) -> Callable[..., Answer]:
+        def handle(method: str, path: str, query: dict[str, str], body: Any) -> Answer:
+            del method, query
+            if not worker.is_up:
+                return 503, {}
+            if path == "/v1/hold":
+                self._wait_for_end(worker, body)
+            with self.lock:
+                calls = {
+                    "/v1/run-start": worker.start,
+                    "/v1/run-stop": worker.stop,
+                    "/v1/hold": worker.report,
+                    "/v1/pace": worker.pace,
+                }
+                return calls[path](body)
+
+        return handle
+
+    def _wait_for_end(self, worker: SimulatedWorker, body: dict[str, Any]) -> None:
+        until = time.monotonic() + body.get("waitMs", 0) / 1000
+        while time.monotonic() < until:
+            with self.lock:
+                if worker.has_news(body.get("lastSeen", 0)):
+                    return
+            time.sleep(POLL_S)
+
+
+def _read_clock_ms() -> float:
+    return time.monotonic() * 1000
+
+
+def _address_of(server: Server) -> str:
+    host, port = server.bind_addr[:2]
+    return f"{host}:{port}"
+
+
+def _build_server(handle: Callable[..., Answer]) -> Server:
+    def application(environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
+        data = environ["wsgi.input"].read()
+        query = dict(parse_qsl(environ["QUERY_STRING"], keep_blank_values=True))
+        body = json.loads(data) if data else {}
+        status, answer = handle(
+            environ["REQUEST_METHOD"], environ["PATH_INFO"], query, body
+        )
+        content = json.dumps(answer).encode()
+        headers = [
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(content))),
+        ]
+        start_response(f"{status} Status", headers)
+        return [content]
+
+    return Server(("127.0.0.1", 0), application, numthreads=THREADS, max=THREADS)
--- /dev/null
+++ b/src/sesameladder/standins/system/_store.py
@@ -0,0 +1,181 @@
+"""A key-value store with transactions, leases, watches and faults."""
+
+from base64 import b64decode, b64encode
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from threading import Condition
+from typing import Any
+
+PAGE_ITEMS = 500  # published size of a page
+MAX_ENTRIES = 32  # published size of a transaction
+
+Answer = tuple[int, dict[str, Any]]
+
+
+@dataclass(slots=True)
+class Item:
+    """One key's value."""
+
+    key: str
+    value: bytes
+    revision: int
+    created: int
+    lease: int
+
+
+@dataclass(slots=True)
+class KeyValueStore:
+    """Answers the store's calls; safe to share by threads."""
+
+    now_s: Callable[[], float]
+    items: dict[str, Item] = field(default_factory=dict)
+    revision: int = 1
+    leases: dict[int, tuple[float, float]] = field(default_factory=dict)
+    """End and length in seconds, by lease."""
+
+    history: list[dict[str, Any]] = field(default_factory=list)
+    oldest: int = 0
+    """Revision up to which the history is gone."""
+
+    is_down: bool = False
+    answers_to_lose: int = 0
+    calls: int = 0
+    changed: Condition = field(default_factory=Condition)
+
+    def get(self, key: str) -> Answer:
+        """Answer ``kv-key``."""
+        with self.changed:
+            self._expire()
+            item = self.items.get(key)
+            if item is None:
+                return 404, {"asOf": self.revision}
+            return 200, {**_show(item), "asOf": self.revision}
+
+    def list_range(self, prefix: str, after: str = "") -> Answer:
+        """Answer ``kv-range``."""
+        with self.changed:
+            self._expire()
+            keys = sorted(k for k in self.items if k.startswith(prefix) and k > after)
+            page = [_show(self.items[key]) for key in keys[:PAGE_ITEMS]]
+            more = len(keys) > PAGE_ITEMS
+            return 200, {"items": page, "morePages": more, "asOf": self.revision}
+
+    def watch(self, prefix: str, after: int, wait_s: float) -> Answer:
+        """Answer ``kv-watch``."""
+        with self.changed:
+            self._expire()
+            if after < self.oldest:
+                return 410, {}
+            self.changed.wait_for(lambda: bool(self._events(prefix, after)), wait_s)
+            if after < self.oldest:
+                return 410, {}
+            events = self._events(prefix, after)
+            return 200, {"events": events, "asOf": self.revision}
+
+    def commit(self, body: dict[str, Any]) -> Answer:
+        """Answer ``kv-txn``."""
+        rows = body.get("precondition") or []
+        puts = body.get("puts") or []
+        removals = body.get("remove") or []
+        if len(rows) + len(puts) + len(removals) > MAX_ENTRIES:
+            return 400, {}
+        with self.changed:
+            self._expire()
+            for row in rows:
+                item = self.items.get(row["key"])
+                if (item.revision if item else 0) != row["rev"]:
+                    return 412, {"items": self._show_rows(rows)}
+            if any(
+                put.get("lease") and put["lease"] not in self.leases for put in puts
+            ):
+                return 404, {}
+            for put in puts:
+                self.put(put["key"], b64decode(put["value"]), put.get("lease") or 0)
+            for key in removals:
+                self._remove(key)
+            self.changed.notify_all()
+            return 200, {"rev": self.revision}
+
+    def put(self, key: str, value: bytes, lease: int = 0) -> None:
+        """Write one key, as the operator or a worker does."""
+        with self.changed:
+            self.revision += 1
+            known = self.items.get(key)
+            created = known.created if known else self.revision
+            item = Item(key, value, self.revision, created, lease)
+            self.items[key] = item
+            self.history.append(_show(item))
+            self.changed.notify_all()
+
+    def grant(self, ttl_ms: int) -> Answer:
+        """Answer ``kv-lease``."""
+        with self.changed:
+            self.revision += 1
+            self.leases[self.revision] = self.now_s() + ttl_ms / 1000, ttl_ms / 1000
+            return 200, {"lease": self.revision, "ttlMs": ttl_ms}
+
+    def keep(self, lease: int) -> Answer:
+        """Answer ``kv-keep``."""
+        with self.changed:
+            self._expire()
+            if lease not in self.leases:
+                return 404, {}
+            length_s = self.leases[lease][1]
+            self.leases[lease] = self.now_s() + length_s, length_s
+            return 200, {"ttlMs": int(length_s * 1000)}
+
+    def end_lease(self, lease: int) -> Answer:
+        """Answer ``kv-lease-end``."""
+        with self.changed:
+            if self.leases.pop(lease, None) is None:
+                return 404, {}
+            self._drop_orphans()
+            return 200, {}
+
+    def compact(self) -> None:
+        """Forget the history."""
+        with self.changed:
+            self.history.clear()
+            self.oldest = self.revision
+            self.changed.notify_all()
+
+    def _events(self, prefix: str, after: int) -> list[dict[str, Any]]:
+        return [
+            event
+            for event in self.history
+            if event["rev"] > after and event["key"].startswith(prefix)
+        ]
+
+    def _show_rows(self, rows: list[dict[str, Any]]) -> list[dict[str, Any]]:
+        found = (self.items.get(row["key"]) for row in rows)
+        return [_show(item) for item in found if item is not None]
+
+    def _expire(self) -> None:
+        now = self.now_s()
+        ended = [lease for lease, (end, _) in self.leases.items() if end <= now]
+        for lease in ended:
+            del self.leases[lease]
+        if ended:
+            self._drop_orphans()
+
+    def _drop_orphans(self) -> None:
+        for key, item in list(self.items.items()):
+            if item.lease and item.lease not in self.leases:
+                self._remove(key)
+        self.changed.notify_all()
+
+    def _remove(self, key: str) -> None:
+        if self.items.pop(key, None) is not None:
+            self.revision += 1
+            event = {"key": key, "rev": self.revision, "removed": True}
+            self.history.append(event)
+
+
+def _show(item: Item) -> dict[str, Any]:
+    return {
+        "key": item.key,
+        "value": b64encode(item.value).decode(),
+        "rev": item.revision,
+        "created": item.created,
+        "lease": item.lease,
+    }
--- /dev/null
+++ b/src/sesameladder/standins/system/_worker.py
@@ -0,0 +1,217 @@
+"""A worker that runs subtasks under leases, as the users' platform describes it.
+
+It has no threads: every call first brings the worker up to the present time of an
+injected clock.
+"""
+
+import json
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+MAX_LEASE_MS = 10_000  # published upper bound of a lease
+STOP_MS = 50  # below the published grace of 400 to 900 ms
+MAX_ENDS = 500  # published size of a report
+
+Answer = tuple[int, dict[str, Any]]
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerWork:
+    """What the text of a start asks the stand-in to do."""
+
+    duration_ms: int = 100
+    cpu: int = 1000
+    lasts: bool = False
+    fails: bool = False
+
+    @classmethod
+    def from_text(cls, text: str) -> "WorkerWork":
+        """Read the JSON fields that tests put into a job's payload."""
+        try:
+            fields = json.loads(text)
+        except ValueError:
+            return cls()
+        return cls(**fields) if isinstance(fields, dict) else cls()
+
+    def to_text(self) -> str:
+        """Return the payload that asks for this work."""
+        return json.dumps(
+            {
+                "duration_ms": self.duration_ms,
+                "cpu": self.cpu,
+                "lasts": self.lasts,
+                "fails": self.fails,
+            }
+        )
+
+
+@dataclass(slots=True)
+class ActiveRun:
+    """A run that the worker has."""
+
+    task: str
+    run: int
+    work: WorkerWork
+    started_ms: float
+    stop_at_ms: float | None = None
+
+
+@dataclass(slots=True)
+class SimulatedWorker:
+    """One machine's worker; ``restart`` begins another life."""
+
+    name: str
+    now_ms: Callable[[], float]
+    capacity: int = 8000
+    """Thousandths of a core."""
+
+    fails_all: bool = False
+    """Whether everything that it starts fails at once."""
+
+    on_start: Callable[["SimulatedWorker", str, int], None] | None = None
+    on_end: Callable[["SimulatedWorker", str, int, str], None] | None = None
+    born_ms: int = 1
+    is_up: bool = True
+    fence: int = 0
+    lease_ms: float = 0.0
+    runs: dict[str, ActiveRun] = field(default_factory=dict)
+    ends: list[tuple[int, str, int, str]] = field(default_factory=list)
+    next_end: int = 1
+    barred: dict[str, int] = field(default_factory=dict)
+    """Highest run by task that was stopped or has ended here."""
+
+    def crash(self) -> None:
+        """End everything without a trace."""
+        for active in list(self.runs.values()):
+            self._report(active, "lost")
+        self.is_up = False
+        self.runs.clear()
+
+    def restart(self) -> None:
+        """Begin another life that knows nothing."""
+        if self.is_up:
+            self.crash()
+        self.is_up = True
+        self.born_ms += 1
+        self.fence = 0
+        self.lease_ms = 0.0
+        self.ends.clear()
+        self.next_end = 1
+        self.barred.clear()
+
+    def advance(self) -> None:
+        """Let runs end that should have ended by now."""
+        now = self.now_ms()
+        for active in sorted(self.runs.values(), key=self._end_time):
+            at, reason = self._next_end(active)
+            if at <= now:
+                self._end(active, reason)
+
+    def start(self, body: dict[str, Any]) -> Answer:
+        """Answer ``run-start``."""
+        refusal = self._enter(body)
+        if refusal is not None:
+            return refusal
+        task, run = body["task"], body["run"]
+        self._extend(body)
+        active = self.runs.get(task)
+        if active is not None and active.run == run:
+            return self._answer(200)
+        if run <= self.barred.get(task, 0) or active is not None:
+            return self._answer(409, "old")
+        if body["deadlineMs"] <= self.now_ms():
+            return self._answer(409, "late")
+        work = WorkerWork.from_text(body["spec"])
+        used = sum(other.work.cpu for other in self.runs.values())
+        if used + work.cpu > self.capacity:
+            return self._answer(409, "room")
+        self.runs[task] = ActiveRun(task, run, work, self.now_ms())
+        if self.on_start is not None:
+            self.on_start(self, task, run)
+        return self._answer(200)
+
+    def stop(self, body: dict[str, Any]) -> Answer:
+        """Answer ``run-stop``."""
+        refusal = self._enter(body)
+        if refusal is not None:
+            return refusal
+        task, run = body["task"], body["run"]
+        active = self.runs.get(task)
+        if active is not None and active.run <= run:
+            if active.stop_at_ms is None:
+                active.stop_at_ms = self.now_ms() + STOP_MS
+        else:
+            self.barred[task] = max(self.barred.get(task, 0), run)
+        return self._answer(200)
+
+    def report(self, body: dict[str, Any]) -> Answer:
+        """Answer ``hold``."""
+        refusal = self._enter(body)
+        if refusal is not None:
+            return refusal
+        self._extend(body)
+        seen = body.get("lastSeen", 0)
+        self.ends = [end for end in self.ends if end[0] > seen]
+        status, answer = self._answer(200)
+        answer["running"] = [self._show(active) for active in self.runs.values()]
+        answer["ended"] = [[*end, ""] for end in self.ends[:MAX_ENDS]]
+        return status, answer
+
+    def pace(self, body: dict[str, Any]) -> Answer:
+        """Answer ``pace``."""
+        refusal = self._enter(body)
+        return refusal if refusal is not None else self._answer(200)
+
+    def has_news(self, seen: int) -> bool:
+        """Return whether an end after ``seen`` is listed."""
+        self.advance()
+        return any(end[0] > seen for end in self.ends)
+
+    def _enter(self, body: dict[str, Any]) -> Answer | None:
+        self.advance()
+        fence = body.get("fence", 0)
+        if fence < self.fence:
+            return self._answer(409, "fence")
+        self.fence = fence
+        return None
+
+    def _extend(self, body: dict[str, Any]) -> None:
+        wanted = body.get("deadlineMs", 0.0)
+        self.lease_ms = max(self.lease_ms, min(wanted, self.now_ms() + MAX_LEASE_MS))
+
+    def _answer(self, status: int, reason: str = "") -> Answer:
+        answer: dict[str, Any] = {"clockMs": int(self.now_ms()), "born": self.born_ms}
+        if reason:
+            answer["reason"] = reason
+        return status, answer
+
+    def _show(self, active: ActiveRun) -> list[Any]:
+        elapsed = self.now_ms() - active.started_ms
+        percent = 100 if active.work.lasts else elapsed / active.work.duration_ms * 100
+        return [active.task, active.run, "", int(min(100, percent)), 0]
+
+    def _next_end(self, active: ActiveRun) -> tuple[float, str]:
+        ends = [(self.lease_ms, "lapsed")]
+        if active.stop_at_ms is not None:
+            ends.append((active.stop_at_ms, "stopped"))
+        if self.fails_all:
+            ends.append((active.started_ms + 10, "failed"))
+        if not active.work.lasts:
+            reason = "failed" if active.work.fails else "done"
+            ends.append((active.started_ms + active.work.duration_ms, reason))
+        return min(ends)
+
+    def _end_time(self, active: ActiveRun) -> float:
+        return self._next_end(active)[0]
+
+    def _end(self, active: ActiveRun, reason: str) -> None:
+        del self.runs[active.task]
+        self.barred[active.task] = max(self.barred.get(active.task, 0), active.run)
+        self.ends.append((self.next_end, active.task, active.run, reason))
+        self.next_end += 1
+        self._report(active, reason)
+
+    def _report(self, active: ActiveRun, reason: str) -> None:
+        if self.on_end is not None:
+            self.on_end(self, active.task, active.run, reason)
