End within the grace period, and test the whole path by real processes

The whole path had no test. Change: the process ends once it has drained; a stand-in of the platform (store, workers) and tests that run three real processes against it: kill of the owner, lost answers, cancellation, outage, SIGTERM. A role's key is written last in its transaction, so that its revision is the transaction's in either reading.

--- a/src/sesameladder/node/_process.py
+++ b/src/sesameladder/node/_process.py
@@ -1,5 +1,6 @@
 """Wires the tasks of one process and ends them in order."""
 
+import os
 import signal
 import sys
 from pathlib import Path
@@ -32,6 +33,7 @@
 READY_CUTOFF_S = 3.0  # without the store, callers are better off at another VM
 CLOSE_SHARE = 0.5  # of the grace period, after which connections are closed
 END_SHARE = 0.8  # of the grace period, after which the process ends
+CLOSE_LIMIT_S = 0.5  # for the server's threads; all answers have been sent by then
 EXIT_SETTINGS = 2
 
 
@@ -125,7 +127,9 @@
         sleep(max(0.0, started + CLOSE_SHARE * grace_s - read_steady()))
         self.callers.closing = True
         sleep(max(0.0, started + END_SHARE * grace_s - read_steady()))
-        self.callers.stop()
+        closing = Thread(target=self.callers.stop, name="closing", daemon=True)
+        closing.start()
+        closing.join(CLOSE_LIMIT_S)
         self.configuration.stop()
         note("shutdown_finished", in_flight=self.callers.in_flight)
 
@@ -223,7 +227,7 @@
 
 
 def main() -> int:
-    """Run one process; returns its exit code."""
+    """Run one process; returns its exit code when the settings are invalid."""
     path = find_settings_path()
     try:
         settings = read_settings(path)
@@ -235,4 +239,7 @@
         NodeProcess(path, settings).run()
     finally:
         listener.stop()
-    return 0
+    # Threads that wait for idle connections would hold up the interpreter's exit
+    # beyond the grace period.
+    sys.stdout.flush()
+    os._exit(0)
--- a/src/sesameladder/node/_roles.py
+++ b/src/sesameladder/node/_roles.py
@@ -187,9 +187,11 @@
         revision = item.revision if item is not None else 0
         term = int(item.value) + 1 if item is not None else 1
         holder = encode_holder(RoleHolder(self.node, term))
+        # The role's key is written last: its revision is the transaction's even
+        # where each key of a transaction gets a revision of its own.
         puts = (
-            Put(role_key(role), holder, self.lease),
             Put(term_key(role), str(term).encode()),
+            Put(role_key(role), holder, self.lease),
         )
         preconditions = ((role_key(role), 0), (term_key(role), revision))
         try:
--- /dev/null
+++ b/src/sesameladder/node/tests/test_whole_path.py
@@ -0,0 +1,273 @@
+"""The real processes against the stand-in of the users' platform."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+from urllib3 import PoolManager, Retry, Timeout
+from urllib3.exceptions import HTTPError
+
+from sesameladder.standins.system import SystemStandin, WorkerWork
+
+POOL = "chair"
+HOST = "chair.example"
+PREFIX = "/jobs/"
+READY_LIMIT_S = 20.0
+END_LIMIT_S = 40.0
+
+
+class Fleet:
+    """Three node processes and the stand-in."""
+
+    def __init__(self, standin: SystemStandin, folder: Path) -> None:
+        self.standin = standin
+        self.folder = folder
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.ports: dict[str, tuple[int, int]] = {}
+        self.http = PoolManager(retries=Retry(0), timeout=Timeout(connect=1, read=4))
+
+    def start_node(self, name: str) -> None:
+        front, ready = self.ports.setdefault(name, (find_port(), find_port()))
+        settings = self.folder / f"{name}.conf"
+        settings.write_text(
+            f"node={name}\nzone=zone-a\n"
+            f"listen.front=127.0.0.1:{front}\nlisten.readyAddr=127.0.0.1:{ready}\n"
+            f"platform.addr={self.standin.address}\ncloud.addr={self.standin.address}\n"
+            "bounds.graceS=3\n"
+        )
+        environment = {**os.environ, "SESAMELADDER_BOOT": str(settings)}
+        log = (self.folder / f"{name}.log").open("ab")
+        self.processes[name] = subprocess.Popen(
+            [sys.executable, "-m", "sesameladder.node"], env=environment, stdout=log
+        )
+
+    def call(
+        self, name: str, method: str, path: str, body: Any = None
+    ) -> tuple[int, dict[str, Any]]:
+        port = self.ports[name][0]
+        data = None if body is None else json.dumps(body)
+        response = self.http.request(
+            method,
+            f"http://127.0.0.1:{port}{path}",
+            body=data,
+            headers={"Host": HOST, "X-Sesameladder-Deadline-Ms": "3000"},
+        )
+        return response.status, json.loads(response.data or b"{}")
+
+    def wait_ready(self, name: str) -> None:
+        until = time.monotonic() + READY_LIMIT_S
+        while time.monotonic() < until:
+            try:
+                port = self.ports[name][1]
+                url = f"http://127.0.0.1:{port}/v1/ready"
+                if self.http.request("GET", url).status == 200:
+                    return
+            except HTTPError:
+                pass  # the process has not bound its port yet
+            time.sleep(0.05)
+        raise AssertionError(f"{name} is not ready")
+
+    def wait_state(self, name: str, job: str, state: str) -> None:
+        until = time.monotonic() + END_LIMIT_S
+        seen: object = None
+        while time.monotonic() < until:
+            seen = self.call(name, "GET", PREFIX + job)
+            if seen == (200, {"state": state}):
+                return
+            time.sleep(0.05)
+        raise AssertionError(f"job {job} is {seen}, not {state}")
+
+    def find_owner(self) -> str:
+        until = time.monotonic() + READY_LIMIT_S
+        while time.monotonic() < until:
+            item = self.standin.store.items.get(f"own/pool.{POOL}")
+            if item is not None:
+                return str(json.loads(item.value)["node"])
+            time.sleep(0.02)
+        raise AssertionError("no process owns the pool")
+
+    def stop(self) -> None:
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.kill()
+                process.wait()
+
+
+def find_port() -> int:
+
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+@contextmanager
+def running_fleet(folder: Path) -> Iterator[Fleet]:
+    standin = SystemStandin(POOL, workers=4)
+    standin.start()
+    standin.configure(
+        {
+            "version": 3,
+            "routes": [
+                {
+                    "name": "r-1",
+                    "host": HOST,
+                    "prefix": PREFIX,
+                    "service": POOL,
+                    "attempts": 3,
+                    "stretch": 1.6,
+                    "goalMs": 600,
+                    "timeoutMs": 3000,
+                }
+            ],
+            "services": [{"name": POOL, "admissionCheck": True}],
+            "limits": {"bodyBytes": 100_000},
+        }
+    )
+    fleet = Fleet(standin, folder)
+    try:
+        for name in ("n1", "n2", "n3"):
+            fleet.start_node(name)
+        for name in ("n1", "n2", "n3"):
+            fleet.wait_ready(name)
+        yield fleet
+    finally:
+        fleet.stop()
+        standin.stop()
+
+
+def build_job(work: WorkerWork, width: int = 3) -> dict[str, Any]:
+    step = {"count": width, "cpu": work.cpu, "memMb": 100, "estMs": work.duration_ms}
+    return {"spec": work.to_text(), "steps": [step, {**step, "after": [0]}]}
+
+
+def watch_runs(standin: SystemStandin) -> tuple[list[str], dict[str, int]]:
+    """Return violations and starts by subtask; both fill up as workers run."""
+    violations: list[str] = []
+    starts: dict[str, int] = {}
+    active: dict[str, str] = {}
+    done: set[str] = set()
+
+    def note_start(worker: Any, task: str, run: int) -> None:
+        starts[task] = starts.get(task, 0) + 1
+        if task in active or task in done:
+            violations.append(f"{task} run {run} on {worker.name}: started again")
+        active[task] = worker.name
+
+    def note_end(worker: Any, task: str, run: int, reason: str) -> None:
+        active.pop(task, None)
+        if reason == "done":
+            done.add(task)
+
+    for worker in standin.workers.values():
+        worker.on_start = note_start
+        worker.on_end = note_end
+    return violations, starts
+
+
+@pytest.fixture
+def fleet(tmp_path: Path) -> Iterator[Fleet]:
+    with running_fleet(tmp_path) as running:
+        yield running
+
+
+def test_jobs_end_once_through_kill_and_lost_answers(fleet: Fleet) -> None:
+    """Guards the whole path: intake, election, orders, progress, take-over.
+
+    The owner is killed in the middle, and answers of the store are lost.
+    """
+    violations, starts = watch_runs(fleet.standin)
+    jobs = [f"{number:016x}" for number in range(12)]
+    for number, job in enumerate(jobs):
+        if number == 6:
+            owner = fleet.find_owner()
+            fleet.processes[owner].kill()
+            fleet.processes[owner].wait()
+            fleet.standin.store.answers_to_lose = 2
+        alive = [n for n, p in fleet.processes.items() if p.poll() is None]
+        name = alive[number % len(alive)]
+        body = build_job(WorkerWork(duration_ms=200))
+        assert fleet.call(name, "POST", PREFIX + job, body)[0] == 200
+        # The same attempt arrives again at another process.
+        assert fleet.call(alive[0], "POST", PREFIX + job, body)[0] == 200
+    for job in jobs:
+        fleet.wait_state(alive[-1], job, "done")
+    assert violations == []
+    assert sorted(starts) == sorted(
+        f"{j}.0.{s}.{i}" for j in jobs for s in (0, 1) for i in range(3)
+    )
+
+
+def test_cancelled_job_is_stopped_and_unknown_job_is_gone(fleet: Fleet) -> None:
+    """Guards against cancellations that don't reach the workers."""
+    work = WorkerWork(lasts=True)
+    job = "00000000000000aa"
+    assert fleet.call("n1", "POST", PREFIX + job, build_job(work))[0] == 200
+    fleet.wait_state("n2", job, "running")
+    assert fleet.call("n3", "DELETE", PREFIX + job)[0] == 200
+    fleet.wait_state("n1", job, "cancelled")
+    until = time.monotonic() + 3.0
+    while any(worker.runs for worker in fleet.standin.workers.values()):
+        assert time.monotonic() < until, "subtasks run on after the cancellation"
+        time.sleep(0.05)
+    assert fleet.call("n1", "GET", PREFIX + "00000000000000ab")[0] == 410
+    assert fleet.call("n1", "GET", "/elsewhere/")[0] == 404
+
+
+@pytest.mark.parametrize(
+    "body", ["", "{}", '{"steps": []}', '{"steps": [{"count": 1, "after": [0]}]}']
+)
+def test_malformed_job_is_refused(fleet: Fleet, body: str) -> None:
+    """Guards against a malformed body that ends a process or is accepted."""
+    port = fleet.ports["n1"][0]
+    url = f"http://127.0.0.1:{port}{PREFIX}00000000000000ac"
+    response = fleet.http.request("POST", url, body=body, headers={"Host": HOST})
+    assert response.status == 400
+    assert json.loads(response.data)["has_run"] is False
+    assert fleet.call("n1", "GET", PREFIX + "00000000000000ac")[0] == 410
+
+
+def test_store_outage_refuses_at_once_and_recovers(fleet: Fleet) -> None:
+    """Guards against requests that wait out their time limit for the store."""
+    fleet.find_owner()
+    fleet.standin.store.is_down = True
+    started = time.monotonic()
+    body = build_job(WorkerWork())
+    status, answer = fleet.call("n1", "POST", PREFIX + "00000000000000ad", body)
+    assert (status, answer["has_run"]) == (503, False)
+    assert time.monotonic() - started < 1.0
+    time.sleep(1.0)
+    fleet.standin.store.is_down = False
+    until = time.monotonic() + END_LIMIT_S
+    while fleet.call("n1", "POST", PREFIX + "00000000000000ad", body)[0] != 200:
+        assert time.monotonic() < until
+        time.sleep(0.1)
+    fleet.wait_state("n2", "00000000000000ad", "done")
+
+
+def test_sigterm_hands_over_and_answers_until_the_end(fleet: Fleet) -> None:
+    """Guards against requests that a planned stop cuts."""
+    owner = fleet.find_owner()
+    job = "00000000000000ae"
+    body = build_job(WorkerWork(duration_ms=500))
+    assert fleet.call(owner, "POST", PREFIX + job, body)[0] == 200
+    process = fleet.processes[owner]
+    process.send_signal(signal.SIGTERM)
+    answered = 0
+    until = time.monotonic() + 1.5
+    while time.monotonic() < until:
+        assert fleet.call(owner, "GET", PREFIX + job)[0] == 200
+        answered += 1
+    assert answered > 10
+    assert process.wait(5) == 0
+    other = next(name for name in fleet.processes if name != owner)
+    fleet.wait_state(other, job, "done")
+    assert fleet.find_owner() != owner
