Name the life that a notice of an end speaks of

Read in the code: after a failed watch an owner read its orders again and applied their old notices of ended workers, while a worker comes back from upkeep under the same name; its new life's runs were given up. Change: notices carry the start of the life and are applied once.

--- a/src/sesameladder/fleet/_model.py
+++ b/src/sesameladder/fleet/_model.py
@@ -59,6 +59,15 @@
     """Revision of the orders that this takes into account."""
 
 
+@dataclass(frozen=True, slots=True)
+class EndedLife:
+    """A worker whose VM has gone down; another life may have the same name."""
+
+    worker: str
+    born_ms: int
+    """Start of the life that has ended; 0 where it isn't known."""
+
+
 @dataclass(frozen=True, slots=True)
 class PoolOrders:
     """What the holder of the fleet role tells a pool's owner."""
@@ -66,5 +75,5 @@
     emptying: tuple[str, ...] = ()
     """Workers that get no new work and are to be emptied."""
 
-    ended: tuple[str, ...] = ()
+    ended: tuple[EndedLife, ...] = ()
     """Workers whose VM has begun its upkeep or move; nothing runs there."""
--- a/src/sesameladder/jobs/_scheduler.py
+++ b/src/sesameladder/jobs/_scheduler.py
@@ -189,6 +189,12 @@
         if worker is not None:
             self._lose_worker(worker, now, "worker_replaced")
 
+    def end_life(self, worker_id: str, born_ms: int, now: float) -> None:
+        """Note that a life has ended; 0 stands for the life that is known."""
+        worker = self.workers.get(worker_id)
+        if worker is not None and born_ms in (0, worker.record.born_ms):
+            self._lose_worker(worker, now, "worker_ended")
+
     def apply_start(
         self,
         worker_id: str,
--- a/src/sesameladder/node/_fleet_task.py
+++ b/src/sesameladder/node/_fleet_task.py
@@ -4,6 +4,7 @@
 from threading import Event, Thread
 
 from sesameladder.fleet import (
+    EndedLife,
     PoolOrders,
     PoolSummary,
     UpkeepPlan,
@@ -32,6 +33,7 @@
 from sesameladder.node._telemetry import logger, note, warn
 from sesameladder.platform import (
     WAVE_STATUS_PREFIX,
+    WORKER_PREFIX,
     Conflict,
     MachineClient,
     OrderOutcome,
@@ -39,6 +41,7 @@
     Put,
     RecordInvalid,
     StoreClient,
+    decode_worker,
     encode_wave_status,
 )
 
@@ -52,6 +55,7 @@
     """One thread that orders upkeep while this process holds the fleet role."""
 
     __slots__ = (
+        "born",
         "dependency",
         "done",
         "ended",
@@ -100,8 +104,11 @@
         self.order_revisions: dict[str, int] = {}
         """Revision of the store at which each pool's owner was told."""
 
-        self.ended: dict[str, tuple[str, float]] = {}
-        """Pool and time of the order, by worker whose VM has gone down."""
+        self.born: dict[str, int] = {}
+        """Start of the life, by worker whose VM was ordered down."""
+
+        self.ended: dict[EndedLife, tuple[str, float]] = {}
+        """Pool and time of the notice, by life that has ended."""
 
         # An earlier holder's last order has to be this old before the first one.
         self.quiet_until = read_steady() + (order_gap_s if role.term > 1 else 0.0)
@@ -182,7 +189,8 @@
             is_other = vm is not None and vm.worker not in ("", before.worker)
             is_away = vm is not None and vm.phase in AWAY_PHASES
             if is_other or (is_away and before.phase is VmPhase.UP):
-                self.ended[before.worker] = before.pool, now
+                born_ms = self.born.pop(before.worker, 0)
+                self.ended[EndedLife(before.worker, born_ms)] = before.pool, now
 
     def _read_emptied(self) -> tuple[frozenset[str], frozenset[str]]:
         """Return the workers that run nothing, and those that run nothing lasting."""
@@ -204,13 +212,14 @@
     def _write_orders(self, plan: UpkeepPlan) -> None:
         """Tell pool owners which workers to empty and which have ended."""
         now = read_steady()
-        for worker, (_, at) in list(self.ended.items()):
+        for life, (_, at) in list(self.ended.items()):
             if now - at > ENDED_NOTICE_S:
-                del self.ended[worker]
+                del self.ended[life]
         wanted = {}
         for pool in {*plan.empty, *self.orders, *(p for p, _ in self.ended.values())}:
-            ended = tuple(w for w, (p, _) in self.ended.items() if p == pool)
-            emptying = tuple(w for w in plan.empty.get(pool, ()) if w not in ended)
+            ended = tuple(life for life, (p, _) in self.ended.items() if p == pool)
+            names = {life.worker for life in ended}
+            emptying = tuple(w for w in plan.empty.get(pool, ()) if w not in names)
             wanted[pool] = PoolOrders(emptying, ended)
         changed = [p for p in sorted(wanted) if wanted[p] != self.orders.get(p)]
         if not changed:
@@ -222,8 +231,12 @@
             for pool in changed:
                 self.order_revisions[pool] = revision
                 told = wanted[pool]
+                ended_names = [life.worker for life in told.ended]
                 note(
-                    "pool_ordered", pool=pool, emptying=told.emptying, ended=told.ended
+                    "pool_ordered",
+                    pool=pool,
+                    emptying=told.emptying,
+                    ended=ended_names,
                 )
 
     def _put_begun(self) -> list[Put]:
@@ -241,11 +254,23 @@
         if self.stopping.is_set():
             return
         vm = self.vms[name]
+        if vm.worker:
+            self._note_born(vm.worker)
         outcome = self.machines.maintain(name, wave, self.node, self.role.fence)
         note("upkeep_ordered", vm=name, wave=wave, pool=vm.pool, outcome=outcome.value)
         if outcome is OrderOutcome.DONE:
             self.planner.note_begun(wave, name, now)
 
+    def _note_born(self, worker: str) -> None:
+        """Read which life of a worker an order is about to end."""
+        item = self.store.read(f"{WORKER_PREFIX}{worker}")
+        if item is None:
+            return
+        try:
+            self.born[worker] = decode_worker(worker, item.value).born_ms
+        except RecordInvalid as error:
+            warn("worker_record_refused", worker=worker, error=str(error))
+
     def _write_status(self, waves: list[Wave], plan: UpkeepPlan) -> None:
         for wave in waves:
             is_done = wave.number in plan.finished
--- a/src/sesameladder/node/_pool_task.py
+++ b/src/sesameladder/node/_pool_task.py
@@ -5,7 +5,7 @@
 from queue import Empty, SimpleQueue
 from threading import Event, Thread
 
-from sesameladder.fleet import PoolOrders, PoolSummary
+from sesameladder.fleet import EndedLife, PoolOrders, PoolSummary
 from sesameladder.jobs import (
     AdviceCommand,
     Command,
@@ -106,6 +106,7 @@
     __slots__ = (
         "advice",
         "cleaned_at",
+        "ended_lives",
         "held_back",
         "inbox",
         "is_confirmed",
@@ -169,6 +170,7 @@
         self.cleaned_at = self.written_at = self.summary_at = read_steady()
         self.summary: PoolSummary | None = None
         self.orders_revision = 0
+        self.ended_lives: set[EndedLife] = set()
         self.tracked: tuple[str, ...] = ()
         self.thread = Thread(target=self._run, name=f"pool {pool}", daemon=True)
 
@@ -355,8 +357,10 @@
             return
         self.orders_revision = revision
         self.scheduler.set_emptying(set(orders.emptying))
-        for worker in orders.ended:
-            self.scheduler.lose_worker(worker, now)
+        # A notice that is read again must not end a later life of the same name.
+        known, self.ended_lives = self.ended_lives, set(orders.ended)
+        for life in self.ended_lives - known:
+            self.scheduler.end_life(life.worker, life.born_ms, now)
 
     def _apply_workers(self, records: list[WorkerRecord], now: float) -> None:
         own = [record for record in records if record.pool == self.pool]
--- a/src/sesameladder/node/_records.py
+++ b/src/sesameladder/node/_records.py
@@ -4,7 +4,7 @@
 from dataclasses import asdict, dataclass
 from typing import Any
 
-from sesameladder.fleet import PoolOrders, PoolSummary
+from sesameladder.fleet import EndedLife, PoolOrders, PoolSummary
 from sesameladder.jobs import AdvicePolicy, QueuePolicy, Submission
 from sesameladder.platform import RecordInvalid, decode_job
 
@@ -86,7 +86,10 @@
     """Decode what a pool's owner is told; raises ``RecordInvalid``."""
     try:
         fields = json.loads(value)
-        return PoolOrders(tuple(fields["emptying"]), tuple(fields["ended"]))
+        ended = tuple(
+            EndedLife(row["worker"], int(row["born_ms"])) for row in fields["ended"]
+        )
+        return PoolOrders(tuple(fields["emptying"]), ended)
     except (ValueError, KeyError, TypeError) as error:
         raise RecordInvalid("a pool's orders are malformed") from error
 
