Bar late starts before a regained worker's lease runs again

(1) Bytes of a start that the cut held up arrived after the heal; the worker took it, although the start's own lease was over, because the worker's lease had been extended meanwhile. (2) The runs of a worker that had dropped out of the list were given up by an old lapse time although it answered reports again. Change: starts that were given up unconfirmed are kept as ghosts; the lease of a regained worker is extended only after stops have barred them. Only silent workers lapse. The stand-in's worker takes late starts while its lease runs.

--- a/src/sesameladder/jobs/_runs.py
+++ b/src/sesameladder/jobs/_runs.py
@@ -68,6 +68,13 @@
     lapse_at: float = 0.0
     """Steady time by which all leases granted so far have lapsed for sure."""
 
+    ghosts: dict[tuple[SubtaskId, int], float] = field(default_factory=dict)
+    """Starts that may still arrive, with the time at which each was given up.
+
+    A worker takes a late start whenever its lease runs, whatever lease the start
+    names; the lease stays lapsed until stops have barred them.
+    """
+
     ends_seen: int = 0
     """Number of the last end that was taken into account."""
 
@@ -108,6 +115,7 @@
             and self.is_listed
             and not self.record.is_draining
             and not self.is_drained_for
+            and not self.ghosts
             and self.failed_reports < REPORTS_UNTIL_SUSPECT
             and now >= self.ejected_until
             and now >= self.full_until
--- a/src/sesameladder/jobs/_scheduler.py
+++ b/src/sesameladder/jobs/_scheduler.py
@@ -44,6 +44,7 @@
 FAILURE_PAUSE_S = 0.05  # lets a report of other failures on the worker arrive first
 NO_ROOM_PAUSE_S = 0.1  # about the time until the worker's next report
 UNREACHED_PAUSE_S = 0.5
+GHOST_LIMIT_S = 60.0  # orders arrive up to 12 s late, and after the end of a cut
 GANG_PATIENCE_S = 1.5  # half the time after which members give up on the others
 
 Note = Callable[..., None]
@@ -158,8 +159,10 @@
             self._lose_worker(worker, now, "worker_reborn")
             return
         if worker.failed_reports:
-            self.note("worker_regained", worker=worker_id)
+            self.note("worker_regained", worker=worker_id, ghosts=len(worker.ghosts))
         worker.failed_reports = 0
+        for subtask_id, number in worker.ghosts:
+            self.commands.append(StopCommand(worker_id, subtask_id, number))
         present = {(status.subtask, status.run) for status in report.running}
         for end in report.ended:
             if end.number > worker.ends_seen:
@@ -251,6 +254,9 @@
         run = self._find_run(worker_id, subtask_id, number)
         if run is not None and run.stop_answered_at is None:
             run.stop_answered_at = now
+        worker = self.workers.get(worker_id)
+        if worker is not None:
+            worker.ghosts.pop((subtask_id, number), None)
 
     def apply_advice(
         self,
@@ -276,7 +282,7 @@
         """Return the commands that follow from all events so far."""
         self.book.open_due(wall_ms)
         for worker in list(self.workers.values()):
-            if worker.failed_reports or not worker.is_listed:
+            if worker.failed_reports:
                 self._drop_lapsed(worker, now)
         self._repeat_orders(now)
         for run in choose_evacuations(self.workers.values(), self.runs, now):
@@ -657,6 +663,8 @@
         if not worker.is_known and now < self.may_start_from:
             return
         for run in self._list_runs(worker):
+            if run.confirmed_at is None:
+                worker.ghosts[run.subtask.id, run.number] = now
             self.note(
                 "run_lapsed",
                 job=run.subtask.id.job,
@@ -664,7 +672,10 @@
                 worker=worker.id,
             )
             self._release(run, now)
-        if not worker.is_listed and worker.failed_reports:
+        for ghost, given_up_at in list(worker.ghosts.items()):
+            if now - given_up_at > GHOST_LIMIT_S:
+                del worker.ghosts[ghost]
+        if not worker.is_listed and not worker.ghosts:
             self.workers.pop(worker.id, None)
             self.note("worker_gone", worker=worker.id)
 
--- a/src/sesameladder/jobs/tests/simulation.py
+++ b/src/sesameladder/jobs/tests/simulation.py
@@ -140,6 +140,9 @@
         self.tracked: set[str] = set()
         self.revision = 10
         self.owners: list[Owner] = []
+        self.held_up: list[Callable[[], None]] = []
+        """Orders whose bytes arrive a moment after the end of the cut."""
+
         self.loss = 0.0
         """Share of orders that are carried out without an answer."""
 
@@ -216,6 +219,13 @@
             for owner in self.owners[-2:]:
                 self._step(owner)
 
+    def heal(self) -> None:
+        """End all cuts; what they held up arrives soon after."""
+        self.cut = self.near = set()
+        for act in self.held_up:
+            self._later(self.random.uniform(0.0, 1.0), act)
+        self.held_up.clear()
+
     def count_states(self) -> dict[JobState, int]:
         """Return how many jobs the owner holds in each state."""
         counts: dict[JobState, int] = {}
@@ -346,6 +356,8 @@
             if not worker.is_up or not self._reaches(owner, worker):
                 if is_answered:
                     self._later(0.5, lambda: answer(StartOutcome.UNANSWERED))
+                if worker.is_up:
+                    self.held_up.append(lambda: deliver(False))
                 return
             if worker.born_ms != born:
                 outcome = StartOutcome.OTHER_LIFE
@@ -413,7 +425,6 @@
             "fence": owner.fence,
             "lastSeen": min(owner.acknowledged.get(worker.name, 0), view.ends_seen),
         }
-        owner.silent.discard(worker.name)
         body["deadlineMs"] = self._extend(owner, worker)
         status, reply = worker.report(body)
         if status != 200:
@@ -423,6 +434,8 @@
         sent_at = self.time
         report = _decode_report(reply)
         owner.scheduler.apply_report(worker.name, report, sent_at, self.time)
+        if not view.ghosts:
+            owner.silent.discard(worker.name)
 
 
 def build_submission(
--- a/src/sesameladder/jobs/tests/test_lives.py
+++ b/src/sesameladder/jobs/tests/test_lives.py
@@ -5,8 +5,10 @@
 from sesameladder.jobs import (
     PoolScheduler,
     Resources,
+    RunStatus,
     StartCommand,
     StartOutcome,
+    StopCommand,
     WorkerRecord,
     WorkerReport,
 )
@@ -47,3 +49,44 @@
     scheduler = build_scheduler(born_ms=500)
     scheduler.end_life("i-1", notice, 1.0)
     assert (len(scheduler.runs) == 0) is is_released
+
+
+def test_late_start_is_barred_before_the_lease_runs_again() -> None:
+    """Guards against TWICE after a cut that held up the bytes of a start.
+
+    A worker takes a late start whenever its lease runs. The run had been given up
+    with the lapse, and the worker's lease was extended before the start arrived.
+    """
+    scheduler = build_scheduler(born_ms=500)
+    (run,) = scheduler.runs.values()
+    run.confirmed_at = None
+    subtask, number = run.subtask.id, run.number
+    scheduler.apply_start("i-1", subtask, number, StartOutcome.UNANSWERED, 1.0)
+    worker = scheduler.workers["i-1"]
+    worker.lapse_at = 5.0
+    scheduler.report_failed("i-1", 1.0)
+    scheduler.schedule(6.0, 6000.0)
+    assert scheduler.runs == {}
+    scheduler.apply_report("i-1", WorkerReport(0, 500, (), ()), 7.0, 7.0)
+    commands = scheduler.schedule(7.0, 7000.0)
+    assert commands == [StopCommand("i-1", subtask, number)]
+    scheduler.apply_stop("i-1", subtask, number, 7.1)
+    (command,) = scheduler.schedule(7.2, 7200.0)
+    assert isinstance(command, StartCommand)
+
+
+def test_run_of_an_answering_worker_never_lapses() -> None:
+    """Guards against TWICE on one worker that had dropped out of the list.
+
+    It answered again before its lease had lapsed; the extension was not yet known
+    to the scheduler, which gave its runs up.
+    """
+    scheduler = build_scheduler(born_ms=500)
+    (run,) = scheduler.runs.values()
+    scheduler.workers["i-1"].lapse_at = 5.0
+    scheduler.report_failed("i-1", 1.0)
+    scheduler.update_workers([], 4.0)
+    status = RunStatus(run.subtask.id, run.number, "", 50)
+    scheduler.apply_report("i-1", WorkerReport(0, 500, (status,), ()), 4.9, 4.9)
+    scheduler.schedule(5.1, 5100.0)
+    assert list(scheduler.runs.values()) == [run]
--- a/src/sesameladder/jobs/tests/test_simulation.py
+++ b/src/sesameladder/jobs/tests/test_simulation.py
@@ -79,7 +79,7 @@
         simulation.run(simulation.random.uniform(0.5, 2.0))
         simulation.cut = {simulation.random.choice(simulation.workers).name}
         simulation.run(simulation.random.uniform(1.0, 7.0))
-        simulation.cut = set()
+        simulation.heal()
     simulation.run(40)
     check(simulation, 20)
 
@@ -99,7 +99,7 @@
     simulation.take_over(cuts_old_owner=True)
     submit_mix(simulation, 5, start=20)
     simulation.run(simulation.random.uniform(3.0, 9.0))
-    simulation.cut = simulation.near = set()
+    simulation.heal()
     simulation.owners[-2].is_cut_from_store = False
     simulation.owners[-2].confirmed_at = -1e9
     simulation.run(60)
@@ -120,7 +120,7 @@
     simulation.run(simulation.random.uniform(0.0, 4.0))
     simulation.take_over()
     simulation.run(simulation.random.uniform(3.0, 9.0))
-    simulation.cut = set()
+    simulation.heal()
     simulation.run(60)
     check(simulation, 20)
 
@@ -143,7 +143,7 @@
         elif fault == "cut":
             simulation.cut = {worker.name}
             simulation.run(draw.uniform(0.1, 7.0))
-            simulation.cut = set()
+            simulation.heal()
         elif fault == "owner":
             simulation.take_over()
         elif fault == "cancel":
--- a/src/sesameladder/node/_pool_task.py
+++ b/src/sesameladder/node/_pool_task.py
@@ -289,8 +289,8 @@
         now = read_steady()
         scheduler = self.scheduler
         if isinstance(message, ReportArrived):
-            self._set_lapse(message.worker, message.lapse_at)
             scheduler.apply_report(message.worker, message.report, message.sent_at, now)
+            self._regain(message.worker)
         elif isinstance(message, StartAnswered):
             scheduler.apply_start(
                 message.worker, message.subtask, message.run, message.outcome, now
@@ -304,7 +304,6 @@
         elif isinstance(message, WriteDone):
             self._apply_write(message)
         elif isinstance(message, ReportFailed):
-            self._set_lapse(message.worker, message.lapse_at)
             scheduler.report_failed(message.worker, now)
         elif isinstance(message, WorkerLost):
             scheduler.lose_worker(message.worker, now)
@@ -366,10 +365,12 @@
         own = [record for record in records if record.pool == self.pool]
         self.scheduler.update_workers(own, now)
 
-    def _set_lapse(self, worker: str, lapse_at: float) -> None:
+    def _regain(self, worker: str) -> None:
+        """Let the lease of a worker that answers again be extended."""
+        link = self.links.get(worker)
         view = self.scheduler.workers.get(worker)
-        if view is not None:
-            view.lapse_at = max(view.lapse_at, lapse_at)
+        if link is not None and view is not None and not view.ghosts:
+            link.is_silent = False
 
     def _apply_write(self, done: WriteDone) -> None:
         if not done.is_stored:
@@ -396,6 +397,10 @@
             self._apply_inbox(rows, {})
         self.scheduler.can_lapse = self.is_sure()
         self.scheduler.is_paused = not self.is_confirmed(STORE_CUTOFF_S)
+        for name, link in self.links.items():
+            view = self.scheduler.workers.get(name)
+            if view is not None:
+                view.lapse_at = link.lapse_at
         commands = self.scheduler.schedule(now, read_wall_ms())
         self._match_links()
         for command in commands:
@@ -418,7 +423,7 @@
                     lambda: self.is_confirmed(STORE_CUTOFF_S),
                     self.inbox.put,
                 )
-                view.lapse_at = max(view.lapse_at, link.lapse_at)
+                view.lapse_at = link.lapse_at
                 self.links[name] = link
                 link.start()
 
--- a/src/sesameladder/node/_worker_link.py
+++ b/src/sesameladder/node/_worker_link.py
@@ -37,7 +37,6 @@
     worker: str
     report: WorkerReport
     sent_at: float
-    lapse_at: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,7 +44,6 @@
     """A worker did not answer."""
 
     worker: str
-    lapse_at: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -130,7 +128,11 @@
         """End of the latest lease on the worker's clock."""
 
         self.is_silent = False
-        """Whether the last report failed; the lease then isn't extended."""
+        """Whether the lease isn't extended, since a report failed.
+
+        The link sets it; the pool's task takes it back once no late start can
+        arrive at the worker any more.
+        """
 
         # An earlier owner may have extended leases up to now.
         self.lapse_at = read_steady() + lease_ms / 1000 * CLOCK_DRIFT + LAPSE_SLACK_S
@@ -212,10 +214,9 @@
                 continue
             except PlatformCallError:
                 self.is_silent = True
-                self.post(ReportFailed(name, self.lapse_at))
+                self.post(ReportFailed(name))
                 self.stopping.wait(RETRY_PAUSE_S)
                 continue
-            self.is_silent = False
             self.clock_offset = report.clock_ms / 1000 - read_steady()
-            self.post(ReportArrived(name, report, sent_at, self.lapse_at))
+            self.post(ReportArrived(name, report, sent_at))
             self.stopping.wait(REPORT_GAP_S)
--- a/src/sesameladder/standins/system/_worker.py
+++ b/src/sesameladder/standins/system/_worker.py
@@ -114,13 +114,14 @@
         if refusal is not None:
             return refusal
         task, run = body["task"], body["run"]
+        # The lease is the worker's: a late start counts by the lease that runs.
         self._extend(body)
         active = self.runs.get(task)
         if active is not None and active.run == run:
             return self._answer(200)
         if run <= self.barred.get(task, 0) or active is not None:
             return self._answer(409, "old")
-        if body["deadlineMs"] <= self.now_ms():
+        if self.lease_ms <= self.now_ms():
             return self._answer(409, "late")
         work = WorkerWork.from_text(body["spec"])
         used = sum(other.work.cpu for other in self.runs.values())
