Lend spare VMs to the pool whose turn of demand it is

Change: pool owners tell waiting and running cores; the fleet role moves spare VMs to where work waits and, once it has cooled down, empties and returns them.

--- a/src/sesameladder/fleet/__init__.py
+++ b/src/sesameladder/fleet/__init__.py
@@ -1,6 +1,8 @@
 """VMs, pools and upkeep: decisions without sockets or clocks."""
 
+from sesameladder.fleet._lending import LendingPlan, LendingPlanner
 from sesameladder.fleet._model import (
+    CORE_STEP,
     EndedLife,
     PoolOrders,
     PoolSummary,
@@ -11,7 +13,10 @@
 from sesameladder.fleet._upkeep import UpkeepPlan, UpkeepPlanner
 
 __all__ = [
+    "CORE_STEP",
     "EndedLife",
+    "LendingPlan",
+    "LendingPlanner",
     "PoolOrders",
     "PoolSummary",
     "UpkeepPlan",
--- /dev/null
+++ b/src/sesameladder/fleet/_lending.py
@@ -0,0 +1,173 @@
+"""Moves VMs to pools whose queues are longer than their room.
+
+Answers queues whose demand takes turns: each asks for about five times its mean for
+some seconds, more than its pool holds, and for a twentieth in between. VMs of the
+spare pool cost nothing while they are there, so they follow the turns: they join a
+pool once work waits there and leave it once they aren't needed. A move takes 1.5 s
+and ends what the VM runs, so a VM is emptied before it leaves.
+"""
+
+from dataclasses import dataclass, field
+from math import floor
+
+from sesameladder.fleet._model import PoolSummary, Vm, VmPhase
+
+START_SHARE = 0.5  # of a VM; less waiting work ends before a moved VM arrives
+COOL_S = 1.2  # two summaries; shorter lulls are gaps between jobs
+COOL_SHARE = 0.6  # of the room that is left without a VM; above it the VM stays
+RETRY_S = 2.0  # after a move that the platform did not take
+EMPTY_LIMIT_S = 4.0  # longer than most subtasks; a VM that isn't empty then stays
+
+
+@dataclass(slots=True)
+class LendingPlan:
+    """What to do next."""
+
+    empty: dict[str, tuple[str, ...]] = field(default_factory=dict)
+    """Workers that their owners shall empty, by pool."""
+
+    moves: list[tuple[str, str]] = field(default_factory=list)
+    """VMs to move now, with the pool that they join."""
+
+
+class LendingPlanner:
+    """Plans the moves between the spare pool and the others."""
+
+    __slots__ = ("base", "cool_since", "emptying", "tried")
+
+    def __init__(self, base: dict[str, int] | None = None) -> None:
+        self.base = dict(base or {})
+        """Number of VMs that a pool keeps, by pool."""
+
+        self.cool_since: dict[str, float] = {}
+        self.emptying: dict[str, float] = {}
+        """Time since which a VM is being emptied to leave its pool."""
+
+        self.tried: dict[str, float] = {}
+        """Time of the last move order, by VM."""
+
+    def learn_base(self, vms: dict[str, Vm], spare_pools: frozenset[str]) -> bool:
+        """Take the present sizes as those to keep; True when that was news."""
+        if self.base or not vms:
+            return False
+        for vm in vms.values():
+            if vm.pool not in spare_pools:
+                self.base[vm.pool] = self.base.get(vm.pool, 0) + 1
+        return True
+
+    def note_moved(self, vm: str, now: float) -> None:
+        """Note that a move was ordered, whatever the answer."""
+        self.tried[vm] = now
+        self.emptying.pop(vm, None)
+
+    def plan(
+        self,
+        vms: dict[str, Vm],
+        summaries: dict[str, PoolSummary],
+        spare_pools: frozenset[str],
+        reserved: frozenset[str],
+        drained: frozenset[str],
+        now: float,
+    ) -> LendingPlan:
+        """Return the next moves; ``reserved`` VMs are left alone for upkeep."""
+        plan = LendingPlan()
+        if not spare_pools:
+            return plan
+        movable = {
+            name: vm
+            for name, vm in vms.items()
+            if name not in reserved and now - self.tried.get(name, -1e9) > RETRY_S
+        }
+        needs = self._count_needs(vms, summaries, spare_pools)
+        spare = [
+            vm
+            for vm in movable.values()
+            if vm.pool in spare_pools and vm.phase is VmPhase.UP
+        ]
+        for pool, need in sorted(needs.items(), key=lambda row: -row[1]):
+            for vm in spare[:need]:
+                plan.moves.append((vm.name, pool))
+            spare = spare[need:]
+        self._plan_returns(plan, movable, vms, summaries, spare_pools, drained, now)
+        return plan
+
+    def _count_needs(
+        self,
+        vms: dict[str, Vm],
+        summaries: dict[str, PoolSummary],
+        spare_pools: frozenset[str],
+    ) -> dict[str, int]:
+        """Return how many more VMs the waiting work of each pool fills."""
+        needs = {}
+        for pool, summary in summaries.items():
+            own = [vm for vm in vms.values() if vm.pool == pool]
+            if pool in spare_pools or not own:
+                continue
+            vm_cores = own[0].capacity.cpu_millis / 1000
+            coming = sum(vm.phase is VmPhase.MOVING for vm in own)
+            need = floor(summary.waiting_cores / vm_cores + START_SHARE) - coming
+            if need > 0:
+                needs[pool] = need
+        return needs
+
+    def _plan_returns(
+        self,
+        plan: LendingPlan,
+        movable: dict[str, Vm],
+        vms: dict[str, Vm],
+        summaries: dict[str, PoolSummary],
+        spare_pools: frozenset[str],
+        drained: frozenset[str],
+        now: float,
+    ) -> None:
+        home = min(spare_pools)
+        for pool, summary in summaries.items():
+            own = [vm for vm in vms.values() if vm.pool == pool]
+            surplus = self._count_surplus(own, summary, pool, now)
+            ready = [
+                vm
+                for vm in movable.values()
+                if vm.pool == pool
+                and vm.phase is VmPhase.UP
+                and vm.worker
+                and vm.worker not in summary.lasting
+            ]
+            # Those that are being emptied already go on.
+            ready.sort(key=lambda vm: (vm.name not in self.emptying, vm.name))
+            leaving = []
+            for vm in ready[:surplus]:
+                since = self.emptying.setdefault(vm.name, now)
+                if vm.worker in drained:
+                    plan.moves.append((vm.name, home))
+                elif now - since > EMPTY_LIMIT_S:
+                    self.note_moved(vm.name, now)
+                    continue
+                leaving.append(vm.worker)
+            kept = {vm.name for vm in ready[:surplus]}
+            for vm in own:
+                if vm.name not in kept:
+                    self.emptying.pop(vm.name, None)
+            if leaving:
+                plan.empty[pool] = tuple(leaving)
+
+    def _count_surplus(
+        self, own: list[Vm], summary: PoolSummary, pool: str, now: float
+    ) -> int:
+        """Return how many VMs beyond its base a pool does without."""
+        up = [vm for vm in own if vm.phase is VmPhase.UP]
+        extra = len(own) - self.base.get(pool, len(own))
+        if extra <= 0 or not up:
+            return 0
+        vm_cores = up[0].capacity.cpu_millis / 1000
+        wanted = summary.used_cores + summary.waiting_cores
+        surplus = 0
+        while surplus < extra:
+            room = (len(up) - surplus - 1) * vm_cores
+            if wanted > COOL_SHARE * room:
+                break
+            surplus += 1
+        if not surplus:
+            self.cool_since.pop(pool, None)
+            return 0
+        since = self.cool_since.setdefault(pool, now)
+        return surplus if now - since >= COOL_S else 0
--- a/src/sesameladder/fleet/_model.py
+++ b/src/sesameladder/fleet/_model.py
@@ -5,6 +5,8 @@
 
 from sesameladder.jobs import Resources
 
+CORE_STEP = 8  # a quarter of a small worker; finer steps cost writes
+
 
 class VmPhase(StrEnum):
     """What a VM is doing."""
@@ -58,6 +60,15 @@
     orders_revision: int
     """Revision of the orders that this takes into account."""
 
+    lasting: tuple[str, ...] = ()
+    """Workers that run something that lasts."""
+
+    used_cores: int = 0
+    """Cores that running subtasks ask for, to the next ``CORE_STEP``."""
+
+    waiting_cores: int = 0
+    """Cores that subtasks ask for whose turn has come, likewise."""
+
 
 @dataclass(frozen=True, slots=True)
 class EndedLife:
--- /dev/null
+++ b/src/sesameladder/fleet/tests/test_lending.py
@@ -0,0 +1,81 @@
+"""Lending of spare VMs under demand that takes turns."""
+
+from dataclasses import replace
+
+import pytest
+
+from sesameladder.fleet import LendingPlanner, PoolSummary, Vm, VmPhase
+from sesameladder.fleet.tests.test_upkeep import build_vms
+
+SPARE = frozenset({"spare"})
+NOBODY: frozenset[str] = frozenset()
+VM_CORES = 32
+
+
+def build_summary(
+    used: int = 0, waiting: int = 0, lasting: tuple[str, ...] = ()
+) -> PoolSummary:
+    return PoolSummary({}, (), (), 1, lasting, used, waiting)
+
+
+def build_planner(vms: dict[str, Vm]) -> LendingPlanner:
+    planner = LendingPlanner()
+    planner.learn_base(vms, SPARE)
+    return planner
+
+
+@pytest.mark.parametrize(
+    ("waiting", "moves"), [(0, 0), (8, 0), (16, 1), (70, 2), (500, 3)]
+)
+def test_spare_vms_follow_the_waiting_work(waiting: int, moves: int) -> None:
+    """Guards against queues that wait while paid-for VMs are switched off."""
+    vms = build_vms(6) | build_vms(3, "spare")
+    planner = build_planner(vms)
+    summaries = {"chair": build_summary(192, waiting)}
+    plan = planner.plan(vms, summaries, SPARE, NOBODY, NOBODY, 0.0)
+    assert len(plan.moves) == moves
+    assert all(pool == "chair" for _, pool in plan.moves)
+
+
+def test_vms_on_their_way_are_counted() -> None:
+    """Guards against a second batch of moves for the same waiting work."""
+    vms = build_vms(6) | build_vms(3, "spare")
+    planner = build_planner(vms)
+    moving = vms["m-spare-0"]
+    vms["m-spare-0"] = replace(moving, pool="chair", phase=VmPhase.MOVING)
+    summaries = {"chair": build_summary(192, VM_CORES)}
+    assert planner.plan(vms, summaries, SPARE, NOBODY, NOBODY, 0.0).moves == []
+
+
+def test_lent_vm_is_emptied_and_returned_after_the_turn() -> None:
+    """Guards against lent VMs that stay, and against moves that end work."""
+    vms = build_vms(6) | build_vms(1, "spare")
+    planner = build_planner(vms)
+    lent = replace(vms["m-spare-0"], pool="chair")
+    vms["m-spare-0"] = lent
+    summaries = {"chair": build_summary(8, 0, lasting=("i-chair-0",))}
+
+    def plan_at(now: float, drained: frozenset[str] = NOBODY) -> object:
+        plan = planner.plan(vms, summaries, SPARE, NOBODY, drained, now)
+        return plan.empty, plan.moves
+
+    assert plan_at(0.0) == ({}, [])
+    assert plan_at(2.0) == ({"chair": ("i-chair-1",)}, [])
+    emptied = frozenset({"i-chair-1"})
+    assert plan_at(2.5, emptied) == (
+        {"chair": ("i-chair-1",)},
+        [("m-chair-1", "spare")],
+    )
+
+
+def test_reserved_and_base_vms_stay() -> None:
+    """Guards against moves of VMs in upkeep, and of a pool's own VMs."""
+    vms = build_vms(6) | build_vms(2, "spare")
+    planner = build_planner(vms)
+    summaries = {"chair": build_summary(192, 500)}
+    reserved = frozenset({"m-spare-0"})
+    plan = planner.plan(vms, summaries, SPARE, reserved, NOBODY, 0.0)
+    assert plan.moves == [("m-spare-1", "chair")]
+    idle = {"chair": build_summary()}
+    planner.plan(vms, idle, SPARE, NOBODY, NOBODY, 1.0)
+    assert planner.plan(vms, idle, SPARE, NOBODY, NOBODY, 9.0).empty == {}
--- a/src/sesameladder/jobs/_scheduler.py
+++ b/src/sesameladder/jobs/_scheduler.py
@@ -33,7 +33,7 @@
     WorkerRecord,
     WorkerReport,
 )
-from sesameladder.jobs._ordering import rank_step
+from sesameladder.jobs._ordering import Urgency, rank_step
 from sesameladder.jobs._pacing import Pacer
 from sesameladder.jobs._placement import choose_worker
 from sesameladder.jobs._runs import Run, WorkerView
@@ -84,6 +84,9 @@
     """Jobs whose progress has changed since it was last taken."""
 
     tickets: dict[tuple[str, int, int], StepTickets] = field(default_factory=dict)
+    ranks: dict[tuple[str, int, int], int] = field(default_factory=dict)
+    """Urgency of the steps with waiting subtasks, as last ranked."""
+
     asked: set[tuple[str, int, int]] = field(default_factory=set)
     fence: int = 0
     """Revision of the store at which this owner took over."""
@@ -316,13 +319,32 @@
         """Return the last end taken into account, by worker."""
         return {worker.id: worker.ends_seen for worker in self.workers.values()}
 
+    def measure_cores(self) -> tuple[float, float]:
+        """Return the cores that running and that waiting subtasks ask for.
+
+        Work that is overdue doesn't count: it uses what others leave.
+        """
+        used = sum(view.used_cpu for view in self.workers.values())
+        waiting = 0
+        for step in self.book.open_steps.values():
+            if not step.spec.fills and self.is_timely(step):
+                waiting += len(step.waiting) * step.spec.needs.cpu_millis
+        return used / 1000, waiting / 1000
+
+    def is_timely(self, step: Step) -> bool:
+        """Return whether ending a step's job soon is worth more than little."""
+        return self.ranks.get(step.key, Urgency.IN_TIME) < Urgency.OVERDUE
+
     # Placement -------------------------------------------------------------
 
     def _place(self, now: float) -> None:
-        steps = sorted(
-            self.book.open_steps.values(),
-            key=lambda step: rank_step(step, self.durations, now),
-        )
+        ranked = [
+            (rank_step(step, self.durations, now), step)
+            for step in self.book.open_steps.values()
+        ]
+        ranked.sort(key=lambda row: row[0])
+        self.ranks = {step.key: rank[0] for rank, step in ranked}
+        steps = [step for _, step in ranked]
         accepting = [view for view in self.workers.values() if view.accepts_work(now)]
         takes_old = self.knows_workers(now)
         for step in steps:
--- a/src/sesameladder/node/_fleet_task.py
+++ b/src/sesameladder/node/_fleet_task.py
@@ -1,10 +1,13 @@
 """Holds the fleet role: takes VMs through upkeep."""
 
+import json
 from collections.abc import Callable
 from threading import Event, Thread
 
 from sesameladder.fleet import (
     EndedLife,
+    LendingPlan,
+    LendingPlanner,
     PoolOrders,
     PoolSummary,
     UpkeepPlan,
@@ -17,6 +20,7 @@
 from sesameladder.node._clock import read_steady
 from sesameladder.node._dependency import DependencyState
 from sesameladder.node._keys import (
+    BASE_KEY,
     SUMMARY_PREFIX,
     UPKEEP_PREFIX,
     orders_key,
@@ -45,8 +49,7 @@
     encode_wave_status,
 )
 
-STEP_S = 0.5  # a VM is away for 1.5 to 2 s
-IDLE_STEP_S = 1.0
+STEP_S = 0.3  # a turn of demand lasts 4 s; a VM is away for 1.5 to 2 s
 AWAY_PHASES = (VmPhase.IN_UPKEEP, VmPhase.MOVING)
 ENDED_NOTICE_S = 10.0  # owners read a new order within a second
 
@@ -61,6 +64,7 @@
         "ended",
         "get_configuration",
         "is_sure",
+        "lending",
         "list_waves",
         "machines",
         "node",
@@ -95,6 +99,7 @@
         self.get_configuration = get_configuration
         self.is_sure = is_sure
         self.planner = UpkeepPlanner()
+        self.lending = LendingPlanner()
         self.vms: dict[str, Vm] = {}
         self.done: set[int] = set()
         self.running: set[int] = set()
@@ -136,7 +141,7 @@
             except Exception:
                 extra = {"event": "fleet_step_failed"}
                 logger.exception("fleet step failed", extra=extra)
-            self.stopping.wait(STEP_S if waves else IDLE_STEP_S)
+            self.stopping.wait(STEP_S)
 
     def _load_done(self) -> None:
         """Read which waves earlier holders have ended."""
@@ -148,6 +153,9 @@
                         self.done.add(int(number))
                     else:
                         self.running.add(int(number))
+                base = self.store.read(BASE_KEY)
+                if base is not None:
+                    self.lending = LendingPlanner(json.loads(base.value))
                 now = read_steady()
                 for item in self.store.read_range(UPKEEP_PREFIX).items:
                     number = item.key.removeprefix(UPKEEP_PREFIX)
@@ -167,12 +175,15 @@
         spare = frozenset(
             pool.name for pool in configuration.pools.values() if pool.is_spare
         )
-        drained, stoppable = self._read_emptied()
-        plan = self.planner.plan(
-            waves, self.vms, drained, stoppable, spare, read_steady()
-        )
+        summaries = self._read_summaries()
+        drained, stoppable = self._list_emptied(summaries)
+        now = read_steady()
+        plan = self.planner.plan(waves, self.vms, drained, stoppable, spare, now)
+        lending = self._plan_lending(plan, summaries, drained, spare, now)
         for name, wave in plan.begin:
             self._begin(name, wave)
+        for name, pool in lending.moves:
+            self._move(name, pool)
         self._write_orders(plan)
         self._write_status(waves, plan)
 
@@ -192,23 +203,73 @@
                 born_ms = self.born.pop(before.worker, 0)
                 self.ended[EndedLife(before.worker, born_ms)] = before.pool, now
 
-    def _read_emptied(self) -> tuple[frozenset[str], frozenset[str]]:
-        """Return the workers that run nothing, and those that run nothing lasting."""
-        drained: set[str] = set()
-        stoppable: set[str] = set()
+    def _read_summaries(self) -> dict[str, PoolSummary]:
+        summaries = {}
         for item in self.store.read_range(SUMMARY_PREFIX).items:
             try:
-                summary: PoolSummary = decode_summary(item.value)
+                summary = decode_summary(item.value)
             except RecordInvalid as error:
                 warn("summary_refused", key=item.key, error=str(error))
                 continue
-            pool = item.key.removeprefix(SUMMARY_PREFIX)
+            summaries[item.key.removeprefix(SUMMARY_PREFIX)] = summary
+        return summaries
+
+    def _list_emptied(
+        self, summaries: dict[str, PoolSummary]
+    ) -> tuple[frozenset[str], frozenset[str]]:
+        """Return the workers that run nothing, and those that run nothing lasting."""
+        drained: set[str] = set()
+        stoppable: set[str] = set()
+        for pool, summary in summaries.items():
             # An older summary may speak of a worker that has been filled since.
             if summary.orders_revision >= self.order_revisions.get(pool, 1 << 62):
                 drained.update(summary.drained)
                 stoppable.update(summary.stoppable)
         return frozenset(drained), frozenset(stoppable)
 
+    def _plan_lending(
+        self,
+        plan: UpkeepPlan,
+        summaries: dict[str, PoolSummary],
+        drained: frozenset[str],
+        spare: frozenset[str],
+        now: float,
+    ) -> LendingPlan:
+        """Plan moves beside upkeep, and add their workers to those to empty."""
+        if self.lending.learn_base(self.vms, spare):
+            self._store_base()
+        emptied = {name for names in plan.empty.values() for name in names}
+        reserved = {name for name, vm in self.vms.items() if vm.worker in emptied}
+        reserved.update(name for name, _ in plan.begin)
+        lending = self.lending.plan(
+            self.vms, summaries, spare, frozenset(reserved), drained, now
+        )
+        for pool, names in lending.empty.items():
+            plan.empty[pool] = (*plan.empty.get(pool, ()), *names)
+        return lending
+
+    def _store_base(self) -> None:
+        """Store the sizes that pools go back to, for later holders."""
+        value = json.dumps(self.lending.base).encode()
+        self._commit((Put(BASE_KEY, value),))
+
+    def _move(self, name: str, pool: str) -> None:
+        now = read_steady()
+        if now < self.quiet_until or not self.is_sure() or self.stopping.is_set():
+            return
+        vm = self.vms[name]
+        if vm.worker:
+            self._note_born(vm.worker)
+        self.lending.note_moved(name, now)
+        outcome = self.machines.move(name, pool, self.node, self.role.fence)
+        note(
+            "move_ordered",
+            vm=name,
+            origin=vm.pool,
+            pool=pool,
+            outcome=outcome.value,
+        )
+
     def _write_orders(self, plan: UpkeepPlan) -> None:
         """Tell pool owners which workers to empty and which have ended."""
         now = read_steady()
--- a/src/sesameladder/node/_keys.py
+++ b/src/sesameladder/node/_keys.py
@@ -76,3 +76,7 @@
 def upkeep_key(wave: int) -> str:
     """Return the key with the VMs of a wave that have begun their upkeep."""
     return f"{UPKEEP_PREFIX}{wave}"
+
+
+BASE_KEY = "fleet/base"
+"""Number of VMs that each pool keeps when none is lent."""
--- a/src/sesameladder/node/_pool_task.py
+++ b/src/sesameladder/node/_pool_task.py
@@ -2,10 +2,11 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from math import ceil
 from queue import Empty, SimpleQueue
 from threading import Event, Thread
 
-from sesameladder.fleet import EndedLife, PoolOrders, PoolSummary
+from sesameladder.fleet import CORE_STEP, EndedLife, PoolOrders, PoolSummary
 from sesameladder.jobs import (
     AdviceCommand,
     Command,
@@ -60,6 +61,7 @@
 TICK_S = 0.1  # timers of the scheduler have this resolution
 PROGRESS_INTERVAL_S = 0.25  # ends wait this long for others, then are acknowledged
 SUMMARY_INTERVAL_S = 1.0  # pending counts may be 2 s old
+DEMAND_INTERVAL_S = 0.3  # a turn of demand lasts 4 s, and a move takes 1.5 s of it
 CLEAN_INTERVAL_S = 8.0  # removals of ended jobs wake the pool's own watch
 MAX_BATCH_ENTRIES = 24  # of the 32 that a transaction takes
 WATCH_WAIT_MS = 1000
@@ -498,8 +500,10 @@
         lease = self.role_lease()
         if summary == self.summary or lease is None:
             return puts
-        is_due = now - self.summary_at >= SUMMARY_INTERVAL_S
         known = self.summary
+        waits_anew = known is None or summary.waiting_cores != known.waiting_cores
+        interval_s = DEMAND_INTERVAL_S if waits_anew else SUMMARY_INTERVAL_S
+        is_due = now - self.summary_at >= interval_s
         is_urgent = known is None or (
             (summary.drained, summary.stoppable, summary.orders_revision)
             != (known.drained, known.stoppable, known.orders_revision)
@@ -511,6 +515,7 @@
 
     def _summarize(self) -> PoolSummary:
         views = self.scheduler.workers.values()
+        used, waiting = self.scheduler.measure_cores()
         emptying = [view for view in views if view.is_drained_for and view.is_known]
         drained = sorted(view.id for view in emptying if not view.runs)
         stoppable = sorted(view.id for view in emptying if not view.runs_lasting())
@@ -519,6 +524,9 @@
             tuple(drained),
             tuple(stoppable),
             self.orders_revision,
+            tuple(sorted(view.id for view in views if view.runs_lasting())),
+            _round_up(used),
+            _round_up(waiting),
         )
 
     def _forget_later(self, job: str) -> None:
@@ -541,3 +549,7 @@
             if now - at > self.status_s + CLEAN_INTERVAL_S:
                 del ended[job]
                 self.removals.append(progress_key(self.pool, job))
+
+
+def _round_up(cores: float) -> int:
+    return ceil(cores / CORE_STEP) * CORE_STEP
--- a/src/sesameladder/node/_records.py
+++ b/src/sesameladder/node/_records.py
@@ -108,6 +108,9 @@
             drained=tuple(fields["drained"]),
             stoppable=tuple(fields["stoppable"]),
             orders_revision=int(fields["orders_revision"]),
+            lasting=tuple(fields["lasting"]),
+            used_cores=int(fields["used_cores"]),
+            waiting_cores=int(fields["waiting_cores"]),
         )
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         raise RecordInvalid("a pool's summary is malformed") from error
--- a/src/sesameladder/node/_registry_task.py
+++ b/src/sesameladder/node/_registry_task.py
@@ -14,7 +14,7 @@
     decode_worker,
 )
 
-READ_INTERVAL_S = 0.7  # a leaving worker gets no new work 2 s after it says so
+READ_INTERVAL_S = 0.4  # a VM lent to a pool counts from this reading on
 RETRY_PAUSE_S = 0.2
 
 
