Write the design note and the operators' page of the platform's process

Cause: the whole path stood without a page for developers or operators. Conclusion: documentation only.

--- a/src/sesameladder/eventlog/_events.py
+++ b/src/sesameladder/eventlog/_events.py
@@ -1,6 +1,6 @@
 """The events that programs log, with their meaning.
 
-Names are stable: alerts and searches rely on them. docs/observability.md shows
+Names are stable: alerts and searches rely on them. docs/OPERATIONS.md shows
 this table.
 """
 
--- a/src/sesameladder/observability/_metrics.py
+++ b/src/sesameladder/observability/_metrics.py
@@ -77,7 +77,7 @@
     Metric.PLATFORM_ERRORS: MetricSpec(COUNTER, "method", "calls that failed"),
     Metric.TOKENS_ISSUED: MetricSpec(COUNTER, "", "idempotency tokens issued"),
 }
-"""Meaning of each metric; docs/observability.md shows this table."""
+"""Meaning of each metric; docs/OPERATIONS.md shows this table."""
 
 
 class Metrics:
--- a/src/sesameladder/observability/tests/test_observability.py
+++ b/src/sesameladder/observability/tests/test_observability.py
@@ -22,7 +22,7 @@
 )
 from sesameladder.settings import StatsdSettings
 
-PAGE = Path(__file__).parents[4] / "docs" / "observability.md"
+PAGE = Path(__file__).parents[4] / "docs" / "OPERATIONS.md"
 
 
 @pytest.fixture
--- a/src/sesameladder/settings/tests/test_reference.py
+++ b/src/sesameladder/settings/tests/test_reference.py
@@ -9,7 +9,7 @@
 from sesameladder import settings
 from sesameladder.model import Link, Region
 
-PAGE = Path(__file__).parents[4] / "docs" / "operations.md"
+PAGE = Path(__file__).parents[4] / "docs" / "OPERATIONS.md"
 
 
 @pytest.mark.parametrize(
