Count subtasks on silent workers as away before planned stops

Change: a subtask on a worker whose last report failed counts as away. Measured: the new test fails before and passes after.

--- a/src/sesameladder/jobs/_evacuation.py
+++ b/src/sesameladder/jobs/_evacuation.py
@@ -49,6 +49,7 @@
             other is not None
             and other.percent >= AT_WORK_PERCENT
             and other.stopping_since is None
+            and not other.worker.failed_reports
         )
         count += not at_work
     return count
--- /dev/null
+++ b/src/sesameladder/jobs/tests/test_evacuation.py
@@ -0,0 +1,101 @@
+"""Stops for planned work leave enough lasting subtasks at work."""
+
+from dataclasses import replace
+
+import pytest
+
+from sesameladder.jobs import (
+    JobSpec,
+    PoolScheduler,
+    Resources,
+    RunStatus,
+    StartCommand,
+    StartOutcome,
+    StepSpec,
+    StopCommand,
+    Submission,
+    WorkerRecord,
+    WorkerReport,
+)
+
+WORKERS = ("i-1", "i-2", "i-3")
+
+
+def build_pool(may_miss: int = 1) -> PoolScheduler:
+    """Return a pool with one lasting subtask at work on each worker."""
+    scheduler = PoolScheduler(1, lambda event, **fields: None)
+    records = [
+        WorkerRecord(
+            name,
+            1,
+            "pool",
+            "10.0.0.1:1",
+            "zone-a",
+            Resources(8000, 8000),
+            ("a", "r1-1"),
+            is_draining=False,
+        )
+        for name in WORKERS
+    ]
+    scheduler.update_workers(records, 0.0)
+    for name in WORKERS:
+        scheduler.apply_report(name, WorkerReport(0, 1, (), ()), 0.0, 0.0)
+    step = StepSpec(3, Resources(1000, 10), lasting=True, may_miss=may_miss)
+    step = replace(step, max_per_worker=1)
+    scheduler.add_job(
+        Submission("00000000000000aa", "q", JobSpec("", (step,))), None, 0
+    )
+    for command in scheduler.schedule(0.1, 100.0):
+        assert isinstance(command, StartCommand)
+        order = command.order
+        scheduler.apply_start(
+            command.worker, order.subtask, order.run, StartOutcome.STARTED, 0.2
+        )
+    report_all(scheduler, 0.3)
+    return scheduler
+
+
+def report_all(scheduler: PoolScheduler, now: float) -> None:
+    for run in list(scheduler.runs.values()):
+        status = RunStatus(run.subtask.id, run.number, "", 100)
+        report = WorkerReport(0, 1, (status,), ())
+        scheduler.apply_report(run.worker.id, report, now, now)
+
+
+def list_stops(scheduler: PoolScheduler, now: float) -> list[str]:
+    commands = scheduler.schedule(now, now * 1000)
+    return [c.worker for c in commands if isinstance(c, StopCommand)]
+
+
+@pytest.mark.parametrize(
+    ("may_miss", "stops"), [(0, ["i-1"]), (1, ["i-1"]), (2, ["i-1", "i-2"])]
+)
+def test_emptied_workers_keep_the_budget(may_miss: int, stops: list[str]) -> None:
+    """Guards against AVAIL: more lasting subtasks away than the step may miss."""
+    scheduler = build_pool(may_miss)
+    scheduler.set_emptying({"i-1", "i-2"})
+    assert list_stops(scheduler, 1.0) == stops
+
+
+def test_subtask_on_a_silent_worker_counts_as_away() -> None:
+    """Guards against AVAIL on pfb trouble-3.
+
+    A worker had crashed, and a second subtask of the step was stopped for upkeep
+    while the first was still believed to be at work.
+    """
+    scheduler = build_pool()
+    scheduler.workers["i-2"].lapse_at = 100.0
+    scheduler.report_failed("i-2", 0.8)
+    scheduler.set_emptying({"i-1"})
+    assert list_stops(scheduler, 1.0) == []
+    report_all(scheduler, 1.5)
+    assert list_stops(scheduler, 1.6) == ["i-1"]
+
+
+def test_draining_worker_is_left_at_once() -> None:
+    """Guards against lasting subtasks that end with their worker."""
+    scheduler = build_pool()
+    for view in scheduler.workers.values():
+        if view.id != "i-3":
+            view.record = replace(view.record, is_draining=True)
+    assert list_stops(scheduler, 1.0) == ["i-1", "i-2"]
