--- /dev/null
+++ b/src/sesameladder/jobs/tests/test_rules.py
@@ -0,0 +1,250 @@
+"""Which starts are legal: order, label, rack, spread, gangs, times, attempts."""
+
+from dataclasses import replace
+
+import pytest
+
+from sesameladder.jobs import (
+    AdviceCommand,
+    AdvicePolicy,
+    Command,
+    EndReason,
+    JobSpec,
+    JobState,
+    PoolScheduler,
+    Resources,
+    RunEnd,
+    StartCommand,
+    StartOutcome,
+    StepSpec,
+    StopCommand,
+    Submission,
+    WorkerRecord,
+    WorkerReport,
+)
+
+JOB = "00000000000000aa"
+STEP = StepSpec(2, Resources(1000, 100), estimate_ms=500)
+
+
+def build_record(number: int, rack: str = "r1-1", kind: str = "a") -> WorkerRecord:
+    return WorkerRecord(
+        f"i-{number}",
+        1,
+        "pool",
+        "10.0.0.1:1",
+        "zone-a",
+        Resources(4000, 8000),
+        (kind, rack),
+        is_draining=False,
+    )
+
+
+def build_scheduler(*records: WorkerRecord) -> PoolScheduler:
+    scheduler = PoolScheduler(1, lambda event, **fields: None)
+    scheduler.update_workers(list(records), 0.0)
+    for record in records:
+        scheduler.apply_report(record.worker, WorkerReport(0, 1, (), ()), 0.0, 0.0)
+    return scheduler
+
+
+def submit(scheduler: PoolScheduler, *steps: StepSpec, **fields: object) -> None:
+    spec = JobSpec("", steps)
+    submission = Submission(JOB, "queue", spec, max_attempts=2)
+    for name, value in fields.items():
+        setattr(submission, name, value)
+    scheduler.add_job(submission, None, 0.0)
+
+
+def list_starts(commands: list[Command]) -> list[tuple[int, int, str]]:
+    """Return step, position and worker of each start."""
+    return [
+        (c.order.subtask.step, c.order.subtask.position, c.worker)
+        for c in commands
+        if isinstance(c, StartCommand)
+    ]
+
+
+def answer(scheduler: PoolScheduler, commands: list[Command], now: float) -> None:
+    for command in commands:
+        if isinstance(command, StartCommand):
+            order = command.order
+            scheduler.apply_start(
+                command.worker, order.subtask, order.run, StartOutcome.STARTED, now
+            )
+
+
+def end_all(
+    scheduler: PoolScheduler, worker: str, reason: EndReason, now: float
+) -> None:
+    """Report the end of all runs of a worker."""
+    view = scheduler.workers[worker]
+    number = view.ends_seen
+    ends = []
+    for run in list(view.runs.values()):
+        number += 1
+        ends.append(RunEnd(number, run.subtask.id, run.number, reason, ""))
+    report = WorkerReport(0, 1, (), tuple(ends))
+    scheduler.apply_report(worker, report, now, now)
+
+
+def test_step_waits_for_the_steps_before_it() -> None:
+    """Guards against ORDER."""
+    scheduler = build_scheduler(build_record(1))
+    submit(scheduler, STEP, replace(STEP, after=(0,)))
+    commands = scheduler.schedule(0.1, 100.0)
+    assert {row[0] for row in list_starts(commands)} == {0}
+    answer(scheduler, commands, 0.2)
+    assert list_starts(scheduler.schedule(0.3, 300.0)) == []
+    end_all(scheduler, "i-1", EndReason.DONE, 1.0)
+    assert {row[0] for row in list_starts(scheduler.schedule(1.1, 1100.0))} == {1}
+
+
+@pytest.mark.parametrize(
+    ("change", "workers"),
+    [
+        ({"label": "b"}, {"i-2"}),
+        ({"max_per_worker": 1}, {"i-1", "i-2"}),
+        ({"data_rack": "r1-2"}, {"i-2"}),
+        ({"needs": Resources(3000, 100)}, {"i-1", "i-2"}),
+        ({"needs": Resources(5000, 100)}, set()),
+    ],
+    ids=["label", "spread", "data", "room", "too large"],
+)
+def test_start_goes_where_it_may(change: dict[str, object], workers: set[str]) -> None:
+    """Guards against ROUTE and LIMIT."""
+    records = build_record(1), build_record(2, "r1-2", "b")
+    scheduler = build_scheduler(*records)
+    submit(scheduler, replace(STEP, **change))  # type: ignore[arg-type]
+    starts = list_starts(scheduler.schedule(0.1, 100.0))
+    assert {row[2] for row in starts} == workers
+
+
+@pytest.mark.parametrize(
+    ("same_rack", "racks", "expected"),
+    [
+        (False, ("r1-1", "r1-2"), 6),
+        (True, ("r1-1", "r1-2"), 0),
+        (True, ("r1-1", "r1-1"), 6),
+    ],
+)
+def test_gang_starts_whole_or_not_at_all(
+    same_rack: bool, racks: tuple[str, str], expected: int
+) -> None:
+    """Guards against GANG: members that wait for others which find no room."""
+    records = build_record(1, racks[0]), build_record(2, racks[1])
+    scheduler = build_scheduler(*records)
+    submit(scheduler, replace(STEP, count=6, gang=True, same_rack=same_rack))
+    commands = scheduler.schedule(0.1, 100.0)
+    assert len(list_starts(commands)) == expected
+    runs = {c.order.run for c in commands if isinstance(c, StartCommand)}
+    assert len(runs) <= 1
+
+
+def test_gang_is_stopped_when_a_member_finds_no_place() -> None:
+    """Guards against GANG: members that wait out their time for a lost one."""
+    scheduler = build_scheduler(build_record(1))
+    submit(scheduler, replace(STEP, count=4, gang=True))
+    commands = scheduler.schedule(0.1, 100.0)
+    answer(scheduler, commands[:3], 0.2)
+    refused = commands[3]
+    assert isinstance(refused, StartCommand)
+    scheduler.apply_start(
+        "i-1", refused.order.subtask, refused.order.run, StartOutcome.NO_ROOM, 0.2
+    )
+    scheduler.workers["i-1"].used_cpu = 4000
+    scheduler.schedule(0.5, 500.0)
+    stops = [c for c in scheduler.schedule(2.0, 2000.0) if isinstance(c, StopCommand)]
+    assert len(stops) == 3
+
+
+def test_one_done_member_stands_for_the_gang() -> None:
+    """Guards against TWICE: a member restarted after its gang was done."""
+    scheduler = build_scheduler(build_record(1), build_record(2))
+    submit(scheduler, replace(STEP, count=6, gang=True))
+    answer(scheduler, scheduler.schedule(0.1, 100.0), 0.2)
+    end_all(scheduler, "i-1", EndReason.DONE, 1.0)
+    assert scheduler.book.ended[JOB][0] is JobState.DONE
+
+
+def test_occurrence_waits_for_its_time() -> None:
+    """Guards against ORDER: a start before its time."""
+    scheduler = build_scheduler(build_record(1))
+    spec = JobSpec("", (STEP,), occurrences=2, first_due_ms=1000, interval_ms=500)
+    scheduler.add_job(Submission(JOB, "queue", spec), None, 0.0)
+    assert list_starts(scheduler.schedule(0.9, 900.0)) == []
+    assert len(list_starts(scheduler.schedule(1.0, 1000.0))) == 2
+    assert len(list_starts(scheduler.schedule(1.5, 1500.0))) == 2
+
+
+def test_job_fails_after_its_attempts() -> None:
+    """Guards against BUDGET."""
+    scheduler = build_scheduler(build_record(1))
+    submit(scheduler, replace(STEP, count=1))
+    for attempt in range(2):
+        now = 1.0 + attempt
+        commands = scheduler.schedule(now, now * 1000)
+        assert len(list_starts(commands)) == 1
+        answer(scheduler, commands, now)
+        end_all(scheduler, "i-1", EndReason.FAILED, now + 0.2)
+    assert scheduler.book.ended[JOB][0] is JobState.FAILED
+    assert list_starts(scheduler.schedule(9.0, 9000.0)) == []
+
+
+@pytest.mark.parametrize("reason", [EndReason.DONE, EndReason.FAILED, EndReason.LAPSED])
+def test_lasting_subtask_is_restarted_however_it_ends(reason: EndReason) -> None:
+    """Guards against LOST of subtasks that last."""
+    scheduler = build_scheduler(build_record(1))
+    submit(scheduler, replace(STEP, count=1, lasting=True))
+    for attempt in range(5):
+        now = 1.0 + 10 * attempt
+        commands = scheduler.schedule(now, now * 1000)
+        assert len(list_starts(commands)) == 1
+        answer(scheduler, commands, now)
+        end_all(scheduler, "i-1", reason, now + 0.2)
+
+
+def test_cancelled_job_is_stopped_until_it_is_gone() -> None:
+    """Guards against UNASKED: a stop whose answer was lost is repeated."""
+    scheduler = build_scheduler(build_record(1))
+    submit(scheduler, STEP)
+    answer(scheduler, scheduler.schedule(0.1, 100.0), 0.2)
+    scheduler.cancel_job(JOB, 1.0)
+    for now in (1.0, 2.0):
+        commands = scheduler.schedule(now, now * 1000)
+        assert len(commands) == 2
+        assert all(isinstance(command, StopCommand) for command in commands)
+    end_all(scheduler, "i-1", EndReason.STOPPED, 2.5)
+    assert scheduler.schedule(9.0, 9000.0) == []
+    assert scheduler.workers["i-1"].used_cpu == 0
+
+
+def test_draining_worker_gets_nothing() -> None:
+    """Guards against DRAIN."""
+    scheduler = build_scheduler(replace(build_record(1), is_draining=True))
+    submit(scheduler, STEP)
+    assert list_starts(scheduler.schedule(0.1, 100.0)) == []
+
+
+def test_start_waits_for_advice_and_carries_its_ticket() -> None:
+    """Guards against starts without a ticket where the queue has a policy."""
+    scheduler = build_scheduler(build_record(1), build_record(2))
+    submit(scheduler, STEP, advice=AdvicePolicy(10, 1, 3000))
+    (command,) = scheduler.schedule(0.1, 100.0)
+    assert isinstance(command, AdviceCommand)
+    scheduler.apply_advice(command.step, {"i-2": "ticket"}, 3.0, 0.2)
+    starts = scheduler.schedule(0.3, 300.0)
+    assert {row[2] for row in list_starts(starts)} == {"i-2"}
+    assert all(
+        c.order.ticket == "ticket" for c in starts if isinstance(c, StartCommand)
+    )
+
+
+def test_worker_that_fails_everything_is_ejected_for_a_while() -> None:
+    """Guards against jobs that use up their attempts on one faulty worker."""
+    scheduler = build_scheduler(build_record(1))
+    submit(scheduler, replace(STEP, count=3), max_attempts=9)
+    answer(scheduler, scheduler.schedule(0.1, 100.0), 0.2)
+    end_all(scheduler, "i-1", EndReason.FAILED, 0.3)
+    assert list_starts(scheduler.schedule(0.5, 500.0)) == []
+    assert list_starts(scheduler.schedule(3.0, 3000.0)) != []
