Refuse jobs at once while the store does not answer a VM

Callers can't repeat a job whose fate is unknown. Change: while the process's watch of the configuration fails, submissions and questions are refused before anything is written.

--- a/src/sesameladder/node/_dependency.py
+++ b/src/sesameladder/node/_dependency.py
@@ -14,6 +14,11 @@
         self.lost_at: float | None = None
         self.last_success = read_steady()
 
+    @property
+    def is_lost(self) -> bool:
+        """Return whether the last call failed."""
+        return self.lost_at is not None
+
     def note_success(self) -> None:
         """Note an answer."""
         now = read_steady()
--- a/src/sesameladder/node/_intake.py
+++ b/src/sesameladder/node/_intake.py
@@ -105,13 +105,21 @@
 Result = Accepted | Refused | Unknown | Invalid | Missing | Found | Pending | Cancelled
 
 
+# Sent before a call whose answer is not to be expected: a write without an answer
+# could only be reported as unknown, and callers can't repeat those elsewhere.
+STORE_LOST = Refused("the store does not answer this VM", retry_after_s=1)
+
+
 class Intake:
     """Reads and writes the records of jobs; safe to share by threads."""
 
-    __slots__ = ("known", "lock", "past_pools", "store")
+    __slots__ = ("is_store_lost", "known", "lock", "past_pools", "store")
 
-    def __init__(self, store: StoreClient) -> None:
+    def __init__(
+        self, store: StoreClient, is_store_lost: Callable[[], bool] = lambda: False
+    ) -> None:
         self.store = store
+        self.is_store_lost = is_store_lost
         self.known: OrderedDict[str, str] = OrderedDict()
         """Pool by job, for jobs that are known to be accepted."""
 
@@ -131,6 +139,8 @@
         pools = self._list_pools(queue)
         if job in self.known:
             return Accepted(is_new=False)
+        if self.is_store_lost():
+            return STORE_LOST
         for pool in pools - {queue.pool}:
             if self._try_read(submission_key(pool, job)):
                 return Accepted(is_new=False)
@@ -151,6 +161,8 @@
         """Return a job's state."""
         if not JOB_ID.fullmatch(job):
             return Missing()
+        if self.is_store_lost():
+            return STORE_LOST
         pool = self._find_pool(configuration, queue, job, by)
         if not isinstance(pool, str):
             return pool
@@ -182,6 +194,8 @@
 
     def count_pending(self, queue: QueuePolicy, by: float) -> Result:
         """Return the number of a queue's jobs that haven't begun."""
+        if self.is_store_lost():
+            return STORE_LOST
         item = self._attempt(lambda: self.store.read(summary_key(queue.pool)), by)
         if isinstance(item, (Refused, Unknown)):
             return item
--- a/src/sesameladder/node/_process.py
+++ b/src/sesameladder/node/_process.py
@@ -81,7 +81,7 @@
         self.callers = CallerServer(
             settings.client_address,
             settings.node,
-            Intake(self.store),
+            Intake(self.store, lambda: self.configuration.dependency.is_lost),
             lambda: self.configuration.current,
         )
         self.probes = ProbeServer(
