Model the job protocol with its rules and a broken variant for each

Cause: the specification covered the earlier request path only. Change: one job with its workers and owners in two scopes: leases (cut, lapse, ghosts, new owner) and progress (two steps, failures, cancellation, intake).

--- a/src/sesameladder/specification/__init__.py
+++ b/src/sesameladder/specification/__init__.py
@@ -2,7 +2,8 @@
 
 Each module is one protocol: an immutable state, the steps between states,
 the faults, and invariants named after the promises P1 to P8 of
-``docs/design.md``. ``python -m sesameladder.specification`` checks them all.
+``docs/design.md`` or, for jobs, after the rules of the users' platform.
+``python -m sesameladder.specification`` checks them all.
 """
 
 from collections.abc import Callable
@@ -16,6 +17,7 @@
 )
 from sesameladder.specification._claims import build_claims
 from sesameladder.specification._configuration import build_configuration
+from sesameladder.specification._jobs import LEASES, PROGRESS_SCOPE, build_jobs
 from sesameladder.specification._permits import build_permits
 from sesameladder.specification._protocol import (
     PROGRESS,
@@ -37,6 +39,8 @@
     "at-most-once": build_at_most_once,
     "at-most-once-no-witness": lambda: build_at_most_once(Rules(token=LONE_TOKEN)),
     "claims": build_claims,
+    "job leases": lambda: build_jobs(scope=LEASES),
+    "job progress": lambda: build_jobs(scope=PROGRESS_SCOPE),
 }
 
 __all__ = [
--- a/src/sesameladder/specification/tests/test_protocols.py
+++ b/src/sesameladder/specification/tests/test_protocols.py
@@ -17,6 +17,7 @@
     PROGRESS,
     PROTOCOLS,
     _at_most_once,
+    _jobs,
     _permits,
     _slots,
     _stops,
@@ -168,6 +169,22 @@
 ]
 
 
+def without(rule, scope):
+    """Return a builder of the job protocol with one rule switched off."""
+    return lambda: _jobs.build_jobs(_jobs.JobRules(**{rule: False}), scope)
+
+
+BROKEN += [
+    ("TWICE", without("reads_workers_first", _jobs.LEASES)),
+    ("TWICE", without("bars_ghosts", _jobs.LEASES)),
+    ("TWICE", without("stores_ends_first", _jobs.PROGRESS_SCOPE)),
+    ("ORDER", without("waits_for_step", _jobs.PROGRESS_SCOPE)),
+    ("BUDGET", without("counts_failures", _jobs.PROGRESS_SCOPE)),
+    ("UNASKED", without("stops_when_cancelled", _jobs.PROGRESS_SCOPE)),
+    ("REFUSED", without("unknown_is_no_refusal", _jobs.PROGRESS_SCOPE)),
+]
+
+
 @pytest.mark.parametrize(("invariant", "build"), BROKEN)
 def test_broken_variant_is_refuted(invariant, build) -> None:
     """Guards against an invariant that no fault can break."""
