--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -15,9 +15,9 @@
 from urllib3 import PoolManager, Retry, Timeout
 from urllib3.exceptions import HTTPError
 
+from sesameladder.environment import PlatformClient
 from sesameladder.measure._callers import CallerEndpoint
 from sesameladder.planning import PlanStore, RegionPlan
-from sesameladder.environment import PlatformClient
 from sesameladder.settings import EntrySettings
 from sesameladder.settings.examples import write_example
 
--- a/tests/sessions/_day.py
+++ b/tests/sessions/_day.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from random import Random
 
+from sesameladder.environment import FakeStore
 from sesameladder.measure._planning_region import FakeRegion
 from sesameladder.model import FleetState
 from sesameladder.planning import (
@@ -12,7 +13,6 @@
     RaiseAlarm,
     RegionPlan,
 )
-from sesameladder.environment import FakeStore
 from sesameladder.tickets import (
     Accepted,
     FileOutcome,
