Count a failed run once, however often its end is listed

An owner stored a failure and was replaced before the worker forgot the end; its successor read the end again and counted a second attempt, so a job with two attempts was shown as failed after one. Change: progress keeps the numbers of failed runs instead of a count. Measured: the new test fails before and passes after.

--- a/src/sesameladder/jobs/_book.py
+++ b/src/sesameladder/jobs/_book.py
@@ -23,8 +23,8 @@
     placed: bool = False
     """Whether a run of it may be present on a worker."""
 
-    failures: int = 0
-    """Runs that ended by a failure."""
+    failed_runs: set[int] = field(default_factory=set)
+    """Numbers of the runs that failed; a worker may list an end more than once."""
 
     last_run: int = 0
     """Highest run number that is known to have been used."""
@@ -36,6 +36,11 @@
     failed_on: set[str] = field(default_factory=set)
     """Workers on which it failed."""
 
+    @property
+    def failures(self) -> int:
+        """Return the number of runs that ended by a failure."""
+        return len(self.failed_runs)
+
 
 @dataclass(slots=True, eq=False)
 class Step:
@@ -137,7 +142,7 @@
                 job.steps[occurrence, number] = step
                 job.unfinished += step.remaining > 0
         self.jobs[job.id] = job
-        if record is not None and (record.done or record.failures):
+        if record is not None and (record.done or record.failed_runs):
             job.state = JobState.RUNNING
         for step in job.steps.values():
             self._open(step)
@@ -237,7 +242,7 @@
         subtask = Subtask(SubtaskId(job.id, occurrence, number, index), step)
         if record is not None:
             subtask.done = subtask.id in record.done
-            subtask.failures = record.failures.get(subtask.id, 0)
+            subtask.failed_runs = set(record.failed_runs.get(subtask.id, ()))
         step.subtasks.append(subtask)
         step.remaining += not subtask.done
     return step
--- a/src/sesameladder/jobs/_model.py
+++ b/src/sesameladder/jobs/_model.py
@@ -288,4 +288,4 @@
     cancelled: bool = False
     state: JobState = JobState.QUEUED
     done: set[SubtaskId] = field(default_factory=set)
-    failures: dict[SubtaskId, int] = field(default_factory=dict)
+    failed_runs: dict[SubtaskId, set[int]] = field(default_factory=dict)
--- a/src/sesameladder/jobs/_progress.py
+++ b/src/sesameladder/jobs/_progress.py
@@ -12,14 +12,14 @@
 
 
 def encode_progress(job: Job) -> bytes:
-    """Encode the state, the subtasks done and the failures of a job."""
+    """Encode the state, the subtasks done and the failed runs of a job."""
     body: dict[str, Any] = {"queue": job.submission.queue, "state": job.state.value}
     if not job.state.is_final:
         body["done"] = _encode_done(job)
-        body["failures"] = {
-            _join_name(subtask.id): subtask.failures
+        body["failed_runs"] = {
+            _join_name(subtask.id): sorted(subtask.failed_runs)
             for subtask in job.list_subtasks()
-            if subtask.failures
+            if subtask.failed_runs
         }
     return json.dumps(body, separators=(",", ":")).encode()
 
@@ -35,8 +35,8 @@
         record.state = JobState(body["state"])
         if spec is not None:
             record.done = _decode_done(job, body.get("done") or {}, spec)
-            for name, count in (body.get("failures") or {}).items():
-                record.failures[_split_name(job, name)] = int(count)
+            for name, runs in (body.get("failed_runs") or {}).items():
+                record.failed_runs[_split_name(job, name)] = set(map(int, runs))
     except (ValueError, KeyError, TypeError, IndexError) as error:
         raise ProgressInvalid(f"progress of job {job} is malformed") from error
     return record
--- a/src/sesameladder/jobs/_scheduler.py
+++ b/src/sesameladder/jobs/_scheduler.py
@@ -587,7 +587,8 @@
         step = subtask.step
         if worker.note_failure(now):
             self.note("worker_ejected", worker=worker.id, until=worker.ejected_until)
-        subtask.failures += 1
+        if not step.spec.lasting:
+            subtask.failed_runs.add(end.run)
         subtask.failed_on.add(worker.id)
         self.dirty[step.job.id] = step.job
         if run is not None:
--- a/src/sesameladder/jobs/tests/test_rules.py
+++ b/src/sesameladder/jobs/tests/test_rules.py
@@ -21,6 +21,8 @@
     Submission,
     WorkerRecord,
     WorkerReport,
+    decode_progress,
+    encode_progress,
 )
 
 JOB = "00000000000000aa"
@@ -248,3 +250,26 @@
     end_all(scheduler, "i-1", EndReason.FAILED, 0.3)
     assert list_starts(scheduler.schedule(0.5, 500.0)) == []
     assert list_starts(scheduler.schedule(3.0, 3000.0)) != []
+
+
+def test_failure_listed_again_counts_once() -> None:
+    """Guards against LOST on csh trouble-1 --seed 108827455371.
+
+    An owner stored a failure and was replaced before the worker was told to forget
+    the end. Its successor read the same end again and counted a second attempt.
+    """
+    first = build_scheduler(build_record(1))
+    submit(first, replace(STEP, count=1))
+    answer(first, first.schedule(0.1, 100.0), 0.2)
+    (run,) = first.runs.values()
+    end = RunEnd(1, run.subtask.id, run.number, EndReason.FAILED, "")
+    report = WorkerReport(0, 1, (), (end,))
+    first.apply_report("i-1", report, 1.0, 1.0)
+    (job,) = first.take_dirty()
+    stored = decode_progress(JOB, encode_progress(job), job.submission.spec)
+    second = PoolScheduler(2, lambda event, **fields: None)
+    second.update_workers([build_record(1)], 2.0)
+    second.add_job(job.submission, stored, 2.0)
+    second.apply_report("i-1", report, 2.1, 2.1)
+    assert second.book.jobs[JOB].state is JobState.RUNNING
+    assert len(list_starts(second.schedule(3.0, 3000.0))) == 1
