Let the task end before its test moves the clock on

Traced: the report shows the task at 1,300 ms of 1,000 ms work; its thread woke only after the manual clock had moved from 1.2 to 1.8 s and noted 1.8 s as its end. The stand-in and the report behaved as built. Change: the test waits for the task's answer before the last step of the clock; all its checks are as before. Conclusion: a race of the test, not of the code.

--- a/src/sesameladder/standins/upstream/tests/test_upstream_standin.py
+++ b/src/sesameladder/standins/upstream/tests/test_upstream_standin.py
@@ -110,13 +110,16 @@
 
 def test_report_lags(standin: UpstreamStandin, clock: ManualClock) -> None:
     """Guards against readers that take the report for the present state."""
-    start(standin)
+    (work,) = start(standin)
     assert TASKS.report(standin.address) == []
     clock.advance(0.6)
     (row,) = TASKS.report(standin.address)
     assert (row.task_id, round(row.running_ms)) == ("t0", 100)
     clock.advance(0.6)
     assert len(TASKS.report(standin.address)) == 1
+    # The task's thread notes its end when it wakes, which has to be before the
+    # clock moves on.
+    work.join()
     clock.advance(0.6)
     assert TASKS.report(standin.address) == []
 
