--- a/src/sesameladder/fleet/_lending.py
+++ b/src/sesameladder/fleet/_lending.py
@@ -1,18 +1,24 @@
-"""Moves VMs to pools whose queues are longer than their room.
+"""Moves VMs to pools whose demand is about to exceed their room.
 
 Answers queues whose demand takes turns: each asks for about five times its mean for
 some seconds, more than its pool holds, and for a twentieth in between. VMs of the
-spare pool cost nothing while they are there, so they follow the turns: they join a
-pool once work waits there and leave it once they aren't needed. A move takes 1.5 s
-and ends what the VM runs, so a VM is emptied before it leaves.
+spare pool cost nothing while they are there, so they follow the turns. A turn builds
+up over a few seconds and a move takes 1.5 s, so VMs are sent for the demand that is
+expected on their arrival; a move too many costs less than one late job. They leave
+once they aren't needed, straight to the next pool if one is short. A move ends what
+the VM runs, so a VM is emptied before it leaves.
 """
 
+from collections import deque
 from dataclasses import dataclass, field
 from math import floor
 
 from sesameladder.fleet._model import PoolSummary, Vm, VmPhase
 
-START_SHARE = 0.5  # of a VM; less waiting work ends before a moved VM arrives
+START_SHARE = 0.5  # of a VM; less missing room is made up before a VM arrives
+ARRIVAL_S = 2.0  # a move of 1.5 s, and until the owner has read the new worker
+GROWTH_WINDOW_S = 1.0  # longer than the arrival of one wide job, a third of a ramp
+FILL_SHARE = 0.9  # of a VM's cores that work fills on average; the rest is fragments
 COOL_S = 1.2  # two summaries; shorter lulls are gaps between jobs
 COOL_SHARE = 0.6  # of the room that is left without a VM; above it the VM stays
 RETRY_S = 2.0  # after a move that the platform did not take
@@ -30,10 +36,39 @@
     """VMs to move now, with the pool that they join."""
 
 
+class DemandTrend:
+    """Demand of one pool over the last moments."""
+
+    __slots__ = ("samples",)
+
+    def __init__(self) -> None:
+        self.samples: deque[tuple[float, int]] = deque()
+        """Steady time and cores."""
+
+    def add(self, cores: int, now: float) -> None:
+        """Take a reading of the demand, running and waiting together."""
+        self.samples.append((now, cores))
+        while now - self.samples[0][0] > GROWTH_WINDOW_S:
+            self.samples.popleft()
+
+    def expect(self, ahead_s: float) -> float:
+        """Return the cores asked for in ``ahead_s`` if demand goes on to grow.
+
+        Falling demand is taken as it is: VMs are returned on what is seen.
+        """
+        if not self.samples:
+            return 0.0
+        (start, first), (end, last) = self.samples[0], self.samples[-1]
+        # A new series is no growth yet: the window has to be half full.
+        if end - start < GROWTH_WINDOW_S / 2:
+            return float(last)
+        return last + max(0.0, (last - first) / (end - start)) * ahead_s
+
+
 class LendingPlanner:
     """Plans the moves between the spare pool and the others."""
 
-    __slots__ = ("base", "cool_since", "emptying", "tried")
+    __slots__ = ("base", "cool_since", "emptying", "trends", "tried")
 
     def __init__(self, base: dict[str, int] | None = None) -> None:
         self.base = dict(base or {})
@@ -46,6 +81,8 @@
         self.tried: dict[str, float] = {}
         """Time of the last move order, by VM."""
 
+        self.trends: dict[str, DemandTrend] = {}
+
     def learn_base(self, vms: dict[str, Vm], spare_pools: frozenset[str]) -> bool:
         """Take the present sizes as those to keep; True when that was news."""
         if self.base or not vms:
@@ -78,17 +115,24 @@
             for name, vm in vms.items()
             if name not in reserved and now - self.tried.get(name, -1e9) > RETRY_S
         }
-        needs = self._count_needs(vms, summaries, spare_pools)
-        spare = [
-            vm
+        for pool, summary in summaries.items():
+            demand = summary.used_cores + summary.waiting_cores
+            self.trends.setdefault(pool, DemandTrend()).add(demand, now)
+        needs = self._count_needs(vms, summaries, spare_pools, reserved)
+        available = [
+            vm.name
             for vm in movable.values()
             if vm.pool in spare_pools and vm.phase is VmPhase.UP
         ]
+        released = self._plan_returns(
+            plan, movable, vms, summaries, spare_pools, drained, now
+        )
+        available.extend(released)
         for pool, need in sorted(needs.items(), key=lambda row: -row[1]):
-            for vm in spare[:need]:
-                plan.moves.append((vm.name, pool))
-            spare = spare[need:]
-        self._plan_returns(plan, movable, vms, summaries, spare_pools, drained, now)
+            plan.moves.extend((name, pool) for name in available[:need])
+            available = available[need:]
+        home = min(spare_pools)
+        plan.moves.extend((name, home) for name in released if name in available)
         return plan
 
     def _count_needs(
@@ -96,16 +140,22 @@
         vms: dict[str, Vm],
         summaries: dict[str, PoolSummary],
         spare_pools: frozenset[str],
+        reserved: frozenset[str],
     ) -> dict[str, int]:
-        """Return how many more VMs the waiting work of each pool fills."""
+        """Return how many more VMs the expected work of each pool fills."""
         needs = {}
-        for pool, summary in summaries.items():
+        for pool in summaries:
             own = [vm for vm in vms.values() if vm.pool == pool]
             if pool in spare_pools or not own:
                 continue
-            vm_cores = own[0].capacity.cpu_millis / 1000
-            coming = sum(vm.phase is VmPhase.MOVING for vm in own)
-            need = floor(summary.waiting_cores / vm_cores + START_SHARE) - coming
+            vm_cores = own[0].capacity.cpu_millis / 1000 * FILL_SHARE
+            held = sum(
+                vm.phase is VmPhase.MOVING
+                or (vm.phase is VmPhase.UP and vm.name not in reserved)
+                for vm in own
+            )
+            wanted = self.trends[pool].expect(ARRIVAL_S) / vm_cores
+            need = floor(wanted - held + START_SHARE)
             if need > 0:
                 needs[pool] = need
         return needs
@@ -119,11 +169,14 @@
         spare_pools: frozenset[str],
         drained: frozenset[str],
         now: float,
-    ) -> None:
-        home = min(spare_pools)
+    ) -> list[str]:
+        """Plan what to empty; returns the VMs that are empty and may leave."""
+        released = []
         for pool, summary in summaries.items():
+            if pool in spare_pools:
+                continue
             own = [vm for vm in vms.values() if vm.pool == pool]
-            surplus = self._count_surplus(own, summary, pool, now)
+            surplus = self._count_surplus(own, pool, now)
             ready = [
                 vm
                 for vm in movable.values()
@@ -138,7 +191,7 @@
             for vm in ready[:surplus]:
                 since = self.emptying.setdefault(vm.name, now)
                 if vm.worker in drained:
-                    plan.moves.append((vm.name, home))
+                    released.append(vm.name)
                 elif now - since > EMPTY_LIMIT_S:
                     self.note_moved(vm.name, now)
                     continue
@@ -149,17 +202,16 @@
                     self.emptying.pop(vm.name, None)
             if leaving:
                 plan.empty[pool] = tuple(leaving)
+        return released
 
-    def _count_surplus(
-        self, own: list[Vm], summary: PoolSummary, pool: str, now: float
-    ) -> int:
+    def _count_surplus(self, own: list[Vm], pool: str, now: float) -> int:
         """Return how many VMs beyond its base a pool does without."""
         up = [vm for vm in own if vm.phase is VmPhase.UP]
         extra = len(own) - self.base.get(pool, len(own))
         if extra <= 0 or not up:
             return 0
         vm_cores = up[0].capacity.cpu_millis / 1000
-        wanted = summary.used_cores + summary.waiting_cores
+        wanted = self.trends[pool].expect(ARRIVAL_S)
         surplus = 0
         while surplus < extra:
             room = (len(up) - surplus - 1) * vm_cores
--- a/src/sesameladder/node/_fleet_task.py
+++ b/src/sesameladder/node/_fleet_task.py
@@ -49,7 +49,7 @@
     encode_wave_status,
 )
 
-STEP_S = 0.3  # a turn of demand lasts 4 s; a VM is away for 1.5 to 2 s
+STEP_S = 0.2  # a turn of demand builds up over 3 s; a VM is away for 1.5 to 2 s
 AWAY_PHASES = (VmPhase.IN_UPKEEP, VmPhase.MOVING)
 ENDED_NOTICE_S = 10.0  # owners read a new order within a second
 
--- a/src/sesameladder/node/_pool_task.py
+++ b/src/sesameladder/node/_pool_task.py
@@ -61,7 +61,7 @@
 TICK_S = 0.1  # timers of the scheduler have this resolution
 PROGRESS_INTERVAL_S = 0.25  # ends wait this long for others, then are acknowledged
 SUMMARY_INTERVAL_S = 1.0  # pending counts may be 2 s old
-DEMAND_INTERVAL_S = 0.3  # a turn of demand lasts 4 s, and a move takes 1.5 s of it
+DEMAND_INTERVAL_S = 0.2  # a turn of demand builds up over 3 s; a move takes 1.5 s
 CLEAN_INTERVAL_S = 8.0  # removals of ended jobs wake the pool's own watch
 MAX_BATCH_ENTRIES = 24  # of the 32 that a transaction takes
 WATCH_WAIT_MS = 1000
@@ -501,8 +501,11 @@
         if summary == self.summary or lease is None:
             return puts
         known = self.summary
-        waits_anew = known is None or summary.waiting_cores != known.waiting_cores
-        interval_s = DEMAND_INTERVAL_S if waits_anew else SUMMARY_INTERVAL_S
+        asks_anew = known is None or (
+            (summary.used_cores, summary.waiting_cores)
+            != (known.used_cores, known.waiting_cores)
+        )
+        interval_s = DEMAND_INTERVAL_S if asks_anew else SUMMARY_INTERVAL_S
         is_due = now - self.summary_at >= interval_s
         is_urgent = known is None or (
             (summary.drained, summary.stoppable, summary.orders_revision)
--- a/src/sesameladder/node/_registry_task.py
+++ b/src/sesameladder/node/_registry_task.py
@@ -14,7 +14,7 @@
     decode_worker,
 )
 
-READ_INTERVAL_S = 0.4  # a VM lent to a pool counts from this reading on
+READ_INTERVAL_S = 0.25  # a VM lent to a pool counts from this reading on
 RETRY_PAUSE_S = 0.2
 
 
