--- a/src/sesameladder/node/_intake.py
+++ b/src/sesameladder/node/_intake.py
@@ -32,6 +32,7 @@
 from sesameladder.node._telemetry import warn
 from sesameladder.platform import AnswerMissing as StoreAnswerMissing
 from sesameladder.platform import (
+    Committed,
     Conflict,
     PlatformCallError,
     Put,
@@ -44,6 +45,7 @@
 RETRY_PAUSE_S = 0.05  # a store that is not overloaded answers in 4 ms
 REJECTED_TRIES = 3  # a store that turns calls away does so for seconds
 ANSWER_SHARE = 0.6  # of the caller's time limit; the rest carries the answer back
+SILENCE_S = 0.6  # the role's lease is renewed every 0.4 s; a longer silence is a loss
 KNOWN_JOBS = 20_000  # about 2 MB; spares a read when a job's state is asked for
 
 ResultT = TypeVar("ResultT")
@@ -144,17 +146,45 @@
         for pool in pools - {queue.pool}:
             if self._try_read(submission_key(pool, job)):
                 return Accepted(is_new=False)
-        puts = (Put(submission_key(queue.pool, job), encode_submission(queue, body)),)
-        preconditions = (
-            (submission_key(queue.pool, job), 0),
-            (progress_key(queue.pool, job), 0),
+        key = submission_key(queue.pool, job)
+        if not self._answers_reads(key):
+            return STORE_LOST
+        puts = (Put(key, encode_submission(queue, body)),)
+        preconditions = ((key, 0), (progress_key(queue.pool, job), 0))
+        outcome = self._attempt(
+            lambda: self.store.commit(puts, (), preconditions),
+            by,
+            lambda: self._find_stored(key),
         )
-        outcome = self._attempt(lambda: self.store.commit(puts, (), preconditions), by)
         if isinstance(outcome, (Refused, Unknown)):
             return outcome
         self._remember(job, queue.pool)
         return Accepted(is_new=not isinstance(outcome, Conflict))
 
+    def _find_stored(self, key: str) -> Committed | None:
+        """Return the outcome of a write without an answer if it is in the store."""
+        try:
+            item = self.store.read(key)
+        except PlatformCallError as error:
+            warn("unanswered_write_unread", key=key, error=str(error))
+            return None
+        return Committed(item.revision) if item is not None else None
+
+    def _answers_reads(self, key: str) -> bool:
+        """Return whether the store is worth a write.
+
+        A write into silence can only be answered as unknown, which callers can't
+        repeat; a read that fails leaves a refusal true.
+        """
+        if read_steady() - self.store.answered_at < SILENCE_S:
+            return True
+        try:
+            self.store.read(key)
+        except PlatformCallError as error:
+            warn("store_silent", key=key, error=str(error))
+            return False
+        return True
+
     def show(
         self, configuration: Configuration, queue: QueuePolicy, job: str, by: float
     ) -> Result:
@@ -270,9 +300,16 @@
                 self.known.popitem(last=False)
 
     def _attempt(
-        self, call: Callable[[], ResultT], by: float
+        self,
+        call: Callable[[], ResultT],
+        by: float,
+        check: Callable[[], ResultT | None] = lambda: None,
     ) -> ResultT | Refused | Unknown:
-        """Make a call until it is answered, the time is up or the store refuses."""
+        """Make a call until it is answered, the time is up or the store refuses.
+
+        ``check`` looks whether a write without an answer took effect. A read gets
+        through where only the answers to writes are lost.
+        """
         unanswered = False
         rejected = 0
         while True:
@@ -284,6 +321,10 @@
             except PlatformCallError as error:
                 rejected += 1
                 reason = str(error)
+            if unanswered:
+                stored = check()
+                if stored is not None:
+                    return stored
             is_late = read_steady() + RETRY_PAUSE_S >= by
             if unanswered and is_late:
                 return Unknown(reason)
--- a/src/sesameladder/node/_process.py
+++ b/src/sesameladder/node/_process.py
@@ -30,7 +30,7 @@
 )
 
 SETTINGS_CHECK_S = 1.0  # a change without a signal is noticed within this time
-READY_CUTOFF_S = 3.0  # without the store, callers are better off at another VM
+READY_CUTOFF_S = 1.5  # one renewal without an answer; a cut is over within 6 s
 CLOSE_SHARE = 0.5  # of the grace period, after which connections are closed
 END_SHARE = 0.8  # of the grace period, after which the process ends
 CLOSE_LIMIT_S = 0.5  # for the server's threads; all answers have been sent by then
@@ -136,8 +136,8 @@
     def _is_ready(self) -> bool:
         if self.draining or self.configuration.current is None:
             return False
-        last = self.configuration.dependency.last_success
-        return read_steady() - last < READY_CUTOFF_S
+        # Callers are better off at a VM that reaches the store.
+        return self.roles.is_confirmed(READY_CUTOFF_S)
 
     # Roles -----------------------------------------------------------------
 
--- a/src/sesameladder/node/tests/test_intake.py
+++ b/src/sesameladder/node/tests/test_intake.py
@@ -13,6 +13,7 @@
     CallNotSent,
     Committed,
     Conflict,
+    StoredItem,
     StoreRejected,
 )
 
@@ -25,9 +26,13 @@
 class ScriptedStore:
     """Answers each commit by the next entry of a script, the last one for ever."""
 
-    def __init__(self, script: list[Any]) -> None:
+    def __init__(self, script: list[Any], reads: Any = None) -> None:
         self.script = script
+        self.reads = reads
+        """What each read returns, or the error that it raises."""
+
         self.commits = 0
+        self.answered_at = read_steady()
 
     def commit(self, *_: object) -> Any:
         step = self.script[min(self.commits, len(self.script) - 1)]
@@ -36,6 +41,11 @@
             raise step
         return step
 
+    def read(self, _: str) -> Any:
+        if isinstance(self.reads, Exception):
+            raise self.reads
+        return self.reads
+
 
 def submit(script: list[Any], is_lost: bool = False) -> tuple[Result, int]:
     store = ScriptedStore(script)
@@ -72,3 +82,34 @@
     assert isinstance(result, Refused)
     assert commits == 0
     assert read_steady() - started < 0.2
+
+
+def test_read_settles_a_write_without_an_answer() -> None:
+    """Guards against 504 for stored jobs: the answers of writes may be lost in a row.
+
+    Callers can't repeat a job that was answered so elsewhere.
+    """
+    item = StoredItem("key", BODY, 7)
+    intake = Intake(ScriptedStore([AnswerMissing("lost")], item))  # type: ignore[arg-type]
+    result = intake.submit(QUEUE, JOB, BODY, read_steady() + 0.4)
+    assert isinstance(result, Accepted)
+
+
+@pytest.mark.parametrize(
+    ("reads", "expected", "commits"),
+    [(AnswerMissing("cut"), Refused, 0), (None, Accepted, 1)],
+)
+def test_silent_store_is_read_before_a_write(
+    reads: Any, expected: type[Result], commits: int
+) -> None:
+    """Guards against 504 in the first moments of a cut.
+
+    The loss of the store is noticed up to 1.7 s after it; submissions were written
+    into the silence until then.
+    """
+    store = ScriptedStore([STORED], reads)
+    store.answered_at = read_steady() - 1.0
+    intake = Intake(store)  # type: ignore[arg-type]
+    result = intake.submit(QUEUE, JOB, BODY, read_steady() + 0.4)
+    assert isinstance(result, expected)
+    assert store.commits == commits
--- a/src/sesameladder/platform/_store.py
+++ b/src/sesameladder/platform/_store.py
@@ -2,6 +2,7 @@
 
 from base64 import b64decode, b64encode
 from dataclasses import dataclass
+from time import CLOCK_BOOTTIME, clock_gettime
 from typing import Any
 from urllib.parse import urlencode
 
@@ -14,7 +15,8 @@
 )
 from sesameladder.platform._http import HttpCaller, Reply
 
-CALL_TIMEOUT_S = 1.0  # an answer takes 4 ms; 250 times that counts as lost
+CALL_TIMEOUT_S = 0.6  # an answer takes 4 ms; 150 times that counts as lost
+RANGE_TIMEOUT_S = 1.0  # a page has up to 1 MB
 WATCH_SLACK_S = 0.7  # beyond the wait asked for, before a watch counts as dead
 MAX_TRANSACTION_ENTRIES = 32  # published limit of rows, puts and removals together
 
@@ -84,10 +86,12 @@
 class StoreClient:
     """Calls the store; safe to share by threads."""
 
-    __slots__ = ("caller",)
+    __slots__ = ("answered_at", "caller")
 
     def __init__(self, caller: HttpCaller) -> None:
         self.caller = caller
+        self.answered_at = 0.0
+        """Boot time in seconds at which the last call that was served was sent."""
 
     @classmethod
     def from_address(cls, address: str) -> "StoreClient":
@@ -107,7 +111,8 @@
         after = ""
         while True:
             fields = {"prefix": prefix} | ({"after": after} if after else {})
-            reply = self._call("GET", f"/v1/kv-range?{urlencode(fields)}")
+            path = f"/v1/kv-range?{urlencode(fields)}"
+            reply = self._call("GET", path, timeout_s=RANGE_TIMEOUT_S)
             page = [_decode_item(row) for row in reply.body.get("items") or ()]
             items.extend(page)
             if revision is None:
@@ -176,10 +181,12 @@
         body: dict[str, Any] | None = None,
         timeout_s: float = CALL_TIMEOUT_S,
     ) -> Reply:
+        sent_at = clock_gettime(CLOCK_BOOTTIME)
         reply = self.caller.call(method, path, body, timeout_s=timeout_s)
         if reply.status in (429, 503):
             raise StoreRejected(f"the store answered {reply.status} to {path}")
         if reply.status in (200, 404, 410, 412):
+            self.answered_at = max(self.answered_at, sent_at)
             return reply
         if reply.status in (400, 403):
             raise AnswerUnreadable(f"the store answered {reply.status} to {path}")
