--- a/src/sesameladder/node/_fleet_task.py
+++ b/src/sesameladder/node/_fleet_task.py
@@ -171,6 +171,7 @@
         if configuration is None:
             return
         known, self.vms = self.vms, {vm.name: vm for vm in self.machines.list_vms()}
+        self._note_changes(known)
         self._note_ended(known)
         spare = frozenset(
             pool.name for pool in configuration.pools.values() if pool.is_spare
@@ -187,6 +188,22 @@
         self._write_orders(plan)
         self._write_status(waves, plan)
 
+    def _note_changes(self, known: dict[str, Vm]) -> None:
+        """Log each VM whose pool, phase or worker has changed."""
+        for name in {*known, *self.vms}:
+            before, vm = known.get(name), self.vms.get(name)
+            if before is not None and vm is None:
+                note("vm_gone", vm=name, pool=before.pool, worker=before.worker)
+            elif before is not None and vm is not None and before != vm:
+                note(
+                    "vm_changed",
+                    vm=name,
+                    pool=vm.pool,
+                    phase=vm.phase.value,
+                    before=before.phase.value,
+                    worker=vm.worker,
+                )
+
     def _note_ended(self, known: dict[str, Vm]) -> None:
         """Note the workers whose VMs are seen to have gone down or come back.
 
