--- a/src/sesameladder/jobs/tests/simulation.py
+++ b/src/sesameladder/jobs/tests/simulation.py
@@ -27,6 +27,8 @@
     decode_progress,
     encode_progress,
 )
+from sesameladder.node._pool_task import STORE_CUTOFF_S, UNREAD_WORKER_WAIT_S
+from sesameladder.node._worker_link import CLOCK_DRIFT, LAPSE_SLACK_S, LEASE_MS
 from sesameladder.platform._workers import (
     REJECTIONS,
     _decode_report,
@@ -36,12 +38,7 @@
 from sesameladder.standins.system import SimulatedWorker, WorkerWork
 
 STEP_S = 0.02
-LEASE_S = 5.0
-CUTOFF_S = 4.0
-LAPSE_SLACK_S = 0.3
-DRIFT = 1.03
-ROLE_LEASE_S = 1.5
-UNREAD_WAIT_S = 9.5
+LEASE_S = LEASE_MS / 1000
 SILENCE_S = 4.5
 """After this the list of workers drops a worker that doesn't reach it."""
 
@@ -186,7 +183,7 @@
         self.revision += 1
         term = len(self.owners) + 1
         scheduler = PoolScheduler(term, self._note, fence=self.revision)
-        scheduler.may_start_from = self.time + UNREAD_WAIT_S
+        scheduler.may_start_from = self.time + UNREAD_WORKER_WAIT_S
         scheduler.missing = set(self.tracked)
         owner = Owner(scheduler, self.revision, self.time)
         self.owners.append(owner)
@@ -281,7 +278,7 @@
         if not owner.is_deposed:
             owner.confirmed_at = self.time
         age = self.time - owner.confirmed_at
-        if age > CUTOFF_S:
+        if age > STORE_CUTOFF_S:
             return
         scheduler.can_lapse = age < 1.0
         scheduler.is_paused = False
@@ -311,7 +308,7 @@
         """Return the end of the lease on the worker's clock."""
         if worker.name not in owner.silent:
             owner.lease_until[worker.name] = worker.now_ms() + LEASE_S * 1000
-            lapse_at = self.time + LEASE_S * DRIFT + LAPSE_SLACK_S
+            lapse_at = self.time + LEASE_S * CLOCK_DRIFT + LAPSE_SLACK_S
             owner.lapse_at[worker.name] = max(
                 lapse_at, owner.lapse_at.get(worker.name, 0.0)
             )
--- a/src/sesameladder/node/_pool_task.py
+++ b/src/sesameladder/node/_pool_task.py
@@ -66,8 +66,8 @@
 MAX_BATCH_ENTRIES = 24  # of the 32 that a transaction takes
 WATCH_WAIT_MS = 1000
 RETRY_PAUSE_S = 0.15
-STORE_CUTOFF_S = 4.0  # running work outlives it by a lease, 9 s in all
-UNREAD_WORKER_WAIT_S = 9.5  # the cutoff above and one lease of running work
+STORE_CUTOFF_S = 3.0  # running work outlives it by a lease, 7 s in all
+UNREAD_WORKER_WAIT_S = 7.5  # the cutoff above and one lease of running work
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/sesameladder/node/_worker_link.py
+++ b/src/sesameladder/node/_worker_link.py
@@ -22,7 +22,7 @@
     WorkerReplaced,
 )
 
-LEASE_MS = 5000  # outlives an owner's end: 1.5 s of lease, election and reading
+LEASE_MS = 4000  # outlives an owner's end: 1.5 s of lease, election and reading
 CLOCK_DRIFT = 1.03  # a worker's clock may be 2 % slow
 LAPSE_SLACK_S = 0.3  # for a round trip and the age of the worker's clock reading
 REPORT_WAIT_MS = 400  # age of what is known about progress and load
