--- a/src/sesameladder/fleet/__init__.py
+++ b/src/sesameladder/fleet/__init__.py
@@ -1,6 +1,7 @@
 """VMs, pools and upkeep: decisions without sockets or clocks."""
 
 from sesameladder.fleet._lending import LendingPlan, LendingPlanner
+from sesameladder.fleet._lives import LifeTracker
 from sesameladder.fleet._model import (
     CORE_STEP,
     EndedLife,
@@ -17,6 +18,7 @@
     "EndedLife",
     "LendingPlan",
     "LendingPlanner",
+    "LifeTracker",
     "PoolOrders",
     "PoolSummary",
     "UpkeepPlan",
--- /dev/null
+++ b/src/sesameladder/fleet/tests/test_lives.py
@@ -0,0 +1,51 @@
+"""Which lives of workers the VM list shows to have ended."""
+
+from dataclasses import replace
+
+import pytest
+
+from sesameladder.fleet import EndedLife, LifeTracker, VmPhase
+from sesameladder.fleet.tests.test_upkeep import build_vms
+
+BORN_MS = 1_700_000_000_000
+
+
+@pytest.mark.parametrize(
+    ("phase", "worker", "ends"),
+    [
+        (VmPhase.UP, "i-chair-0", False),
+        (VmPhase.DOWN, "", True),
+        (VmPhase.IN_UPKEEP, "", True),
+        (VmPhase.MOVING, "", True),
+        (VmPhase.UP, "i-other", True),
+    ],
+)
+def test_ended_life_is_named(phase: VmPhase, worker: str, ends: bool) -> None:
+    """Guards against work that waits for the lease of a crashed worker."""
+    vms = build_vms(1)
+    tracker = LifeTracker()
+    assert tracker.observe(vms) == []
+    assert tracker.list_unknown() == ["i-chair-0"]
+    tracker.learn("i-chair-0", BORN_MS)
+    assert tracker.list_unknown() == []
+    changed = {"m-chair-0": replace(vms["m-chair-0"], phase=phase, worker=worker)}
+    expected = [("chair", EndedLife("i-chair-0", BORN_MS))] if ends else []
+    assert tracker.observe(changed) == expected
+    assert tracker.observe(changed) == []
+
+
+def test_crash_of_an_unknown_life_is_not_noticed() -> None:
+    """Guards against TWICE: the notice could end the next life of that name."""
+    vms = build_vms(1)
+    tracker = LifeTracker()
+    tracker.observe(vms)
+    down = replace(vms["m-chair-0"], phase=VmPhase.DOWN, worker="")
+    assert tracker.observe({"m-chair-0": down}) == []
+
+
+def test_unlisted_vm_is_not_taken_for_ended() -> None:
+    """Guards against TWICE: a list without a VM says nothing of its worker."""
+    tracker = LifeTracker()
+    tracker.observe(build_vms(1))
+    tracker.learn("i-chair-0", BORN_MS)
+    assert tracker.observe({}) == []
--- a/src/sesameladder/node/_fleet_task.py
+++ b/src/sesameladder/node/_fleet_task.py
@@ -8,12 +8,12 @@
     EndedLife,
     LendingPlan,
     LendingPlanner,
+    LifeTracker,
     PoolOrders,
     PoolSummary,
     UpkeepPlan,
     UpkeepPlanner,
     Vm,
-    VmPhase,
     Wave,
 )
 from sesameladder.jobs import Configuration
@@ -50,7 +50,7 @@
 )
 
 STEP_S = 0.2  # a turn of demand builds up over 3 s; a VM is away for 1.5 to 2 s
-AWAY_PHASES = (VmPhase.IN_UPKEEP, VmPhase.MOVING)
+LIVES_INTERVAL_S = 1.0  # a worker enters the list within a second of its start
 ENDED_NOTICE_S = 10.0  # owners read a new order within a second
 
 
@@ -58,7 +58,6 @@
     """One thread that orders upkeep while this process holds the fleet role."""
 
     __slots__ = (
-        "born",
         "dependency",
         "done",
         "ended",
@@ -66,6 +65,8 @@
         "is_sure",
         "lending",
         "list_waves",
+        "lives",
+        "lives_read_at",
         "machines",
         "node",
         "order_revisions",
@@ -109,9 +110,8 @@
         self.order_revisions: dict[str, int] = {}
         """Revision of the store at which each pool's owner was told."""
 
-        self.born: dict[str, int] = {}
-        """Start of the life, by worker whose VM was ordered down."""
-
+        self.lives = LifeTracker()
+        self.lives_read_at = 0.0
         self.ended: dict[EndedLife, tuple[str, float]] = {}
         """Pool and time of the notice, by life that has ended."""
 
@@ -172,7 +172,7 @@
             return
         known, self.vms = self.vms, {vm.name: vm for vm in self.machines.list_vms()}
         self._note_changes(known)
-        self._note_ended(known)
+        self._follow_lives()
         spare = frozenset(
             pool.name for pool in configuration.pools.values() if pool.is_spare
         )
@@ -204,21 +204,22 @@
                     worker=vm.worker,
                 )
 
-    def _note_ended(self, known: dict[str, Vm]) -> None:
-        """Note the workers whose VMs are seen to have gone down or come back.
-
-        The answer to an order doesn't tell: a repeated order is answered alike.
-        """
+    def _follow_lives(self) -> None:
+        """Note the lives that have ended, and learn when new ones began."""
         now = read_steady()
-        for name, before in known.items():
-            if not before.worker:
-                continue
-            vm = self.vms.get(name)
-            is_other = vm is not None and vm.worker not in ("", before.worker)
-            is_away = vm is not None and vm.phase in AWAY_PHASES
-            if is_other or (is_away and before.phase is VmPhase.UP):
-                born_ms = self.born.pop(before.worker, 0)
-                self.ended[EndedLife(before.worker, born_ms)] = before.pool, now
+        for pool, life in self.lives.observe(self.vms):
+            self.ended[life] = pool, now
+        is_due = now - self.lives_read_at >= LIVES_INTERVAL_S
+        if is_due and self.lives.list_unknown():
+            self.lives_read_at = now
+            for item in self.store.read_range(WORKER_PREFIX).items:
+                self._learn_life(item.key.removeprefix(WORKER_PREFIX), item.value)
+
+    def _learn_life(self, worker: str, value: bytes) -> None:
+        try:
+            self.lives.learn(worker, decode_worker(worker, value).born_ms)
+        except RecordInvalid as error:
+            warn("worker_record_refused", worker=worker, error=str(error))
 
     def _read_summaries(self) -> dict[str, PoolSummary]:
         summaries = {}
@@ -342,12 +343,8 @@
     def _note_born(self, worker: str) -> None:
         """Read which life of a worker an order is about to end."""
         item = self.store.read(f"{WORKER_PREFIX}{worker}")
-        if item is None:
-            return
-        try:
-            self.born[worker] = decode_worker(worker, item.value).born_ms
-        except RecordInvalid as error:
-            warn("worker_record_refused", worker=worker, error=str(error))
+        if item is not None:
+            self._learn_life(worker, item.value)
 
     def _write_status(self, waves: list[Wave], plan: UpkeepPlan) -> None:
         for wave in waves:
