--- a/src/sesameladder/fleet/_lending.py
+++ b/src/sesameladder/fleet/_lending.py
@@ -5,20 +5,22 @@
 spare pool cost nothing while they are there, so they follow the turns. A turn builds
 up over a few seconds and a move takes 1.5 s, so VMs are sent for the demand that is
 expected on their arrival; a move too many costs less than one late job. They leave
-once they aren't needed, straight to the next pool if one is short. A move ends what
-the VM runs, so a VM is emptied before it leaves.
+once they aren't needed, straight to the next pool if one is short. Between its turns
+a pool also gives up VMs of its own, down to a share of its size that outlasts the
+loss of a zone. A move ends what the VM runs, so a VM is emptied before it leaves.
 """
 
-from collections import deque
+from collections import Counter, deque
 from dataclasses import dataclass, field
-from math import floor
+from math import ceil, floor
 
 from sesameladder.fleet._model import PoolSummary, Vm, VmPhase
 
-START_SHARE = 0.5  # of a VM; less missing room is made up before a VM arrives
+KEPT_SHARE = 0.5  # of a pool's size; one VM for each of three zones today
+START_SHARE = 0.75  # of a VM; less than a quarter of one is made up by the others
 ARRIVAL_S = 2.0  # a move of 1.5 s, and until the owner has read the new worker
 GROWTH_WINDOW_S = 1.0  # longer than the arrival of one wide job, a third of a ramp
-FILL_SHARE = 0.9  # of a VM's cores that work fills on average; the rest is fragments
+FILL_SHARE = 0.75  # of a VM's cores; wide jobs come at once, and leave fragments
 COOL_S = 1.2  # two summaries; shorter lulls are gaps between jobs
 COOL_SHARE = 0.6  # of the room that is left without a VM; above it the VM stays
 RETRY_S = 2.0  # after a move that the platform did not take
@@ -72,7 +74,7 @@
 
     def __init__(self, base: dict[str, int] | None = None) -> None:
         self.base = dict(base or {})
-        """Number of VMs that a pool keeps, by pool."""
+        """Number of VMs that a pool has when nothing is lent, by pool."""
 
         self.cool_since: dict[str, float] = {}
         self.emptying: dict[str, float] = {}
@@ -185,10 +187,9 @@
                 and vm.worker
                 and vm.worker not in summary.lasting
             ]
-            # Those that are being emptied already go on.
-            ready.sort(key=lambda vm: (vm.name not in self.emptying, vm.name))
+            chosen = self._choose_leaving(ready, own, surplus)
             leaving = []
-            for vm in ready[:surplus]:
+            for vm in chosen:
                 since = self.emptying.setdefault(vm.name, now)
                 if vm.worker in drained:
                     released.append(vm.name)
@@ -196,18 +197,36 @@
                     self.note_moved(vm.name, now)
                     continue
                 leaving.append(vm.worker)
-            kept = {vm.name for vm in ready[:surplus]}
+            names = {vm.name for vm in chosen}
             for vm in own:
-                if vm.name not in kept:
+                if vm.name not in names:
                     self.emptying.pop(vm.name, None)
             if leaving:
                 plan.empty[pool] = tuple(leaving)
         return released
 
+    def _choose_leaving(self, ready: list[Vm], own: list[Vm], most: int) -> list[Vm]:
+        """Choose VMs so that those that stay are spread over zones and racks."""
+        # Those that are being emptied already go on.
+        chosen = [vm for vm in ready if vm.name in self.emptying][:most]
+        names = {vm.name for vm in chosen}
+        staying = [vm for vm in own if vm.phase is VmPhase.UP and vm.name not in names]
+        left = [vm for vm in ready if vm.name not in names]
+        while left and len(chosen) < most:
+            zones = Counter(vm.zone for vm in staying)
+            racks = Counter(vm.labels for vm in staying)
+            crowded = max(
+                left, key=lambda vm: (zones[vm.zone], racks[vm.labels], vm.name)
+            )
+            left.remove(crowded)
+            staying.remove(crowded)
+            chosen.append(crowded)
+        return chosen
+
     def _count_surplus(self, own: list[Vm], pool: str, now: float) -> int:
-        """Return how many VMs beyond its base a pool does without."""
+        """Return how many VMs a pool does without."""
         up = [vm for vm in own if vm.phase is VmPhase.UP]
-        extra = len(own) - self.base.get(pool, len(own))
+        extra = len(own) - ceil(KEPT_SHARE * self.base.get(pool, len(own)))
         if extra <= 0 or not up:
             return 0
         vm_cores = up[0].capacity.cpu_millis / 1000
--- a/src/sesameladder/jobs/_placement.py
+++ b/src/sesameladder/jobs/_placement.py
@@ -1,10 +1,13 @@
 """Which worker a subtask is sent to."""
 
 from collections.abc import Iterable
+from math import ceil
 
 from sesameladder.jobs._book import Step, Subtask
 from sesameladder.jobs._runs import WorkerView
 
+LASTING_GROUPS = 3  # one for each zone of today's users; the loss of one leaves two
+
 
 def choose_worker(
     subtask: Subtask,
@@ -44,19 +47,29 @@
 def _score(subtask: Subtask, worker: WorkerView) -> tuple[float, ...]:
     spec = subtask.step.spec
     is_far = bool(spec.data_rack) and spec.data_rack not in worker.record.labels
-    # Work that fills disturbs work that serves on the same worker, and work that
-    # serves lasts: it is spread, all else is packed.
+    # Work that fills disturbs work that serves on the same worker.
     beside = _count_disturbing(subtask, worker)
-    left = worker.free_cpu if not spec.lasting else -worker.free_cpu
     return (
         worker.id in subtask.failed_on,
         is_far,
         beside,
         round(worker.slowness),
-        left,
+        *_rank_lasting(subtask.step, worker),
+        worker.free_cpu,
     )
 
 
+def _rank_lasting(step: Step, worker: WorkerView) -> tuple[bool, bool]:
+    """Return a key that gathers lasting work on a few workers, but not on one.
+
+    The other workers are free to leave the pool between its turns of demand.
+    """
+    if not step.spec.lasting:
+        return False, False
+    group = ceil(step.spec.count / LASTING_GROUPS)
+    return _count_beside(step, worker) >= group, not worker.runs_lasting()
+
+
 def _count_beside(step: Step, worker: WorkerView) -> int:
     """Return the runs of the same step on a worker."""
     return sum(1 for run in worker.runs.values() if run.subtask.step is step)
