--- a/src/sesameladder/fleet/_lending.py
+++ b/src/sesameladder/fleet/_lending.py
@@ -94,6 +94,10 @@
                 self.base[vm.pool] = self.base.get(vm.pool, 0) + 1
         return True
 
+    def list_expected(self) -> dict[str, int]:
+        """Return the cores that each pool is expected to ask for on an arrival."""
+        return {p: round(t.expect(ARRIVAL_S)) for p, t in self.trends.items()}
+
     def note_moved(self, vm: str, now: float) -> None:
         """Note that a move was ordered, whatever the answer."""
         self.tried[vm] = now
@@ -215,8 +219,8 @@
         while left and len(chosen) < most:
             zones = Counter(vm.zone for vm in staying)
             racks = Counter(vm.labels for vm in staying)
-            crowded = max(
-                left, key=lambda vm: (zones[vm.zone], racks[vm.labels], vm.name)
+            crowded = min(
+                left, key=lambda vm: (-zones[vm.zone], -racks[vm.labels], vm.name)
             )
             left.remove(crowded)
             staying.remove(crowded)
--- a/src/sesameladder/fleet/tests/test_lending.py
+++ b/src/sesameladder/fleet/tests/test_lending.py
@@ -24,7 +24,7 @@
 
 
 @pytest.mark.parametrize(
-    ("waiting", "moves"), [(0, 1), (8, 1), (16, 1), (70, 3), (500, 3)]
+    ("waiting", "moves"), [(0, 2), (8, 3), (16, 3), (70, 3), (500, 3)]
 )
 def test_spare_vms_follow_the_waiting_work(waiting: int, moves: int) -> None:
     """Guards against queues that wait while paid-for VMs are switched off."""
@@ -40,7 +40,7 @@
     """Guards against a second batch of moves for the same waiting work."""
     vms = build_vms(6) | build_vms(3, "spare")
     planner = build_planner(vms)
-    summaries = {"chair": build_summary(176, 24)}
+    summaries = {"chair": build_summary(144, 8)}
     assert len(planner.plan(vms, summaries, SPARE, NOBODY, NOBODY, 0.0).moves) == 1
     moving = vms["m-spare-0"]
     vms["m-spare-0"] = replace(moving, pool="chair", phase=VmPhase.MOVING)
@@ -53,7 +53,8 @@
     planner = build_planner(vms)
     lent = replace(vms["m-spare-0"], pool="chair")
     vms["m-spare-0"] = lent
-    summaries = {"chair": build_summary(8, 0, lasting=("i-chair-0",))}
+    busy = tuple(f"i-chair-{number}" for number in range(6) if number != 1)
+    summaries = {"chair": build_summary(112, 0, lasting=busy)}
 
     def plan_at(now: float, drained: frozenset[str] = NOBODY) -> object:
         plan = planner.plan(vms, summaries, SPARE, NOBODY, drained, now)
@@ -68,26 +69,59 @@
     )
 
 
-def test_reserved_and_base_vms_stay() -> None:
-    """Guards against moves of VMs in upkeep, and of a pool's own VMs."""
+def test_reserved_vms_stay() -> None:
+    """Guards against moves of VMs in upkeep."""
     vms = build_vms(6) | build_vms(2, "spare")
     planner = build_planner(vms)
     summaries = {"chair": build_summary(192, 500)}
     reserved = frozenset({"m-spare-0"})
     plan = planner.plan(vms, summaries, SPARE, reserved, NOBODY, 0.0)
     assert plan.moves == [("m-spare-1", "chair")]
+
+
+@pytest.mark.parametrize(
+    ("used", "lasting", "left"),
+    [(0, 0, 3), (0, 5, 1), (100, 0, 0), (60, 0, 2)],
+)
+def test_idle_pool_keeps_half_of_its_vms(used: int, lasting: int, left: int) -> None:
+    """Guards against paid-for VMs that idle, and against pools without a reserve.
+
+    What runs lasting work stays, whatever the demand.
+    """
+    vms = build_vms(6) | build_vms(2, "spare")
+    planner = build_planner(vms)
+    busy = tuple(f"i-chair-{number}" for number in range(lasting))
+    idle = {"chair": build_summary(used, lasting=busy)}
+    planner.plan(vms, idle, SPARE, NOBODY, NOBODY, 1.0)
+    plan = planner.plan(vms, idle, SPARE, NOBODY, NOBODY, 9.0)
+    assert len(plan.empty.get("chair", ())) == left
+
+
+def test_vms_that_stay_are_spread_over_zones() -> None:
+    """Guards against a pool that is lost with one zone between its turns."""
+    vms = build_vms(6) | build_vms(2, "spare")
+    for number, name in enumerate(sorted(vms)):
+        vms[name] = replace(vms[name], zone=f"zone-{number % 3}")
+    planner = build_planner(vms)
     idle = {"chair": build_summary()}
     planner.plan(vms, idle, SPARE, NOBODY, NOBODY, 1.0)
-    assert planner.plan(vms, idle, SPARE, NOBODY, NOBODY, 9.0).empty == {}
+    plan = planner.plan(vms, idle, SPARE, NOBODY, NOBODY, 9.0)
+    leaving = set(plan.empty["chair"])
+    own = [vm for vm in vms.values() if vm.pool == "chair"]
+    assert {vm.zone for vm in own if vm.worker not in leaving} == {
+        "zone-0",
+        "zone-1",
+        "zone-2",
+    }
 
 
 @pytest.mark.parametrize(
     ("demand", "moves"),
     [
         ((64, 64, 64, 64), 0),
-        ((16, 48, 80, 112), 3),
+        ((0, 32, 64, 80), 3),
         ((112, 112, 112, 112), 0),
-        ((160, 128, 96, 64), 0),
+        ((140, 128, 96, 64), 0),
     ],
 )
 def test_vms_are_sent_ahead_of_a_turn(demand: tuple[int, ...], moves: int) -> None:
@@ -112,7 +146,11 @@
     planner = build_planner(vms)
     lent = replace(vms["m-spare-0"], pool="chair")
     vms["m-spare-0"] = lent
-    summaries = {"chair": build_summary(8), "blend": build_summary(64, 64)}
+    busy = tuple(f"i-chair-{number}" for number in range(1, 6))
+    summaries = {
+        "chair": build_summary(112, lasting=busy),
+        "blend": build_summary(64, 64),
+    }
     emptied = frozenset({"i-chair-0"})
     planner.plan(vms, summaries, SPARE, NOBODY, NOBODY, 0.0)
     plan = planner.plan(vms, summaries, SPARE, NOBODY, emptied, 2.0)
--- a/src/sesameladder/jobs/_scheduler.py
+++ b/src/sesameladder/jobs/_scheduler.py
@@ -220,14 +220,15 @@
             return
         if run.confirmed_at is not None:
             return
-        if outcome is not StartOutcome.UNANSWERED:
-            self.note(
-                "start_refused",
-                job=subtask_id.job,
-                subtask=subtask_id[1:],
-                worker=worker_id,
-                reason=outcome.value,
-            )
+        is_answered = outcome is not StartOutcome.UNANSWERED
+        self.note(
+            "start_refused" if is_answered else "start_unanswered",
+            job=subtask_id.job,
+            subtask=subtask_id[1:],
+            run=number,
+            worker=worker_id,
+            reason=outcome.value,
+        )
         if outcome is StartOutcome.UNANSWERED:
             run.was_unanswered = True
             run.retry_at = now + START_RETRY_S
--- a/src/sesameladder/jobs/tests/test_rules.py
+++ b/src/sesameladder/jobs/tests/test_rules.py
@@ -1,5 +1,6 @@
 """Which starts are legal: order, label, rack, spread, gangs, times, attempts."""
 
+from collections import Counter
 from dataclasses import replace
 
 import pytest
@@ -273,3 +274,16 @@
     second.apply_report("i-1", report, 2.1, 2.1)
     assert second.book.jobs[JOB].state is JobState.RUNNING
     assert len(list_starts(second.schedule(3.0, 3000.0))) == 1
+
+
+@pytest.mark.parametrize(
+    ("lasting", "count", "expected"), [(True, 5, [1, 2, 2]), (False, 5, [1, 4])]
+)
+def test_lasting_work_is_gathered_but_not_on_one_worker(
+    lasting: bool, count: int, expected: list[int]
+) -> None:
+    """Guards against pools that can't shrink, and against a step lost at once."""
+    scheduler = build_scheduler(*(build_record(number) for number in range(1, 7)))
+    submit(scheduler, replace(STEP, count=count, lasting=lasting))
+    workers = [row[2] for row in list_starts(scheduler.schedule(0.1, 100.0))]
+    assert sorted(Counter(workers).values()) == expected
--- a/src/sesameladder/node/_fleet_task.py
+++ b/src/sesameladder/node/_fleet_task.py
@@ -285,6 +285,7 @@
             vm=name,
             origin=vm.pool,
             pool=pool,
+            expected_cores=self.lending.list_expected(),
             outcome=outcome.value,
         )
 
--- a/src/sesameladder/node/_front.py
+++ b/src/sesameladder/node/_front.py
@@ -24,7 +24,7 @@
     Unknown,
     compute_answer_time,
 )
-from sesameladder.node._telemetry import REQUEST_SECONDS, REQUESTS, logger, note
+from sesameladder.node._telemetry import REQUEST_SECONDS, REQUESTS, logger, note, warn
 
 TIME_LIMIT_HEADER = "HTTP_X_SESAMELADDER_DEADLINE_MS"
 REQUEST_ID_HEADER = "X-Sesameladder-Request-Id"
@@ -35,6 +35,7 @@
 IDLE_TIMEOUT_S = 60  # callers keep their connections
 STOP_LIMIT_S = 1
 DEFAULT_LIMIT_MS = 3000  # the callers' usual time limit
+MAX_LOGGED_TEXT = 40  # characters; a caller's text may have any length
 RETRY_UNCONFIGURED_S = 1
 
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
@@ -285,10 +286,12 @@
 
 
 def _read_limit(environ: Environ) -> float | None:
+    """Return the caller's time limit in ms; None where the default holds."""
     text = environ.get(TIME_LIMIT_HEADER)
     try:
         return float(text) if text else None
     except ValueError:
+        warn("time_limit_refused", value=str(text)[:MAX_LOGGED_TEXT])
         return None
 
 
--- a/src/sesameladder/node/_worker_link.py
+++ b/src/sesameladder/node/_worker_link.py
@@ -15,6 +15,7 @@
     WorkerReport,
 )
 from sesameladder.node._clock import read_steady
+from sesameladder.node._telemetry import warn
 from sesameladder.platform import (
     PlatformCallError,
     WorkerClient,
@@ -182,8 +183,10 @@
             elif isinstance(order, StopCommand):
                 if self.client.stop(order.subtask, order.run):
                     self.post(StopAnswered(order.worker, order.subtask, order.run))
-            else:
-                self.client.pace(order.subtask, order.run, order.percent)
+                else:
+                    _warn_unanswered("stop_unanswered", order)
+            elif not self.client.pace(order.subtask, order.run, order.percent):
+                _warn_unanswered("pace_refused", order)
 
     def _send_start(self, command: StartCommand) -> None:
         order = command.order
@@ -220,3 +223,13 @@
             self.clock_offset = report.clock_ms / 1000 - read_steady()
             self.post(ReportArrived(name, report, sent_at))
             self.stopping.wait(REPORT_GAP_S)
+
+
+def _warn_unanswered(event: str, order: StopCommand | PaceCommand) -> None:
+    warn(
+        event,
+        job=order.subtask.job,
+        subtask=order.subtask[1:],
+        run=order.run,
+        worker=order.worker,
+    )
