--- a/src/sesameladder/fleet/_lending.py
+++ b/src/sesameladder/fleet/_lending.py
@@ -17,10 +17,10 @@
 from sesameladder.fleet._model import PoolSummary, Vm, VmPhase
 
 KEPT_SHARE = 0.5  # of a pool's size; one VM for each of three zones today
-START_SHARE = 0.75  # of a VM; less than a quarter of one is made up by the others
+START_SHARE = 0.6  # of a VM; less than 0.4 of one is made up by the others
 ARRIVAL_S = 2.0  # a move of 1.5 s, and until the owner has read the new worker
 GROWTH_WINDOW_S = 1.0  # longer than the arrival of one wide job, a third of a ramp
-FILL_SHARE = 0.75  # of a VM's cores; wide jobs come at once, and leave fragments
+FILL_SHARE = 0.85  # of a VM's cores; wide jobs come at once, and leave fragments
 COOL_S = 1.2  # two summaries; shorter lulls are gaps between jobs
 COOL_SHARE = 0.6  # of the room that is left without a VM; above it the VM stays
 RETRY_S = 2.0  # after a move that the platform did not take
--- a/src/sesameladder/fleet/_model.py
+++ b/src/sesameladder/fleet/_model.py
@@ -67,7 +67,7 @@
     """Cores that running subtasks ask for, to the next ``CORE_STEP``."""
 
     waiting_cores: int = 0
-    """Cores that subtasks ask for whose turn has come, likewise."""
+    """Cores that would end the waiting subtasks within a second, likewise."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/sesameladder/jobs/_scheduler.py
+++ b/src/sesameladder/jobs/_scheduler.py
@@ -45,6 +45,7 @@
 NO_ROOM_PAUSE_S = 0.1  # about the time until the worker's next report
 UNREACHED_PAUSE_S = 0.5
 GHOST_LIMIT_S = 60.0  # orders arrive up to 12 s late, and after the end of a cut
+CLEAR_S = 1.0  # waiting longer makes a job of 1 s late; its target is 2 to 3 s
 GANG_PATIENCE_S = 1.5  # half the time after which members give up on the others
 
 Note = Callable[..., None]
@@ -321,15 +322,18 @@
         return {worker.id: worker.ends_seen for worker in self.workers.values()}
 
     def measure_cores(self) -> tuple[float, float]:
-        """Return the cores that running and that waiting subtasks ask for.
+        """Return the cores in use, and those that end waiting work in a second.
 
-        Work that is overdue doesn't count: it uses what others leave.
+        Short subtasks take turns on a core. Work that is overdue doesn't count: it
+        uses what others leave.
         """
         used = sum(view.used_cpu for view in self.workers.values())
-        waiting = 0
+        waiting = 0.0
         for step in self.book.open_steps.values():
             if not step.spec.fills and self.is_timely(step):
-                waiting += len(step.waiting) * step.spec.needs.cpu_millis
+                expected_s = self.durations.expect(step.job.submission, step.number)
+                share = 1.0 if step.spec.lasting else min(1.0, expected_s / CLEAR_S)
+                waiting += len(step.waiting) * step.spec.needs.cpu_millis * share
         return used / 1000, waiting / 1000
 
     def is_timely(self, step: Step) -> bool:
