--- a/src/sesameladder/jobs/_ordering.py
+++ b/src/sesameladder/jobs/_ordering.py
@@ -7,14 +7,22 @@
 that ends the most jobs in time. Work that is late already uses the lull after.
 """
 
+from collections.abc import Iterable
+from dataclasses import dataclass
 from enum import IntEnum
 
 from sesameladder.jobs._book import Job, Step
 from sesameladder.jobs._durations import DurationTable
 
+OUTLOOK_S = 0.3  # a tenth of a target; ends of a step's subtasks change little of it
+MAX_IDLE_OUTLOOKS = 200  # about 40 KB; spares a sweep at each pass
 LATE_FACTOR = 3.0  # a job is worth nothing after this multiple of its target
 
 
+Rank = tuple[int, int, float, float]
+"""Urgency, priority, work left in core-seconds, time of acceptance."""
+
+
 class Urgency(IntEnum):
     """Groups of steps; lower ones get workers first."""
 
@@ -32,24 +40,67 @@
     return submission.stretch * chain_s + submission.goal_ms / 1000
 
 
-def rank_step(
-    step: Step, durations: DurationTable, now: float
-) -> tuple[int, int, float, float]:
-    """Return a sort key: urgency, priority, work left, time of acceptance."""
-    job = step.job
-    priority = job.submission.priority
-    if step.spec.fills:
-        return Urgency.FILLING, priority, 0.0, job.accepted_at
-    if step.spec.lasting:
-        return Urgency.LASTING, priority, 0.0, job.accepted_at
-    target_s = compute_target(job, step.occurrence, durations)
-    left_s = durations.expect_chain(job, step.occurrence, only_left=True)
-    age_s = now - job.accepted_at
-    work = durations.expect_work(job, step.occurrence)
-    if age_s + left_s <= target_s:
-        urgency = Urgency.IN_TIME
-    elif age_s + left_s <= LATE_FACTOR * target_s:
-        urgency = Urgency.LATE
-    else:
-        urgency = Urgency.OVERDUE
-    return urgency, priority, work, job.accepted_at
+@dataclass(slots=True)
+class StepOutlook:
+    """What a step's rank is worked out from; holds for a moment."""
+
+    target_s: float
+    left_s: float
+    """Longest chain of work that is left."""
+
+    work: float
+    """Work that is left, in core-seconds."""
+
+    valid_until: float
+
+
+class StepRanking:
+    """Ranks steps; remembers what is costly to work out.
+
+    Answers turns of demand in which over a thousand steps wait: an owner on a small
+    VM that worked out every chain anew after each report had no time for orders.
+    """
+
+    __slots__ = ("durations", "outlooks")
+
+    def __init__(self, durations: DurationTable) -> None:
+        self.durations = durations
+        self.outlooks: dict[tuple[str, int, int], StepOutlook] = {}
+
+    def sort(self, steps: Iterable[Step], now: float) -> list[tuple[Rank, Step]]:
+        """Return the steps with their ranks, the most urgent first."""
+        rows = [(self.rank(step, now), step) for step in steps]
+        rows.sort(key=lambda row: row[0])
+        if len(self.outlooks) > 2 * len(rows) + MAX_IDLE_OUTLOOKS:
+            kept = {step.key for _, step in rows}
+            self.outlooks = {k: o for k, o in self.outlooks.items() if k in kept}
+        return rows
+
+    def rank(self, step: Step, now: float) -> Rank:
+        """Return a sort key: urgency, priority, work left, time of acceptance."""
+        job = step.job
+        priority = job.submission.priority
+        if step.spec.fills:
+            return Urgency.FILLING, priority, 0.0, job.accepted_at
+        if step.spec.lasting:
+            return Urgency.LASTING, priority, 0.0, job.accepted_at
+        outlook = self.outlooks.get(step.key)
+        if outlook is None or now >= outlook.valid_until:
+            outlook = self.outlooks[step.key] = self._look_ahead(step, now)
+        ends_after_s = now - job.accepted_at + outlook.left_s
+        if ends_after_s <= outlook.target_s:
+            urgency = Urgency.IN_TIME
+        elif ends_after_s <= LATE_FACTOR * outlook.target_s:
+            urgency = Urgency.LATE
+        else:
+            urgency = Urgency.OVERDUE
+        return urgency, priority, outlook.work, job.accepted_at
+
+    def _look_ahead(self, step: Step, now: float) -> StepOutlook:
+        job, occurrence = step.job, step.occurrence
+        return StepOutlook(
+            compute_target(job, occurrence, self.durations),
+            self.durations.expect_chain(job, occurrence, only_left=True),
+            self.durations.expect_work(job, occurrence),
+            now + OUTLOOK_S,
+        )
--- a/src/sesameladder/jobs/_placement.py
+++ b/src/sesameladder/jobs/_placement.py
@@ -11,12 +11,11 @@
 
 def choose_worker(
     subtask: Subtask,
-    workers: Iterable[WorkerView],
+    accepting: Iterable[WorkerView],
     tickets: dict[str, str] | None,
-    now: float,
     rack: str = "",
 ) -> WorkerView | None:
-    """Return the best worker with room, or None.
+    """Return the best of the workers that accept work and have room, or None.
 
     ``tickets`` limits the choice to the workers that the queue's policy allows,
     ``rack`` to one rack. The fullest worker that fits is best, which leaves room
@@ -27,8 +26,8 @@
     spec = step.spec
     best: WorkerView | None = None
     best_score: tuple[float, ...] = ()
-    for worker in workers:
-        if not worker.accepts_work(now) or not worker.has_room(spec.needs, spec.fills):
+    for worker in accepting:
+        if not worker.has_room(spec.needs, spec.fills):
             continue
         if spec.label and spec.label not in worker.record.labels:
             continue
--- a/src/sesameladder/jobs/_scheduler.py
+++ b/src/sesameladder/jobs/_scheduler.py
@@ -33,7 +33,7 @@
     WorkerRecord,
     WorkerReport,
 )
-from sesameladder.jobs._ordering import Urgency, rank_step
+from sesameladder.jobs._ordering import StepRanking, Urgency
 from sesameladder.jobs._pacing import Pacer
 from sesameladder.jobs._placement import choose_worker
 from sesameladder.jobs._runs import Run, WorkerView
@@ -79,6 +79,7 @@
     """Runs of ended jobs or superseded runs, until they are gone."""
 
     durations: DurationTable = field(default_factory=DurationTable)
+    ranking: StepRanking = field(init=False)
     pacer: Pacer = field(default_factory=Pacer)
     commands: list[Command] = field(default_factory=list)
     dirty: dict[str, Job] = field(default_factory=dict)
@@ -107,6 +108,10 @@
     is_paused: bool = False
     """Whether nothing is started, since the store hasn't confirmed the owner."""
 
+    def __post_init__(self) -> None:
+        """Let the ranking learn from the same durations."""
+        self.ranking = StepRanking(self.durations)
+
     # Events ----------------------------------------------------------------
 
     def add_job(
@@ -343,18 +348,17 @@
     # Placement -------------------------------------------------------------
 
     def _place(self, now: float) -> None:
-        ranked = [
-            (rank_step(step, self.durations, now), step)
-            for step in self.book.open_steps.values()
-        ]
-        ranked.sort(key=lambda row: row[0])
-        self.ranks = {step.key: rank[0] for rank, step in ranked}
-        steps = [step for _, step in ranked]
         accepting = [view for view in self.workers.values() if view.accepts_work(now)]
+        ranked = self.ranking.sort(self.book.open_steps.values(), now)
+        self.ranks = {step.key: rank[0] for rank, step in ranked}
         takes_old = self.knows_workers(now)
-        for step in steps:
+        room = _find_most_room(accepting)
+        for _, step in ranked:
             if not accepting:
                 return
+            is_single = not step.spec.fills and not step.spec.gang
+            if is_single and step.spec.needs.cpu_millis > room:
+                continue
             # An earlier owner may have started older jobs on a worker whose
             # lists haven't been read.
             if not takes_old and step.job.submission.revision < self.fence:
@@ -365,6 +369,7 @@
                 self._place_gang(step, accepting, now)
             else:
                 self._place_step(step, accepting, now)
+            room = _find_most_room(accepting)
 
     def _place_step(self, step: Step, accepting: list[WorkerView], now: float) -> None:
         tickets = self._list_tickets(step)
@@ -372,7 +377,7 @@
         for subtask in list(step.waiting.values()):
             if subtask.not_before > now:
                 continue
-            worker = choose_worker(subtask, accepting, tickets, now)
+            worker = choose_worker(subtask, accepting, tickets)
             if worker is None:
                 break
             self._start(subtask, worker, subtask.last_run + 1, now)
@@ -420,7 +425,7 @@
         reserved: list[Run] = []
         tickets = self._list_tickets(waiting[0].step)
         for subtask in waiting:
-            worker = choose_worker(subtask, accepting, tickets, now, rack)
+            worker = choose_worker(subtask, accepting, tickets, rack)
             if worker is None:
                 for run in reserved:
                     run.worker.remove(run)
@@ -741,6 +746,11 @@
             self.tickets.pop(step.key, None)
 
 
+def _find_most_room(workers: list[WorkerView]) -> int:
+    """Return the most millicores that one worker has left; -1 without workers."""
+    return max((view.free_cpu for view in workers), default=-1)
+
+
 def _build_orphan(status: RunStatus) -> Subtask:
     """Return a stand-in for a subtask of a job that isn't open."""
     submission = Submission(status.subtask.job, "", JobSpec("", ()))
--- /dev/null
+++ b/src/sesameladder/jobs/tests/test_ordering.py
@@ -0,0 +1,65 @@
+"""Ranking of steps while a turn of demand exceeds the pool's room."""
+
+from sesameladder.jobs import JobSpec, PoolScheduler, Resources, StepSpec, Submission
+from sesameladder.jobs._durations import DurationTable
+from sesameladder.jobs._ordering import OUTLOOK_S, StepRanking, Urgency
+from sesameladder.jobs.tests.test_rules import build_record, list_starts
+
+WAITING_JOBS = 400
+
+
+class CountingDurations(DurationTable):
+    """Counts how often a chain of work is worked out."""
+
+    __slots__ = ("chains",)
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.chains = 0
+
+    def expect_chain(self, *args: object, **fields: object) -> float:
+        self.chains += 1
+        return super().expect_chain(*args, **fields)  # type: ignore[arg-type]
+
+
+def build_backlog(scheduler: PoolScheduler) -> None:
+    step = StepSpec(1, Resources(4000, 100), estimate_ms=500)
+    for number in range(WAITING_JOBS):
+        spec = JobSpec("", (step,))
+        job = Submission(f"{number:016x}", "queue", spec, stretch=1.6, goal_ms=600)
+        scheduler.add_job(job, None, 0.0)
+
+
+def test_full_pool_does_not_work_out_its_backlog_at_each_report() -> None:
+    """Guards against owners that have no time for orders in a turn of demand.
+
+    On a VM with half a core, an owner with a thousand waiting steps worked out every
+    chain of work after each report, and its pool stood still beside free workers.
+    """
+    scheduler = PoolScheduler(1, lambda event, **fields: None)
+    scheduler.update_workers([build_record(1)], 0.0)
+    scheduler.workers["i-1"].is_known = True
+    durations = CountingDurations()
+    scheduler.ranking = StepRanking(durations)
+    build_backlog(scheduler)
+    assert len(list_starts(scheduler.schedule(0.0, 0.0))) == 1
+    worked_out = durations.chains
+    for report in range(20):
+        scheduler.schedule(0.01 * report, 10.0 * report)
+    assert durations.chains == worked_out
+
+
+def test_rank_follows_the_time_between_outlooks() -> None:
+    """Guards against ranks that are remembered beyond a job's target."""
+    scheduler = PoolScheduler(1, lambda event, **fields: None)
+    build_backlog(scheduler)
+    step = next(iter(scheduler.book.open_steps.values()))
+    ranking = scheduler.ranking
+    target_s = 1.6 * 0.5 + 0.6
+    moments = (0.0, OUTLOOK_S / 2, target_s, 3 * target_s)
+    assert [ranking.rank(step, now)[0] for now in moments] == [
+        Urgency.IN_TIME,
+        Urgency.IN_TIME,
+        Urgency.LATE,
+        Urgency.OVERDUE,
+    ]
