--- a/src/sesameladder/node/_pool_task.py
+++ b/src/sesameladder/node/_pool_task.py
@@ -62,6 +62,7 @@
 PROGRESS_INTERVAL_S = 0.25  # ends wait this long for others, then are acknowledged
 SUMMARY_INTERVAL_S = 1.0  # pending counts may be 2 s old
 DEMAND_INTERVAL_S = 0.2  # a turn of demand builds up over 3 s; a move takes 1.5 s
+SUMMARY_LOOK_S = 0.1  # half of the above; a summary goes through all open jobs
 CLEAN_INTERVAL_S = 8.0  # removals of ended jobs wake the pool's own watch
 MAX_BATCH_ENTRIES = 24  # of the 32 that a transaction takes
 WATCH_WAIT_MS = 1000
@@ -126,6 +127,7 @@
         "status_s",
         "stopping",
         "store",
+        "summarized_at",
         "summary",
         "summary_at",
         "thread",
@@ -170,6 +172,7 @@
 
         self.removals: list[str] = []
         self.cleaned_at = self.written_at = self.summary_at = read_steady()
+        self.summarized_at = 0.0
         self.summary: PoolSummary | None = None
         self.orders_revision = 0
         self.ended_lives: set[EndedLife] = set()
@@ -496,9 +499,12 @@
         if tracked != self.tracked and not self.scheduler.missing:
             self.tracked = tracked
             puts.append(Put(tracked_key(self.pool), encode_names(tracked)))
-        summary = self._summarize()
         lease = self.role_lease()
-        if summary == self.summary or lease is None:
+        if lease is None or now - self.summarized_at < SUMMARY_LOOK_S:
+            return puts
+        self.summarized_at = now
+        summary = self._summarize()
+        if summary == self.summary:
             return puts
         known = self.summary
         asks_anew = known is None or (
