--- a/src/sesameladder/fleet/_lending.py
+++ b/src/sesameladder/fleet/_lending.py
@@ -18,7 +18,7 @@
 
 KEPT_SHARE = 0.66  # of a pool's size; one VM for each of three zones, and one more
 START_SHARE = 0.6  # of a VM; less than 0.4 of one is made up by the others
-ARRIVAL_S = 2.0  # a move of 1.5 s, and until the owner has read the new worker
+LEAD_S = 1.2  # of the 2 s until a VM counts; the growth of wide jobs doesn't last
 GROWTH_WINDOW_S = 1.0  # longer than the arrival of one wide job, a third of a ramp
 FILL_SHARE = 0.85  # of a VM's cores; wide jobs come at once, and leave fragments
 COOL_S = 1.2  # two summaries; shorter lulls are gaps between jobs
@@ -96,7 +96,7 @@
 
     def list_expected(self) -> dict[str, int]:
         """Return the cores that each pool is expected to ask for on an arrival."""
-        return {p: round(t.expect(ARRIVAL_S)) for p, t in self.trends.items()}
+        return {p: round(t.expect(LEAD_S)) for p, t in self.trends.items()}
 
     def note_moved(self, vm: str, now: float) -> None:
         """Note that a move was ordered, whatever the answer."""
@@ -160,7 +160,7 @@
                 or (vm.phase is VmPhase.UP and vm.name not in reserved)
                 for vm in own
             )
-            wanted = self.trends[pool].expect(ARRIVAL_S) / vm_cores
+            wanted = self.trends[pool].expect(LEAD_S) / vm_cores
             need = floor(wanted - held + START_SHARE)
             if need > 0:
                 needs[pool] = need
@@ -234,7 +234,7 @@
         if extra <= 0 or not up:
             return 0
         vm_cores = up[0].capacity.cpu_millis / 1000
-        wanted = self.trends[pool].expect(ARRIVAL_S)
+        wanted = self.trends[pool].expect(LEAD_S)
         surplus = 0
         while surplus < extra:
             room = (len(up) - surplus - 1) * vm_cores
--- a/src/sesameladder/jobs/tests/test_ordering.py
+++ b/src/sesameladder/jobs/tests/test_ordering.py
@@ -1,5 +1,7 @@
 """Ranking of steps while a turn of demand exceeds the pool's room."""
 
+import pytest
+
 from sesameladder.jobs import JobSpec, PoolScheduler, Resources, StepSpec, Submission
 from sesameladder.jobs._durations import DurationTable
 from sesameladder.jobs._ordering import OUTLOOK_S, StepRanking, Urgency
@@ -63,3 +65,21 @@
         Urgency.LATE,
         Urgency.OVERDUE,
     ]
+
+
+@pytest.mark.parametrize(
+    ("estimate_ms", "count", "cores"), [(250, 8, 8.0), (500, 8, 16.0), (3000, 8, 32.0)]
+)
+def test_waiting_work_counts_by_its_duration(
+    estimate_ms: int, count: int, cores: float
+) -> None:
+    """Guards against spare VMs that are all lent for a second of short work.
+
+    Waiting previews of half a second were taken for a core each; the hot pool got
+    twice the VMs that it could use.
+    """
+    scheduler = PoolScheduler(1, lambda event, **fields: None)
+    step = StepSpec(count, Resources(4000, 100), estimate_ms=estimate_ms)
+    job = Submission("0" * 16, "queue", JobSpec("", (step,)), stretch=1.6, goal_ms=600)
+    scheduler.add_job(job, None, 0.0)
+    assert scheduler.measure_cores() == (0.0, cores)
