--- a/src/sesameladder/fleet/_lending.py
+++ b/src/sesameladder/fleet/_lending.py
@@ -16,7 +16,7 @@
 
 from sesameladder.fleet._model import PoolSummary, Vm, VmPhase
 
-KEPT_SHARE = 0.66  # of a pool's size; one VM for each of three zones, and one more
+KEPT_SHARE = 0.5  # of a pool's size; one VM for each of three zones today
 START_SHARE = 0.6  # of a VM; less than 0.4 of one is made up by the others
 LEAD_S = 1.2  # of the 2 s until a VM counts; the growth of wide jobs doesn't last
 GROWTH_WINDOW_S = 1.0  # longer than the arrival of one wide job, a third of a ramp
