--- a/src/sesameladder/fleet/_lending.py
+++ b/src/sesameladder/fleet/_lending.py
@@ -230,7 +230,7 @@
     def _count_surplus(self, own: list[Vm], pool: str, now: float) -> int:
         """Return how many VMs a pool does without."""
         up = [vm for vm in own if vm.phase is VmPhase.UP]
-        extra = len(own) - ceil(KEPT_SHARE * self.base.get(pool, len(own)))
+        extra = len(up) - ceil(KEPT_SHARE * self.base.get(pool, len(own)))
         if extra <= 0 or not up:
             return 0
         vm_cores = up[0].capacity.cpu_millis / 1000
--- a/src/sesameladder/fleet/tests/test_lending.py
+++ b/src/sesameladder/fleet/tests/test_lending.py
@@ -97,6 +97,18 @@
     assert len(plan.empty.get("chair", ())) == left
 
 
+def test_vms_that_are_down_are_not_counted_as_kept() -> None:
+    """Guards against an idle pool that gives up its last VMs after a crash."""
+    vms = build_vms(6) | build_vms(2, "spare")
+    planner = build_planner(vms)
+    for number in range(3):
+        name = f"m-chair-{number}"
+        vms[name] = replace(vms[name], phase=VmPhase.DOWN, worker="")
+    idle = {"chair": build_summary()}
+    planner.plan(vms, idle, SPARE, NOBODY, NOBODY, 1.0)
+    assert planner.plan(vms, idle, SPARE, NOBODY, NOBODY, 9.0).empty == {}
+
+
 def test_vms_that_stay_are_spread_over_zones() -> None:
     """Guards against a pool that is lost with one zone between its turns."""
     vms = build_vms(6) | build_vms(2, "spare")
