--- a/src/sesameladder/fleet/_lending.py
+++ b/src/sesameladder/fleet/_lending.py
@@ -18,7 +18,7 @@
 
 KEPT_SHARE = 0.5  # of a pool's size; one VM for each of three zones today
 START_SHARE = 0.6  # of a VM; less than 0.4 of one is made up by the others
-LEAD_S = 1.2  # of the 2 s until a VM counts; the growth of wide jobs doesn't last
+LEAD_S = 2.0  # a move of 1.5 s, and until the owner has read the new worker
 GROWTH_WINDOW_S = 1.0  # longer than the arrival of one wide job, a third of a ramp
 FILL_SHARE = 0.85  # of a VM's cores; wide jobs come at once, and leave fragments
 COOL_S = 1.2  # two summaries; shorter lulls are gaps between jobs
