--- a/src/sesameladder/fleet/_lending.py
+++ b/src/sesameladder/fleet/_lending.py
@@ -16,7 +16,7 @@
 
 from sesameladder.fleet._model import PoolSummary, Vm, VmPhase
 
-KEPT_SHARE = 0.66  # of a pool's size; an outage of the store holds up lending for seconds
+KEPT_SHARE = 0.66  # of a pool's size; without the store nothing can be lent
 START_SHARE = 0.6  # of a VM; less than 0.4 of one is made up by the others
 LEAD_S = 2.0  # a move of 1.5 s, and until the owner has read the new worker
 GROWTH_WINDOW_S = 1.0  # longer than the arrival of one wide job, a third of a ramp
--- a/src/sesameladder/fleet/tests/test_lending.py
+++ b/src/sesameladder/fleet/tests/test_lending.py
@@ -83,7 +83,9 @@
     ("used", "lasting", "left"),
     [(0, 0, 2), (0, 5, 1), (100, 0, 0), (60, 0, 2), (90, 0, 1)],
 )
-def test_idle_pool_keeps_two_thirds_of_its_vms(used: int, lasting: int, left: int) -> None:
+def test_idle_pool_keeps_two_thirds_of_its_vms(
+    used: int, lasting: int, left: int
+) -> None:
     """Guards against paid-for VMs that idle, and against pools without a reserve.
 
     What runs lasting work stays, whatever the demand.
--- a/src/sesameladder/jobs/_model.py
+++ b/src/sesameladder/jobs/_model.py
@@ -263,6 +263,9 @@
     """Another life of the worker answered."""
 
     NOT_SENT = "not_sent"
+    WITHDRAWN = "withdrawn"
+    """Not sent, since the stop of its run came first."""
+
     UNANSWERED = "unanswered"
     """May have been executed, or be executed seconds later."""
 
--- a/src/sesameladder/node/_worker_link.py
+++ b/src/sesameladder/node/_worker_link.py
@@ -103,6 +103,7 @@
         "record",
         "stopping",
         "threads",
+        "withdrawn",
     )
 
     def __init__(
@@ -119,6 +120,9 @@
         self.may_hold = may_hold
         self.post = post
         self.orders: SimpleQueue[Order | None] = SimpleQueue()
+        self.withdrawn: set[tuple[SubtaskId, int]] = set()
+        """Runs whose stop waits in ``orders``; their start isn't sent any more."""
+
         self.acknowledged = 0
         """Last end that the worker may forget."""
 
@@ -155,7 +159,9 @@
         self.orders.put(None)
 
     def send(self, order: Order) -> None:
-        """Queue an order."""
+        """Queue an order; a stop withdraws the start of its run if that waits."""
+        if isinstance(order, StopCommand):
+            self.withdrawn.add((order.subtask, order.run))
         self.orders.put(order)
 
     def _extend_lease(self) -> int | None:
@@ -181,6 +187,7 @@
             if isinstance(order, StartCommand):
                 self._send_start(order)
             elif isinstance(order, StopCommand):
+                self.withdrawn.discard((order.subtask, order.run))
                 if self.client.stop(order.subtask, order.run):
                     self.post(StopAnswered(order.worker, order.subtask, order.run))
                 else:
@@ -191,7 +198,9 @@
     def _send_start(self, command: StartCommand) -> None:
         order = command.order
         lease_until_ms = self._extend_lease()
-        if lease_until_ms is None:
+        if (order.subtask, order.run) in self.withdrawn:
+            outcome = StartOutcome.WITHDRAWN
+        elif lease_until_ms is None:
             outcome = StartOutcome.NOT_SENT
         else:
             outcome = self.client.start(order, lease_until_ms)
--- /dev/null
+++ b/src/sesameladder/node/tests/test_worker_link.py
@@ -0,0 +1,73 @@
+"""In which order a worker gets its orders, and which are withdrawn."""
+
+import pytest
+
+from sesameladder.jobs import (
+    StartCommand,
+    StartOrder,
+    StartOutcome,
+    StopCommand,
+    SubtaskId,
+)
+from sesameladder.jobs.tests.test_rules import build_record
+from sesameladder.node._worker_link import (
+    LinkMessage,
+    StartAnswered,
+    StopAnswered,
+    WorkerLink,
+)
+
+SUBTASK = SubtaskId("00000000000000aa", 0, 0, 4)
+WORKER = "i-1"
+
+
+class RecordingClient:
+    """Takes every order and remembers it."""
+
+    def __init__(self) -> None:
+        self.calls: list[tuple[str, int]] = []
+
+    def start(self, order: StartOrder, lease_until_ms: int) -> StartOutcome:
+        del lease_until_ms
+        self.calls.append(("start", order.run))
+        return StartOutcome.STARTED
+
+    def stop(self, subtask: SubtaskId, run: int) -> bool:
+        del subtask
+        self.calls.append(("stop", run))
+        return True
+
+    def close(self) -> None:
+        """Close nothing."""
+
+
+@pytest.mark.parametrize(
+    ("stopped_run", "calls", "outcome"),
+    [
+        (7, [("stop", 7)], StartOutcome.WITHDRAWN),
+        (6, [("start", 7), ("stop", 6)], StartOutcome.STARTED),
+    ],
+)
+def test_stop_withdraws_a_start_that_waits(
+    stopped_run: int, calls: list[tuple[str, int]], outcome: StartOutcome
+) -> None:
+    """Guards against TWICE: starts that wait behind other orders of a busy owner.
+
+    After a cut, the end of an earlier run was read while the start of the next one
+    still waited in the link; it was sent 1.3 s after the end had been acknowledged.
+    """
+    posted: list[LinkMessage] = []
+    link = WorkerLink(build_record(1), 9, 4000, lambda: True, posted.append)
+    client = RecordingClient()
+    link.client = client  # type: ignore[assignment]
+    link.clock_offset = 0.0
+    link.send(StartCommand(WORKER, StartOrder(SUBTASK, 7, "")))
+    link.send(StopCommand(WORKER, SUBTASK, stopped_run))
+    link.stop()
+    link.stopping.clear()
+    link._send_orders()
+    assert client.calls == calls
+    assert posted == [
+        StartAnswered(WORKER, SUBTASK, 7, outcome),
+        StopAnswered(WORKER, SUBTASK, stopped_run),
+    ]
