--- a/src/sesameladder/jobs/tests/simulation.py
+++ b/src/sesameladder/jobs/tests/simulation.py
@@ -39,6 +39,7 @@
 
 STEP_S = 0.02
 LEASE_S = LEASE_MS / 1000
+CRASH_NOTICE_S = 0.4  # a reading of the list of VMs, a write and a watch
 SILENCE_S = 4.5
 """After this the list of workers drops a worker that doesn't reach it."""
 
@@ -169,9 +170,22 @@
         self._to_owner(lambda o: o.scheduler.cancel_job(job, self.time))
 
     def crash(self, worker: SimulatedWorker) -> None:
-        """End a worker's life with all that it has not been told to forget."""
+        """End a worker's life with all that it has not been told to forget.
+
+        The list of VMs shows every other one down soon after, and the owner is told
+        which life ended; the others are given up with their lease.
+        """
         self._forget_ends(worker)
+        name, born_ms = worker.name, worker.born_ms
         worker.crash()
+        if worker not in self.workers[::2]:
+            return
+        self._later(
+            CRASH_NOTICE_S,
+            lambda: self._to_owner(
+                lambda o: o.scheduler.end_life(name, born_ms, self.time)
+            ),
+        )
 
     def take_over(self, cuts_old_owner: bool = False) -> None:
         """Let another process become the owner."""
