--- a/src/sesameladder/jobs/_scheduler.py
+++ b/src/sesameladder/jobs/_scheduler.py
@@ -239,6 +239,12 @@
             run.was_unanswered = True
             run.retry_at = now + START_RETRY_S
             return
+        if outcome is StartOutcome.SUPERSEDED:
+            # The run may have ended done there; the worker's next lists tell.
+            run.was_unanswered = True
+            run.confirmed_at = now
+            run.retry_at = None
+            return
         worker = run.worker
         if outcome is StartOutcome.NO_ROOM:
             worker.full_until = now + NO_ROOM_PAUSE_S
@@ -249,7 +255,7 @@
         elif outcome is StartOutcome.OTHER_LIFE:
             self._lose_worker(worker, now, "worker_replaced")
             return
-        if run.was_unanswered and outcome is not StartOutcome.SUPERSEDED:
+        if run.was_unanswered:
             # A copy of the start may still arrive; only a stop bars it.
             run.is_refused = True
             run.retry_at = None
@@ -570,8 +576,10 @@
         worker.note_success()
         step = subtask.step
         if run is not None:
-            if run.confirmed_at is not None and not step.spec.lasting:
-                self.durations.add(step, max(0.001, now - run.confirmed_at))
+            # The start of a run without an answer isn't known.
+            begun_at = None if run.was_unanswered else run.confirmed_at
+            if begun_at is not None and not step.spec.lasting:
+                self.durations.add(step, max(0.001, now - begun_at))
             self._release(run, now)
         if step.spec.lasting:
             return
--- a/src/sesameladder/jobs/tests/test_rules.py
+++ b/src/sesameladder/jobs/tests/test_rules.py
@@ -287,3 +287,31 @@
     submit(scheduler, replace(STEP, count=count, lasting=lasting))
     workers = [row[2] for row in list_starts(scheduler.schedule(0.1, 100.0))]
     assert sorted(Counter(workers).values()) == expected
+
+
+@pytest.mark.parametrize(
+    ("reason", "restarts"),
+    [(EndReason.DONE, False), (EndReason.LAPSED, True), (None, True)],
+)
+def test_superseded_start_waits_for_the_workers_lists(
+    reason: EndReason | None, restarts: bool
+) -> None:
+    """Guards against TWICE: a run whose start was not answered may have ended done.
+
+    The repeated start was refused as superseded, and the subtask started again
+    before the worker's list with its end had been read.
+    """
+    scheduler = build_scheduler(build_record(1))
+    submit(scheduler, replace(STEP, count=1))
+    (start,) = scheduler.schedule(0.1, 100.0)
+    assert isinstance(start, StartCommand)
+    subtask, run = start.order.subtask, start.order.run
+    for outcome, now in (
+        (StartOutcome.UNANSWERED, 0.9),
+        (StartOutcome.SUPERSEDED, 1.1),
+    ):
+        scheduler.apply_start("i-1", subtask, run, outcome, now)
+    assert list_starts(scheduler.schedule(1.2, 1200.0)) == []
+    ends = () if reason is None else (RunEnd(1, subtask, run, reason, ""),)
+    scheduler.apply_report("i-1", WorkerReport(0, 1, (), ends), 1.2, 1.3)
+    assert bool(list_starts(scheduler.schedule(1.4, 1400.0))) is restarts
