--- a/src/sesameladder/jobs/__init__.py
+++ b/src/sesameladder/jobs/__init__.py
@@ -10,7 +10,8 @@
     StartCommand,
     StopCommand,
 )
-from sesameladder.jobs._job_table import Job, JobTable, Step, Submission, Subtask
+from sesameladder.jobs._job import Job, Step, Submission, Subtask
+from sesameladder.jobs._job_table import JobTable
 from sesameladder.jobs._load import PoolLoad
 from sesameladder.jobs._model import (
     AdvicePolicy,
--- a/src/sesameladder/jobs/_durations.py
+++ b/src/sesameladder/jobs/_durations.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from math import sqrt
 
-from sesameladder.jobs._job_table import Job, Step, Submission
+from sesameladder.jobs._job import Job, Step, Submission
 
 SAMPLE_WEIGHT = 0.1  # a demand peak yields over 20 ended runs of a queue in seconds
 MIN_SAMPLES = 5  # with fewer ended runs the caller's estimate is more accurate
@@ -93,8 +93,15 @@
 
     def estimate_job_work(self, job: Job) -> float:
         """Return the remaining work of all occurrences of a job in core-seconds."""
-        occurrences = {occurrence for occurrence, _ in job.steps}
-        return sum(self.estimate_remaining_work(job, o) for o in occurrences)
+        built = range(job.first_kept_occurrence, job.next_occurrence)
+        built_core_s = sum(self.estimate_remaining_work(job, o) for o in built)
+        occurrence_core_s = sum(
+            spec.count * self.estimate_subtask_work(job, number)
+            for number, spec in enumerate(job.submission.spec.steps)
+        )
+        return built_core_s + occurrence_core_s * (
+            job.occurrences - job.next_occurrence
+        )
 
     def estimate_remaining_work(self, job: Job, occurrence: int) -> float:
         """Return the remaining work of an occurrence in core-seconds."""
--- a/src/sesameladder/jobs/_evacuation.py
+++ b/src/sesameladder/jobs/_evacuation.py
@@ -48,8 +48,9 @@
     A subtask whose worker did not respond to the last request for a report counts as
     not ready.
     """
-    count = 0
-    for subtask in run.subtask.step.subtasks:
+    step = run.subtask.step
+    count = step.remaining_subtasks - len(step.known)
+    for subtask in step.known.values():
         other = runs.get(subtask.id)
         is_ready = (
             other is not None
--- a/src/sesameladder/jobs/_load.py
+++ b/src/sesameladder/jobs/_load.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from sesameladder.jobs._job_table import Step
+from sesameladder.jobs._job import Step
 from sesameladder.jobs._runs import Run, WorkerView
 
 
@@ -39,7 +39,7 @@
     now: float,
 ) -> PoolLoad:
     """Return the load at the steady time ``now``, in seconds."""
-    waiting = sum(len(step.waiting) for step in open_steps)
+    waiting = sum(step.waiting_count for step in open_steps)
     running = unconfirmed = 0
     oldest_s = 0.0
     for run in runs:
--- a/src/sesameladder/jobs/_model.py
+++ b/src/sesameladder/jobs/_model.py
@@ -326,7 +326,12 @@
     spec: JobSpec
     cancelled: bool = False
     state: JobState = JobState.QUEUED
-    done_subtasks: set[SubtaskId] = field(default_factory=set)
+    finished_occurrences: int = 0
+    """Number of the first occurrences that are done and no longer named below."""
+
+    done_masks: dict[tuple[int, int], int] = field(default_factory=dict)
+    """Bit mask of the done subtasks by position, by occurrence and step number."""
+
     failed_runs: dict[SubtaskId, set[int]] = field(default_factory=dict)
     crashes: dict[SubtaskId, dict[int, Crash]] = field(default_factory=dict)
     """Crashes of workers under a subtask, by run number."""
@@ -334,4 +339,9 @@
     @property
     def has_begun(self) -> bool:
         """Return whether a run of the job is known to have ended."""
-        return bool(self.done_subtasks or self.failed_runs or self.crashes)
+        return bool(
+            self.finished_occurrences
+            or self.done_masks
+            or self.failed_runs
+            or self.crashes
+        )
--- a/src/sesameladder/jobs/_ordering.py
+++ b/src/sesameladder/jobs/_ordering.py
@@ -14,7 +14,7 @@
 from enum import IntEnum
 
 from sesameladder.jobs._durations import DurationTable
-from sesameladder.jobs._job_table import Job, Step
+from sesameladder.jobs._job import Job, Step
 from sesameladder.jobs._model import JobState
 from sesameladder.jobs._size_fairness import SizeFairness
 
@@ -143,7 +143,7 @@
             urgency = Urgency.OVERDUE
         # Subtasks that have a run cost nothing more, so jobs that have begun go on.
         unplaced_core_s = (
-            forecast.later_core_s + len(step.waiting) * forecast.subtask_core_s
+            forecast.later_core_s + step.waiting_count * forecast.subtask_core_s
         )
         return (
             urgency,
--- a/src/sesameladder/jobs/_placement.py
+++ b/src/sesameladder/jobs/_placement.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 from math import ceil
 
-from sesameladder.jobs._job_table import Step, Subtask
+from sesameladder.jobs._job import Step, Subtask
 from sesameladder.jobs._runs import WorkerView
 
 # Number of workers among which the subtasks of a long-running step are divided: one
--- a/src/sesameladder/jobs/_probation.py
+++ b/src/sesameladder/jobs/_probation.py
@@ -10,7 +10,7 @@
 from collections.abc import Container, Iterable, Mapping
 from dataclasses import dataclass
 
-from sesameladder.jobs._job_table import Subtask
+from sesameladder.jobs._job import Subtask
 from sesameladder.jobs._model import SubtaskId
 from sesameladder.jobs._placement import choose_worker
 from sesameladder.jobs._runs import YOUNG_RUN_S, Run, WorkerView
--- a/src/sesameladder/jobs/_progress.py
+++ b/src/sesameladder/jobs/_progress.py
@@ -3,7 +3,7 @@
 import json
 from typing import Any
 
-from sesameladder.jobs._job_table import Job
+from sesameladder.jobs._job import Job
 from sesameladder.jobs._model import Crash, JobRecord, JobSpec, JobState, SubtaskId
 
 
@@ -18,16 +18,22 @@
     """
     body: dict[str, Any] = {"queue": job.submission.queue, "state": job.state.value}
     if not job.state.is_final:
-        body["done"] = _encode_done(job)
+        if job.first_kept_occurrence:
+            body["finished"] = job.first_kept_occurrence
+        body["done"] = {
+            f"{occurrence}.{number}": f"{step.done_mask:x}"
+            for (occurrence, number), step in job.steps.items()
+            if step.done_mask
+        }
         body["failed_runs"] = {
             _encode_subtask_name(subtask.id): sorted(subtask.failed_runs)
-            for subtask in job.iterate_subtasks()
+            for subtask in job.iterate_known()
             if subtask.failed_runs
         }
         body["crashes"] = {
             _encode_subtask_name(subtask.id): _encode_crashes(subtask.crashes)
-            for subtask in job.iterate_subtasks()
-            if subtask.crashes and not subtask.is_done
+            for subtask in job.iterate_known()
+            if subtask.crashes
         }
     return json.dumps(body, separators=(",", ":")).encode()
 
@@ -42,39 +48,35 @@
         record = JobRecord(job, body["queue"], spec or JobSpec("", ()))
         record.state = JobState(body["state"])
         if spec is not None:
-            record.done_subtasks = _decode_done(job, body.get("done") or {}, spec)
+            record.finished_occurrences = int(body.get("finished") or 0)
+            record.done_masks = _decode_done(body.get("done") or {}, spec)
             for name, runs in (body.get("failed_runs") or {}).items():
                 record.failed_runs[_decode_subtask_name(job, name)] = set(
                     map(int, runs)
                 )
             for name, rows in (body.get("crashes") or {}).items():
                 record.crashes[_decode_subtask_name(job, name)] = _decode_crashes(rows)
-    except (ValueError, KeyError, TypeError, IndexError, AttributeError) as error:
+    except (
+        ValueError,
+        LookupError,
+        TypeError,
+        AttributeError,
+        OverflowError,
+        RecursionError,
+    ) as error:
         raise ProgressInvalid(f"progress of job {job} is malformed") from error
     return record
 
 
-def _encode_done(job: Job) -> dict[str, str]:
-    """Return a hexadecimal bit mask of the done subtasks, by step.
-
-    Steps without done subtasks are left out.
-    """
-    masks = {}
-    for (occurrence, number), step in job.steps.items():
-        mask = sum(1 << i for i, subtask in enumerate(step.subtasks) if subtask.is_done)
-        if mask:
-            masks[f"{occurrence}.{number}"] = f"{mask:x}"
-    return masks
-
-
-def _decode_done(job: str, masks: dict[str, str], spec: JobSpec) -> set[SubtaskId]:
-    done = set()
+def _decode_done(masks: dict[str, str], spec: JobSpec) -> dict[tuple[int, int], int]:
+    """Return bit masks of the done subtasks, by occurrence and step number."""
+    done = {}
     for name, text in masks.items():
         occurrence, number = map(int, name.split("."))
         mask = int(text, 16)
-        for position in range(spec.steps[number].count):
-            if mask >> position & 1:
-                done.add(SubtaskId(job, occurrence, number, position))
+        if min(occurrence, number, mask) < 0:
+            raise ValueError(f"{name} of the done subtasks is negative")
+        done[occurrence, number] = mask & ((1 << spec.steps[number].count) - 1)
     return done
 
 
--- a/src/sesameladder/jobs/_runs.py
+++ b/src/sesameladder/jobs/_runs.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from sesameladder.jobs._job_table import Subtask
+from sesameladder.jobs._job import Subtask
 from sesameladder.jobs._model import Resources, SubtaskId, WorkerRecord
 
 FAILURES_UNTIL_EJECTED = 3  # consecutive; a healthy worker fails about 1 run in 300
--- a/src/sesameladder/jobs/_scheduler.py
+++ b/src/sesameladder/jobs/_scheduler.py
@@ -18,7 +18,8 @@
 )
 from sesameladder.jobs._durations import DurationTable
 from sesameladder.jobs._evacuation import choose_evacuations
-from sesameladder.jobs._job_table import Job, JobTable, Step, Submission, Subtask
+from sesameladder.jobs._job import Job, Step, Submission, Subtask
+from sesameladder.jobs._job_table import JobTable
 from sesameladder.jobs._load import PoolLoad, measure_load
 from sesameladder.jobs._model import (
     Crash,
@@ -171,7 +172,7 @@
             self.job_table.ended[submission.job] = (record.state, now)
             return
         job = self.job_table.add(submission, record, now)
-        for subtask in job.iterate_subtasks():
+        for subtask in job.iterate_known():
             if any(crash.is_suspected for crash in subtask.crashes.values()):
                 self.probation.add(subtask)
         core_s = self.durations.estimate_job_work(job)
@@ -182,6 +183,13 @@
         )
         self._end_if_finished(job, now)
 
+    def fail_unreadable_job(self, job_id: str, queue: str, now: float) -> None:
+        """End a job that was accepted and can't be carried out as failed."""
+        if job_id in self.job_table.jobs or job_id in self.job_table.ended:
+            return
+        job = self.job_table.add(Submission(job_id, queue, JobSpec("", ())), None, now)
+        self._end_job(job, JobState.FAILED, now)
+
     def cancel_job(self, job_id: str, now: float) -> None:
         """Cancel a job and stop its runs."""
         job = self.job_table.jobs.get(job_id)
@@ -473,7 +481,7 @@
                     if step.spec.is_long_running
                     else min(1.0, expected_s / BACKLOG_CLEAR_S)
                 )
-                waiting += len(step.waiting) * step.spec.needs.cpu_millis * share
+                waiting += step.waiting_count * step.spec.needs.cpu_millis * share
         return used / 1000, waiting / 1000
 
     def is_not_overdue(self, step: Step) -> bool:
@@ -518,7 +526,7 @@
     def _place_step(self, step: Step, now: float) -> None:
         tickets = self._get_tickets(step)
         placed = []
-        for subtask in list(step.waiting.values()):
+        for subtask in step.iterate_waiting():
             if subtask.not_before > now:
                 continue
             if not self._has_place_for_start():
@@ -541,16 +549,17 @@
                 job=step.job.id,
                 step=step.number,
                 workers=placed,
-                waiting=len(step.waiting),
+                waiting=step.waiting_count,
             )
 
     def _place_gang(self, step: Step, accepting: list[WorkerView], now: float) -> None:
         """Place all members of a gang at once, or only the missing ones."""
-        active = [run for run in map(self._get_run, step.subtasks) if run is not None]
+        members = step.subtasks
+        active = [run for run in map(self._get_run, members) if run is not None]
         if any(run.stopping_since is not None for run in active):
             return
         waiting = list(step.waiting.values())
-        if len(active) + len(waiting) < len(step.subtasks):
+        if len(active) + len(waiting) < len(members):
             return
         if active and now - min(run.sent_at for run in active) > GANG_START_LIMIT_S:
             for run in active:
@@ -558,7 +567,7 @@
             return
         if any(subtask.not_before > now for subtask in waiting):
             return
-        number = max(subtask.last_run for subtask in step.subtasks)
+        number = max(subtask.last_run for subtask in members)
         if active and any(
             number in subtask.crashes and number != subtask.announced_run
             for subtask in waiting
@@ -803,7 +812,7 @@
             self.log_event(
                 "worker_ejected", worker=worker.id, until=worker.ejected_until
             )
-        if not step.spec.is_long_running:
+        if not step.spec.is_long_running and not subtask.is_done:
             subtask.failed_runs.add(end.run)
         subtask.failed_workers.add(worker.id)
         self.dirty_jobs[step.job.id] = step.job
@@ -814,6 +823,7 @@
             failures = sum(member.failures for member in step.subtasks)
         if (
             not step.spec.is_long_running
+            and not subtask.is_done
             and failures >= step.job.submission.max_attempts
         ):
             self.log_event("job_failed", job=end.subtask.job, subtask=end.subtask[1:])
@@ -1034,11 +1044,11 @@
 
     def _end_if_finished(self, job: Job, now: float) -> None:
         """End a job whose stored progress shows that it is done or has failed."""
-        if job.unfinished_steps == 0:
+        if job.is_finished:
             self._end_job(job, JobState.DONE, now)
             return
         limit = job.submission.max_attempts
-        for subtask in job.iterate_subtasks():
+        for subtask in job.iterate_known():
             # What became of an announced start shows in the reports of the workers.
             if must_give_up(subtask, counts_unknown=False):
                 self._fail_jobs([subtask], now)
@@ -1053,7 +1063,7 @@
         age_s = round(now - job.accepted_at, 3)
         self.log_event("job_ended", job=job.id, state=state.value, age_s=age_s)
         self.probation.forget_job(job.id)
-        for subtask in job.iterate_subtasks():
+        for subtask in job.iterate_known():
             run = self.runs.get(subtask.id)
             if run is not None:
                 self._make_obsolete(run, now)
--- a/src/sesameladder/jobs/_size_fairness.py
+++ b/src/sesameladder/jobs/_size_fairness.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field
 from math import exp
 
-from sesameladder.jobs._job_table import Job
+from sesameladder.jobs._job import Job
 
 # Lower bounds of the bands of large jobs, as quantiles of a queue's recent jobs: users
 # look at the largest tenth and at the fifth below it.
--- a/src/sesameladder/node/_fleet_task.py
+++ b/src/sesameladder/node/_fleet_task.py
@@ -35,6 +35,7 @@
     encode_names,
     encode_orders,
 )
+from sesameladder.node._refusals import RefusalLog
 from sesameladder.node._roles import HeldRole
 from sesameladder.node._supervision import build_thread
 from sesameladder.node._telemetry import log_event, log_failure, log_warning
@@ -83,8 +84,11 @@
         "store",
         "stored_orders",
         "thread",
+        "unreadable_vms",
         "vm_client",
+        "vm_refusals",
         "vms",
+        "worker_refusals",
     )
 
     def __init__(
@@ -109,6 +113,11 @@
         self.lending_planner = LendingPlanner()
         self.are_base_sizes_stored = False
         self.vms: dict[str, Vm] = {}
+        self.unreadable_vms: frozenset[str] = frozenset()
+        """Names of the VMs whose row could not be read at the latest reading."""
+
+        self.vm_refusals = RefusalLog("vm_row_refused")
+        self.worker_refusals = RefusalLog("worker_record_refused")
         self.finished_waves: set[int] = set()
         self.started_waves: set[int] = set()
         self.stored_orders: dict[str, PoolOrders | None] = {}
@@ -202,10 +211,7 @@
         configuration = self.get_configuration()
         if configuration is None:
             return
-        previous_vms, self.vms = (
-            self.vms,
-            {vm.name: vm for vm in self.vm_client.list_vms()},
-        )
+        previous_vms, self.vms = self.vms, self._read_vms()
         self._log_vm_changes(previous_vms)
         self._track_incarnations()
         self._read_earlier_orders(configuration.pools)
@@ -226,6 +232,24 @@
         self._write_orders(plan)
         self._write_wave_status(waves, plan)
 
+    def _read_vms(self) -> dict[str, Vm]:
+        """Return the VMs by name.
+
+        A VM whose row can't be read stays as it was last read. A row without a name
+        may be that of any VM that is missing.
+        """
+        vm_list = self.vm_client.list_vms()
+        vms = {vm.name: vm for vm in vm_list.vms}
+        for name, vm in self.vms.items():
+            if name not in vms and (vm_list.unnamed or name in vm_list.unreadable):
+                vms[name] = vm
+        for name, reason in vm_list.unreadable.items():
+            self.vm_refusals.record(name, reason, vm=name)
+        for reason in vm_list.unnamed:
+            self.vm_refusals.record(reason, reason)
+        self.unreadable_vms = frozenset(vm_list.unreadable)
+        return vms
+
     def _log_vm_changes(self, previous_vms: dict[str, Vm]) -> None:
         """Log each VM that is no longer listed or whose entry has changed."""
         for name in {*previous_vms, *self.vms}:
@@ -259,7 +283,7 @@
         try:
             self.incarnations.record_start(worker, decode_worker(worker, value).born_ms)
         except RecordInvalid as error:
-            log_warning("worker_record_refused", worker=worker, error=str(error))
+            self.worker_refusals.record(worker, str(error), worker=worker)
 
     def _read_earlier_orders(self, pools: Iterable[str]) -> None:
         """Read the orders that an earlier holder stored for pools not known yet.
@@ -457,7 +481,9 @@
 
     def _write_wave_status(self, waves: list[Wave], plan: MaintenancePlan) -> None:
         for wave in waves:
-            is_done = wave.number in plan.finished_waves
+            # Whether a VM that has never been readable was maintained isn't known.
+            unknown_vms = self.unreadable_vms.intersection(wave.vms) - set(self.vms)
+            is_done = wave.number in plan.finished_waves and not unknown_vms
             if not is_done and wave.number in self.started_waves:
                 continue
             key = f"{WAVE_STATUS_PREFIX}{wave.number}"
--- a/src/sesameladder/node/_http_servers.py
+++ b/src/sesameladder/node/_http_servers.py
@@ -21,6 +21,7 @@
     PendingCount,
     Rejected,
     Result,
+    TooLarge,
     Unknown,
     compute_response_deadline,
 )
@@ -103,6 +104,11 @@
     return ApiResponse(400, {"error": result.reason, "has_run": False})
 
 
+@build_response.register
+def _(result: TooLarge) -> ApiResponse:
+    return ApiResponse(413, {"error": result.reason, "has_run": False})
+
+
 @build_response.register
 def _(result: NotFound) -> ApiResponse:  # noqa: ARG001
     return ApiResponse(410, {"error": "there is no such job"})
--- a/src/sesameladder/node/_intake.py
+++ b/src/sesameladder/node/_intake.py
@@ -36,6 +36,7 @@
     PlatformCallError,
     Put,
     RecordInvalid,
+    RecordTooLarge,
     StoreClient,
     decode_job,
 )
@@ -81,6 +82,13 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class TooLarge:
+    """The request asks for more than the system carries."""
+
+    reason: str
+
+
 @dataclass(frozen=True, slots=True)
 class NotFound:
     """The job does not exist."""
@@ -110,6 +118,7 @@
     | Rejected
     | Unknown
     | InvalidRequest
+    | TooLarge
     | NotFound
     | Found
     | PendingCount
@@ -158,6 +167,8 @@
             )
         try:
             decode_job(body)
+        except RecordTooLarge as error:
+            return TooLarge(str(error))
         except RecordInvalid as error:
             return InvalidRequest(str(error))
         pools = self._list_known_pools(queue)
--- a/src/sesameladder/node/_pool_task.py
+++ b/src/sesameladder/node/_pool_task.py
@@ -42,6 +42,7 @@
     encode_names,
     encode_summary,
 )
+from sesameladder.node._refusals import RefusalLog
 from sesameladder.node._roles import HeldRole
 from sesameladder.node._supervision import build_thread
 from sesameladder.node._telemetry import (
@@ -147,6 +148,7 @@
         "last_summary_at",
         "last_summary_check_at",
         "last_write_at",
+        "link_failures",
         "links",
         "load_meter",
         "longest_pass_s",
@@ -195,6 +197,7 @@
         self.messages: SimpleQueue[PoolMessage] = SimpleQueue()
         self.scheduler = PoolScheduler(role.term, self._log_event, fence=role.fence)
         self.links: dict[str, WorkerLink] = {}
+        self.link_failures = RefusalLog("worker_link_failed")
         self.writer = PoolWriter(
             pool, role, store, self.messages.put, self._give_up_role
         )
@@ -445,18 +448,44 @@
     def _add_job(
         self, job: str, value: bytes, revision: int, progress: bytes | None, now: float
     ) -> None:
+        record: JobRecord | None = None
         try:
             submission = decode_submission(job, value, revision)
-            record: JobRecord | None = None
             if progress is not None:
                 record = decode_progress(job, progress, submission.spec)
-        except (RecordInvalid, ProgressInvalid) as error:
+        except RecordInvalid as error:
+            log_warning("job_record_refused", pool=self.pool, job=job, error=str(error))
+            self._fail_unreadable_job(job, progress, now)
+            return
+        except ProgressInvalid as error:
+            # What has run isn't known, so neither a start nor a final state is right.
             log_warning("job_record_refused", pool=self.pool, job=job, error=str(error))
             return
         if record is not None and record.state.is_final:
             self._schedule_removal(job)
         self.scheduler.add_job(submission, record, now)
 
+    def _fail_unreadable_job(
+        self, job: str, progress: bytes | None, now: float
+    ) -> None:
+        """End a job whose submission can't be read, so that its caller is told.
+
+        An older version may have accepted what this one refuses.
+        """
+        queue = ""
+        if progress is not None:
+            try:
+                record = decode_progress(job, progress, None)
+            except ProgressInvalid as error:
+                self._log_event("job_state_unknown", job=job, error=str(error))
+                return
+            if record.state.is_final:
+                self.scheduler.job_table.ended[job] = record.state, now
+                self._schedule_removal(job)
+                return
+            queue = record.queue
+        self.scheduler.fail_unreadable_job(job, queue, now)
+
     def _apply_orders(self, value: bytes | None, revision: int, now: float) -> None:
         try:
             orders = decode_orders(value) if value is not None else PoolOrders()
@@ -572,7 +601,9 @@
                 link.stop()
                 del self.links[name]
         for name, view in views.items():
-            if name not in self.links:
+            if name in self.links:
+                continue
+            try:
                 link = WorkerLink(
                     view.record,
                     self.role.fence,
@@ -581,7 +612,14 @@
                     self.messages.put,
                 )
                 link.start()
-                self.links[name] = link
+            except Exception as error:
+                # The orders to the other workers must not wait for this one.
+                self.link_failures.record_failure(
+                    name, error, pool=self.pool, worker=name
+                )
+                continue
+            self.link_failures.clear(name)
+            self.links[name] = link
 
     def _may_extend_leases(self) -> bool:
         """Return whether the role may still be held.
--- a/src/sesameladder/node/_records.py
+++ b/src/sesameladder/node/_records.py
@@ -6,7 +6,20 @@
 
 from sesameladder.fleet import EndedIncarnation, PoolOrders, PoolSummary
 from sesameladder.jobs import AdvicePolicy, QueuePolicy, Submission
-from sesameladder.platform import MALFORMED, RecordInvalid, decode_job
+from sesameladder.platform import (
+    MAX_AMOUNT,
+    MAX_COUNTER,
+    MAX_TIME_MS,
+    Fields,
+    check_name,
+    check_number,
+    check_object,
+    decode_job,
+    decoding_record,
+    read_factor,
+    read_name,
+    read_number,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,21 +48,28 @@
 
 def decode_submission(job: str, value: bytes, revision: int) -> Submission:
     """Decode a stored job; raises ``RecordInvalid``."""
-    try:
-        fields = json.loads(value)
+    with decoding_record(f"stored job {job}"):
+        fields = check_object("the record", json.loads(value))
+        advice = fields["advice"]
         return Submission(
             job=job,
-            queue=fields["queue"],
+            queue=read_name(fields, "queue"),
             spec=decode_job(fields["body"].encode()),
-            priority=int(fields["priority"]),
-            max_attempts=int(fields["max_attempts"]),
-            stretch=float(fields["stretch"]),
-            target_offset_ms=int(fields["goal_ms"]),
-            advice=AdvicePolicy(**fields["advice"]) if fields["advice"] else None,
+            priority=read_number(fields, "priority", minimum=-MAX_AMOUNT),
+            max_attempts=read_number(fields, "max_attempts"),
+            stretch=read_factor(fields, "stretch", default=1.0),
+            target_offset_ms=read_number(fields, "goal_ms", MAX_TIME_MS),
+            advice=_decode_advice(check_object("advice", advice)) if advice else None,
             revision=revision,
         )
-    except MALFORMED as error:
-        raise RecordInvalid(f"stored job {job} is malformed: {error!r}") from error
+
+
+def _decode_advice(fields: Fields) -> AdvicePolicy:
+    return AdvicePolicy(
+        read_number(fields, "decision_ms"),
+        read_number(fields, "per_worker_ms"),
+        read_number(fields, "valid_ms"),
+    )
 
 
 def encode_holder(holder: RoleHolder) -> bytes:
@@ -59,12 +79,13 @@
 
 def decode_holder(value: bytes) -> RoleHolder:
     """Decode the holder of a role; raises ``RecordInvalid``."""
-    try:
-        fields = json.loads(value)
-        strength = float(fields.get("strength") or 0)
-        return RoleHolder(fields["node"], int(fields["term"]), strength)
-    except MALFORMED as error:
-        raise RecordInvalid(f"the holder of a role is malformed: {error!r}") from error
+    with decoding_record("holder of a role"):
+        fields = check_object("the record", json.loads(value))
+        return RoleHolder(
+            read_name(fields, "node"),
+            check_number("term", fields["term"], MAX_COUNTER),
+            read_factor(fields, "strength", default=0.0),
+        )
 
 
 def encode_names(names: tuple[str, ...]) -> bytes:
@@ -74,10 +95,8 @@
 
 def decode_names(value: bytes) -> tuple[str, ...]:
     """Decode a list of names; raises ``RecordInvalid``."""
-    try:
-        return tuple(map(str, json.loads(value)))
-    except MALFORMED as error:
-        raise RecordInvalid(f"a list of names is malformed: {error!r}") from error
+    with decoding_record("list of names"):
+        return tuple(check_name("a name", name) for name in json.loads(value))
 
 
 def encode_orders(orders: PoolOrders) -> bytes:
@@ -87,15 +106,15 @@
 
 def decode_orders(value: bytes) -> PoolOrders:
     """Decode the orders to a pool's owner; raises ``RecordInvalid``."""
-    try:
-        fields = json.loads(value)
+    with decoding_record("orders to a pool"):
+        fields = check_object("the record", json.loads(value))
         ended = tuple(
-            EndedIncarnation(row["worker"], int(row["born_ms"]))
+            EndedIncarnation(
+                read_name(row, "worker"), read_number(row, "born_ms", MAX_TIME_MS)
+            )
             for row in fields["ended"]
         )
-        return PoolOrders(tuple(fields["emptying"]), ended)
-    except MALFORMED as error:
-        raise RecordInvalid(f"a pool's orders are malformed: {error!r}") from error
+        return PoolOrders(_decode_workers(fields, "emptying"), ended)
 
 
 def encode_summary(summary: PoolSummary) -> bytes:
@@ -105,19 +124,28 @@
 
 def decode_summary(value: bytes) -> PoolSummary:
     """Decode the summary of a pool; raises ``RecordInvalid``."""
-    try:
-        fields = json.loads(value)
+    with decoding_record("summary of a pool"):
+        fields = check_object("the record", json.loads(value))
         return PoolSummary(
-            pending={str(name): int(n) for name, n in fields["pending"].items()},
-            drained=tuple(fields["drained"]),
-            stoppable=tuple(fields["stoppable"]),
-            orders_revision=int(fields["orders_revision"]),
-            lasting=tuple(fields["lasting"]),
-            used_cores=int(fields["used_cores"]),
-            waiting_cores=int(fields["waiting_cores"]),
+            pending={
+                check_name("pending", name): check_number("pending", n, MAX_AMOUNT)
+                for name, n in fields["pending"].items()
+            },
+            drained=_decode_workers(fields, "drained"),
+            stoppable=_decode_workers(fields, "stoppable"),
+            orders_revision=check_number(
+                "orders_revision", fields["orders_revision"], MAX_COUNTER
+            ),
+            lasting=_decode_workers(fields, "lasting"),
+            used_cores=check_number("used_cores", fields["used_cores"], MAX_AMOUNT),
+            waiting_cores=check_number(
+                "waiting_cores", fields["waiting_cores"], MAX_COUNTER
+            ),
         )
-    except MALFORMED as error:
-        raise RecordInvalid(f"a pool's summary is malformed: {error!r}") from error
+
+
+def _decode_workers(fields: Fields, name: str) -> tuple[str, ...]:
+    return tuple(check_name(name, worker) for worker in fields[name])
 
 
 def _encode_json(fields: Any) -> bytes:
--- a/src/sesameladder/node/_registry_task.py
+++ b/src/sesameladder/node/_registry_task.py
@@ -10,8 +10,9 @@
 from sesameladder.jobs import WorkerRecord
 from sesameladder.node._clock import read_steady_clock
 from sesameladder.node._dependency import DependencyState
+from sesameladder.node._refusals import RefusalLog
 from sesameladder.node._supervision import build_thread
-from sesameladder.node._telemetry import log_event, log_warning
+from sesameladder.node._telemetry import log_event
 from sesameladder.platform import (
     WORKER_PREFIX,
     PlatformCallError,
@@ -38,12 +39,12 @@
     __slots__ = (
         "confirmed_at",
         "dependency",
-        "invalid_workers",
         "lock",
         "on_update",
         "owns_pools",
         "record_pass",
         "records",
+        "refusals",
         "revision",
         "stopping",
         "store",
@@ -74,9 +75,7 @@
         self.lock = Lock()
         """Held while the list is passed on, so that no older one follows."""
 
-        self.invalid_workers: set[str] = set()
-        """Workers whose malformed entry has been logged; each is logged once."""
-
+        self.refusals = RefusalLog("worker_record_refused")
         self.dependency = DependencyState("store:workers")
         self.stopping = Event()
         self.wake = Event()
@@ -156,7 +155,9 @@
             return
         try:
             records[worker] = decode_worker(worker, value)
+            self.refusals.clear(worker)
         except RecordInvalid as error:
-            if worker not in self.invalid_workers:
-                self.invalid_workers.add(worker)
-                log_warning("worker_record_refused", worker=worker, error=str(error))
+            self.refusals.record(worker, str(error), worker=worker)
+        except Exception as error:
+            # One entry must not keep the others from being followed.
+            self.refusals.record_failure(worker, error, worker=worker)
--- a/src/sesameladder/platform/__init__.py
+++ b/src/sesameladder/platform/__init__.py
@@ -15,11 +15,31 @@
     OutcomeUnknown,
     PlatformCallError,
     RecordInvalid,
+    RecordTooLarge,
     RevisionExpired,
     SettingsInvalid,
     UnexpectedResponse,
+    decoding_record,
+)
+from sesameladder.platform._fields import (
+    Fields,
+    check_name,
+    check_number,
+    check_object,
+    read_factor,
+    read_name,
+    read_number,
 )
 from sesameladder.platform._http import TRAFFIC, Traffic
+from sesameladder.platform._limits import (
+    MAX_AMOUNT,
+    MAX_COUNTER,
+    MAX_OCCURRENCES,
+    MAX_PAYLOAD_BYTES,
+    MAX_STEPS,
+    MAX_SUBTASKS,
+    MAX_TIME_MS,
+)
 from sesameladder.platform._settings import (
     NodeSettings,
     find_settings_path,
@@ -36,7 +56,7 @@
     StoredItem,
     WatchBatch,
 )
-from sesameladder.platform._vms import OrderOutcome, VmClient
+from sesameladder.platform._vms import OrderOutcome, VmClient, VmList
 from sesameladder.platform._workers import (
     StaleOwner,
     WorkerClient,
@@ -53,6 +73,13 @@
 __all__ = [
     "CONFIGURATION_KEY",
     "MALFORMED",
+    "MAX_AMOUNT",
+    "MAX_COUNTER",
+    "MAX_OCCURRENCES",
+    "MAX_PAYLOAD_BYTES",
+    "MAX_STEPS",
+    "MAX_SUBTASKS",
+    "MAX_TIME_MS",
     "OPERATOR_PREFIX",
     "TRAFFIC",
     "WAVE_PREFIX",
@@ -64,6 +91,7 @@
     "CallRejected",
     "Committed",
     "Conflict",
+    "Fields",
     "LeaseNotFound",
     "NodeSettings",
     "OrderOutcome",
@@ -72,6 +100,7 @@
     "Put",
     "RangeResult",
     "RecordInvalid",
+    "RecordTooLarge",
     "RevisionExpired",
     "SettingsInvalid",
     "StaleOwner",
@@ -81,15 +110,23 @@
     "Traffic",
     "UnexpectedResponse",
     "VmClient",
+    "VmList",
     "WatchBatch",
     "WorkerClient",
     "WorkerReplaced",
+    "check_name",
+    "check_number",
+    "check_object",
     "decode_configuration",
     "decode_job",
     "decode_wave",
     "decode_worker",
+    "decoding_record",
     "encode_wave_status",
     "find_settings_path",
     "parse_settings",
+    "read_factor",
+    "read_name",
+    "read_number",
     "read_settings",
 ]
--- a/src/sesameladder/platform/_advice.py
+++ b/src/sesameladder/platform/_advice.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from sesameladder.platform._errors import CallRejected, decoding_response
+from sesameladder.platform._fields import check_name, read_list, read_number
 from sesameladder.platform._http import HttpClient
 
 MAX_WORKERS_PER_CALL = 100  # limit published by the platform
@@ -47,5 +48,8 @@
                 f"the advice service returned HTTP status {response.status}"
             )
         with decoding_response("the advice service"):
-            tickets = {row[0]: row[1] for row in response.body.get("good") or ()}
-            return Advice(tickets, int(response.body.get("validMs") or 0))
+            tickets = {
+                check_name("id", row[0]): check_name("ticket", row[1])
+                for row in read_list(response.body, "good", MAX_WORKERS_PER_CALL)
+            }
+            return Advice(tickets, read_number(response.body, "validMs"))
--- a/src/sesameladder/platform/_documents.py
+++ b/src/sesameladder/platform/_documents.py
@@ -1,7 +1,6 @@
 """Decoders of job bodies, the operator's configuration and maintenance waves."""
 
 import json
-from typing import Any
 
 from sesameladder.fleet import Wave
 from sesameladder.jobs import (
@@ -12,111 +11,176 @@
     QueuePolicy,
     StepSpec,
 )
-from sesameladder.platform._errors import MALFORMED, RecordInvalid
+from sesameladder.platform._errors import (
+    FieldInvalid,
+    LimitExceeded,
+    decoding_record,
+)
+from sesameladder.platform._fields import (
+    Fields,
+    check_name,
+    check_number,
+    check_object,
+    read_factor,
+    read_flag,
+    read_list,
+    read_name,
+    read_number,
+    read_text,
+    read_whole,
+)
+from sesameladder.platform._limits import (
+    MAX_AMOUNT,
+    MAX_COUNTER,
+    MAX_LASTING_OCCURRENCES,
+    MAX_OCCURRENCES,
+    MAX_PAYLOAD_BYTES,
+    MAX_ROWS,
+    MAX_STEPS,
+    MAX_SUBTASKS,
+    MAX_TIME_MS,
+)
 from sesameladder.platform._workers import decode_resources
 
 DEFAULT_MAX_BODY_BYTES = 262_144  # if the configuration names no limit
 
 
 def decode_job(body: bytes) -> JobSpec:
-    """Decode the body of a submitted job; raises ``RecordInvalid``."""
-    try:
-        fields = json.loads(body)
-        steps = tuple(_decode_step(row) for row in fields["steps"])
-        if not steps or any(step.count < 1 for step in steps):
-            raise RecordInvalid("a job needs steps of at least one subtask")
-        if any(before >= i for i, step in enumerate(steps) for before in step.after):
-            raise RecordInvalid("a step may only come after earlier steps")
+    """Decode the body of a submitted job.
+
+    Raises ``RecordTooLarge`` if it asks for more than the system carries, and
+    ``RecordInvalid`` if it is malformed.
+    """
+    with decoding_record("job"):
+        fields = check_object("the body", json.loads(body))
+        rows = read_list(fields, "steps", MAX_STEPS)
+        if not rows:
+            raise FieldInvalid("steps is empty; a job needs at least one step")
+        steps = tuple(_decode_step(number, row) for number, row in enumerate(rows))
+        subtasks = sum(step.count for step in steps)
+        if subtasks > MAX_SUBTASKS:
+            raise LimitExceeded(
+                f"the counts of steps add up to {subtasks}, more than {MAX_SUBTASKS}"
+            )
+        occurrences = read_whole(fields, "times", MAX_OCCURRENCES)
+        limit = min(MAX_LASTING_OCCURRENCES, MAX_SUBTASKS // subtasks)
+        if occurrences > limit and any(step.is_long_running for step in steps):
+            raise LimitExceeded(
+                f"times is {occurrences}, more than {limit} for steps that last"
+            )
         return JobSpec(
-            payload=str(fields.get("spec") or ""),
+            payload=read_text(fields, "spec", MAX_PAYLOAD_BYTES),
             steps=steps,
-            occurrences=int(fields.get("times") or 0),
-            first_due_ms=int(fields.get("startAtMs") or 0),
-            interval_ms=int(fields.get("intervalMs") or 0),
+            occurrences=occurrences,
+            first_due_ms=read_whole(fields, "startAtMs", MAX_TIME_MS),
+            interval_ms=read_whole(fields, "intervalMs", MAX_TIME_MS),
         )
-    except MALFORMED as error:
-        raise RecordInvalid(f"job is malformed: {error!r}") from error
-
-
-def _decode_step(row: dict[str, Any]) -> StepSpec:
-    return StepSpec(
-        count=int(row.get("count") or 0),
-        needs=decode_resources(row),
-        estimate_ms=int(row.get("estMs") or 0),
-        after=tuple(int(step) for step in row.get("after") or ()),
-        is_checkpointable=bool(row.get("checkpoints")),
-        gang=bool(row.get("gang")),
-        same_rack=bool(row.get("sameRack")),
-        label=str(row.get("requires") or ""),
-        data_rack=str(row.get("dataRack") or ""),
-        max_per_worker=int(row.get("antiAffinity") or 0),
-        allows_copies=bool(row.get("allowDup")),
-        is_long_running=bool(row.get("daemon")),
-        image=str(row.get("image") or ""),
-        tail_latency_target_ms=int(row.get("targetMs") or 0),
-        is_best_effort=bool(row.get("fills")),
-        max_unavailable=int(row.get("mayMiss") or 0),
-    )
+
+
+def _decode_step(number: int, value: object) -> StepSpec:
+    name = f"steps[{number}]"
+    row = check_object(name, value)
+    try:
+        return StepSpec(
+            count=read_whole(row, "count", MAX_SUBTASKS, minimum=1),
+            needs=decode_resources(row),
+            estimate_ms=read_number(row, "estMs", MAX_TIME_MS),
+            after=_decode_predecessors(number, row),
+            is_checkpointable=read_flag(row, "checkpoints"),
+            gang=read_flag(row, "gang"),
+            same_rack=read_flag(row, "sameRack"),
+            label=read_text(row, "requires"),
+            data_rack=read_text(row, "dataRack"),
+            max_per_worker=read_whole(row, "antiAffinity"),
+            allows_copies=read_flag(row, "allowDup"),
+            is_long_running=read_flag(row, "daemon"),
+            image=read_text(row, "image"),
+            tail_latency_target_ms=read_number(row, "targetMs", MAX_TIME_MS),
+            is_best_effort=read_flag(row, "fills"),
+            max_unavailable=read_whole(row, "mayMiss"),
+        )
+    except FieldInvalid as error:
+        raise type(error)(f"{name}.{error}") from error
+
+
+def _decode_predecessors(number: int, row: Fields) -> tuple[int, ...]:
+    """Return the numbers of the earlier steps that a step comes after."""
+    steps = read_list(row, "after", MAX_STEPS)
+    if any(not _is_step_number(step) for step in steps):
+        raise FieldInvalid("after holds something else than numbers of steps")
+    if any(step >= number for step in steps):
+        raise FieldInvalid("after names a step that is not an earlier one")
+    return tuple(map(int, steps))
+
+
+def _is_step_number(value: object) -> bool:
+    return isinstance(value, int) and not isinstance(value, bool) and value >= 0
 
 
 def decode_configuration(value: bytes) -> Configuration:
     """Decode the operator's configuration; raises ``RecordInvalid``."""
-    try:
-        fields = json.loads(value)
+    with decoding_record("configuration"):
+        fields = check_object("the configuration", json.loads(value))
         pools = [_decode_pool(row) for row in fields["services"]]
-        limits = fields.get("limits") or {}
+        limits = check_object("limits", fields.get("limits") or {})
         return Configuration(
-            version=int(fields["version"]),
+            version=check_number("version", fields["version"], MAX_COUNTER),
             queues=tuple(_decode_queue(row) for row in fields["routes"]),
             pools={pool.name: pool for pool in pools},
-            max_body_bytes=int(limits.get("bodyBytes") or DEFAULT_MAX_BODY_BYTES),
+            max_body_bytes=read_number(limits, "bodyBytes") or DEFAULT_MAX_BODY_BYTES,
         )
-    except MALFORMED as error:
-        raise RecordInvalid(f"configuration is malformed: {error!r}") from error
 
 
-def _decode_queue(row: dict[str, Any]) -> QueuePolicy:
+def _decode_queue(value: object) -> QueuePolicy:
+    row = check_object("a queue", value)
     advice = row.get("advice")
     return QueuePolicy(
-        name=row["name"],
-        host=row["host"],
-        path_prefix=row["prefix"],
-        pool=row["service"],
-        priority=int(row.get("prio") or 0),
-        max_attempts=int(row.get("attempts") or 1),
-        stretch=float(row.get("stretch") or 1.0),
-        target_offset_ms=int(row.get("goalMs") or 0),
-        timeout_ms=int(row.get("timeoutMs") or 0),
-        advice=_decode_advice(advice) if advice else None,
+        name=read_name(row, "name"),
+        host=read_name(row, "host"),
+        path_prefix=read_name(row, "prefix"),
+        pool=read_name(row, "service"),
+        priority=read_number(row, "prio", minimum=-MAX_AMOUNT),
+        max_attempts=read_number(row, "attempts") or 1,
+        stretch=read_factor(row, "stretch", default=1.0),
+        target_offset_ms=read_number(row, "goalMs", MAX_TIME_MS),
+        timeout_ms=read_number(row, "timeoutMs", MAX_TIME_MS),
+        advice=_decode_advice(check_object("advice", advice)) if advice else None,
     )
 
 
-def _decode_advice(row: dict[str, Any]) -> AdvicePolicy:
+def _decode_advice(row: Fields) -> AdvicePolicy:
     return AdvicePolicy(
-        int(row.get("decideMs") or 0),
-        int(row.get("periodMs") or 0),
-        int(row.get("validMs") or 0),
+        read_number(row, "decideMs"),
+        read_number(row, "periodMs"),
+        read_number(row, "validMs"),
     )
 
 
-def _decode_pool(row: dict[str, Any]) -> PoolPolicy:
+def _decode_pool(value: object) -> PoolPolicy:
+    row = check_object("a pool", value)
     return PoolPolicy(
-        row["name"], bool(row.get("admissionCheck")), bool(row.get("spare"))
+        read_name(row, "name"),
+        read_flag(row, "admissionCheck"),
+        read_flag(row, "spare"),
     )
 
 
 def decode_wave(value: bytes) -> Wave:
     """Decode an operator's maintenance wave; raises ``RecordInvalid``."""
-    try:
-        fields = json.loads(value)
+    with decoding_record("maintenance wave"):
+        fields = check_object("the wave", json.loads(value))
+        vms = read_list(fields, "machines", MAX_ROWS)
         return Wave(
-            number=int(fields["wave"]),
-            vms=tuple(fields["machines"]),
-            finish_within_s=float(fields["finishByS"]),
-            max_in_maintenance=int(fields["cap"]),
+            number=check_number("wave", fields["wave"], MAX_COUNTER),
+            vms=tuple(check_name("machines", vm) for vm in vms),
+            finish_within_s=_read_seconds(fields, "finishByS"),
+            max_in_maintenance=check_number("cap", fields["cap"], MAX_AMOUNT),
         )
-    except MALFORMED as error:
-        raise RecordInvalid(f"maintenance wave is malformed: {error!r}") from error
+
+
+def _read_seconds(fields: Fields, name: str) -> float:
+    check_number(name, fields[name], MAX_AMOUNT)
+    return float(fields[name])
 
 
 def encode_wave_status(done: bool) -> bytes:
--- a/src/sesameladder/platform/_errors.py
+++ b/src/sesameladder/platform/_errors.py
@@ -3,6 +3,8 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 
+MAX_ERROR_CHARACTERS = 200  # an error may quote the whole document
+
 MALFORMED = (
     ValueError,
     LookupError,
@@ -34,6 +36,14 @@
     """The response is malformed, or its status is 400 or 403."""
 
 
+class FieldInvalid(ValueError):
+    """A field does not have the published type, or is out of range."""
+
+
+class LimitExceeded(FieldInvalid):
+    """A field is well-formed, but exceeds what the system carries."""
+
+
 @contextmanager
 def decoding_response(sender: str) -> Iterator[None]:
     """Raise ``UnexpectedResponse`` if the decoding of a response fails."""
@@ -63,3 +73,24 @@
 
 class RecordInvalid(PlatformCallError):
     """A stored record or request body does not have the published form."""
+
+
+class RecordTooLarge(RecordInvalid):
+    """A stored record or request body asks for more than the system carries."""
+
+
+@contextmanager
+def decoding_record(record: str) -> Iterator[None]:
+    """Raise ``RecordInvalid`` if the decoding of a record fails.
+
+    ``record`` names it in the error.
+    """
+    try:
+        yield
+    except LimitExceeded as error:
+        raise RecordTooLarge(f"{record}: {error}") from error
+    except FieldInvalid as error:
+        raise RecordInvalid(f"{record}: {error}") from error
+    except MALFORMED as error:
+        reason = repr(error)[:MAX_ERROR_CHARACTERS]
+        raise RecordInvalid(f"{record} is malformed: {reason}") from error
--- a/src/sesameladder/platform/_http.py
+++ b/src/sesameladder/platform/_http.py
@@ -8,6 +8,7 @@
 from urllib3.exceptions import (
     ConnectTimeoutError,
     HTTPError,
+    LocationValueError,
     NewConnectionError,
 )
 
@@ -90,7 +91,11 @@
                 headers=sent_headers,
                 timeout=Timeout(connect=CONNECT_TIMEOUT_S, read=timeout_s),
             )
-        except (NewConnectionError, ConnectTimeoutError) as error:
+        except (
+            NewConnectionError,
+            ConnectTimeoutError,
+            LocationValueError,
+        ) as error:
             raise CallNotSent(f"{self.address} was not reached: {error}") from error
         except HTTPError as error:
             TRAFFIC.add(len(data or ""), 0)
--- a/src/sesameladder/platform/_vms.py
+++ b/src/sesameladder/platform/_vms.py
@@ -1,5 +1,6 @@
 """Client of the platform's VM API: the VM list, moves and maintenance."""
 
+from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import Any
 from urllib.parse import urlencode
@@ -7,10 +8,23 @@
 from sesameladder.fleet import Vm, VmPhase
 from sesameladder.platform._errors import (
     CallRejected,
+    FieldInvalid,
     OutcomeUnknown,
+    RecordInvalid,
+    decoding_record,
     decoding_response,
 )
+from sesameladder.platform._fields import (
+    check_name,
+    check_object,
+    read_labels,
+    read_list,
+    read_name,
+    read_text,
+    show,
+)
 from sesameladder.platform._http import HttpClient
+from sesameladder.platform._limits import MAX_ROWS
 from sesameladder.platform._workers import decode_resources
 
 CALL_TIMEOUT_S = 2.0  # a response takes milliseconds, 50 times as long when slow
@@ -33,6 +47,29 @@
     INVALID = "invalid"
 
 
+@dataclass(slots=True)
+class VmList:
+    """One reading of the platform's VM list."""
+
+    vms: list[Vm] = field(default_factory=list)
+    unreadable: dict[str, str] = field(default_factory=dict)
+    """Why a row can't be read, by name of the VM."""
+
+    unnamed: list[str] = field(default_factory=list)
+    """Why rows can't be read that don't even name their VM."""
+
+    def add(self, row: object) -> None:
+        """Add a row of the list, or the reason why it can't be read."""
+        try:
+            self.vms.append(_decode_vm(row))
+        except RecordInvalid as error:
+            name = _find_vm_name(row)
+            if name is None:
+                self.unnamed.append(str(error))
+            else:
+                self.unreadable[name] = str(error)
+
+
 class VmClient:
     """Lists VMs and orders moves and maintenance.
 
@@ -45,9 +82,9 @@
     def __init__(self, address: str) -> None:
         self.http = HttpClient(address)
 
-    def list_vms(self) -> list[Vm]:
+    def list_vms(self) -> VmList:
         """Return the VMs of all pools, page by page; raises ``PlatformCallError``."""
-        vms: list[Vm] = []
+        vm_list = VmList()
         page_token = ""
         while True:
             query = f"?{urlencode({'pageToken': page_token})}" if page_token else ""
@@ -59,10 +96,11 @@
                     f"the VM list returned HTTP status {response.status}"
                 )
             with decoding_response("the VM list"):
-                vms.extend(map(_decode_vm, response.body.get("machines") or ()))
+                for row in read_list(response.body, "machines", MAX_ROWS):
+                    vm_list.add(row)
             page_token = str(response.body.get("nextToken") or "")
             if not page_token:
-                return vms
+                return vm_list
 
     def move(self, vm: str, pool: str, holder: str, fence: int) -> OrderOutcome:
         """Order a VM's move to a pool, which terminates what it runs."""
@@ -104,13 +142,27 @@
         )
 
 
-def _decode_vm(row: dict[str, Any]) -> Vm:
-    return Vm(
-        name=row["machine"],
-        pool=row["pool"],
-        phase=PHASES_BY_STATE.get(row["state"], VmPhase.DOWN),
-        zone=row.get("zone") or "",
-        labels=tuple(row.get("labels") or ()),
-        capacity=decode_resources(row.get("capacity") or {}),
-        worker=row.get("id") or "",
-    )
+def _decode_vm(value: object) -> Vm:
+    with decoding_record("VM row"):
+        row = check_object("the row", value)
+        phase = PHASES_BY_STATE.get(read_name(row, "state"))
+        if phase is None:
+            raise FieldInvalid(f"state is {show(row['state'])}, which is unknown")
+        return Vm(
+            name=read_name(row, "machine"),
+            pool=read_name(row, "pool"),
+            phase=phase,
+            zone=read_text(row, "zone"),
+            labels=read_labels(row),
+            capacity=decode_resources(
+                check_object("capacity", row.get("capacity") or {})
+            ),
+            worker=read_text(row, "id"),
+        )
+
+
+def _find_vm_name(row: object) -> str | None:
+    try:
+        return check_name("machine", row["machine"])  # type: ignore[index]
+    except (FieldInvalid, LookupError, TypeError):
+        return None
--- a/src/sesameladder/platform/_workers.py
+++ b/src/sesameladder/platform/_workers.py
@@ -15,13 +15,33 @@
     WorkerReport,
 )
 from sesameladder.platform._errors import (
-    MALFORMED,
     CallNotSent,
+    FieldInvalid,
     OutcomeUnknown,
     RecordInvalid,
     UnexpectedResponse,
+    decoding_record,
+    decoding_response,
+)
+from sesameladder.platform._fields import (
+    Fields,
+    check_header_value,
+    check_number,
+    check_object,
+    check_text,
+    read_address,
+    read_labels,
+    read_name,
+    read_number,
+    show,
 )
 from sesameladder.platform._http import HttpClient, HttpResponse
+from sesameladder.platform._limits import (
+    MAX_AMOUNT,
+    MAX_CHECKPOINT_BYTES,
+    MAX_COUNTER,
+    MAX_TIME_MS,
+)
 
 ORDER_TIMEOUT_S = 0.8  # a round trip takes a few ms; then the order is repeated
 REPORT_SLACK_S = 0.8  # beyond the requested wait, before a report counts as lost
@@ -172,97 +192,78 @@
 
 def decode_worker(worker: str, value: bytes) -> WorkerRecord:
     """Decode a worker's entry in the store; raises ``RecordInvalid``."""
-    try:
-        body = json.loads(value)
+    with decoding_record(f"entry of worker {show(worker)}"):
+        # Every call to the worker names it in a header.
+        check_header_value("the name", worker)
+        body = check_object("the entry", json.loads(value))
         if body["state"] not in ("ready", "draining"):
-            raise RecordInvalid(
-                f"worker {worker} has the unknown state {body['state']!r}"
-            )
-        remaining = body.get("remainingMs")
-        capacity = body["capacity"]
-        labels = body["labels"]
-        if not isinstance(labels, list):
-            raise TypeError(f"labels are {labels!r}, not a list")
+            raise FieldInvalid(f"state is {show(body['state'])}, which is unknown")
+        capacity = check_object("capacity", body["capacity"])
+        if "labels" not in body:
+            raise FieldInvalid("labels is absent")
         return WorkerRecord(
             worker=worker,
-            born_ms=_decode_amount(body.get("born")),
-            pool=_require_text(body["service"]),
-            address=_require_address(body["addr"]),
-            zone=_require_text(body["zone"]),
-            capacity=Resources(
-                _decode_amount(capacity.get("cpu")),
-                _decode_amount(capacity.get("memMb")),
-                _decode_amount(capacity.get("gpu")),
-            ),
-            labels=tuple(_require_text(label) for label in labels),
+            born_ms=read_number(body, "born", MAX_TIME_MS),
+            pool=read_name(body, "service"),
+            address=read_address(body, "addr"),
+            zone=read_name(body, "zone"),
+            capacity=decode_resources(capacity),
+            labels=read_labels(body),
             is_draining=body["state"] == "draining",
-            remaining_ms=None if remaining is None else _decode_number(remaining),
+            remaining_ms=_decode_remaining_time(body),
         )
-    except MALFORMED as error:
-        raise RecordInvalid(
-            f"entry of worker {worker} is malformed: {error!r}"
-        ) from error
-
-
-def decode_resources(body: dict[str, Any]) -> Resources:
-    """Decode amounts of resources; absent fields are 0."""
-    return Resources(
-        int(body.get("cpu") or 0),
-        int(body.get("memMb") or 0),
-        int(body.get("gpu") or 0),
-    )
-
 
-def _decode_amount(value: object) -> int:
-    """Decode a number that isn't negative; an absent one (None) is 0."""
-    amount = _decode_number(value)
-    if amount < 0:
-        raise ValueError(f"{value!r} is negative")
-    return amount
 
+def _decode_remaining_time(body: Fields) -> int | None:
+    """Return the time until a draining worker stops; negative once it is over."""
+    if body.get("remainingMs") is None:
+        return None
+    return read_number(body, "remainingMs", MAX_TIME_MS, minimum=-MAX_TIME_MS)
 
-def _decode_number(value: object) -> int:
-    """Decode a number, rounded towards 0; an absent one (None) is 0."""
-    if value is None:
-        return 0
-    if isinstance(value, bool) or not isinstance(value, int | float):
-        raise TypeError(f"{value!r} is not a number")
-    return int(value)
-
-
-def _require_text(value: object) -> str:
-    if not isinstance(value, str) or not value:
-        raise TypeError(f"{value!r} is not a non-empty string")
-    return value
 
-
-def _require_address(value: object) -> str:
-    address = _require_text(value)
-    host, _, port = address.rpartition(":")
-    if not host or not port.isdecimal():
-        raise ValueError(f"{address!r} is not host:port")
-    return address
+def decode_resources(body: Fields) -> Resources:
+    """Decode amounts of resources; absent fields are 0. Raises ``FieldInvalid``."""
+    return Resources(
+        read_number(body, "cpu"),
+        read_number(body, "memMb"),
+        read_number(body, "gpu"),
+    )
 
 
 def _decode_report(body: dict[str, Any]) -> WorkerReport:
-    try:
+    with decoding_response("a worker"):
         return WorkerReport(
-            clock_ms=int(body["clockMs"]),
-            born_ms=int(body.get("born") or 0),
+            clock_ms=check_number("clockMs", body["clockMs"], MAX_COUNTER),
+            born_ms=read_number(body, "born", MAX_TIME_MS),
             running=tuple(_decode_run(row) for row in body.get("running") or ()),
             ended=tuple(_decode_end(row) for row in body.get("ended") or ()),
         )
-    except MALFORMED as error:
-        raise UnexpectedResponse("a worker's report is malformed") from error
 
 
 def _decode_run(row: list[Any]) -> RunStatus:
-    load = int(row[4]) if len(row) > 4 and row[4] is not None else 0
-    return RunStatus(decode_subtask(row[0]), int(row[1]), row[2], int(row[3]), load)
+    load = row[4] if len(row) > 4 else None
+    return RunStatus(
+        decode_subtask(row[0]),
+        check_number("run", row[1], MAX_COUNTER),
+        _decode_checkpoint(row[2]),
+        check_number("percent", row[3], MAX_AMOUNT),
+        check_number("load", load, MAX_COUNTER),
+    )
 
 
 def _decode_end(row: list[Any]) -> RunEnd:
     number, subtask, run, reason, checkpoint = row
     return RunEnd(
-        int(number), decode_subtask(subtask), int(run), EndReason(reason), checkpoint
+        check_number("number", number, MAX_COUNTER),
+        decode_subtask(subtask),
+        check_number("run", run, MAX_COUNTER),
+        EndReason(reason),
+        _decode_checkpoint(checkpoint),
     )
+
+
+def _decode_checkpoint(value: object) -> str:
+    """Return a checkpoint, which goes with a later start; an absent one is empty."""
+    if value is None:
+        return ""
+    return check_text("saved", value, MAX_CHECKPOINT_BYTES)
