Order VMs without the gap that an earlier holder of the fleet role needs, in parallel

Change: a holder stores which VMs it orders before it does (fleet/ordered, one write a pass with new VMs); the next one waits the gap for these VMs only, and for all if the record is not that of the term before. Four orders are sent at a time; after a failed one the rest waits for the next pass.

--- a/src/sesameladder/fleet/__init__.py
+++ b/src/sesameladder/fleet/__init__.py
@@ -12,6 +12,7 @@
     VmPhase,
     Wave,
 )
+from sesameladder.fleet._order_gap import OrderGap
 
 __all__ = [
     "DEMAND_ROUNDING_CORES",
@@ -21,6 +22,7 @@
     "LendingPlanner",
     "MaintenancePlan",
     "MaintenancePlanner",
+    "OrderGap",
     "PoolOrders",
     "PoolSummary",
     "Vm",
--- a/src/sesameladder/node/_fleet_task.py
+++ b/src/sesameladder/node/_fleet_task.py
@@ -2,6 +2,8 @@
 
 import json
 from collections.abc import Callable, Iterable
+from concurrent.futures import ThreadPoolExecutor
+from functools import partial
 from threading import Event
 
 from sesameladder.fleet import (
@@ -11,6 +13,7 @@
     LendingPlanner,
     MaintenancePlan,
     MaintenancePlanner,
+    OrderGap,
     PoolOrders,
     PoolSummary,
     Vm,
@@ -23,6 +26,7 @@
     BASE_SIZES_KEY,
     FLEET_SEQUENCE_KEY,
     MAINTENANCE_PREFIX,
+    ORDERED_VMS_KEY,
     SUMMARY_PREFIX,
     maintenance_key,
     orders_key,
@@ -30,9 +34,11 @@
 )
 from sesameladder.node._records import (
     decode_names,
+    decode_ordered_vms,
     decode_orders,
     decode_summary,
     encode_names,
+    encode_ordered_vms,
     encode_orders,
 )
 from sesameladder.node._refusals import RefusalLog
@@ -56,6 +62,7 @@
 
 PLAN_INTERVAL_S = 0.2  # a demand peak builds up over 3 s; a VM is away for 1.5 to 2 s
 START_READ_INTERVAL_S = 1.0  # a worker is listed within a second of its start
+MAX_PARALLEL_ORDERS = 4  # as many as the clients keep connections
 ENDED_NOTICE_RETENTION_S = 10.0  # owners read new orders within a second
 
 
@@ -73,8 +80,8 @@
         "lending_planner",
         "list_waves",
         "maintenance_planner",
-        "no_orders_before",
         "node",
+        "order_gap",
         "order_revisions",
         "role",
         "sequence_revision",
@@ -135,10 +142,7 @@
         self.ended_incarnations: dict[EndedIncarnation, tuple[str, float]] = {}
         """Pool and steady time of detection, by incarnation that has ended."""
 
-        # The platform requires this gap after the last order of an earlier holder.
-        self.no_orders_before = read_steady_clock() + (
-            order_gap_s if role.term > 1 else 0.0
-        )
+        self.order_gap = OrderGap(role.term, order_gap_s, read_steady_clock())
         self.dependency = DependencyState("machines")
         self.stopping = Event()
         self.thread = build_thread("fleet", self._run, self.stopping)
@@ -176,7 +180,9 @@
                     *self.store.read_range(WAVE_STATUS_PREFIX).items,
                     *self.store.read_range(MAINTENANCE_PREFIX).items,
                 ]
-                base_sizes = self.store.read(BASE_SIZES_KEY)
+                single_items = [
+                    self.store.read(key) for key in (BASE_SIZES_KEY, ORDERED_VMS_KEY)
+                ]
                 break
             except PlatformCallError as error:
                 self.dependency.record_failure(error)
@@ -184,7 +190,7 @@
                 self.stopping.wait(PLAN_INTERVAL_S)
         else:
             return
-        for item in [*items, *([base_sizes] if base_sizes is not None else [])]:
+        for item in [*items, *filter(None, single_items)]:
             try:
                 self._apply_record(item)
             except Exception:
@@ -197,6 +203,8 @@
                 {str(pool): int(size) for pool, size in sizes.items()}
             )
             self.are_base_sizes_stored = True
+        elif item.key == ORDERED_VMS_KEY:
+            self.order_gap.apply_earlier_record(*decode_ordered_vms(item.value))
         elif item.key.startswith(MAINTENANCE_PREFIX):
             wave = int(item.key.removeprefix(MAINTENANCE_PREFIX))
             now = read_steady_clock()
@@ -231,10 +239,7 @@
             self.lending_planner.count_idle_vms(self.vms),
         )
         lending_plan = self._plan_lending(plan, summaries, drained, spare_pools, now)
-        for name, wave in plan.maintenance_starts:
-            self._start_maintenance(name, wave)
-        for name, pool in lending_plan.moves:
-            self._order_move(name, pool)
+        self._send_orders(plan.maintenance_starts, lending_plan.moves)
         self._write_orders(plan)
         self._write_wave_status(waves, plan)
 
@@ -374,6 +379,55 @@
         revision = self._commit((Put(BASE_SIZES_KEY, value),))
         self.are_base_sizes_stored = revision is not None
 
+    def _record_orders(self, names: list[str]) -> bool:
+        """Store which VMs are about to be ordered; return whether that succeeded.
+
+        The next holder of the role waits for these VMs only.
+        """
+        now = read_steady_clock()
+        vms = self.order_gap.list_to_record(
+            (name for name in names if self.order_gap.may_order(name, now)), now
+        )
+        if vms is None:
+            return True
+        value = encode_ordered_vms(self.role.term, vms)
+        if self._commit((Put(ORDERED_VMS_KEY, value),)) is None:
+            return False
+        self.order_gap.record_stored(vms)
+        return True
+
+    def _send_orders(
+        self, maintenance_starts: list[tuple[str, int]], moves: list[tuple[str, str]]
+    ) -> None:
+        """Order maintenance and moves, several at a time.
+
+        In a demand peak a hundred VMs have to move within a second. After a failed
+        call no more orders are sent, and its error is raised.
+        """
+        names = [name for name, _ in maintenance_starts]
+        names += [name for name, _ in moves]
+        if not self._record_orders(names) or not names:
+            return
+        orders = [
+            *(partial(self._start_maintenance, *row) for row in maintenance_starts),
+            *(partial(self._order_move, *row) for row in moves),
+        ]
+        has_failed = Event()
+
+        def send(order: Callable[[], None]) -> None:
+            if has_failed.is_set():
+                return
+            try:
+                order()
+            except Exception:
+                has_failed.set()
+                raise
+
+        with ThreadPoolExecutor(MAX_PARALLEL_ORDERS, "fleet orders") as executor:
+            futures = [executor.submit(send, order) for order in orders]
+        for future in futures:
+            future.result()
+
     def _order_move(self, name: str, pool: str) -> None:
         vm = self.vms[name]
         if not self._prepare_order(vm):
@@ -466,16 +520,22 @@
 
     def _prepare_order(self, vm: Vm) -> bool:
         """Read what an order needs; return whether this process may order now."""
-        if not self._may_order():
+        if not self._may_order(vm):
             return False
         if vm.worker:
             self._read_incarnation_start(vm.worker)
         # The role may have been lost while the store was being read.
-        return self._may_order()
+        if not self._may_order(vm):
+            return False
+        self.order_gap.record_order(vm.name, read_steady_clock())
+        return True
 
-    def _may_order(self) -> bool:
+    def _may_order(self, vm: Vm) -> bool:
+        recorded = self.order_gap.recorded
         return (
-            read_steady_clock() >= self.no_orders_before
+            recorded is not None
+            and vm.name in recorded
+            and self.order_gap.may_order(vm.name, read_steady_clock())
             and self.is_exclusive_holder()
             and not self.stopping.is_set()
         )
--- a/src/sesameladder/node/_keys.py
+++ b/src/sesameladder/node/_keys.py
@@ -81,5 +81,8 @@
 BASE_SIZES_KEY = "fleet/base"
 """Key of the number of VMs that each pool has while none is lent."""
 
+ORDERED_VMS_KEY = "fleet/ordered"
+"""VMs that the fleet role's holder has ordered in the last seconds, with its term."""
+
 FLEET_SEQUENCE_KEY = "fleet/sequence"
 """Key that each write of the fleet role's holder checks and rewrites."""
--- a/src/sesameladder/node/_records.py
+++ b/src/sesameladder/node/_records.py
@@ -114,7 +114,20 @@
             )
             for row in fields["ended"]
         )
-        return PoolOrders(_decode_workers(fields, "emptying"), ended)
+        return PoolOrders(_decode_names(fields, "emptying"), ended)
+
+
+def encode_ordered_vms(term: int, vms: list[str]) -> bytes:
+    """Encode the VMs that the fleet role's holder of a term orders."""
+    return _encode_json({"term": term, "vms": vms})
+
+
+def decode_ordered_vms(value: bytes) -> tuple[int, tuple[str, ...]]:
+    """Decode the term and the VMs of such a record; raises ``RecordInvalid``."""
+    with decoding_record("record of ordered VMs"):
+        fields = check_object("the record", json.loads(value))
+        term = check_number("term", fields["term"], MAX_COUNTER)
+        return term, _decode_names(fields, "vms")
 
 
 def encode_summary(summary: PoolSummary) -> bytes:
@@ -131,12 +144,12 @@
                 check_name("pending", name): check_number("pending", n, MAX_AMOUNT)
                 for name, n in fields["pending"].items()
             },
-            drained=_decode_workers(fields, "drained"),
-            stoppable=_decode_workers(fields, "stoppable"),
+            drained=_decode_names(fields, "drained"),
+            stoppable=_decode_names(fields, "stoppable"),
             orders_revision=check_number(
                 "orders_revision", fields["orders_revision"], MAX_COUNTER
             ),
-            lasting=_decode_workers(fields, "lasting"),
+            lasting=_decode_names(fields, "lasting"),
             used_cores=check_number("used_cores", fields["used_cores"], MAX_AMOUNT),
             waiting_cores=check_number(
                 "waiting_cores", fields["waiting_cores"], MAX_COUNTER
@@ -146,8 +159,8 @@
         )
 
 
-def _decode_workers(fields: Fields, name: str) -> tuple[str, ...]:
-    return tuple(check_name(name, worker) for worker in fields[name])
+def _decode_names(fields: Fields, name: str) -> tuple[str, ...]:
+    return tuple(check_name(name, text) for text in fields[name])
 
 
 def _encode_json(fields: Any) -> bytes:
--- a/src/sesameladder/node/tests/test_fleet_writes.py
+++ b/src/sesameladder/node/tests/test_fleet_writes.py
@@ -2,6 +2,7 @@
 
 import json
 from collections.abc import Iterator
+from dataclasses import replace
 
 import pytest
 
@@ -18,7 +19,13 @@
 from sesameladder.jobs._model import PoolPolicy
 from sesameladder.node._clock import read_steady_clock
 from sesameladder.node._fleet_task import FleetTask
-from sesameladder.node._keys import BASE_SIZES_KEY, FLEET_ROLE, orders_key, role_key
+from sesameladder.node._keys import (
+    BASE_SIZES_KEY,
+    FLEET_ROLE,
+    ORDERED_VMS_KEY,
+    orders_key,
+    role_key,
+)
 from sesameladder.node._records import decode_orders
 from sesameladder.node._roles import HeldRole
 from sesameladder.platform import (
@@ -248,6 +255,7 @@
     """
     task = build_fleet_task(store)
     task.vms = {"m-1": build_vm("m-1", "chair")}
+    assert task._record_orders(["m-1"])
 
     def lose_role(worker: str) -> None:
         assert worker == "i-1"
@@ -280,3 +288,52 @@
     item = store.read(key)
     assert item is not None
     assert item.value == encode_wave_status(done=True)
+
+
+@pytest.mark.parametrize(
+    ("earlier_term", "barred"),
+    [(1, {"m-1"}), (None, None), (0, None)],
+    ids=["recorded", "older version", "record of an earlier term"],
+)
+def test_next_holder_waits_for_the_vms_that_were_ordered(
+    store: LossyStore, earlier_term: int | None, barred: set[str] | None
+) -> None:
+    """Guards against two holders that order one VM within the platform's gap.
+
+    Without a record of the term right before, any VM may have been ordered. With one,
+    the gap of 3 s doesn't cost the other VMs most of a demand peak.
+    """
+    if earlier_term is not None:
+        earlier = build_fleet_task(store, max(1, earlier_term))
+        earlier.role = replace(earlier.role, term=earlier_term)
+        earlier.vms = {"m-1": build_vm("m-1", "chair")}
+        assert earlier._record_orders(["m-1"])
+        earlier._order_move("m-1", "spare")
+        assert earlier.vm_client.ordered == ["m-1"]
+    following = build_fleet_task(store, 2)
+    following._load_state()
+    following.vms = {n: build_vm(n, "chair") for n in ("m-1", "m-2")}
+    gap = following.order_gap
+    assert gap.barred == barred
+    assert following._record_orders(["m-1", "m-2"])
+    for name in ("m-1", "m-2"):
+        following._order_move(name, "spare")
+    assert following.vm_client.ordered == (["m-2"] if barred else [])
+    assert all(gap.may_order(n, gap.taken_at + gap.gap_s) for n in following.vms)
+
+
+def test_no_vm_is_ordered_before_it_is_recorded(store: LossyStore) -> None:
+    """Guards against an order that the next holder doesn't know of.
+
+    The write had no response, or another process has the role by now.
+    """
+    task = build_fleet_task(store)
+    task.vms = {"m-1": build_vm("m-1", "chair")}
+    store.lose_next(ORDERED_VMS_KEY, is_executed=False)
+    with pytest.raises(OutcomeUnknown):
+        task._record_orders(["m-1"])
+    task._order_move("m-1", "spare")
+    build_fleet_task(store, 2)
+    assert not task._record_orders(["m-1"])
+    task._order_move("m-1", "spare")
+    assert task.vm_client.ordered == []
