Write odd entries and store odd jobs in the fault soak

Cause: the soak had no other writer and no job of an older version.

Change: two seeded faults: entries of workers and beside them that can't be used, and stored jobs that no version can carry, which have to be shown as failed at the end. They draw from a source of their own, so earlier seeds keep their other faults.

--- a/src/sesameladder/node/tests/soak.py
+++ b/src/sesameladder/node/tests/soak.py
@@ -19,7 +19,9 @@
 from threading import Event, Lock, Thread
 from typing import Any
 
+from sesameladder.jobs import QueuePolicy
 from sesameladder.jobs.tests.capacity_checker import CapacityChecker
+from sesameladder.node._records import encode_submission
 from sesameladder.node.tests.test_whole_path import (
     HOST,
     POOL,
@@ -48,6 +50,36 @@
 LONG_OUTAGE_S = 8.5, 11.0
 POOLS = POOL, "desk", "lamp"
 CAPACITIES = 0, 1000, 2000, 4000, 8000
+ODD_JOB_NUMBER = 0xDD0000  # identifiers of odd jobs follow it
+SOUND_ENTRY = {
+    "service": POOL,
+    "addr": "127.0.0.1:9",
+    "zone": "z",
+    "state": "ready",
+    "born": 1,
+    "capacity": {"cpu": 8000, "memMb": 64_000},
+    "labels": ["a", "r1-1"],
+}
+ODD_ENTRIES = (
+    b"\xff",
+    b"[" * 100_000,
+    *(
+        json.dumps({**SOUND_ENTRY, **changes}).encode()
+        for changes in (
+            {"addr": "%zz:1"},
+            {"addr": "127.0.0.1:99999"},
+            {"capacity": {"cpu": 10**400}},
+            {"capacity": json.loads("[" * 500 + "]" * 500)},
+            {"zone": "\ud800"},
+        )
+    ),
+)
+ODD_JOBS: tuple[dict[str, Any], ...] = (
+    {"steps": [{"count": 5_000_000}]},
+    {"steps": [{"count": 1}], "times": 10**12},
+    {"steps": [{"count": 1, "after": [-1]}]},
+    {"steps": [{"count": 1, "cpu": -1000}]},
+)
 SIZES = ("cpuShare=0.5\nlimits.linkMbps=5", "cpuShare=2\nlimits.linkMbps=100")
 
 
@@ -206,6 +238,10 @@
         self.store_random = random.Random(f"{seed}/store")
         """Source of the faults of store and capacity; leaves the others as they are."""
 
+        self.odd_random = random.Random(f"{seed}/odd")
+        """Source of the odd entries and jobs; leaves the other faults as they are."""
+
+        self.odd_jobs: list[str] = []
         self.standin = SystemStandin(POOL, workers=6 + seed % 4)
         for number, (name, worker) in enumerate(self.standin.workers.items()):
             self.standin.pools[name] = POOLS[number % len(POOLS)]
@@ -287,6 +323,9 @@
             for _ in range(self.random.choice((1, 1, 2, 3))):
                 self.inject(self.random.choice(kinds))
             self.inject(self.store_random.choice(store_kinds))
+            self.inject(
+                self.odd_random.choice((self.write_odd_entry, self.store_odd_job))
+            )
             next_at = time.monotonic() + self.random.uniform(0.1, 1.5)
             while time.monotonic() < next_at:
                 self.run_pending()
@@ -504,6 +543,30 @@
             self.later(self.random.uniform(1.0, 3.0), worker.restart)
         return name
 
+    def write_odd_entry(self) -> str:
+        """Write an odd entry, as another writer, of a worker or beside them.
+
+        The worker writes its own again with its next liveness report.
+        """
+        names = sorted(self.standin.workers)
+        name = self.odd_random.choice(
+            [*names, *(f"odd-{n}" for n in range(len(names)))]
+        )
+        number = self.odd_random.randrange(len(ODD_ENTRIES))
+        self.standin.store.put(f"servers/{name}", ODD_ENTRIES[number])
+        return f"{name} {number}"
+
+    def store_odd_job(self) -> str:
+        """Store a job that an older version has accepted and none can carry."""
+        job = f"{ODD_JOB_NUMBER + len(self.odd_jobs):016x}"
+        pool = POOLS[int(job, 16) % len(POOLS)]
+        body = self.odd_random.choice(ODD_JOBS)
+        queue = QueuePolicy(f"r-{pool}", HOST, f"/{pool}/", pool, 0, 2, 1.6, 600, 3000)
+        value = encode_submission(queue, json.dumps(body).encode())
+        self.standin.store.put(f"pool/{pool}/in/{job}", value)
+        self.odd_jobs.append(job)
+        return f"{job} {body}"
+
     def resize_worker(self) -> str:
         """Change a worker's capacity; it shrinks or grows while runs are present."""
         name = self.store_random.choice(sorted(self.standin.workers))
@@ -555,6 +618,12 @@
                 self.witness.report(f"accepted job {job} is {state}, {ended} done")
             elif ended != subtasks:
                 self.witness.report(f"job {job} is done, of {subtasks} only {ended}")
+        for job in self.odd_jobs:
+            state = self.wait_done(name, job, until)
+            if state != (200, {"state": "failed"}):
+                self.witness.report(
+                    f"job {job}, which can't be carried out, is {state}"
+                )
         for job in self.witness.rejected & self.witness.started_jobs:
             self.witness.report(f"job {job} was rejected and has started")
 
