Stop the runs of a gang that is done when its job ends

Cause: since subtasks are built as needed, the end of a job looked for runs of its known subtasks only. The members of a gang that is done are not known any more, and a run that is still listed stayed current.

Change: all runs of the job are looked up, by its identifier.

Result: test_runs_of_a_gang_that_is_done_end_with_its_job fails before.

--- a/src/sesameladder/jobs/_scheduler.py
+++ b/src/sesameladder/jobs/_scheduler.py
@@ -1067,10 +1067,9 @@
         self.log_event("job_ended", job=job.id, state=state.value, age_s=age_s)
         self.probation.forget_job(job.id)
         self.set_aside_until.pop(job.id, None)
-        for subtask in job.iterate_known():
-            run = self.runs.get(subtask.id)
-            if run is not None:
-                self._make_obsolete(run, now)
+        # Members of a gang that is done may still have their run.
+        for run in [run for key, run in self.runs.items() if key.job == job.id]:
+            self._make_obsolete(run, now)
         for step in job.steps.values():
             self.tickets.pop(step.key, None)
 
--- a/src/sesameladder/jobs/tests/test_large_jobs.py
+++ b/src/sesameladder/jobs/tests/test_large_jobs.py
@@ -255,3 +255,27 @@
     monkeypatch.setattr(target, name, original)
     commands = scheduler.schedule(10.0, 0.0)
     assert {c.order.subtask.job for c in commands} == {JOB}  # type: ignore[union-attr]
+
+
+def test_runs_of_a_gang_that_is_done_end_with_its_job() -> None:
+    """Guards against runs that nobody stops any more.
+
+    One end of a gang stands for all; the other members may still be listed as running
+    when their job is cancelled.
+    """
+    scheduler = build_scheduler(build_record(1), build_record(2))
+    steps = replace(STEP, count=2, gang=True), replace(STEP, after=(0,))
+    submission = build_submission()
+    submission.spec = JobSpec("", steps)
+    scheduler.add_job(submission, None, 0.0)
+    commands = scheduler.schedule(0.0, 0.0)
+    confirm_starts(scheduler, commands, 0.0)
+    first, other = (c for c in commands if isinstance(c, StartCommand))
+    done = (RunEnd(1, first.order.subtask, first.order.run, EndReason.DONE, ""),)
+    running = (RunStatus(other.order.subtask, other.order.run, "", 50),)
+    report = WorkerReport(0, 1, running, done)
+    scheduler.apply_report(first.worker, report, 0.0, 0.1)
+    assert scheduler.job_table.jobs[JOB].steps[0, 1].is_open
+    scheduler.cancel_job(JOB, 0.2)
+    stop = StopCommand(other.worker, other.order.subtask, other.order.run)
+    assert stop in scheduler.schedule(0.2, 0.0)
--- a/src/sesameladder/node/_refusals.py
+++ b/src/sesameladder/node/_refusals.py
@@ -11,7 +11,8 @@
     """Logs why an input was passed over, once for each reason.
 
     Workers write their entry every second and lists are read several times a second,
-    so an odd one would otherwise fill the log. One thread uses an instance.
+    so an odd one would otherwise fill the log. Two threads at once may log a reason
+    twice.
     """
 
     __slots__ = ("event", "reasons")
