Say that a refused job has not run only if none is stored

Cause: a body that this version refuses may have been accepted by an older one, or its identifier with another body. The refusal said has_run false without a look at the store, and even about jobs that the same process had accepted. Found by reading.

Change: jobs known as accepted are answered so before the body is read; otherwise a refused body costs a read of its records, and without an answer has_run is left out.

Bodies that can be carried take the same calls as before.

--- a/src/sesameladder/node/_http_servers.py
+++ b/src/sesameladder/node/_http_servers.py
@@ -101,12 +101,12 @@
 
 @build_response.register
 def _(result: InvalidRequest) -> ApiResponse:
-    return ApiResponse(400, {"error": result.reason, "has_run": False})
+    return _build_refusal(400, result.reason, result.is_new_job)
 
 
 @build_response.register
 def _(result: TooLarge) -> ApiResponse:
-    return ApiResponse(413, {"error": result.reason, "has_run": False})
+    return _build_refusal(413, result.reason, result.is_new_job)
 
 
 @build_response.register
@@ -129,6 +129,14 @@
     return ApiResponse(200, {"cancelled": True})
 
 
+def _build_refusal(status: int, reason: str, is_new_job: bool) -> ApiResponse:
+    """Return a refusal; it says that nothing has run only if that is certain."""
+    body: dict[str, object] = {"error": reason}
+    if is_new_job:
+        body["has_run"] = False
+    return ApiResponse(status, body)
+
+
 class JobApiServer:
     """Serves the job API: submits, shows, cancels and counts jobs."""
 
--- a/src/sesameladder/node/_intake.py
+++ b/src/sesameladder/node/_intake.py
@@ -80,6 +80,8 @@
     """The request is malformed."""
 
     reason: str
+    is_new_job: bool = True
+    """Whether the queue's pools are known to have no job of this identifier."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,6 +89,8 @@
     """The request asks for more than the system carries."""
 
     reason: str
+    is_new_job: bool = True
+    """As for ``InvalidRequest``."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -165,15 +169,13 @@
             return InvalidRequest(
                 f"job identifier {job!r} is not 16 hexadecimal digits"
             )
-        try:
-            decode_job(body)
-        except RecordTooLarge as error:
-            return TooLarge(str(error))
-        except RecordInvalid as error:
-            return InvalidRequest(str(error))
         pools = self._list_known_pools(queue)
         if job in self.pool_by_job:
             return Accepted(is_new=False)
+        try:
+            decode_job(body)
+        except RecordInvalid as error:
+            return self._refuse(error, pools, job)
         if self.is_store_unreachable():
             return STORE_UNREACHABLE
         for pool in pools - {queue.pool}:
@@ -194,6 +196,26 @@
         self._cache_pool(job, queue.pool)
         return Accepted(is_new=not isinstance(outcome, Conflict))
 
+    def _refuse(self, error: RecordInvalid, pools: set[str], job: str) -> Result:
+        """Return the refusal of a body, or that the job is accepted already.
+
+        An older version may have accepted the body, or the identifier may have been
+        used with another one. Its job may have run.
+        """
+        is_new_job = not self.is_store_unreachable()
+        for pool in sorted(pools) if is_new_job else ():
+            try:
+                keys = submission_key(pool, job), progress_key(pool, job)
+                if any(self.store.read(key) is not None for key in keys):
+                    self._cache_pool(job, pool)
+                    return Accepted(is_new=False)
+            except PlatformCallError as failure:
+                log_warning("earlier_job_unread", job=job, error=str(failure))
+                is_new_job = False
+        if isinstance(error, RecordTooLarge):
+            return TooLarge(str(error), is_new_job)
+        return InvalidRequest(str(error), is_new_job)
+
     def _find_commit(self, key: str) -> Committed | None:
         """Return the outcome of a write without a response if it took effect."""
         try:
--- a/src/sesameladder/node/tests/test_intake.py
+++ b/src/sesameladder/node/tests/test_intake.py
@@ -153,3 +153,32 @@
     assert store.commits == 0
     response = build_response(result)
     assert (response.status, response.body["has_run"]) == (status, False)
+
+
+@pytest.mark.parametrize("body", [b'{"steps":[{"count":5000000}]}', b"["])
+@pytest.mark.parametrize(
+    ("reads", "says_not_run", "status"),
+    [
+        (None, True, None),
+        (StoredItem("k", b"", 3), False, 200),
+        (OutcomeUnknown("no response"), False, None),
+    ],
+    ids=["new", "accepted", "unread"],
+)
+def test_refusal_says_not_run_only_of_a_job_that_is_not_stored(
+    body: bytes, reads: Any, says_not_run: bool, status: int | None
+) -> None:
+    """Guards against "has not run" about a job that an older version has accepted."""
+    intake = Intake(ScriptedStore([STORED], reads))  # type: ignore[arg-type]
+    result = intake.submit(QUEUE, JOB, body, read_steady_clock() + 0.4)
+    response = build_response(result)
+    assert (response.body.get("has_run") is False) is says_not_run
+    assert response.status in ([status] if status else [400, 413])
+
+
+def test_accepted_job_is_not_refused_when_it_is_sent_again() -> None:
+    """Guards against a refusal of a job that this process has accepted."""
+    intake = Intake(ScriptedStore([STORED]))  # type: ignore[arg-type]
+    deadline = read_steady_clock() + 0.4
+    assert intake.submit(QUEUE, JOB, BODY, deadline) == Accepted(is_new=True)
+    assert intake.submit(QUEUE, JOB, b"[", deadline) == Accepted(is_new=False)
