Refuse progress that names an occurrence far beyond the others

Cause: an owner builds all occurrences up to the last one that a job's progress names; an odd record that named occurrence 999,999 would have taken 500 MB (by the size of a step, not measured) of each owner in turn. A negative number of finished occurrences was accepted. Found by reading.

Change: at most 50,000 steps of occurrences that a record does not name are built; beyond that the record counts as malformed, and its job is left alone and shown as unknown. Step.next_unknown, and comments on what is built and forgotten.

Result: five cases of test_record_that_names_a_far_occurrence_is_refused fail before; the records of jobs at the limits are read as before.

--- a/src/sesameladder/jobs/_job.py
+++ b/src/sesameladder/jobs/_job.py
@@ -93,10 +93,10 @@
     __slots__ = (
         "checkpoint",
         "done_mask",
-        "first_unseen",
         "is_open",
         "job",
         "known",
+        "next_unknown",
         "number",
         "occurrence",
         "remaining_subtasks",
@@ -126,8 +126,8 @@
         self.known: dict[int, Subtask] = {}
         """Subtasks that have been built and are not done, by position."""
 
-        self.first_unseen = 0
-        """Position before which no subtask is left to build for ``iterate_waiting``."""
+        self.next_unknown = 0
+        """Position from which ``iterate_waiting`` looks for subtasks to build."""
 
         self.waiting: dict[SubtaskId, Subtask] = {}
         """Known subtasks that may be started and have no run, by identifier."""
@@ -136,7 +136,10 @@
         """Whether all steps before it are done and its occurrence is due."""
 
         self.urgency = 0
-        """``Urgency`` at the latest ranking, while it had waiting subtasks."""
+        """``Urgency`` at the latest ranking; 0 before the first.
+
+        A step is ranked while it has waiting subtasks.
+        """
 
         self.checkpoint = ""
         """Latest checkpoint of a gang; a checkpoint of any member restores all."""
@@ -151,7 +154,8 @@
         """Return the number of subtasks that may be started and have no run."""
         if not self.is_open:
             return 0
-        return len(self.waiting) + self.remaining_subtasks - len(self.known)
+        unknown_count = self.remaining_subtasks - len(self.known)
+        return len(self.waiting) + unknown_count
 
     @property
     def subtasks(self) -> list[Subtask]:
@@ -181,9 +185,9 @@
         Subtasks may be placed between two of them, but not set to wait.
         """
         yield from list(self.waiting.values())
-        while self.is_open and self.first_unseen < self.spec.count:
-            position = self.first_unseen
-            self.first_unseen += 1
+        while self.is_open and self.next_unknown < self.spec.count:
+            position = self.next_unknown
+            self.next_unknown += 1
             if position not in self.known and not self.is_done(position):
                 yield self.get_subtask(position)
 
--- a/src/sesameladder/jobs/_job_table.py
+++ b/src/sesameladder/jobs/_job_table.py
@@ -6,9 +6,10 @@
 from sesameladder.jobs._job import Job, Step, Submission, Subtask
 from sesameladder.jobs._model import JobRecord, JobState, SubtaskId
 
-# A job with many occurrences takes as much memory as a large one without.
+# Done occurrences are forgotten, oldest first, once a job has built more than this many
+# subtasks or occurrences; at twice as many, no more are opened.
 MAX_BUILT_SUBTASKS = 10_000
-# Late reports about older occurrences count as those of unknown runs.
+# A late report about a forgotten occurrence counts as one about an unknown run.
 MAX_KEPT_OCCURRENCES = 200
 
 
@@ -26,10 +27,10 @@
         """Steps with subtasks that wait for a worker, by step key."""
 
         self.timed_occurrences: list[tuple[float, int, Job, int]] = []
-        """Heap of occurrences that are not due: due time, number of the entry, job.
+        """Heap of the next occurrence of each job that waits until it is due.
 
-        At most one for each job, its next one. Due times are in milliseconds of the
-        wall clock.
+        Due time, in milliseconds of the wall clock; number of the entry; job;
+        occurrence.
         """
 
         self.entry_numbers = count()
@@ -137,9 +138,7 @@
             job.state = JobState.RUNNING
         job.first_kept_occurrence = min(record.finished_occurrences, job.occurrences)
         job.next_occurrence = job.first_kept_occurrence
-        named = [occurrence for occurrence, _ in record.done_masks]
-        named += [subtask.occurrence for subtask in record.failed_runs]
-        named += [subtask.occurrence for subtask in record.crashes]
+        named = record.list_named_occurrences()
         for occurrence in range(
             job.next_occurrence, min(max(named, default=-1) + 1, job.occurrences)
         ):
--- a/src/sesameladder/jobs/_model.py
+++ b/src/sesameladder/jobs/_model.py
@@ -336,6 +336,13 @@
     crashes: dict[SubtaskId, dict[int, Crash]] = field(default_factory=dict)
     """Crashes of workers under a subtask, by run number."""
 
+    def list_named_occurrences(self) -> set[int]:
+        """Return the occurrences of which a subtask is done, has failed or crashed."""
+        named = {occurrence for occurrence, _ in self.done_masks}
+        named.update(subtask.occurrence for subtask in self.failed_runs)
+        named.update(subtask.occurrence for subtask in self.crashes)
+        return named
+
     @property
     def has_begun(self) -> bool:
         """Return whether a run of the job is known to have ended."""
--- a/src/sesameladder/jobs/_progress.py
+++ b/src/sesameladder/jobs/_progress.py
@@ -6,6 +6,10 @@
 from sesameladder.jobs._job import Job
 from sesameladder.jobs._model import Crash, JobRecord, JobSpec, JobState, SubtaskId
 
+# Steps of occurrences that have begun without a subtask done or failed. Owners open
+# fewer than half as many at a time; each takes about 0.5 KB.
+MAX_UNNAMED_STEPS = 50_000
+
 
 class ProgressInvalid(ValueError):
     """Raised when a stored progress record is malformed."""
@@ -56,6 +60,7 @@
                 )
             for name, rows in (body.get("crashes") or {}).items():
                 record.crashes[_decode_subtask_name(job, name)] = _decode_crashes(rows)
+            _check_occurrences(record, spec)
     except (
         ValueError,
         LookupError,
@@ -68,6 +73,17 @@
     return record
 
 
+def _check_occurrences(record: JobRecord, spec: JobSpec) -> None:
+    """Raise ``ValueError`` if an owner would have to build too many occurrences.
+
+    It builds all up to the last one that the record names.
+    """
+    first, named = record.finished_occurrences, record.list_named_occurrences()
+    unnamed = max(named, default=first) - first - len(named)
+    if first < 0 or unnamed * len(spec.steps) > MAX_UNNAMED_STEPS:
+        raise ValueError(f"{unnamed} occurrences after {first} are not named")
+
+
 def _decode_done(masks: dict[str, str], spec: JobSpec) -> dict[tuple[int, int], int]:
     """Return bit masks of the done subtasks, by occurrence and step number."""
     done = {}
--- a/src/sesameladder/jobs/tests/test_large_jobs.py
+++ b/src/sesameladder/jobs/tests/test_large_jobs.py
@@ -1,6 +1,7 @@
 """What large jobs, and jobs with many occurrences, cost a pool's owner."""
 
 import gc
+import json
 import tracemalloc
 from dataclasses import replace
 from typing import Any
@@ -12,6 +13,7 @@
     JobSpec,
     JobState,
     PoolScheduler,
+    ProgressInvalid,
     Resources,
     RunEnd,
     RunStatus,
@@ -279,3 +281,35 @@
     scheduler.cancel_job(JOB, 0.2)
     stop = StopCommand(other.worker, other.order.subtask, other.order.run)
     assert stop in scheduler.schedule(0.2, 0.0)
+
+
+@pytest.mark.parametrize(
+    ("fields", "is_valid"),
+    [
+        ({"done": {"0.0": "1", "1.0": "1", "300.0": "1"}}, True),
+        ({"finished": 900_000, "done": {"900300.0": "1"}}, True),
+        ({"done": {f"{n}.0": "1" for n in range(60_000)}}, True),
+        ({"done": {"999999.0": "1"}}, False),
+        ({"failed_runs": {"999999.0.0": [1]}}, False),
+        ({"crashes": {"999999.0.0": [[1, "10.0.0.1:1", 1, 0]]}}, False),
+        ({"finished": 1, "done": {"999999.0": "1"}}, False),
+        ({"finished": -5}, False),
+        ({"done": {"0.0": "-1"}}, False),
+    ],
+    ids=lambda value: str(value)[:50],
+)
+def test_record_that_names_a_far_occurrence_is_refused(
+    fields: dict[str, Any], is_valid: bool
+) -> None:
+    """Guards against an odd record that takes the memory of each owner in turn.
+
+    An owner builds all occurrences up to the last one that a record names.
+    """
+    spec = build_submission(1, 1_000_000).spec
+    body = {"queue": "queue", "state": "running", **fields}
+    value = json.dumps(body).encode()
+    if is_valid:
+        assert decode_progress(JOB, value, spec).has_begun
+    else:
+        with pytest.raises(ProgressInvalid):
+            decode_progress(JOB, value, spec)
