review 3: lasting subtasks that fail at once keep a pool from starting (LOST)

Claim: lasting jobs whose subtasks fail at once, 0.05 of the jobs of 3 s, have all workers of a pool ejected in turn and fill the limit of starts under way. Sound jobs that come later are accepted and not started, though the pool is idle.

The case on leases becomes case 4. The scripts get ranges of ports of their own, since one run of case 2 beside three others could not start a node.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,4 +1,4 @@
-"""Two workers crash under a young subtask that lasts (LOST)."""
+"""A worker restarts under its identifier and is cut off seconds later (TWICE)."""
 
 import sys
 import time
@@ -7,55 +7,59 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standins"))
 from deployment import PREFIX, CannotRun, build_job, run_case
 
-ROUNDS = 4
-RUN_AGE_S = 0.1  # of the subtask's run when its worker crashes
-DOWN_S = 4.5  # how long a crashed worker is down, as in the site file
+ROUNDS = 7
+WORKERS = [f"w-{number}" for number in range(1, 13)]
+UP_S = 12  # how long the worker has been up before it crashes
+CUT_S = 5.5  # as in the site file
+CALM_S = 3.0
 
 
 def body(deployment, trouble):
-    for number in range(1, 7):
-        deployment.start_worker(f"w-{number}", "chairside", rack=f"r1-{number % 2}")
+    for name in WORKERS:
+        deployment.add_proxy(name)
+        rack = "r1-1" if name == "w-1" else "r1-2"
+        deployment.start_worker(name, "chairside", rack=rack)
     deployment.configure(101, "chairside", ["chairside", "styling"])
     for name in ("n1", "n2", "n3"):
         deployment.start_node(name)
     deployment.wait_ready()
     deployment.wait_for_owner("pool.chairside")
-    time.sleep(1.5)
-    breaches = []
+    time.sleep(UP_S)
     for round_number in range(ROUNDS):
-        breaches += play_round(deployment, trouble, f"{round_number:016x}")
+        play_round(deployment, trouble, f"{round_number:016x}")
+        breaches = deployment.find_double_starts()
         if breaches:
-            break
-    return breaches
+            return breaches
+    return []
 
 
 def play_round(deployment, trouble, job):
-    """Submit a job of one subtask that lasts, and crash its worker twice."""
-    status, _ = deployment.call(
-        "n1", "POST", PREFIX + job, build_job(1, 4000, daemon=True))
-    if status != 200:
+    """Restart w-1, let a job begin there, and cut w-1 off from all nodes."""
+    if trouble:
+        deployment.crash_worker("w-1", shows_down=False)
+        deployment.restart_worker("w-1")
+    time.sleep(1.5)
+    body = build_job(2, 2000, daemon=True, dataRack="r1-1")
+    if deployment.call("n1", "POST", PREFIX + job, body)[0] != 200:
         raise CannotRun("the job was not accepted")
-    crashed = []
-    for _ in range(2):
-        running = deployment.wait(lambda: deployment.list_running(job), 10, 0.005)
-        if not running:
-            return [f"job {job} has nothing running for 10 s"]
-        if trouble:
-            time.sleep(RUN_AGE_S)
-            crashed.append(running[0][0])
-            deployment.crash_worker(crashed[-1])
-    time.sleep(DOWN_S)
-    for name in crashed:
-        deployment.restart_worker(name)
-    time.sleep(3)
-    state = deployment.call("n2", "GET", PREFIX + job)[1].get("state")
-    running = deployment.list_running(job)
-    deployment.note(f"job {job}: {state}, runs on {[row[0] for row in running]}")
-    failed_ends = [row for row in deployment.read_events()
-                   if row[2] == "end" and row[3].startswith(job) and row[5] == "failed"]
-    if state == "failed" and not failed_ends:
-        return [f"job {job} is shown as failed; no run of it has ended as failed"]
-    return []
+    running = deployment.wait(
+        lambda: len(deployment.list_running(job)) == 2 and deployment.list_running(job),
+        10)
+    if not running:
+        raise CannotRun("the job has not started")
+    deployment.note(f"job {job} runs on {[row[0] for row in running]}")
+    time.sleep(0.5)
+    if trouble:
+        deployment.note("w-1 is cut off from all nodes and runs on")
+        deployment.proxies["w-1"].cut()
+    time.sleep(CUT_S)
+    if trouble:
+        deployment.proxies["w-1"].heal()
+        deployment.note("w-1 is reached again")
+    time.sleep(CALM_S)
+    deployment.call("n2", "GET", PREFIX + job)
+    deployment.call("n2", "DELETE", PREFIX + job)
+    time.sleep(2)
 
 
 run_case(body)
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -27,7 +27,9 @@
 PREFIX = "/puxa400/"
 QUEUE = "r-1"
 CANNOT_RUN, HELD, BROKEN = 2, 0, 1
-PORTS = range(20_000, 32_000)
+# Each script has ports of its own, so that several can run at the same time.
+FIRST_PORT = 20_000 + os.getpid() % 24 * 500
+PORTS = set(range(FIRST_PORT, FIRST_PORT + 500))
 CASE_LIMIT_S = 115
 SETTINGS = """node={name}
 role=node
@@ -343,16 +345,17 @@
         return breaches
 
 
-def build_job(count, cpu, ms=None, **step):
-    spec = {"cpu": cpu, "memMb": 50} | ({"ms": ms} if ms else {})
+def build_job(count, cpu, ms=None, how="done", **step):
+    spec = {"cpu": cpu, "memMb": 50, "how": how} | ({"ms": ms} if ms else {})
     row = {"count": count, "cpu": cpu, "memMb": 50, "estMs": ms or 1000, **step}
     return {"spec": json.dumps(spec), "steps": [row]}
 
 
 def find_port():
-    """Return a free port outside the range of outgoing connections."""
+    """Return a free port outside the range of outgoing connections, each once."""
     while True:
-        port = random.choice(PORTS)
+        port = random.choice(sorted(PORTS))
+        PORTS.discard(port)
         with socket.socket() as probe:
             try:
                 probe.bind(("127.0.0.1", port))
--- a/review/standins/worker_standin.py
+++ b/review/standins/worker_standin.py
@@ -1,7 +1,8 @@
 """Stand-in of one worker: a process that runs subtasks as PROTOCOL.md describes.
 
 The ``spec`` of a job is a JSON text with ``ms`` (how long each subtask works, absent
-for subtasks that last), ``cpu`` and ``memMb``. Every start and end is written to the
+for subtasks that last), ``cpu``, ``memMb`` and ``how`` (``failed`` for subtasks that
+fail, else they end as ``done``). Every start and end is written to the
 events file before it is answered, so that it outlives a kill.
 """
 
@@ -110,7 +111,8 @@
         due = [(row[2], task) for task, row in self.runs.items()
                if row[2] is not None and row[2] <= now]
         for _, task in sorted(due):
-            how = "stopped" if self.runs[task][4] else "done"
+            row = self.runs[task]
+            how = "stopped" if row[4] else row[1].get("how", "done")
             self.end(task, how)
 
     def end(self, task, how):
