--- a/review/standins/worker_standin.py
+++ b/review/standins/worker_standin.py
@@ -33,6 +33,7 @@
         self.born_ms = int(time.time() * 1000)
         self.fence = 0
         self.lease_until_ms = 0
+        self.has_lease = False
         self.runs = {}  # task -> [run, spec, due_ms or None, started_ms]
         self.barred = {}  # task -> highest run that has been stopped or has ended
         self.ends = []
@@ -105,6 +106,9 @@
 
     def advance(self):
         now = self.clock_ms()
+        if self.lease_until_ms <= now and self.has_lease:
+            self.has_lease = False
+            self.record("lapse")
         if self.runs and self.lease_until_ms <= now:
             for task in list(self.runs):
                 self.end(task, "lapsed")
@@ -162,6 +166,7 @@
     def extend_lease(self, body):
         wanted = min(body.get("deadlineMs", 0), self.clock_ms() + HOLD_MAX_MS)
         self.lease_until_ms = max(self.lease_until_ms, wanted)
+        self.has_lease = self.lease_until_ms > self.clock_ms()
 
     def start(self, task, run, body):
         row = self.runs.get(task)
