Name no lease to a worker whose incarnation is not known

Its owner started the subtask elsewhere after 4.4 s while the first run went on for 10 s.

Cause: the end of a lease is a time on the worker's clock, and each incarnation has a clock of its own. After a failed report the link named the suspended lease once more, by the clock of the incarnation that had ended. The next one shortens such a lease to the published 10 s and no further. The same comes about without a failed call, through a start or report call that is under way during the restart, and after a change of the owner, which has never known the earlier incarnation.

Change: a link forgets the clock with each failed report and each report of another incarnation, and names no lease until a report of its incarnation arrives. For 12 s after a restart, and on workers younger than 30 s after a change of the owner, the owner counts with the longest lease; subtasks that a restart has lost wait for the next report or as long. A start that is repeated is kept while the clock is unknown, since a copy of it may have begun the run.

test_worker_is_not_cut_off_by_an_unexpected_error sent its starts before any report; they now follow the first report, and both threads still have to outlive their error.

--- a/src/sesameladder/jobs/_runs.py
+++ b/src/sesameladder/jobs/_runs.py
@@ -114,6 +114,12 @@
     has_reported: bool = False
     """Whether this owner has received a report of the worker."""
 
+    unread_deadline: float = 0.0
+    """Time by which runs of earlier owners have expired if the worker stays silent.
+
+    Only where that is later than for the other workers.
+    """
+
     is_listed: bool = True
     """Whether the list of workers contains the worker."""
 
--- a/src/sesameladder/jobs/_scheduler.py
+++ b/src/sesameladder/jobs/_scheduler.py
@@ -139,6 +139,12 @@
     workers_to_drain: set[str] = field(default_factory=set)
     """Workers that the fleet role ordered to drain, before maintenance or a move."""
 
+    longest_lease_s: float = 0.0
+    """Time after which any lease of a worker has certainly expired, in seconds.
+
+    A restarted worker may have one that was meant for its earlier incarnation.
+    """
+
     can_expire_leases: bool = True
     """Whether runs may be given up when leases expire.
 
@@ -315,6 +321,10 @@
             return
         if run.confirmed_at is not None:
             return
+        if outcome is StartOutcome.NOT_SENT and run.was_unanswered:
+            # A copy sent before may have started the run: the next one will tell.
+            run.retry_at = now + UNREACHABLE_PAUSE_S
+            return
         has_response = outcome is not StartOutcome.UNANSWERED
         self.log_event(
             "start_refused" if has_response else "start_unanswered",
@@ -417,11 +427,16 @@
 
     def knows_earlier_runs(self, now: float) -> bool:
         """Return whether all runs of earlier owners are known or have expired."""
-        if now >= self.unread_worker_deadline:
-            return True
-        if self.unlisted_workers:
+        if self.unlisted_workers and now < self.unread_worker_deadline:
             return False
-        return all(view.has_reported for view in self.workers.values())
+        return not any(
+            self._may_have_unread_runs(view, now) for view in self.workers.values()
+        )
+
+    def _may_have_unread_runs(self, worker: WorkerView, now: float) -> bool:
+        """Return whether runs of earlier owners may be present and are not known."""
+        deadline = max(self.unread_worker_deadline, worker.unread_deadline)
+        return not worker.has_reported and now < deadline
 
     def take_dirty_jobs(self) -> list[Job]:
         """Return the jobs whose progress has to be stored, and clear the set."""
@@ -937,7 +952,7 @@
         """Release all runs of a silent worker once its leases have expired."""
         if now < worker.lease_expires_at or not self.can_expire_leases:
             return
-        if not worker.has_reported and now < self.unread_worker_deadline:
+        if self._may_have_unread_runs(worker, now):
             return
         given_up = self._record_crashes(worker, now, has_ended=False)
         for run in list(worker.runs.values()):
@@ -970,7 +985,7 @@
         given_up = self._record_crashes(worker, now, has_ended=True)
         pause_s = 0.0
         if event == "worker_reborn":
-            pause_s = max(0.0, worker.lease_expires_at - now)
+            pause_s = max(self.longest_lease_s, worker.lease_expires_at - now)
             subtasks = [run.subtask for run in worker.runs.values()]
             self.subtasks_lost_by_restart[worker.id] = subtasks
         for run in list(worker.runs.values()):
--- a/src/sesameladder/jobs/tests/test_incarnations.py
+++ b/src/sesameladder/jobs/tests/test_incarnations.py
@@ -153,3 +153,38 @@
     (command,) = schedule_stored(scheduler, LEASE_EXPIRES_AT + 0.1)
     assert isinstance(command, StartCommand)
     assert command.worker == "i-2"
+
+
+def test_subtasks_of_a_restarted_worker_outwait_the_longest_lease() -> None:
+    """Guards against a subtask that runs twice after its worker restarted and was cut.
+
+    Its start had reached the next incarnation, whose lease ended by the clock of the
+    earlier one.
+    """
+    scheduler = build_scheduler(born_ms=500)
+    scheduler.longest_lease_s = 10.0
+    scheduler.workers["i-1"].lease_expires_at = LEASE_EXPIRES_AT
+    record = replace(scheduler.workers["i-1"].record, born_ms=900)
+    other = replace(record, worker="i-2", born_ms=1)
+    scheduler.update_workers([record, other], 1.0)
+    scheduler.apply_report("i-2", WorkerReport(0, 1, (), ()), 1.0, 1.0)
+    assert schedule_stored(scheduler, 10.9) == []
+    assert len(schedule_stored(scheduler, 11.1)) == 1
+
+
+def test_start_whose_repetition_was_not_sent_is_kept() -> None:
+    """Guards against a run that is stopped since its worker was silent for a moment.
+
+    An earlier copy of the start may have begun the run. Its repetition can't be sent
+    before a report has told which incarnation answers.
+    """
+    scheduler = build_scheduler(born_ms=500)
+    (run,) = scheduler.runs.values()
+    run.confirmed_at = None
+    subtask, number = run.subtask.id, run.number
+    for now, outcome in ((1.0, StartOutcome.UNANSWERED), (1.2, StartOutcome.NOT_SENT)):
+        scheduler.apply_start_outcome("i-1", subtask, number, outcome, now)
+    assert scheduler.schedule(1.3, 1300.0) == []
+    (command,) = scheduler.schedule(1.8, 1800.0)
+    assert isinstance(command, StartCommand)
+    assert (command.order.subtask, command.order.run) == (subtask, number)
--- a/src/sesameladder/node/_pool_task.py
+++ b/src/sesameladder/node/_pool_task.py
@@ -20,6 +20,7 @@
     PoolScheduler,
     ProgressInvalid,
     WorkerRecord,
+    WorkerView,
     decode_progress,
     encode_progress,
 )
@@ -56,6 +57,8 @@
 )
 from sesameladder.node._vm_load import VmLoadMeter, VmSize
 from sesameladder.node._worker_link import (
+    CLOCK_DRIFT_FACTOR,
+    EARLIER_ORDERS_S,
     IncarnationReplaced,
     LinkMessage,
     OwnerSuperseded,
@@ -64,6 +67,7 @@
     StartFinished,
     StopConfirmed,
     WorkerLink,
+    compute_lease_time,
 )
 from sesameladder.platform import (
     AdviceClient,
@@ -88,6 +92,9 @@
 # A shrunk capacity counts 4.5 s after it is listed; an order waits for 1 s at most.
 LIST_CONFIRMATION_TIMEOUT_S = 3.5
 UNREAD_WORKER_WAIT_S = 7.5  # ROLE_CONFIRMATION_TIMEOUT_S and one worker lease
+# Orders to an earlier incarnation have arrived by then, and their leases have expired;
+# the wall clocks of worker and VM may differ by a few seconds.
+YOUNG_WORKER_S = 30.0
 INBOX_THREAD = "inbox"
 UNKNOWN_WORKER = ""  # no worker's identifier; stands for those that can't be read
 
@@ -148,10 +155,12 @@
         "last_summary_at",
         "last_summary_check_at",
         "last_write_at",
+        "link_ends",
         "link_failures",
         "links",
         "load_meter",
         "longest_pass_s",
+        "max_worker_lease_ms",
         "messages",
         "on_role_lost",
         "orders_revision",
@@ -177,6 +186,7 @@
         store: StoreClient,
         advice_client: AdviceClient | None,
         worker_lease_ms: int,
+        max_worker_lease_ms: int,
         job_state_retention_s: float,
         is_confirmed: Callable[[float], bool],
         is_exclusive_holder: Callable[[], bool],
@@ -189,6 +199,9 @@
         self.store = store
         self.advice_client = advice_client
         self.worker_lease_ms = worker_lease_ms
+        self.max_worker_lease_ms = max_worker_lease_ms
+        """Maximum to which workers shorten their leases, in milliseconds."""
+
         self.job_state_retention_s = job_state_retention_s
         self.is_confirmed = is_confirmed
         self.is_exclusive_holder = is_exclusive_holder
@@ -196,7 +209,11 @@
         self.on_role_lost = on_role_lost
         self.messages: SimpleQueue[PoolMessage] = SimpleQueue()
         self.scheduler = PoolScheduler(role.term, self._log_event, fence=role.fence)
+        self.scheduler.longest_lease_s = compute_lease_time(max_worker_lease_ms)
         self.links: dict[str, WorkerLink] = {}
+        self.link_ends: dict[str, float] = {}
+        """Steady time at which a worker's latest link ended, for a while."""
+
         self.link_failures = RefusalLog("worker_link_failed")
         self.writer = PoolWriter(
             pool, role, store, self.messages.put, self._give_up_role
@@ -595,11 +612,18 @@
 
     def _update_links(self) -> None:
         views = self.scheduler.workers
+        now = read_steady_clock()
         for name, link in list(self.links.items()):
             view = views.get(name)
             if view is None or view.record.born_ms != link.record.born_ms:
                 link.stop()
                 del self.links[name]
+                self.link_ends[name] = now
+        self.link_ends = {
+            name: ended_at
+            for name, ended_at in self.link_ends.items()
+            if now - ended_at < EARLIER_ORDERS_S
+        }
         for name, view in views.items():
             if name in self.links:
                 continue
@@ -608,8 +632,10 @@
                     view.record,
                     self.role.fence,
                     self.worker_lease_ms,
+                    self.max_worker_lease_ms,
                     self._may_extend_leases,
                     self.messages.put,
+                    self._find_end_of_earlier_orders(view, now),
                 )
                 link.start()
             except Exception as error:
@@ -621,6 +647,29 @@
             self.link_failures.clear(name)
             self.links[name] = link
 
+    def _find_end_of_earlier_orders(self, view: WorkerView, now: float) -> float:
+        """Return until when orders to an earlier incarnation may reach a worker.
+
+        In seconds of the steady clock; 0 if there are none. A new owner can't know
+        whether a young worker has had an earlier incarnation.
+        """
+        link_ended_at = self.link_ends.get(view.id)
+        if link_ended_at is not None:
+            return link_ended_at + EARLIER_ORDERS_S
+        has_earlier_owner = self.role.term > 1
+        if not has_earlier_owner or now >= self.scheduler.unread_worker_deadline:
+            return 0.0
+        age_s = (read_wall_clock_ms() - view.record.born_ms) / 1000
+        if age_s >= YOUNG_WORKER_S:
+            return 0.0
+        view.unread_deadline = (
+            self.scheduler.unread_worker_deadline
+            + (self.max_worker_lease_ms - self.worker_lease_ms)
+            / 1000
+            * CLOCK_DRIFT_FACTOR
+        )
+        return now + EARLIER_ORDERS_S
+
     def _may_extend_leases(self) -> bool:
         """Return whether the role may still be held.
 
--- a/src/sesameladder/node/_process.py
+++ b/src/sesameladder/node/_process.py
@@ -219,6 +219,7 @@
             self.store,
             self.advice_client,
             min(WORKER_LEASE_MS, self.settings.max_lease_ms),
+            self.settings.max_lease_ms,
             self.settings.job_state_retention_s,
             lambda within_s: self._holds(held) and self.roles.is_confirmed(within_s),
             lambda: self._holds(held) and self.roles.is_exclusive_holder(),
--- a/src/sesameladder/node/_worker_link.py
+++ b/src/sesameladder/node/_worker_link.py
@@ -30,6 +30,7 @@
 REPORT_WAIT_MS = 400  # maximum age of the known progress and load
 REPORT_PAUSE_S = 0.05  # while ends are not acknowledged, reports return at once
 RETRY_PAUSE_S = 0.25
+EARLIER_ORDERS_S = 12.0  # orders without a response arrive up to this late
 
 
 @dataclass(frozen=True, slots=True)
@@ -108,10 +109,12 @@
         "acknowledged_end",
         "client",
         "clock_offset_s",
+        "earlier_orders_until",
         "is_lease_extension_suspended",
         "lease_expires_at",
         "lease_ms",
         "lease_until_ms",
+        "max_lease_ms",
         "may_extend_lease",
         "orders",
         "post",
@@ -126,12 +129,24 @@
         record: WorkerRecord,
         fence: int,
         lease_ms: int,
+        max_lease_ms: int,
         may_extend_lease: Callable[[], bool],
         post: Callable[[LinkMessage], None],
+        earlier_orders_until: float = 0.0,
     ) -> None:
         self.record = record
         self.client = WorkerClient(record.address, record.worker, fence)
         self.lease_ms = lease_ms
+        self.max_lease_ms = max_lease_ms
+        """Maximum to which the worker shortens a lease, in milliseconds."""
+
+        self.earlier_orders_until = earlier_orders_until
+        """Steady time until which orders to an earlier incarnation may arrive.
+
+        Their leases end at times of another clock, which may lie far ahead of this
+        incarnation's. The worker shortens such a lease to ``max_lease_ms``.
+        """
+
         self.may_extend_lease = may_extend_lease
         self.post = post
         self.orders: SimpleQueue[Order | None] = SimpleQueue()
@@ -142,7 +157,11 @@
         """Number of the last end that the worker may forget."""
 
         self.clock_offset_s: float | None = None
-        """Worker's clock minus this VM's steady clock, in seconds; None if unknown."""
+        """Worker's clock minus this VM's steady clock, in seconds; None if unknown.
+
+        Unknown again after a failed report: each incarnation has a clock of its own,
+        and another one may answer next.
+        """
 
         self.lease_until_ms: int | None = None
         """End of the latest lease, in milliseconds of the worker's clock."""
@@ -155,11 +174,8 @@
         """
 
         # An earlier owner may have extended the lease until now.
-        self.lease_expires_at = (
-            read_steady_clock()
-            + lease_ms / 1000 * CLOCK_DRIFT_FACTOR
-            + LEASE_EXPIRY_SLACK_S
-        )
+        self.lease_expires_at = 0.0
+        self._count_lease(read_steady_clock())
         self.stopping = Event()
         name = record.worker
         self.threads = [
@@ -200,13 +216,18 @@
             # would end later than the time at which it is given up.
             return self.lease_until_ms
         now = read_steady_clock()
-        lease_expires_at = (
-            now + self.lease_ms / 1000 * CLOCK_DRIFT_FACTOR + LEASE_EXPIRY_SLACK_S
-        )
-        self.lease_expires_at = max(self.lease_expires_at, lease_expires_at)
+        self._count_lease(now)
         self.lease_until_ms = int((now + self.clock_offset_s) * 1000) + self.lease_ms
         return self.lease_until_ms
 
+    def _count_lease(self, now: float) -> None:
+        """Record that the worker may be granted a lease now."""
+        has_earlier_orders = now < self.earlier_orders_until
+        lease_ms = self.max_lease_ms if has_earlier_orders else self.lease_ms
+        self.lease_expires_at = max(
+            self.lease_expires_at, now + compute_lease_time(lease_ms)
+        )
+
     def _send_orders(self) -> None:
         while True:
             order = self.orders.get()
@@ -258,6 +279,7 @@
                 return
             except StaleOwner:
                 is_same_incarnation = False
+                self.clock_offset_s = None
                 self.post(OwnerSuperseded(name))
                 self.stopping.wait(RETRY_PAUSE_S)
                 continue
@@ -270,7 +292,12 @@
                 self._record_report_failure()
                 raise
             is_same_incarnation = report.born_ms in (0, self.record.born_ms)
-            self.clock_offset_s = report.clock_ms / 1000 - read_steady_clock()
+            if is_same_incarnation:
+                self.clock_offset_s = report.clock_ms / 1000 - read_steady_clock()
+            else:
+                self.clock_offset_s = None
+            if read_steady_clock() < self.earlier_orders_until:
+                self._count_lease(read_steady_clock())
             message = ReportReceived(
                 name, self.record.born_ms, report, sent_at, read_steady_clock()
             )
@@ -279,9 +306,15 @@
 
     def _record_report_failure(self) -> None:
         self.is_lease_extension_suspended = True
+        self.clock_offset_s = None
         self.post(ReportFailed(self.record.worker, self.record.born_ms))
 
 
+def compute_lease_time(lease_ms: int) -> float:
+    """Return the time after which a lease has certainly expired, in seconds."""
+    return lease_ms / 1000 * CLOCK_DRIFT_FACTOR + LEASE_EXPIRY_SLACK_S
+
+
 def _log_order_failure(event: str, order: StopCommand | PaceCommand) -> None:
     log_warning(
         event,
--- a/src/sesameladder/node/tests/builders.py
+++ b/src/sesameladder/node/tests/builders.py
@@ -6,14 +6,15 @@
 from sesameladder.platform import StoreClient
 
 
-def build_pool_task(is_confirmed: bool = True) -> PoolTask:
+def build_pool_task(is_confirmed: bool = True, term: int = 1) -> PoolTask:
     """Return the task of a pool's owner, with no store to reach."""
     return PoolTask(
         "chair",
-        HeldRole("pool.chair", 9, 1),
+        HeldRole("pool.chair", 9, term),
         StoreClient.from_address("127.0.0.1:1"),
         None,
         4000,
+        10_000,
         120.0,
         lambda _: is_confirmed,
         lambda: is_confirmed,
--- a/src/sesameladder/node/tests/test_acknowledgement.py
+++ b/src/sesameladder/node/tests/test_acknowledgement.py
@@ -30,7 +30,9 @@
     task.scheduler.workers[WORKER].last_applied_end = 8
     batch = WriteBatch((), (), (), task.scheduler.get_applied_ends())
     present = replace(record, born_ms=present_born_ms)
-    task.links[WORKER] = WorkerLink(present, 9, 4000, lambda: True, lambda _: None)
+    task.links[WORKER] = WorkerLink(
+        present, 9, 4000, 10_000, lambda: True, lambda _: None
+    )
     task._apply_write_result(WriteDone(batch, True))
     assert task.links[WORKER].acknowledged_end == acknowledged
 
@@ -45,7 +47,9 @@
     record = replace(build_record(1), born_ms=1)
     task.scheduler.update_workers([record], 0.0)
     task.scheduler.workers[WORKER].last_applied_end = 8
-    task.links[WORKER] = WorkerLink(record, 9, 4000, lambda: True, lambda _: None)
+    task.links[WORKER] = WorkerLink(
+        record, 9, 4000, 10_000, lambda: True, lambda _: None
+    )
     task.tracked_workers = (WORKER,)
     task.writer.write(WriteBatch((), (), (), task.scheduler.get_applied_ends()))
     task.writer.stop()  # before the batch is stored, which is then given up
--- a/src/sesameladder/node/tests/test_supervision.py
+++ b/src/sesameladder/node/tests/test_supervision.py
@@ -153,6 +153,7 @@
         store,  # type: ignore[arg-type]
         None,
         4000,
+        10_000,
         120.0,
         lambda _: True,
         lambda: store.answer("is_exclusive_holder") is None,
--- a/src/sesameladder/node/tests/test_worker_link.py
+++ b/src/sesameladder/node/tests/test_worker_link.py
@@ -66,7 +66,7 @@
     behind other orders; it was sent 1.3 s after the end had been acknowledged.
     """
     posted: list[LinkMessage] = []
-    link = WorkerLink(build_record(1), 9, 4000, lambda: True, posted.append)
+    link = WorkerLink(build_record(1), 9, 4000, 10_000, lambda: True, posted.append)
     client = RecordingClient()
     link.client = client  # type: ignore[assignment]
     link.clock_offset_s = 0.0
@@ -89,11 +89,14 @@
         self.link = link
         self.script = script
         self.acknowledged: list[int] = []
+        self.has_lease: list[bool] = []
+        """Whether each call named the end of a lease."""
 
     def poll_report(
         self, acknowledged: int, lease_until_ms: int | None, wait_ms: int
     ) -> WorkerReport:
-        del lease_until_ms, wait_ms
+        del wait_ms
+        self.has_lease.append(lease_until_ms is not None)
         self.acknowledged.append(acknowledged)
         report = self.script.pop(0)
         if not self.script:
@@ -120,7 +123,7 @@
     The first report call after the restart still named the last end of the earlier
     incarnation.
     """
-    link = WorkerLink(build_record(1), 9, 4000, lambda: True, lambda _: None)
+    link = WorkerLink(build_record(1), 9, 4000, 10_000, lambda: True, lambda _: None)
     client = ReportingClient(link, list(script))
     link.client = client  # type: ignore[assignment]
     link.acknowledged_end = 8
@@ -128,6 +131,32 @@
     assert client.acknowledged == acknowledged
 
 
+@pytest.mark.parametrize(
+    ("script", "has_lease"),
+    [
+        ([SAME, SAME, SAME], [False, True, True]),
+        ([SAME, None, SAME, SAME], [False, True, False, True]),
+        ([SAME, None, None, NEXT, NEXT], [False, True, False, False, False]),
+        ([SAME, NEXT, NEXT], [False, True, False]),
+    ],
+    ids=["no failure", "same incarnation", "next incarnation", "unnoticed restart"],
+)
+def test_no_lease_is_named_until_the_incarnation_is_known(
+    script: list[WorkerReport | None], has_lease: list[bool]
+) -> None:
+    """Guards against runs of a restarted worker that outlive their release.
+
+    The report call after the restart named a time on the clock of the earlier
+    incarnation, 12 s ahead of the present one's, and the worker went on for 10 s
+    without orders while its owner counted with 4 s.
+    """
+    link = WorkerLink(build_record(1), 9, 4000, 10_000, lambda: True, lambda _: None)
+    client = ReportingClient(link, list(script))
+    link.client = client  # type: ignore[assignment]
+    link._read_reports()
+    assert client.has_lease == has_lease
+
+
 class FailingClient:
     """The first order and the first report call fail in an unexpected way."""
 
@@ -160,13 +189,11 @@
     its reports, and the subtasks of its runs were neither ended nor started again.
     """
     messages: SimpleQueue[LinkMessage] = SimpleQueue()
-    link = WorkerLink(build_record(1), 9, 4000, lambda: True, messages.put)
+    link = WorkerLink(build_record(1), 9, 4000, 10_000, lambda: True, messages.put)
     link.client = FailingClient()  # type: ignore[assignment]
     link.clock_offset_s = 0.0
     outcomes = []
     has_failed_report = has_report = False
-    for _ in range(2):
-        link.send(StartCommand(WORKER, StartOrder(SUBTASK, 7, "")))
     link.start()
     try:
         while len(outcomes) < 2 or not has_report:
@@ -174,7 +201,11 @@
             if isinstance(message, StartFinished):
                 outcomes.append(message.outcome)
             has_failed_report |= isinstance(message, ReportFailed)
-            has_report |= isinstance(message, ReportReceived)
+            if isinstance(message, ReportReceived) and not has_report:
+                # Nothing is started before a report has told the worker's clock.
+                has_report = True
+                for _ in range(2):
+                    link.send(StartCommand(WORKER, StartOrder(SUBTASK, 7, "")))
     finally:
         link.stop()
     assert outcomes == [StartOutcome.UNANSWERED, StartOutcome.STARTED]
