Release no run by a report that has no room for all ends

Cause: a worker lists 500 ends at a time, and the next ones once these are acknowledged, which needs the store. A run whose end had no room is in neither list of the report. The owner took each report for complete and placed such subtasks again.

Change: a report with 500 ends says that it may leave out others. By such a report no run is released, confirmed or stopped, and it is not the first report of a worker to a new owner, nor of the next incarnation of a worker that has restarted. A new owner starts no earlier work until the rest is read or the leases of the worker have expired. New log event ends_unread.

--- a/src/sesameladder/jobs/_model.py
+++ b/src/sesameladder/jobs/_model.py
@@ -261,6 +261,12 @@
     born_ms: int
     running: tuple[RunStatus, ...]
     ended: tuple[RunEnd, ...]
+    has_more_ends: bool = False
+    """Whether runs that are not in the report may have ended.
+
+    The report holds a limited number of ends, the oldest first. The next ones follow
+    once these are acknowledged.
+    """
 
 
 class StartOutcome(StrEnum):
--- a/src/sesameladder/jobs/_runs.py
+++ b/src/sesameladder/jobs/_runs.py
@@ -112,7 +112,10 @@
     """Number of runs whose resources are unknown and missing in the sums above."""
 
     has_reported: bool = False
-    """Whether this owner has received a report of the worker."""
+    """Whether this owner has received a report with all runs and ends of the worker."""
+
+    has_unread_ends: bool = False
+    """Whether more runs may have ended than the latest report had room for."""
 
     unread_deadline: float = 0.0
     """Time by which runs of earlier owners have expired if the worker stays silent.
--- a/src/sesameladder/jobs/_scheduler.py
+++ b/src/sesameladder/jobs/_scheduler.py
@@ -256,20 +256,30 @@
         worker.failed_reports = 0
         for subtask_id, number in worker.unresolved_starts:
             self.commands.append(StopCommand(worker_id, subtask_id, number))
-        running = {(status.subtask, status.run) for status in report.running}
         for end in report.ended:
             if end.number > worker.last_applied_end:
                 self._apply_end(worker, end, now)
         for status in report.running:
             self._apply_status(worker, status, received_at or now, now)
+        if report.has_more_ends and not worker.has_unread_ends:
+            self.log_event("ends_unread", worker=worker_id, listed=len(report.ended))
+        worker.has_unread_ends = report.has_more_ends
+        if not report.has_more_ends:
+            self._apply_complete_report(worker, report, sent_at, now)
+        self.commands.extend(self.pacer.adjust(worker, now))
+
+    def _apply_complete_report(
+        self, worker: WorkerView, report: WorkerReport, sent_at: float, now: float
+    ) -> None:
+        """Apply what follows from a report that leaves out no run and no end."""
+        running = {(status.subtask, status.run) for status in report.running}
         ended = {(end.subtask, end.run) for end in report.ended}
         self._release_missing(worker, running | ended, sent_at, now)
         if not worker.has_reported:
             worker.has_reported = True
-            for subtask in self.subtasks_lost_by_restart.pop(worker_id, ()):
+            for subtask in self.subtasks_lost_by_restart.pop(worker.id, ()):
                 subtask.not_before = min(subtask.not_before, now)
-            self.log_event("worker_learned", worker=worker_id, running=len(running))
-        self.commands.extend(self.pacer.adjust(worker, now))
+            self.log_event("worker_learned", worker=worker.id, running=len(running))
 
     def apply_report_failure(self, worker_id: str, now: float) -> None:
         """Record that a worker did not respond to the request for a report."""
@@ -436,7 +446,8 @@
     def _may_have_unread_runs(self, worker: WorkerView, now: float) -> bool:
         """Return whether runs of earlier owners may be present and are not known."""
         deadline = max(self.unread_worker_deadline, worker.unread_deadline)
-        return not worker.has_reported and now < deadline
+        is_unread = worker.has_unread_ends or now < deadline
+        return not worker.has_reported and is_unread
 
     def take_dirty_jobs(self) -> list[Job]:
         """Return the jobs whose progress has to be stored, and clear the set."""
@@ -938,8 +949,8 @@
     ) -> None:
         """Release runs that the report would contain if they were still present.
 
-        Only reports requested after the worker was known to have the run, or after
-        it responded to the stop, are conclusive.
+        Only complete reports requested after the worker was known to have the run, or
+        after it responded to the stop, are conclusive.
         """
         for run in list(worker.runs.values()):
             if (run.subtask.id, run.number) in reported:
@@ -952,6 +963,7 @@
         """Release all runs of a silent worker once its leases have expired."""
         if now < worker.lease_expires_at or not self.can_expire_leases:
             return
+        worker.has_unread_ends = False
         if self._may_have_unread_runs(worker, now):
             return
         given_up = self._record_crashes(worker, now, has_ended=False)
--- a/src/sesameladder/platform/_limits.py
+++ b/src/sesameladder/platform/_limits.py
@@ -10,6 +10,7 @@
 MAX_COUNTER = 2**53  # the largest whole number that every JSON reader keeps exactly
 MAX_TIME_MS = 253_402_300_799_999  # the end of the year 9999
 MAX_CHECKPOINT_BYTES = 65_536  # it is held in memory for each run and sent to workers
+MAX_REPORTED_ENDS = 500  # published limit of the ends in one report of a worker
 MAX_PORT = 65_535
 MAX_ROWS = 100_000  # of queues, pools or VMs in one document; there are 12,000 VMs
 MAX_SHOWN_CHARACTERS = 60  # of a refused value, in errors and thus in log lines
--- a/src/sesameladder/platform/_workers.py
+++ b/src/sesameladder/platform/_workers.py
@@ -40,6 +40,7 @@
     MAX_AMOUNT,
     MAX_CHECKPOINT_BYTES,
     MAX_COUNTER,
+    MAX_REPORTED_ENDS,
     MAX_TIME_MS,
 )
 
@@ -232,11 +233,13 @@
 
 def _decode_report(body: dict[str, Any]) -> WorkerReport:
     with decoding_response("a worker"):
+        ended = tuple(_decode_end(row) for row in body.get("ended") or ())
         return WorkerReport(
             clock_ms=check_number("clockMs", body["clockMs"], MAX_COUNTER),
             born_ms=read_number(body, "born", MAX_TIME_MS),
             running=tuple(_decode_run(row) for row in body.get("running") or ()),
-            ended=tuple(_decode_end(row) for row in body.get("ended") or ()),
+            ended=ended,
+            has_more_ends=len(ended) >= MAX_REPORTED_ENDS,
         )
 
 
--- a/src/sesameladder/platform/tests/test_workers.py
+++ b/src/sesameladder/platform/tests/test_workers.py
@@ -7,6 +7,7 @@
 
 from sesameladder.jobs import Resources
 from sesameladder.platform import RecordInvalid, decode_job, decode_worker
+from sesameladder.platform._workers import _decode_report
 
 ENTRY: dict[str, Any] = {
     "service": "chair",
@@ -145,3 +146,16 @@
     """Guards against submissions that end in an unexpected error."""
     with pytest.raises(RecordInvalid):
         decode_job(body)
+
+
+@pytest.mark.parametrize(
+    ("count", "has_more_ends"), [(0, False), (499, False), (500, True)]
+)
+def test_report_with_the_most_ends_may_leave_out_others(
+    count: int, has_more_ends: bool
+) -> None:
+    """Guards against ended runs that are taken for runs that the worker has lost."""
+    rows = [[n, f"00000000000000aa.0.0.{n}", 1, "done", ""] for n in range(count)]
+    report = _decode_report({"clockMs": 1, "born": 1, "ended": rows})
+    assert len(report.ended) == count
+    assert report.has_more_ends is has_more_ends
