Accept a job's identifier once, whatever pool its queue has

Cause: the store kept by pool whether an identifier is taken. A process looked into the pools that the queue had had at earlier submissions to this process, so it missed the earlier pool if it had seen none of them, if the route had another name, or if the read failed; and the progress of an ended job was not looked at.

Change: the transaction that accepts a job also writes accepted/JOB, with the job's pool, and requires that the key does not exist. No read comes before it. Requests for a job's state and cancellations read the key first, so they also find jobs of a pool that is not configured any more; the present pool is no longer taken for that of a job that another process has accepted. The key goes with the job's progress. Per job: one key of about 30 bytes, written and removed in transactions that exist already.

--- a/src/sesameladder/node/_intake.py
+++ b/src/sesameladder/node/_intake.py
@@ -21,6 +21,7 @@
 )
 from sesameladder.node._clock import read_steady_clock
 from sesameladder.node._keys import (
+    accepted_key,
     cancel_key,
     inbox_prefix,
     progress_key,
@@ -28,7 +29,12 @@
     submission_key,
     summary_key,
 )
-from sesameladder.node._records import decode_summary, encode_submission
+from sesameladder.node._records import (
+    decode_pool,
+    decode_summary,
+    encode_pool,
+    encode_submission,
+)
 from sesameladder.node._telemetry import log_warning
 from sesameladder.platform import (
     Committed,
@@ -38,6 +44,7 @@
     RecordInvalid,
     RecordTooLarge,
     StoreClient,
+    StoredItem,
     decode_job,
 )
 from sesameladder.platform import OutcomeUnknown as StoreOutcomeUnknown
@@ -138,13 +145,7 @@
 class Intake:
     """Reads and writes the records of jobs; thread-safe."""
 
-    __slots__ = (
-        "is_store_unreachable",
-        "lock",
-        "pool_by_job",
-        "pools_by_queue",
-        "store",
-    )
+    __slots__ = ("is_store_unreachable", "lock", "pool_by_job", "store")
 
     def __init__(
         self,
@@ -156,9 +157,6 @@
         self.pool_by_job: OrderedDict[str, str] = OrderedDict()
         """Pool by job, for up to ``MAX_CACHED_JOBS`` jobs known to be accepted."""
 
-        self.pools_by_queue: dict[str, set[str]] = {}
-        """Pools that a queue had at submissions to this process, by queue."""
-
         self.lock = Lock()
 
     def submit(
@@ -169,23 +167,24 @@
             return InvalidRequest(
                 f"job identifier {job!r} is not 16 hexadecimal digits"
             )
-        pools = self._list_known_pools(queue)
         if job in self.pool_by_job:
             return Accepted(is_new=False)
         try:
             decode_job(body)
         except RecordInvalid as error:
-            return self._refuse(error, pools, job)
+            return self._refuse(error, queue.pool, job)
         if self.is_store_unreachable():
             return STORE_UNREACHABLE
-        for pool in pools - {queue.pool}:
-            if self._key_exists(submission_key(pool, job)):
-                return Accepted(is_new=False)
         key = submission_key(queue.pool, job)
         if not self._is_store_responding(key):
             return STORE_UNREACHABLE
-        puts = (Put(key, encode_submission(queue, body)),)
-        preconditions = ((key, 0), (progress_key(queue.pool, job), 0))
+        puts = (
+            Put(key, encode_submission(queue, body)),
+            Put(accepted_key(job), encode_pool(queue.pool)),
+        )
+        # Older versions have stored jobs without the key that names their pool.
+        keys = accepted_key(job), key, progress_key(queue.pool, job)
+        preconditions = tuple((key, 0) for key in keys)
         outcome = self._call_with_retries(
             lambda: self.store.commit(puts, (), preconditions),
             deadline,
@@ -193,21 +192,33 @@
         )
         if isinstance(outcome, (Rejected, Unknown)):
             return outcome
-        self._cache_pool(job, queue.pool)
-        return Accepted(is_new=not isinstance(outcome, Conflict))
-
-    def _refuse(self, error: RecordInvalid, pools: set[str], job: str) -> Result:
+        if not isinstance(outcome, Conflict):
+            self._cache_pool(job, queue.pool)
+            return Accepted(is_new=True)
+        self._cache_pool(job, self._find_pool_in(outcome.items, job) or queue.pool)
+        return Accepted(is_new=False)
+
+    def _find_pool_in(self, items: tuple[StoredItem, ...], job: str) -> str | None:
+        """Return the pool that a job was accepted for, if one of the items names it."""
+        for item in items:
+            if item.key == accepted_key(job):
+                try:
+                    return decode_pool(job, item.value)
+                except RecordInvalid as error:
+                    log_warning("job_record_refused", job=job, error=str(error))
+        return None
+
+    def _refuse(self, error: RecordInvalid, pool: str, job: str) -> Result:
         """Return the refusal of a body, or that the job is accepted already.
 
         An older version may have accepted the body, or the identifier may have been
         used with another one. Its job may have run.
         """
         is_new_job = not self.is_store_unreachable()
-        for pool in sorted(pools) if is_new_job else ():
+        if is_new_job:
+            keys = accepted_key(job), submission_key(pool, job), progress_key(pool, job)
             try:
-                keys = submission_key(pool, job), progress_key(pool, job)
                 if any(self.store.read(key) is not None for key in keys):
-                    self._cache_pool(job, pool)
                     return Accepted(is_new=False)
             except PlatformCallError as failure:
                 log_warning("earlier_job_unread", job=job, error=str(failure))
@@ -330,12 +341,6 @@
         ]
         return PendingCount(len(pending_items))
 
-    def _list_known_pools(self, queue: QueuePolicy) -> set[str]:
-        with self.lock:
-            pools = self.pools_by_queue.setdefault(queue.name, set())
-            pools.add(queue.pool)
-            return set(pools)
-
     def _find_pool(
         self,
         configuration: Configuration,
@@ -347,8 +352,17 @@
         cached_pool = self.pool_by_job.get(job)
         if cached_pool is not None:
             return cached_pool
+        item = self._call_with_retries(
+            lambda: self.store.read(accepted_key(job)), deadline
+        )
+        if isinstance(item, (Rejected, Unknown)):
+            return item
+        accepted_pool = self._find_pool_in((item,), job) if item is not None else None
+        if accepted_pool is not None:
+            self._cache_pool(job, accepted_pool)
+            return accepted_pool
         other_pools = sorted(set(configuration.pools) - {queue.pool})
-        # The queue may have had another pool when the job was accepted.
+        # An older version has stored the job, perhaps for another pool of its queue.
         for pool in (queue.pool, *other_pools):
             for key in (progress_key(pool, job), submission_key(pool, job)):
                 item = self._call_with_retries(
@@ -362,13 +376,6 @@
                     return pool
         return NotFound()
 
-    def _key_exists(self, key: str) -> bool:
-        try:
-            return self.store.read(key) is not None
-        except PlatformCallError as error:
-            log_warning("earlier_pool_unread", key=key, error=str(error))
-            return False
-
     def _cache_pool(self, job: str, pool: str) -> None:
         with self.lock:
             self.pool_by_job[job] = pool
--- a/src/sesameladder/node/_keys.py
+++ b/src/sesameladder/node/_keys.py
@@ -32,6 +32,15 @@
     return f"pool/{pool}/in/{job}"
 
 
+def accepted_key(job: str) -> str:
+    """Return the key that names the pool of an accepted job.
+
+    It is written with the submission and removed with the progress. A job's identifier
+    is accepted once, whatever pools its queue's route leads to.
+    """
+    return f"accepted/{job}"
+
+
 def cancel_key(pool: str, job: str) -> str:
     """Return the key that marks a job as cancelled."""
     return f"pool/{pool}/cancel/{job}"
--- a/src/sesameladder/node/_pool_task.py
+++ b/src/sesameladder/node/_pool_task.py
@@ -27,6 +27,7 @@
 from sesameladder.node._clock import read_steady_clock, read_wall_clock_ms
 from sesameladder.node._dependency import DependencyState
 from sesameladder.node._keys import (
+    accepted_key,
     cancel_key,
     inbox_prefix,
     progress_key,
@@ -837,6 +838,7 @@
             if now - ended_at > self.job_state_retention_s + CLEANUP_INTERVAL_S:
                 del ended[job]
                 self.keys_to_remove.append(progress_key(self.pool, job))
+                self.keys_to_remove.append(accepted_key(job))
 
 
 def _round_up_cores(cores: float) -> int:
--- a/src/sesameladder/node/_records.py
+++ b/src/sesameladder/node/_records.py
@@ -88,6 +88,17 @@
         )
 
 
+def encode_pool(pool: str) -> bytes:
+    """Encode the pool of an accepted job."""
+    return _encode_json({"pool": pool})
+
+
+def decode_pool(job: str, value: bytes) -> str:
+    """Decode the pool of an accepted job; raises ``RecordInvalid``."""
+    with decoding_record(f"pool of job {job}"):
+        return read_name(check_object("the record", json.loads(value)), "pool")
+
+
 def encode_names(names: tuple[str, ...]) -> bytes:
     """Encode a list of names."""
     return _encode_json(list(names))
