Wait once, and not for workers that left empty, when owners change in turn

Cause: a new owner starts no earlier work until it has read all workers that the last owner tracked, or for 7.5 s. A worker was tracked until 4.4 s after it had left, though it had been emptied before; no report of it can come. The 7.5 s began anew with each owner. The notice that a worker's VM is down did not end the wait for a worker that is in no list.

Change: a worker that drains or has left is tracked only while runs may be present there or a start may still reach it. An owner stores how long the next one has to wait for workers that have not responded to it; the time is a duration, so no clocks are compared. The list of tracked workers holds their start times, so a notice with the same start ends the wait for an unlisted one, and it is brought up to date during the wait.

test_owner_waits_for_earlier_workers expected that nothing is stored while the owner waits; it now asks which workers the stored list names then, those waited for included, and after the wait. The simulation hands the list on from owner to owner.

--- a/src/sesameladder/jobs/__init__.py
+++ b/src/sesameladder/jobs/__init__.py
@@ -40,6 +40,7 @@
 )
 from sesameladder.jobs._runs import Run, WorkerView
 from sesameladder.jobs._scheduler import PoolScheduler
+from sesameladder.jobs._tracking import TrackedWorker, UnreadWorkers
 
 __all__ = [
     "AdviceCommand",
@@ -72,6 +73,8 @@
     "Submission",
     "Subtask",
     "SubtaskId",
+    "TrackedWorker",
+    "UnreadWorkers",
     "WorkerRecord",
     "WorkerReport",
     "WorkerView",
--- a/src/sesameladder/jobs/_runs.py
+++ b/src/sesameladder/jobs/_runs.py
@@ -193,6 +193,17 @@
         """Return whether the worker leaves, by its own entry or by an order."""
         return self.record.is_draining or bool(self.drain_reason)
 
+    @property
+    def may_have_runs(self) -> bool:
+        """Return whether runs are or may come to be present on the worker.
+
+        A worker that leaves gets no starts any more. Orders to it are known to have
+        ended once it has reported and no start is unresolved.
+        """
+        is_leaving = self.is_draining or not self.is_listed
+        is_empty = self.has_reported and not self.runs and not self.unresolved_starts
+        return not (is_leaving and is_empty)
+
     def accepts_work(self, now: float) -> bool:
         """Return whether new runs may be sent to the worker."""
         return (
--- a/src/sesameladder/jobs/_scheduler.py
+++ b/src/sesameladder/jobs/_scheduler.py
@@ -49,6 +49,7 @@
 )
 from sesameladder.jobs._runs import Run, WorkerView
 from sesameladder.jobs._start_window import StartWindow
+from sesameladder.jobs._tracking import TrackedWorker, UnreadWorkers
 
 RUNS_PER_TERM = 1000  # run numbers reserved for each owner of a pool
 START_RETRY_S = 0.1  # the call without a response has already waited for its timeout
@@ -130,11 +131,8 @@
     fence: int = 0
     """Store revision at which this owner took over; the fencing token."""
 
-    unread_worker_deadline: float = 0.0
-    """Time after which starts no longer wait for workers without a report."""
-
-    unlisted_workers: set[str] = field(default_factory=set)
-    """Workers of earlier owners that are not in the list of workers."""
+    unread_workers: UnreadWorkers = field(default_factory=UnreadWorkers)
+    """Workers of earlier owners that starts of earlier work wait for."""
 
     workers_to_drain: set[str] = field(default_factory=set)
     """Workers that the fleet role ordered to drain, before maintenance or a move."""
@@ -206,7 +204,8 @@
     def update_workers(self, records: list[WorkerRecord], now: float) -> None:
         """Apply a new version of the list of this pool's workers."""
         listed = {record.worker for record in records}
-        self.unlisted_workers -= listed
+        for worker_id in listed:
+            self.unread_workers.forget(worker_id)
         for record in records:
             view = self.workers.get(record.worker)
             if view is not None and view.record.born_ms != record.born_ms:
@@ -305,6 +304,7 @@
         worker = self.workers.get(worker_id)
         if worker is not None and born_ms in (0, worker.record.born_ms):
             self._remove_worker(worker, now, "worker_ended")
+        self.unread_workers.record_end(worker_id, born_ms)
 
     def apply_start_outcome(
         self,
@@ -437,15 +437,24 @@
 
     def knows_earlier_runs(self, now: float) -> bool:
         """Return whether all runs of earlier owners are known or have expired."""
-        if self.unlisted_workers and now < self.unread_worker_deadline:
-            return False
-        return not any(
+        return not self.unread_workers.has_unlisted(now) and not any(
             self._may_have_unread_runs(view, now) for view in self.workers.values()
         )
 
+    def list_tracked_workers(self, now: float) -> tuple[TrackedWorker, ...]:
+        """Return the workers on which runs of the pool may be present."""
+        views = self.workers.values()
+        contacted = {
+            view.id for view in views if view.has_reported or view.has_unread_ends
+        }
+        contacted.update(self.subtasks_lost_by_restart)
+        return self.unread_workers.list_tracked(views, contacted, now)
+
     def _may_have_unread_runs(self, worker: WorkerView, now: float) -> bool:
         """Return whether runs of earlier owners may be present and are not known."""
-        deadline = max(self.unread_worker_deadline, worker.unread_deadline)
+        deadline = max(
+            self.unread_workers.get_deadline(worker.id), worker.unread_deadline
+        )
         is_unread = worker.has_unread_ends or now < deadline
         return not worker.has_reported and is_unread
 
--- a/src/sesameladder/jobs/tests/simulation.py
+++ b/src/sesameladder/jobs/tests/simulation.py
@@ -25,6 +25,8 @@
     StopCommand,
     Submission,
     SubtaskId,
+    TrackedWorker,
+    UnreadWorkers,
     WorkerRecord,
     decode_progress,
     encode_progress,
@@ -383,7 +385,7 @@
         self.submissions: dict[str, Submission] = {}
         self.cancels: set[str] = set()
         self.progress: dict[str, bytes] = {}
-        self.tracked: set[str] = set()
+        self.tracked: tuple[TrackedWorker, ...] = ()
         self.revision = 10
         self.owners: list[Owner] = []
         self.delayed_orders: list[Callable[[], None]] = []
@@ -453,8 +455,9 @@
         self.revision += 1
         term = len(self.owners) + 1
         scheduler = PoolScheduler(term, self._log_event, fence=self.revision)
-        scheduler.unread_worker_deadline = self.time + UNREAD_WORKER_WAIT_S
-        scheduler.unlisted_workers = set(self.tracked)
+        scheduler.unread_workers = UnreadWorkers.from_tracked(
+            self.tracked, UNREAD_WORKER_WAIT_S, self.time
+        )
         owner = Owner(scheduler, self.revision, self.time)
         self.owners.append(owner)
         for job, submission in self.submissions.items():
@@ -672,8 +675,7 @@
             self.progress[job.id] = encode_progress(job)
             owner.scheduler.record_stored(job)
             self.checker.record_state(job.id, job.state)
-        if not owner.scheduler.unlisted_workers:
-            self.tracked = set(owner.scheduler.workers)
+        self.tracked = owner.scheduler.list_tracked_workers(self.time)
         applied = owner.scheduler.get_applied_ends().items()
         owner.acknowledged.update({worker: end for (worker, _), end in applied})
 
--- a/src/sesameladder/jobs/tests/test_unread_ends.py
+++ b/src/sesameladder/jobs/tests/test_unread_ends.py
@@ -51,7 +51,7 @@
 def build_new_owner() -> PoolScheduler:
     """Return the scheduler of a second owner, with a job of the first one's time."""
     scheduler = PoolScheduler(2, lambda event, **fields: None, fence=9)
-    scheduler.unread_worker_deadline = UNREAD_WORKER_DEADLINE
+    scheduler.unread_workers.deadline = UNREAD_WORKER_DEADLINE
     scheduler.update_workers([build_record(1)], 0.0)
     submission = Submission(JOB, "queue", JobSpec("", (STEP,)), max_attempts=2)
     scheduler.add_job(submission, None, 0.0)
--- a/src/sesameladder/node/_pool_task.py
+++ b/src/sesameladder/node/_pool_task.py
@@ -19,6 +19,8 @@
     JobRecord,
     PoolScheduler,
     ProgressInvalid,
+    TrackedWorker,
+    UnreadWorkers,
     WorkerRecord,
     WorkerView,
     decode_progress,
@@ -38,11 +40,11 @@
 )
 from sesameladder.node._pool_writer import PoolWriter, WriteBatch, WriteDone
 from sesameladder.node._records import (
-    decode_names,
     decode_orders,
     decode_submission,
-    encode_names,
+    decode_tracked_workers,
     encode_summary,
+    encode_tracked_workers,
 )
 from sesameladder.node._refusals import RefusalLog
 from sesameladder.node._roles import HeldRole
@@ -77,6 +79,7 @@
     RecordInvalid,
     RevisionExpired,
     StoreClient,
+    StoredItem,
 )
 
 TICK_S = 0.1  # resolution of the scheduler's timers
@@ -238,7 +241,9 @@
         self.stored_summary: PoolSummary | None = None
         self.orders_revision = 0
         self.ended_incarnations: set[EndedIncarnation] = set()
-        self.tracked_workers: tuple[str, ...] = ()
+        self.tracked_workers: tuple[TrackedWorker, ...] = ()
+        """Contents of the stored list; an empty one is written anew."""
+
         self.workers_confirmed_at = 0.0
         """Steady time at which the scheduler's list of workers was still current."""
 
@@ -311,9 +316,10 @@
                 item.key.removeprefix(progress_prefix(self.pool)): item.value
                 for item in progress_page.items
             }
-            self.scheduler.unread_worker_deadline = now + UNREAD_WORKER_WAIT_S
-            if tracked_item is not None:
-                self._apply_tracked_workers(tracked_item.value)
+            self.tracked_workers = self._decode_tracked_workers(tracked_item)
+            self.scheduler.unread_workers = UnreadWorkers.from_tracked(
+                self.tracked_workers, UNREAD_WORKER_WAIT_S, now
+            )
             changes = tuple(
                 (item.key, item.value, item.revision) for item in inbox_page.items
             )
@@ -328,14 +334,17 @@
             self.is_loaded = True
             return
 
-    def _apply_tracked_workers(self, value: bytes) -> None:
+    def _decode_tracked_workers(
+        self, item: StoredItem | None
+    ) -> tuple[TrackedWorker, ...]:
+        if item is None:
+            return ()
         try:
-            self.tracked_workers = decode_names(value)
-            self.scheduler.unlisted_workers = set(self.tracked_workers)
+            return decode_tracked_workers(item.value)
         except RecordInvalid as error:
             log_warning("tracked_refused", pool=self.pool, error=str(error))
             # Runs may be present on any worker, also on unlisted ones.
-            self.scheduler.unlisted_workers = {UNKNOWN_WORKER}
+            return (TrackedWorker(UNKNOWN_WORKER),)
 
     def _watch_inbox(self) -> None:
         revision, self.inbox_revision = self.inbox_revision, None
@@ -531,7 +540,7 @@
             if record.pool != self.pool:
                 continue
             if (record.worker, record.born_ms) in ended:
-                self.scheduler.unlisted_workers.discard(record.worker)
+                self.scheduler.unread_workers.forget(record.worker)
             else:
                 pool_records.append(record)
         self.scheduler.update_workers(pool_records, now)
@@ -658,13 +667,13 @@
         if link_ended_at is not None:
             return link_ended_at + EARLIER_ORDERS_S
         has_earlier_owner = self.role.term > 1
-        if not has_earlier_owner or now >= self.scheduler.unread_worker_deadline:
+        if not has_earlier_owner or now >= self.scheduler.unread_workers.deadline:
             return 0.0
         age_s = (read_wall_clock_ms() - view.record.born_ms) / 1000
         if age_s >= YOUNG_WORKER_S:
             return 0.0
         view.unread_deadline = (
-            self.scheduler.unread_worker_deadline
+            self.scheduler.unread_workers.deadline
             + (self.max_worker_lease_ms - self.worker_lease_ms)
             / 1000
             * CLOCK_DRIFT_FACTOR
@@ -760,17 +769,13 @@
 
     def _build_pool_puts(self, now: float) -> list[Put]:
         puts = []
-        tracked_workers = tuple(sorted(self.scheduler.workers))
-        # After the deadline, no run of an earlier owner is left on unlisted workers.
-        may_replace = (
-            not self.scheduler.unlisted_workers
-            or now >= self.scheduler.unread_worker_deadline
-        )
-        if tracked_workers != self.tracked_workers and may_replace:
+        tracked_workers = self.scheduler.list_tracked_workers(now)
+        # An unreadable list is kept until no run of an earlier owner can be left.
+        is_readable = all(w.worker != UNKNOWN_WORKER for w in tracked_workers)
+        if tracked_workers != self.tracked_workers and is_readable:
             self.tracked_workers = tracked_workers
-            puts.append(
-                Put(tracked_workers_key(self.pool), encode_names(tracked_workers))
-            )
+            value = encode_tracked_workers(tracked_workers)
+            puts.append(Put(tracked_workers_key(self.pool), value))
         lease = self.get_role_lease()
         if lease is None or now - self.last_summary_check_at < SUMMARY_CHECK_INTERVAL_S:
             return puts
--- a/src/sesameladder/node/_records.py
+++ b/src/sesameladder/node/_records.py
@@ -1,11 +1,12 @@
 """Encodings of submissions, role holders, orders and summaries in the store."""
 
 import json
+from collections.abc import Iterable
 from dataclasses import asdict, dataclass
 from typing import Any
 
 from sesameladder.fleet import EndedIncarnation, PoolOrders, PoolSummary
-from sesameladder.jobs import AdvicePolicy, QueuePolicy, Submission
+from sesameladder.jobs import AdvicePolicy, QueuePolicy, Submission, TrackedWorker
 from sesameladder.platform import (
     MAX_AMOUNT,
     MAX_COUNTER,
@@ -110,6 +111,40 @@
         return tuple(check_name("a name", name) for name in json.loads(value))
 
 
+def encode_tracked_workers(tracked: Iterable[TrackedWorker]) -> bytes:
+    """Encode the workers that may have runs of a pool."""
+    tracked = list(tracked)
+    return _encode_json(
+        {
+            "workers": {worker.worker: worker.born_ms for worker in tracked},
+            "waits_s": {
+                worker.worker: worker.wait_s
+                for worker in tracked
+                if worker.wait_s is not None
+            },
+        }
+    )
+
+
+def decode_tracked_workers(value: bytes) -> tuple[TrackedWorker, ...]:
+    """Decode the workers that may have runs of a pool; raises ``RecordInvalid``."""
+    with decoding_record("tracked workers"):
+        fields = json.loads(value)
+        if isinstance(fields, list):  # older versions store the names only
+            return tuple(TrackedWorker(check_name("a name", name)) for name in fields)
+        fields = check_object("the record", fields)
+        workers = check_object("workers", fields["workers"])
+        waits = check_object("waits_s", fields["waits_s"])
+        return tuple(
+            TrackedWorker(
+                check_name("a worker", name),
+                check_number("its start", born_ms, MAX_TIME_MS),
+                read_factor(waits, name, default=0.0) if name in waits else None,
+            )
+            for name, born_ms in workers.items()
+        )
+
+
 def encode_orders(orders: PoolOrders) -> bytes:
     """Encode the orders of the fleet role to a pool's owner."""
     return _encode_json(asdict(orders))
--- a/src/sesameladder/node/tests/test_acknowledgement.py
+++ b/src/sesameladder/node/tests/test_acknowledgement.py
@@ -50,7 +50,7 @@
     task.links[WORKER] = WorkerLink(
         record, 9, 4000, 10_000, lambda: True, lambda _: None
     )
-    task.tracked_workers = (WORKER,)
+    task.tracked_workers = task.scheduler.list_tracked_workers(read_steady_clock())
     task.writer.write(WriteBatch((), (), (), task.scheduler.get_applied_ends()))
     task.writer.stop()  # before the batch is stored, which is then given up
     task.writer._run()
--- a/src/sesameladder/node/tests/test_owner_change.py
+++ b/src/sesameladder/node/tests/test_owner_change.py
@@ -12,6 +12,8 @@
     StartOrder,
     StartOutcome,
     Submission,
+    TrackedWorker,
+    UnreadWorkers,
     WorkerReport,
 )
 from sesameladder.jobs.tests.test_rules import build_record
@@ -49,8 +51,9 @@
     """
     task = build_pool_task()
     now = read_steady_clock()
-    task.scheduler.unread_worker_deadline = now + UNREAD_WORKER_WAIT_S
-    task.scheduler.unlisted_workers = {WORKER}
+    task.scheduler.unread_workers = UnreadWorkers.from_tracked(
+        (TrackedWorker(WORKER),), UNREAD_WORKER_WAIT_S, now
+    )
     orders = PoolOrders((), (EndedIncarnation(WORKER, noticed_born_ms),))
     change = (orders_key("chair"), encode_orders(orders), 20)
     record = replace(build_record(1), born_ms=listed_born_ms, pool="chair")
--- a/src/sesameladder/node/tests/test_pool_task.py
+++ b/src/sesameladder/node/tests/test_pool_task.py
@@ -10,10 +10,10 @@
 from sesameladder.node._clock import read_steady_clock
 from sesameladder.node._keys import tracked_workers_key
 from sesameladder.node._pool_task import WorkersUpdated
-from sesameladder.node._records import encode_submission
+from sesameladder.node._records import decode_tracked_workers, encode_submission
 from sesameladder.node._worker_link import WorkerLink
 from sesameladder.node.tests.builders import build_pool_task
-from sesameladder.platform import Advice, RangeResult, StoredItem
+from sesameladder.platform import Advice, Put, RangeResult, StoredItem
 
 STEP = ("00000000000000aa", 0, 0)
 
@@ -105,17 +105,28 @@
         return RangeResult((), 3)
 
 
+def list_workers(put: Put) -> list[str]:
+    return [worker.worker for worker in decode_tracked_workers(put.value)]
+
+
 @pytest.mark.parametrize(
-    ("value", "knows_at_once"),
+    ("value", "knows_at_once", "stored"),
     [
-        (b'["i-1"]', True),
-        (b'["i-1", "i-2"]', False),
-        (b'["i-1"', False),
-        (b"1", False),
-        (b"\xff", False),
+        (b'["i-1"]', True, [["i-1"]]),
+        (b'{"workers": {"i-1": 1}, "waits_s": {}}', True, []),
+        (b'["i-1", "i-2"]', False, [["i-1", "i-2"]]),
+        (b'{"workers": {"i-1": 1, "i-2": 1}, "waits_s": {}}', False, [["i-1", "i-2"]]),
+        (b'["i-1"', False, []),
+        (b"1", False, []),
+        (b"\xff", False, []),
+        (b'{"workers": {"i-1": "1"}, "waits_s": {}}', False, []),
+        (b'{"workers": {"i-1": 1}, "waits_s": {"i-1": []}}', False, []),
+        (b'{"workers": {"i-1": 1}}', False, []),
     ],
 )
-def test_owner_waits_for_earlier_workers(value: bytes, knows_at_once: bool) -> None:
+def test_owner_waits_for_earlier_workers(
+    value: bytes, knows_at_once: bool, stored: list[list[str]]
+) -> None:
     """Guards against subtasks that run twice, on a worker that no list names.
 
     While an earlier owner's worker stayed away, the list of workers with runs was not
@@ -126,15 +137,16 @@
     task.store = task.writer.store = StoreWithTrackedWorkers(value)  # type: ignore[assignment]
     task._load()
     scheduler = task.scheduler
-    deadline = scheduler.unread_worker_deadline
+    deadline = scheduler.unread_workers.deadline
     scheduler.update_workers([build_record(1)], deadline - 7.0)
     report = WorkerReport(0, 1, (), ())
     scheduler.apply_report("i-1", report, deadline - 7.0, deadline - 7.0)
     assert scheduler.knows_earlier_runs(deadline - 0.1) is knows_at_once
-    assert task._build_pool_puts(deadline - 0.1) == []
+    puts = task._build_pool_puts(deadline - 0.1)
+    assert [list_workers(put) for put in puts] == stored
     assert scheduler.knows_earlier_runs(deadline)
-    puts = task._build_pool_puts(deadline)
-    assert [put.value for put in puts] == ([] if knows_at_once else [b'["i-1"]'])
+    for put in task._build_pool_puts(deadline) or puts:
+        assert list_workers(put) == ["i-1"]
 
 
 def test_task_that_has_lost_its_role_does_no_more_work(
--- a/src/sesameladder/node/tests/test_restarted_worker.py
+++ b/src/sesameladder/node/tests/test_restarted_worker.py
@@ -86,7 +86,7 @@
     """
     task = build_pool_task(term=term)
     now = read_steady_clock()
-    task.scheduler.unread_worker_deadline = now + UNREAD_WORKER_WAIT_S
+    task.scheduler.unread_workers.deadline = now + UNREAD_WORKER_WAIT_S
     list_incarnation(task, int(read_wall_clock_ms() - age_s * 1000))
     assert is_lease_of(task.links[WORKER], lease_s)
     after_wait = now + UNREAD_WORKER_WAIT_S
@@ -99,6 +99,6 @@
 def test_worker_that_appears_later_needs_no_longer_lease() -> None:
     """Guards against runs that wait 10 s after a new worker has crashed."""
     task = build_pool_task(term=2)
-    task.scheduler.unread_worker_deadline = read_steady_clock() - 1.0
+    task.scheduler.unread_workers.deadline = read_steady_clock() - 1.0
     list_incarnation(task, int(read_wall_clock_ms()))
     assert is_lease_of(task.links[WORKER], LEASE_S)
