Own a pool without a route while it has open jobs

Cause: processes took the roles of pools that a queue leads to, and of no others; an owner kept its role, the next one was never elected.

Change: each process looks for submissions of pools without a route whose role is vacant, when they lose route or owner, at its start and for 20 s after, and lists the roles of those that have any. Nothing is read while a pool has an owner, or once it has been empty for 20 s: four reads for each such pool after a start of a process.

No run with processes.

--- a/src/sesameladder/node/_process.py
+++ b/src/sesameladder/node/_process.py
@@ -23,6 +23,7 @@
     render_metrics,
     start_logging,
 )
+from sesameladder.node._unrouted_pools import UnroutedPools, list_routed_pools
 from sesameladder.node._vm_load import VmSize
 from sesameladder.node._worker_link import WORKER_LEASE_MS
 from sesameladder.platform import (
@@ -63,6 +64,7 @@
         "settings_path",
         "stopping",
         "store",
+        "unrouted_pools",
         "vm_client",
     )
 
@@ -83,6 +85,9 @@
             self._stop_role_task,
             VmSize(settings.cores, settings.link_mbps),
         )
+        self.unrouted_pools = UnroutedPools(
+            self.store, lambda: self.configuration.current, self.roles.has_holder
+        )
         self.registry = RegistryTask(
             self.store,
             lambda: bool(self.pool_tasks),
@@ -127,6 +132,7 @@
         Thread(target=self.probe_server.serve, name="probes", daemon=True).start()
         self.configuration.start()
         self.roles.start()
+        self.unrouted_pools.start()
         self.registry.start()
         text = self._read_settings_text()
         while not self.stopping.wait(SETTINGS_CHECK_S):
@@ -138,6 +144,7 @@
         started_at = read_steady_clock()
         log_event("shutdown_started")
         self.is_shutting_down = True
+        self.unrouted_pools.stop()
         self.registry.stop()
         self.roles.stop()
         grace_s = self.settings.shutdown_grace_s
@@ -166,8 +173,8 @@
         configuration = self.configuration.current
         if configuration is None:
             return []
-        pools = sorted({queue.pool for queue in configuration.queues})
-        return [*map(pool_role, pools), FLEET_ROLE]
+        pools = list_routed_pools(configuration) | self.unrouted_pools.with_jobs
+        return [*map(pool_role, sorted(pools)), FLEET_ROLE]
 
     def _start_role_task(self, held: HeldRole) -> None:
         """Start the task of a gained role, and stop that of an earlier holding.
--- a/src/sesameladder/node/_roles.py
+++ b/src/sesameladder/node/_roles.py
@@ -209,6 +209,11 @@
         """Return whether a lease call sent less than ``within_s`` ago succeeded."""
         return read_steady_clock() - self.renewed_at < within_s
 
+    def has_holder(self, role: str) -> bool:
+        """Return whether the store named a holder of a role when last read."""
+        record = self.records.get(role)
+        return record is not None and record.holder is not None
+
     def is_exclusive_holder(self) -> bool:
         """Return whether no other process can have taken this process's roles yet."""
         return self.holders_are_current and self.is_confirmed(EXCLUSIVITY_TIMEOUT_S)
