Remove the state of jobs that ended under an earlier owner

Cause: an owner removed the progress of the jobs that had ended under itself. Of a job whose submission had been removed before a change of the owner, the progress stayed in the store for good, and so would its key accepted/JOB.

Change: an owner notes the jobs that have progress and no submission when it loads the pool, and removes both keys after the published time.

Result: the new test fails with the note taken out, and passes with it.

--- a/src/sesameladder/node/_pool_task.py
+++ b/src/sesameladder/node/_pool_task.py
@@ -145,6 +145,7 @@
 
     __slots__ = (
         "advice_client",
+        "ended_earlier",
         "ended_incarnations",
         "get_role_lease",
         "inbox_revision",
@@ -228,6 +229,9 @@
         self.unapplied_changes: list[tuple[str, bytes | None, int]] = []
         """Changes to apply once the role is known to be held exclusively."""
 
+        self.ended_earlier: dict[str, float] = {}
+        """Steady time of the loading, by job that ended under an earlier owner."""
+
         self.keys_to_remove: list[str] = []
         self.last_cleanup_at = self.last_write_at = self.last_summary_at = (
             read_steady_clock()
@@ -324,6 +328,10 @@
                 (item.key, item.value, item.revision) for item in inbox_page.items
             )
             self._apply_inbox(changes, progress_by_job)
+            prefix = submission_key(self.pool, "")
+            submitted = {item.key.removeprefix(prefix) for item in inbox_page.items}
+            # The submission of a job is removed once the job has ended.
+            self.ended_earlier = dict.fromkeys(progress_by_job.keys() - submitted, now)
             self._log_event(
                 "pool_loaded",
                 term=self.role.term,
@@ -839,9 +847,13 @@
 
     def _expire_progress(self, now: float) -> None:
         ended = self.scheduler.job_table.ended
-        for job, (_, ended_at) in list(ended.items()):
+        ended_at_by_job = self.ended_earlier | {
+            job: ended_at for job, (_, ended_at) in ended.items()
+        }
+        for job, ended_at in ended_at_by_job.items():
             if now - ended_at > self.job_state_retention_s + CLEANUP_INTERVAL_S:
-                del ended[job]
+                ended.pop(job, None)
+                self.ended_earlier.pop(job, None)
                 self.keys_to_remove.append(progress_key(self.pool, job))
                 self.keys_to_remove.append(accepted_key(job))
 
--- a/src/sesameladder/node/tests/test_pool_task.py
+++ b/src/sesameladder/node/tests/test_pool_task.py
@@ -9,7 +9,7 @@
 from sesameladder.jobs.tests.test_rules import build_record
 from sesameladder.node._clock import read_steady_clock
 from sesameladder.node._keys import tracked_workers_key
-from sesameladder.node._pool_task import WorkersUpdated
+from sesameladder.node._pool_task import CLEANUP_INTERVAL_S, WorkersUpdated
 from sesameladder.node._records import decode_tracked_workers, encode_submission
 from sesameladder.node._worker_link import WorkerLink
 from sesameladder.node.tests.builders import build_pool_task
@@ -115,12 +115,20 @@
         (b'["i-1"]', True, [["i-1"]]),
         (b'{"workers": {"i-1": 1}, "waits_s": {}}', True, []),
         (b'["i-1", "i-2"]', False, [["i-1", "i-2"]]),
-        (b'{"workers": {"i-1": 1, "i-2": 1}, "waits_s": {}}', False, [["i-1", "i-2"]]),
+        (
+            b'{"workers": {"i-1": 1, "i-2": 1}, "waits_s": {}}',
+            False,
+            [["i-1", "i-2"]],
+        ),
         (b'["i-1"', False, []),
         (b"1", False, []),
         (b"\xff", False, []),
         (b'{"workers": {"i-1": "1"}, "waits_s": {}}', False, []),
-        (b'{"workers": {"i-1": 1}, "waits_s": {"i-1": []}}', False, []),
+        (
+            b'{"workers": {"i-1": 1}, "waits_s": {"i-1": []}}',
+            False,
+            [],
+        ),
         (b'{"workers": {"i-1": 1}}', False, []),
     ],
 )
@@ -221,3 +229,35 @@
     task._execute(AdviceCommand(STEP, ("i-1",), 0.1))
     task._process_messages()
     assert task.scheduler.pending_advice == set()
+
+
+class StoreWithJobs:
+    """Store with the progress of two jobs; the submission of one is removed."""
+
+    def read(self, key: str) -> StoredItem | None:
+        del key
+        return None
+
+    def read_range(self, prefix: str) -> RangeResult:
+        keys = {
+            "progress/chair/": ("progress/chair/0a", "progress/chair/0b"),
+            "pool/chair/": ("pool/chair/in/0b",),
+        }[prefix]
+        value = encode_job() if prefix == "pool/chair/" else RUNNING
+        return RangeResult(tuple(StoredItem(key, value, 3) for key in keys), 3)
+
+
+RUNNING = b'{"queue": "queue", "state": "running", "done": []}'
+
+
+def test_state_of_a_job_that_ended_under_an_earlier_owner_is_removed() -> None:
+    """Guards against two keys for good for each job that ends before a change."""
+    task = build_pool_task()
+    task.store = task.writer.store = StoreWithJobs()  # type: ignore[assignment]
+    task._load()
+    now = read_steady_clock()
+    task._expire_progress(now)
+    assert task.keys_to_remove == []
+    task._expire_progress(now + task.job_state_retention_s + CLEANUP_INTERVAL_S + 1.0)
+    assert task.keys_to_remove == ["progress/chair/0a", "accepted/0a"]
+    assert task.ended_earlier == {}
