Log which workers earlier work waits for

Change: earlier_work_waits names the unread and the unlisted workers once the wait has lasted 1 s, earlier_work_resumed its length. Two lines at most for each change of an owner.

Result: the tests of the scheduler's rules, incarnations, unread ends and tracked workers pass.

--- a/src/sesameladder/jobs/_scheduler.py
+++ b/src/sesameladder/jobs/_scheduler.py
@@ -64,6 +64,8 @@
 UNRESOLVED_START_LIMIT_S = 60.0
 SET_ASIDE_S = 5.0  # bounds the log lines of an error that persists
 MAX_ERROR_CHARACTERS = 200
+WAIT_LOG_S = 1.0  # the workers of a pool are read within a second
+MAX_LOGGED_WORKERS = 20
 GANG_START_LIMIT_S = 1.5  # half the time after which members stop waiting for others
 
 EventLogger = Callable[..., None]
@@ -134,6 +136,10 @@
     unread_workers: UnreadWorkers = field(default_factory=UnreadWorkers)
     """Workers of earlier owners that starts of earlier work wait for."""
 
+    wait_began_at: float | None = None
+    """Time since which earlier work waits for workers; None if it does not wait."""
+
+    is_wait_logged: bool = False
     workers_to_drain: set[str] = field(default_factory=set)
     """Workers that the fleet role ordered to drain, before maintenance or a move."""
 
@@ -441,6 +447,29 @@
             self._may_have_unread_runs(view, now) for view in self.workers.values()
         )
 
+    def _log_wait(self, now: float, is_over: bool) -> None:
+        """Log once which workers earlier work waits for, and the end of the wait."""
+        if self.wait_began_at is None:
+            if is_over:
+                return
+            self.wait_began_at = now
+        waited_s = now - self.wait_began_at
+        if is_over:
+            self.wait_began_at, self.is_wait_logged = None, False
+            self.log_event("earlier_work_resumed", waited_s=round(waited_s, 3))
+        elif waited_s >= WAIT_LOG_S and not self.is_wait_logged:
+            self.is_wait_logged = True
+            unread = [
+                view.id
+                for view in self.workers.values()
+                if self._may_have_unread_runs(view, now)
+            ]
+            self.log_event(
+                "earlier_work_waits",
+                unread=unread[:MAX_LOGGED_WORKERS],
+                unlisted=list(self.unread_workers.unlisted)[:MAX_LOGGED_WORKERS],
+            )
+
     def list_tracked_workers(self, now: float) -> tuple[TrackedWorker, ...]:
         """Return the workers on which runs of the pool may be present."""
         views = self.workers.values()
@@ -526,6 +555,7 @@
         for rank, step in ranked:
             step.urgency = rank[0]
         can_start_earlier_jobs = self.knows_earlier_runs(now)
+        self._log_wait(now, can_start_earlier_jobs)
         max_free_cpu_millis = _find_max_free_cpu(accepting)
         for _, step in ranked:
             if not accepting or not self._has_place_for_start():
