Hand on which workers may hold a long lease, not who is young

Change: the list of tracked workers holds, for workers whose link has ended, how long a lease of the maximum is possible there: 12 s, in which orders to the earlier incarnation may arrive, and one such lease. A new owner takes these, less what has passed, and workers whose start time differs from the stored one. No wall clocks are compared any more.

Result: the tests of restarted and tracked workers pass with the new cases.

--- a/src/sesameladder/jobs/_runs.py
+++ b/src/sesameladder/jobs/_runs.py
@@ -117,9 +117,6 @@
     has_unread_ends: bool = False
     """Whether more runs may have ended than the latest report had room for."""
 
-    earlier_orders_until: float = 0.0
-    """Time until which orders to an earlier incarnation may reach the worker."""
-
     is_listed: bool = True
     """Whether the list of workers contains the worker."""
 
--- a/src/sesameladder/jobs/_tracking.py
+++ b/src/sesameladder/jobs/_tracking.py
@@ -5,9 +5,10 @@
 processes have no clock in common.
 """
 
-from collections.abc import Container, Iterable
+from collections.abc import Container, Iterable, Mapping
 from dataclasses import dataclass, field, replace
 from math import ceil
+from types import MappingProxyType
 
 from sesameladder.jobs._runs import WorkerView
 
@@ -28,12 +29,6 @@
     None if the worker has responded to the latest owner, which may have started runs.
     """
 
-    has_restarted: bool = False
-    """Whether orders to an earlier incarnation may reach the worker.
-
-    The worker's leases may then last longer than its owner has granted.
-    """
-
 
 @dataclass(slots=True, eq=False)
 class UnreadWorkers:
@@ -59,18 +54,18 @@
         cls,
         tracked: Iterable[TrackedWorker],
         wait_s: float,
-        restarted_wait_s: float,
         now: float,
+        longer_waits_s: Mapping[str, float] = MappingProxyType({}),
     ) -> "UnreadWorkers":
         """Return the state of an owner that takes over now.
 
-        The waits are those for a worker that no owner has waited for yet, and for one
-        that has restarted.
+        ``wait_s`` is the time to wait for a worker that no owner has waited for yet,
+        except for those with a longer one.
         """
         by_name = {worker.worker: worker for worker in tracked}
         unread = cls(now + wait_s, {}, by_name, dict(by_name))
         for name, worker in by_name.items():
-            longest_s = restarted_wait_s if worker.has_restarted else wait_s
+            longest_s = longer_waits_s.get(name, wait_s)
             left_s = longest_s if worker.wait_s is None else worker.wait_s
             unread.deadlines[name] = now + min(left_s, longest_s)
         return unread
@@ -114,7 +109,6 @@
                         view.id,
                         view.record.born_ms,
                         left_s if is_waited_for else None,
-                        now < view.earlier_orders_until,
                     )
                 )
         for name, worker in self.unlisted.items():
--- a/src/sesameladder/jobs/tests/simulation.py
+++ b/src/sesameladder/jobs/tests/simulation.py
@@ -456,7 +456,7 @@
         term = len(self.owners) + 1
         scheduler = PoolScheduler(term, self._log_event, fence=self.revision)
         scheduler.unread_workers = UnreadWorkers.from_tracked(
-            self.tracked, UNREAD_WORKER_WAIT_S, UNREAD_WORKER_WAIT_S, self.time
+            self.tracked, UNREAD_WORKER_WAIT_S, self.time
         )
         owner = Owner(scheduler, self.revision, self.time)
         self.owners.append(owner)
--- a/src/sesameladder/jobs/tests/test_tracking.py
+++ b/src/sesameladder/jobs/tests/test_tracking.py
@@ -31,11 +31,15 @@
 EMPTY_REPORT = WorkerReport(0, 1, (), ())
 
 
-def take_over(tracked: Iterable[TrackedWorker], now: float) -> PoolScheduler:
+def take_over(
+    tracked: Iterable[TrackedWorker],
+    now: float,
+    longer_waits_s: dict[str, float] | None = None,
+) -> PoolScheduler:
     """Return the scheduler of an owner that finds only ``OTHER`` in the list."""
     scheduler = PoolScheduler(2, lambda event, **fields: None, fence=9)
     scheduler.unread_workers = UnreadWorkers.from_tracked(
-        tracked, WAIT_S, RESTARTED_WAIT_S, now
+        tracked, WAIT_S, now, longer_waits_s or {}
     )
     scheduler.update_workers([build_record(2)], now)
     scheduler.apply_report(OTHER, EMPTY_REPORT, now, now)
@@ -179,29 +183,19 @@
 
 
 @pytest.mark.parametrize(
-    ("has_restarted", "wait_s", "expected_s"),
+    ("longer_waits_s", "wait_s", "expected_s"),
     [
-        (False, None, WAIT_S),
-        (True, None, RESTARTED_WAIT_S),
-        (True, 3.0, 3.0),
-        (False, 60.0, WAIT_S),
+        ({}, None, WAIT_S),
+        ({WORKER: RESTARTED_WAIT_S}, None, RESTARTED_WAIT_S),
+        ({WORKER: RESTARTED_WAIT_S}, 3.0, 3.0),
+        ({}, 60.0, WAIT_S),
     ],
 )
 def test_unlisted_worker_that_has_restarted_is_waited_for_longer(
-    has_restarted: bool, wait_s: float | None, expected_s: float
+    longer_waits_s: dict[str, float], wait_s: float | None, expected_s: float
 ) -> None:
     """Guards against runs that go on under the lease of an earlier incarnation."""
-    worker = TrackedWorker(WORKER, 1, wait_s, has_restarted)
-    scheduler = take_over((worker, LISTED), 100.0)
+    tracked = (TrackedWorker(WORKER, 1, wait_s), LISTED)
+    scheduler = take_over(tracked, 100.0, longer_waits_s)
     assert not scheduler.knows_earlier_runs(100.0 + expected_s - 0.1)
     assert scheduler.knows_earlier_runs(100.0 + expected_s)
-
-
-@pytest.mark.parametrize(("now", "has_restarted"), [(101.9, True), (102.0, False)])
-def test_restart_is_handed_on_while_earlier_orders_may_arrive(
-    now: float, has_restarted: bool
-) -> None:
-    scheduler = take_over((LISTED,), 100.0)
-    scheduler.workers[OTHER].earlier_orders_until = 102.0
-    expected = TrackedWorker(OTHER, 1, None, has_restarted)
-    assert scheduler.list_tracked_workers(now) == (expected,)
--- a/src/sesameladder/node/_pool_task.py
+++ b/src/sesameladder/node/_pool_task.py
@@ -39,6 +39,7 @@
 )
 from sesameladder.node._pool_writer import PoolWriter, WriteBatch, WriteDone
 from sesameladder.node._records import (
+    TrackedWorkersRecord,
     decode_orders,
     decode_submission,
     decode_tracked_workers,
@@ -77,7 +78,6 @@
     RecordInvalid,
     RevisionExpired,
     StoreClient,
-    StoredItem,
 )
 
 TICK_S = 0.1  # resolution of the scheduler's timers
@@ -94,9 +94,6 @@
 # A shrunk capacity counts 4.5 s after it is listed; an order waits for 1 s at most.
 LIST_CONFIRMATION_TIMEOUT_S = 3.5
 UNREAD_WORKER_WAIT_S = 7.5  # ROLE_CONFIRMATION_TIMEOUT_S and one worker lease
-# Orders to an earlier incarnation have arrived by then, and their leases have expired;
-# the wall clocks of worker and VM may differ by a few seconds.
-YOUNG_WORKER_S = 30.0
 INBOX_THREAD = "inbox"
 UNKNOWN_WORKER = ""  # no worker's identifier; stands for those that can't be read
 
@@ -158,10 +155,10 @@
         "last_summary_at",
         "last_summary_check_at",
         "last_write_at",
-        "link_ends",
         "link_failures",
         "links",
         "load_meter",
+        "long_lease_until",
         "longest_pass_s",
         "max_worker_lease_ms",
         "messages",
@@ -214,8 +211,11 @@
         self.scheduler = PoolScheduler(role.term, self._log_event, fence=role.fence)
         self.scheduler.longest_lease_s = compute_lease_time(max_worker_lease_ms)
         self.links: dict[str, WorkerLink] = {}
-        self.link_ends: dict[str, float] = {}
-        """Steady time at which a worker's latest link ended, for a while."""
+        self.long_lease_until: dict[str, float] = {}
+        """Steady time until which a worker may hold a lease of the maximum.
+
+        By worker; also for those that are gone and may restart.
+        """
 
         self.link_failures = RefusalLog("worker_link_failed")
         self.writer = PoolWriter(
@@ -318,13 +318,10 @@
                 item.key.removeprefix(progress_prefix(self.pool)): item.value
                 for item in progress_page.items
             }
-            self.tracked_workers = self._decode_tracked_workers(tracked_item)
-            self.scheduler.unread_workers = UnreadWorkers.from_tracked(
-                self.tracked_workers,
-                UNREAD_WORKER_WAIT_S,
-                self._compute_restarted_wait(),
-                now,
-            )
+            if tracked_item is not None:
+                self._apply_tracked_workers(tracked_item.value, now)
+            else:
+                self.scheduler.unread_workers.deadline = now + UNREAD_WORKER_WAIT_S
             changes = tuple(
                 (item.key, item.value, item.revision) for item in inbox_page.items
             )
@@ -343,17 +340,25 @@
             self.is_loaded = True
             return
 
-    def _decode_tracked_workers(
-        self, item: StoredItem | None
-    ) -> tuple[TrackedWorker, ...]:
-        if item is None:
-            return ()
+    def _apply_tracked_workers(self, value: bytes, now: float) -> None:
+        """Take over what the last owner has stored about workers."""
         try:
-            return decode_tracked_workers(item.value)
+            record = decode_tracked_workers(value)
         except RecordInvalid as error:
             log_warning("tracked_refused", pool=self.pool, error=str(error))
             # Runs may be present on any worker, also on unlisted ones.
-            return (TrackedWorker(UNKNOWN_WORKER),)
+            record = TrackedWorkersRecord((TrackedWorker(UNKNOWN_WORKER),))
+        self.tracked_workers = record.workers
+        self.long_lease_until = {
+            worker: now + min(left_s, self.long_lease_period_s)
+            for worker, left_s in record.long_leases_s.items()
+        }
+        self.scheduler.unread_workers = UnreadWorkers.from_tracked(
+            record.workers,
+            UNREAD_WORKER_WAIT_S,
+            now,
+            dict.fromkeys(record.long_leases_s, self.restarted_wait_s),
+        )
 
     def _watch_inbox(self) -> None:
         revision, self.inbox_revision = self.inbox_revision, None
@@ -637,17 +642,14 @@
             if view is None or view.record.born_ms != link.record.born_ms:
                 link.stop()
                 del self.links[name]
-                self.link_ends[name] = now
-        self.link_ends = {
-            name: ended_at
-            for name, ended_at in self.link_ends.items()
-            if now - ended_at < EARLIER_ORDERS_S
+                self.long_lease_until[name] = now + self.long_lease_period_s
+        self.long_lease_until = {
+            name: until for name, until in self.long_lease_until.items() if now < until
         }
         for name, view in views.items():
             if name in self.links:
                 continue
-            earlier_orders_until = self._find_end_of_earlier_orders(view.record, now)
-            view.earlier_orders_until = earlier_orders_until
+            self._check_restart(view.record, now)
             try:
                 link = WorkerLink(
                     view.record,
@@ -656,7 +658,7 @@
                     self.max_worker_lease_ms,
                     self._may_extend_leases,
                     self.messages.put,
-                    earlier_orders_until,
+                    self.long_lease_until.get(name, 0.0),
                 )
                 link.start()
             except Exception as error:
@@ -668,37 +670,33 @@
             self.link_failures.clear(name)
             self.links[name] = link
 
-    def _find_end_of_earlier_orders(self, record: WorkerRecord, now: float) -> float:
-        """Return until when orders to an earlier incarnation may reach a worker.
+    def _check_restart(self, record: WorkerRecord, now: float) -> None:
+        """Note a restart since the last owner stored the worker's start time."""
+        unread_workers = self.scheduler.unread_workers
+        tracked = unread_workers.tracked.get(record.worker)
+        if tracked is None or now >= unread_workers.deadline:
+            return
+        if tracked.born_ms and tracked.born_ms != record.born_ms:
+            self.long_lease_until[record.worker] = now + self.long_lease_period_s
+            longer_s = self.restarted_wait_s - UNREAD_WORKER_WAIT_S
+            unread_workers.extend(record.worker, unread_workers.deadline + longer_s)
+
+    @property
+    def long_lease_period_s(self) -> float:
+        """Return for how long a worker may hold a long lease after a restart.
 
-        In seconds of the steady clock; 0 if there are none.
+        Orders to the earlier incarnation arrive for a while, and each gives a lease.
         """
-        link_ended_at = self.link_ends.get(record.worker)
-        if link_ended_at is not None:
-            return link_ended_at + EARLIER_ORDERS_S
-        unread_workers = self.scheduler.unread_workers
-        if now >= unread_workers.deadline or not self._may_have_restarted(record):
-            return 0.0
-        wait_s = self._compute_restarted_wait() - UNREAD_WORKER_WAIT_S
-        unread_workers.extend(record.worker, unread_workers.deadline + wait_s)
-        return now + EARLIER_ORDERS_S
-
-    def _may_have_restarted(self, record: WorkerRecord) -> bool:
-        """Return whether a worker may have restarted under an earlier owner."""
-        if self.role.term == 1:
-            return False
-        tracked = self.scheduler.unread_workers.tracked.get(record.worker)
-        if tracked is not None and tracked.born_ms:
-            return tracked.has_restarted or tracked.born_ms != record.born_ms
-        age_s = (read_wall_clock_ms() - record.born_ms) / 1000
-        return age_s < YOUNG_WORKER_S
+        return EARLIER_ORDERS_S + compute_lease_time(self.max_worker_lease_ms)
 
-    def _compute_restarted_wait(self) -> float:
+    @property
+    def restarted_wait_s(self) -> float:
         """Return how long to wait for a silent worker that has restarted."""
-        longer_s = compute_lease_time(self.max_worker_lease_ms) - compute_lease_time(
-            self.worker_lease_ms
+        return (
+            UNREAD_WORKER_WAIT_S
+            + compute_lease_time(self.max_worker_lease_ms)
+            - compute_lease_time(self.worker_lease_ms)
         )
-        return UNREAD_WORKER_WAIT_S + longer_s
 
     def _may_extend_leases(self) -> bool:
         """Return whether the role may still be held.
@@ -794,7 +792,14 @@
         is_readable = all(w.worker != UNKNOWN_WORKER for w in tracked_workers)
         if tracked_workers != self.tracked_workers and is_readable:
             self.tracked_workers = tracked_workers
-            value = encode_tracked_workers(tracked_workers)
+            record = TrackedWorkersRecord(
+                tracked_workers,
+                {
+                    worker: round(until - now, 1)
+                    for worker, until in self.long_lease_until.items()
+                },
+            )
+            value = encode_tracked_workers(record)
             puts.append(Put(tracked_workers_key(self.pool), value))
         lease = self.get_role_lease()
         if lease is None or now - self.last_summary_check_at < SUMMARY_CHECK_INTERVAL_S:
--- a/src/sesameladder/node/_records.py
+++ b/src/sesameladder/node/_records.py
@@ -1,8 +1,7 @@
 """Encodings of submissions, role holders, orders and summaries in the store."""
 
 import json
-from collections.abc import Iterable
-from dataclasses import asdict, dataclass
+from dataclasses import asdict, dataclass, field
 from typing import Any
 
 from sesameladder.fleet import EndedIncarnation, PoolOrders, PoolSummary
@@ -111,40 +110,56 @@
         return tuple(check_name("a name", name) for name in json.loads(value))
 
 
-def encode_tracked_workers(tracked: Iterable[TrackedWorker]) -> bytes:
+@dataclass(frozen=True, slots=True)
+class TrackedWorkersRecord:
+    """What a pool's owner leaves to the next one about workers."""
+
+    workers: tuple[TrackedWorker, ...] = ()
+    long_leases_s: dict[str, float] = field(default_factory=dict)
+    """Time for which a worker may hold a lease that its owner hasn't granted."""
+
+
+def encode_tracked_workers(record: TrackedWorkersRecord) -> bytes:
     """Encode the workers that may have runs of a pool."""
-    tracked = list(tracked)
     return _encode_json(
         {
-            "workers": {worker.worker: worker.born_ms for worker in tracked},
+            "workers": {worker.worker: worker.born_ms for worker in record.workers},
             "waits_s": {
                 worker.worker: worker.wait_s
-                for worker in tracked
+                for worker in record.workers
                 if worker.wait_s is not None
             },
-            "restarted": [w.worker for w in tracked if w.has_restarted],
+            "long_leases_s": record.long_leases_s,
         }
     )
 
 
-def decode_tracked_workers(value: bytes) -> tuple[TrackedWorker, ...]:
+def decode_tracked_workers(value: bytes) -> TrackedWorkersRecord:
     """Decode the workers that may have runs of a pool; raises ``RecordInvalid``."""
     with decoding_record("tracked workers"):
         fields = json.loads(value)
         if isinstance(fields, list):  # older versions store the names only
-            return tuple(TrackedWorker(check_name("a name", name)) for name in fields)
+            names = [check_name("a name", name) for name in fields]
+            return TrackedWorkersRecord(tuple(map(TrackedWorker, names)))
         fields = check_object("the record", fields)
         workers = check_object("workers", fields["workers"])
         waits = check_object("waits_s", fields["waits_s"])
-        restarted = set(_decode_names(fields, "restarted"))
-        return tuple(
-            TrackedWorker(
-                check_name("a worker", name),
-                check_number("its start", born_ms, MAX_TIME_MS),
-                read_factor(waits, name, default=0.0) if name in waits else None,
-                name in restarted,
-            )
-            for name, born_ms in workers.items()
+        long_leases = check_object("long_leases_s", fields["long_leases_s"])
+        return TrackedWorkersRecord(
+            tuple(
+                TrackedWorker(
+                    check_name("a worker", name),
+                    check_number("its start", born_ms, MAX_TIME_MS),
+                    read_factor(waits, name, default=0.0) if name in waits else None,
+                )
+                for name, born_ms in workers.items()
+            ),
+            {
+                check_name("a worker", name): read_factor(
+                    long_leases, name, default=0.0
+                )
+                for name in long_leases
+            },
         )
 
 
--- a/src/sesameladder/node/_worker_link.py
+++ b/src/sesameladder/node/_worker_link.py
@@ -109,11 +109,11 @@
         "acknowledged_end",
         "client",
         "clock_offset_s",
-        "earlier_orders_until",
         "is_lease_extension_suspended",
         "lease_expires_at",
         "lease_ms",
         "lease_until_ms",
+        "long_lease_until",
         "max_lease_ms",
         "may_extend_lease",
         "orders",
@@ -132,7 +132,7 @@
         max_lease_ms: int,
         may_extend_lease: Callable[[], bool],
         post: Callable[[LinkMessage], None],
-        earlier_orders_until: float = 0.0,
+        long_lease_until: float = 0.0,
     ) -> None:
         self.record = record
         self.client = WorkerClient(record.address, record.worker, fence)
@@ -140,11 +140,11 @@
         self.max_lease_ms = max_lease_ms
         """Maximum to which the worker shortens a lease, in milliseconds."""
 
-        self.earlier_orders_until = earlier_orders_until
-        """Steady time until which orders to an earlier incarnation may arrive.
+        self.long_lease_until = long_lease_until
+        """Steady time until which the worker may hold a lease of ``max_lease_ms``.
 
-        Their leases end at times of another clock, which may lie far ahead of this
-        incarnation's. The worker shortens such a lease to ``max_lease_ms``.
+        An order to an earlier incarnation names the end of a lease by another clock,
+        which may lie far ahead of this incarnation's. The worker shortens it.
         """
 
         self.may_extend_lease = may_extend_lease
@@ -222,8 +222,8 @@
 
     def _count_lease(self, now: float) -> None:
         """Record that the worker may be granted a lease now."""
-        has_earlier_orders = now < self.earlier_orders_until
-        lease_ms = self.max_lease_ms if has_earlier_orders else self.lease_ms
+        may_be_long = now < self.long_lease_until
+        lease_ms = self.max_lease_ms if may_be_long else self.lease_ms
         self.lease_expires_at = max(
             self.lease_expires_at, now + compute_lease_time(lease_ms)
         )
@@ -296,7 +296,7 @@
                 self.clock_offset_s = report.clock_ms / 1000 - read_steady_clock()
             else:
                 self.clock_offset_s = None
-            if read_steady_clock() < self.earlier_orders_until:
+            if read_steady_clock() < self.long_lease_until:
                 self._count_lease(read_steady_clock())
             message = ReportReceived(
                 name, self.record.born_ms, report, sent_at, read_steady_clock()
--- a/src/sesameladder/node/tests/test_owner_change.py
+++ b/src/sesameladder/node/tests/test_owner_change.py
@@ -52,7 +52,7 @@
     task = build_pool_task()
     now = read_steady_clock()
     task.scheduler.unread_workers = UnreadWorkers.from_tracked(
-        (TrackedWorker(WORKER),), UNREAD_WORKER_WAIT_S, UNREAD_WORKER_WAIT_S, now
+        (TrackedWorker(WORKER),), UNREAD_WORKER_WAIT_S, now
     )
     orders = PoolOrders((), (EndedIncarnation(WORKER, noticed_born_ms),))
     change = (orders_key("chair"), encode_orders(orders), 20)
--- a/src/sesameladder/node/tests/test_pool_task.py
+++ b/src/sesameladder/node/tests/test_pool_task.py
@@ -106,31 +106,35 @@
 
 
 def list_workers(put: Put) -> list[str]:
-    return [worker.worker for worker in decode_tracked_workers(put.value)]
+    return [worker.worker for worker in decode_tracked_workers(put.value).workers]
 
 
 @pytest.mark.parametrize(
     ("value", "knows_at_once", "stored"),
     [
         (b'["i-1"]', True, [["i-1"]]),
-        (b'{"workers": {"i-1": 1}, "waits_s": {}, "restarted": []}', True, []),
+        (b'{"workers": {"i-1": 1}, "waits_s": {}, "long_leases_s": {}}', True, []),
         (b'["i-1", "i-2"]', False, [["i-1", "i-2"]]),
         (
-            b'{"workers": {"i-1": 1, "i-2": 1}, "waits_s": {}, "restarted": []}',
+            b'{"workers": {"i-1": 1, "i-2": 1}, "waits_s": {}, "long_leases_s": {}}',
             False,
             [["i-1", "i-2"]],
         ),
         (b'["i-1"', False, []),
         (b"1", False, []),
         (b"\xff", False, []),
-        (b'{"workers": {"i-1": "1"}, "waits_s": {}, "restarted": []}', False, []),
         (
-            b'{"workers": {"i-1": 1}, "waits_s": {"i-1": []}, "restarted": []}',
+            b'{"workers": {"i-1": "1"}, "waits_s": {}, "long_leases_s": {}}',
+            False,
+            [],
+        ),
+        (
+            b'{"workers": {"i-1": 1}, "waits_s": {"i-1": []}, "long_leases_s": {}}',
             False,
             [],
         ),
         (b'{"workers": {"i-1": 1}}', False, []),
-        (b'{"workers": {"i-1": 1}, "waits_s": {}, "restarted": 1}', False, []),
+        (b'{"workers": {"i-1": 1}, "waits_s": {}, "long_leases_s": 1}', False, []),
     ],
 )
 def test_owner_waits_for_earlier_workers(
