Tell of ended workers after a change of the fleet role's holder

The holder of the fleet role had ordered the move and was restarted before it saw the VM move and told of the worker's end; the next holder did not know what had run there.

Change: the record of ordered VMs, which is stored before each order, names the pool, the worker and its start time of each VM. The next holder counts these as seen before, so its first reading of the VM list shows which have ended. The record is stored anew if a VM has another worker when it is ordered again.

--- a/src/sesameladder/fleet/__init__.py
+++ b/src/sesameladder/fleet/__init__.py
@@ -6,6 +6,7 @@
 from sesameladder.fleet._model import (
     DEMAND_ROUNDING_CORES,
     EndedIncarnation,
+    OrderedVm,
     PoolOrders,
     PoolSummary,
     Vm,
@@ -23,6 +24,7 @@
     "MaintenancePlan",
     "MaintenancePlanner",
     "OrderGap",
+    "OrderedVm",
     "PoolOrders",
     "PoolSummary",
     "Vm",
--- a/src/sesameladder/fleet/_incarnations.py
+++ b/src/sesameladder/fleet/_incarnations.py
@@ -6,7 +6,8 @@
 lease. A VM that is only unreachable over the network stays listed as up.
 """
 
-from sesameladder.fleet._model import EndedIncarnation, Vm, VmPhase
+from sesameladder.fleet._model import EndedIncarnation, OrderedVm, Vm, VmPhase
+from sesameladder.jobs import Resources
 
 
 class IncarnationTracker:
@@ -25,6 +26,20 @@
         """Record the start that a worker reports for its incarnation."""
         self.started_at_ms[worker] = born_ms
 
+    def restore(self, ordered: OrderedVm) -> None:
+        """Count a worker as present that an earlier holder of the role has seen.
+
+        Call it before the first ``observe``. The earlier holder has ordered the VM and
+        may have had no time to tell that the worker has ended.
+        """
+        if not ordered.worker:
+            return
+        self.last_vms[ordered.name] = Vm(
+            ordered.name, ordered.pool, VmPhase.UP, "", (), Resources(), ordered.worker
+        )
+        if ordered.born_ms:
+            self.started_at_ms[ordered.worker] = ordered.born_ms
+
     def list_workers_without_start(self) -> list[str]:
         """Return the workers on VMs that are up whose start time isn't known."""
         return [
--- a/src/sesameladder/fleet/_model.py
+++ b/src/sesameladder/fleet/_model.py
@@ -98,6 +98,19 @@
     """Start of the incarnation in Unix milliseconds; 0 if unknown."""
 
 
+@dataclass(frozen=True, slots=True)
+class OrderedVm:
+    """A VM that a holder of the fleet role orders, and what ran on it before."""
+
+    name: str
+    pool: str = ""
+    worker: str = ""
+    """Identifier of the worker; empty if it isn't known."""
+
+    born_ms: int = 0
+    """Start of the worker's incarnation in Unix milliseconds; 0 if unknown."""
+
+
 @dataclass(frozen=True, slots=True)
 class PoolOrders:
     """Orders of the fleet role's holder to a pool's owner."""
--- a/src/sesameladder/fleet/_order_gap.py
+++ b/src/sesameladder/fleet/_order_gap.py
@@ -65,6 +65,10 @@
         barred = self.barred or () if now < self.taken_at + self.gap_s else ()
         return sorted({*planned, *self.ordered_at, *barred})
 
+    def discard_record(self) -> None:
+        """Have the record stored anew, since it is out of date."""
+        self.recorded = None
+
     def record_stored(self, vms: Iterable[str]) -> None:
         """Record that these VMs are stored as this holder's record."""
         self.recorded = frozenset(vms)
--- a/src/sesameladder/node/_fleet_task.py
+++ b/src/sesameladder/node/_fleet_task.py
@@ -13,6 +13,7 @@
     LendingPlanner,
     MaintenancePlan,
     MaintenancePlanner,
+    OrderedVm,
     OrderGap,
     PoolOrders,
     PoolSummary,
@@ -83,6 +84,7 @@
         "node",
         "order_gap",
         "order_revisions",
+        "ordered_vms",
         "role",
         "sequence_revision",
         "started_waves",
@@ -136,6 +138,9 @@
         self.order_revisions: dict[str, int] = {}
         """Store revision at which a pool's orders were last stored, by pool."""
 
+        self.ordered_vms: dict[str, OrderedVm] = {}
+        """VMs in the record of orders, by name."""
+
         self.sequence_revision = 0
         self.incarnations = IncarnationTracker()
         self.starts_read_at = 0.0
@@ -204,12 +209,16 @@
             )
             self.are_base_sizes_stored = True
         elif item.key == ORDERED_VMS_KEY:
-            self.order_gap.apply_earlier_record(*decode_ordered_vms(item.value))
+            term, ordered_vms = decode_ordered_vms(item.value)
+            self.order_gap.apply_earlier_record(term, (vm.name for vm in ordered_vms))
+            for vm in ordered_vms:
+                self.ordered_vms[vm.name] = vm
+                self.incarnations.restore(vm)
         elif item.key.startswith(MAINTENANCE_PREFIX):
             wave = int(item.key.removeprefix(MAINTENANCE_PREFIX))
             now = read_steady_clock()
-            for vm in decode_names(item.value):
-                self.maintenance_planner.record_maintenance_start(wave, vm, now)
+            for name in decode_names(item.value):
+                self.maintenance_planner.record_maintenance_start(wave, name, now)
         else:
             wave = int(item.key.removeprefix(WAVE_STATUS_PREFIX))
             is_done = item.value == encode_wave_status(done=True)
@@ -382,20 +391,31 @@
     def _record_orders(self, names: list[str]) -> bool:
         """Store which VMs are about to be ordered; return whether that succeeded.
 
-        The next holder of the role waits for these VMs only.
+        The next holder of the role waits for these VMs only, and tells the owners of
+        pools which of their workers have ended.
         """
         now = read_steady_clock()
-        vms = self.order_gap.list_to_record(
-            (name for name in names if self.order_gap.may_order(name, now)), now
-        )
+        planned = [name for name in names if self.order_gap.may_order(name, now)]
+        if any(self.ordered_vms.get(n) != self._describe_order(n) for n in planned):
+            self.order_gap.discard_record()
+        vms = self.order_gap.list_to_record(planned, now)
         if vms is None:
             return True
-        value = encode_ordered_vms(self.role.term, vms)
+        self.ordered_vms = {name: self._describe_order(name) for name in vms}
+        value = encode_ordered_vms(self.role.term, list(self.ordered_vms.values()))
         if self._commit((Put(ORDERED_VMS_KEY, value),)) is None:
             return False
         self.order_gap.record_stored(vms)
         return True
 
+    def _describe_order(self, name: str) -> OrderedVm:
+        """Return what runs on a VM, or ran there before it was ordered."""
+        vm = self.vms.get(name)
+        if vm is None or not vm.worker:
+            return self.ordered_vms.get(name, OrderedVm(name))
+        born_ms = self.incarnations.started_at_ms.get(vm.worker, 0)
+        return OrderedVm(name, vm.pool, vm.worker, born_ms)
+
     def _send_orders(
         self, maintenance_starts: list[tuple[str, int]], moves: list[tuple[str, str]]
     ) -> None:
--- a/src/sesameladder/node/_records.py
+++ b/src/sesameladder/node/_records.py
@@ -4,7 +4,7 @@
 from dataclasses import asdict, dataclass, field
 from typing import Any
 
-from sesameladder.fleet import EndedIncarnation, PoolOrders, PoolSummary
+from sesameladder.fleet import EndedIncarnation, OrderedVm, PoolOrders, PoolSummary
 from sesameladder.jobs import AdvicePolicy, QueuePolicy, Submission, TrackedWorker
 from sesameladder.platform import (
     MAX_AMOUNT,
@@ -181,17 +181,29 @@
         return PoolOrders(_decode_names(fields, "emptying"), ended)
 
 
-def encode_ordered_vms(term: int, vms: list[str]) -> bytes:
+def encode_ordered_vms(term: int, vms: list[OrderedVm]) -> bytes:
     """Encode the VMs that the fleet role's holder of a term orders."""
-    return _encode_json({"term": term, "vms": vms})
+    workers = {vm.name: [vm.pool, vm.worker, vm.born_ms] for vm in vms if vm.worker}
+    names = [vm.name for vm in vms]
+    return _encode_json({"term": term, "vms": names, "workers": workers})
 
 
-def decode_ordered_vms(value: bytes) -> tuple[int, tuple[str, ...]]:
+def decode_ordered_vms(value: bytes) -> tuple[int, tuple[OrderedVm, ...]]:
     """Decode the term and the VMs of such a record; raises ``RecordInvalid``."""
     with decoding_record("record of ordered VMs"):
         fields = check_object("the record", json.loads(value))
         term = check_number("term", fields["term"], MAX_COUNTER)
-        return term, _decode_names(fields, "vms")
+        # Absent in the records of older versions.
+        workers = check_object("workers", fields.get("workers") or {})
+        vms = []
+        for name in _decode_names(fields, "vms"):
+            pool, worker, born_ms = workers.get(name) or ("", "", 0)
+            if worker:
+                check_name("a pool", pool)
+                check_name("a worker", worker)
+            born_ms = check_number("its start", born_ms, MAX_TIME_MS)
+            vms.append(OrderedVm(name, pool, worker, born_ms))
+        return term, tuple(vms)
 
 
 def encode_summary(summary: PoolSummary) -> bytes:
--- a/src/sesameladder/node/tests/test_fleet_writes.py
+++ b/src/sesameladder/node/tests/test_fleet_writes.py
@@ -9,6 +9,7 @@
 from sesameladder.fleet import (
     EndedIncarnation,
     MaintenancePlan,
+    OrderedVm,
     PoolOrders,
     PoolSummary,
     Vm,
@@ -26,7 +27,7 @@
     orders_key,
     role_key,
 )
-from sesameladder.node._records import decode_orders
+from sesameladder.node._records import decode_ordered_vms, decode_orders
 from sesameladder.node._roles import HeldRole
 from sesameladder.platform import (
     WAVE_STATUS_PREFIX,
@@ -35,6 +36,7 @@
     OrderOutcome,
     OutcomeUnknown,
     Put,
+    RecordInvalid,
     StoreClient,
     VmClient,
     VmList,
@@ -337,3 +339,86 @@
     assert not task._record_orders(["m-1"])
     task._order_move("m-1", "spare")
     assert task.vm_client.ordered == []
+
+
+@pytest.mark.parametrize(
+    ("phase", "worker", "ended"),
+    [
+        (VmPhase.MOVING, "", (EndedIncarnation("i-1", 3),)),
+        (VmPhase.IN_MAINTENANCE, "", (EndedIncarnation("i-1", 3),)),
+        (VmPhase.DOWN, "", (EndedIncarnation("i-1", 3),)),
+        (VmPhase.UP, "i-9", (EndedIncarnation("i-1", 3),)),
+        (VmPhase.UP, "i-1", ()),
+    ],
+)
+def test_end_of_a_worker_is_told_by_the_next_holder(
+    store: LossyStore,
+    phase: VmPhase,
+    worker: str,
+    ended: tuple[EndedIncarnation, ...],
+) -> None:
+    """Guards against a pool's owner that waits 7.5 s for a worker of a moved VM.
+
+    The holder of the fleet role had ordered the move and restarted before it saw the
+    VM move. The next one did not know what had run there.
+    """
+    earlier = build_fleet_task(store)
+    earlier.vms = {"m-1": build_vm("m-1", "chair")}
+    earlier.incarnations.record_start("i-1", 3)
+    assert earlier._record_orders(["m-1"])
+    earlier._order_move("m-1", "spare")
+    following = build_fleet_task(store, 2)
+    following._load_state()
+    pool = "chair" if worker == "i-1" else "spare"
+    vm = replace(build_vm("m-1", pool), phase=phase, worker=worker)
+    following.vm_client.vms = [vm]
+    following._step([])
+    assert read_orders(store).ended == ended
+
+
+def test_vm_that_is_ordered_again_is_recorded_with_its_present_worker(
+    store: LossyStore,
+) -> None:
+    """Guards against an end that no one tells, of a worker on a VM that moved twice."""
+    task = build_fleet_task(store)
+    for worker, born_ms in (("i-1", 3), ("i-9", 4)):
+        task.vms = {"m-1": replace(build_vm("m-1", "chair"), worker=worker)}
+        task.incarnations.record_start(worker, born_ms)
+        assert task._record_orders(["m-1"])
+        item = store.read(ORDERED_VMS_KEY)
+        assert item is not None
+        recorded = OrderedVm("m-1", "chair", worker, born_ms)
+        assert decode_ordered_vms(item.value) == (1, (recorded,))
+    # While the VM moves, the list names no worker.
+    task.vms = {
+        "m-1": replace(build_vm("m-1", "spare"), worker="", phase=VmPhase.MOVING),
+        "m-2": build_vm("m-2", "chair"),
+    }
+    task.order_gap.record_order("m-1", read_steady_clock())
+    assert task._record_orders(["m-2"])
+    item = store.read(ORDERED_VMS_KEY)
+    assert item is not None
+    assert recorded in decode_ordered_vms(item.value)[1]
+
+
+@pytest.mark.parametrize(
+    ("value", "expected"),
+    [
+        (b'{"term": 1, "vms": ["m-1"]}', OrderedVm("m-1")),
+        (
+            b'{"term": 1, "vms": ["m-1"], "workers": {"m-1": ["p", "i-1", 3]}}',
+            OrderedVm("m-1", "p", "i-1", 3),
+        ),
+        (b'{"term": 1, "vms": ["m-1"], "workers": {"m-1": ["p", "i-1"]}}', None),
+        (b'{"term": 1, "vms": ["m-1"], "workers": {"m-1": [3, "i-1", 3]}}', None),
+        (b'{"term": 1, "vms": ["m-1"], "workers": {"m-1": ["p", "i-1", "x"]}}', None),
+        (b'{"term": 1, "vms": ["m-1"], "workers": []}', OrderedVm("m-1")),
+        (b'{"term": 1, "vms": ["m-1"], "workers": [3]}', None),
+    ],
+)
+def test_record_of_ordered_vms(value: bytes, expected: OrderedVm | None) -> None:
+    if expected is None:
+        with pytest.raises(RecordInvalid):
+            decode_ordered_vms(value)
+    else:
+        assert decode_ordered_vms(value) == (1, (expected,))
