Count adopted runs as unavailable while an earlier stop may be under way

The owner of a pool stopped subtask 2 of a step for a drain at 13.90 s and was restarted; the stop ended at 14.71 s. The next owner saw the run listed as running at 14.35 s, took it for ready, and stopped subtask 0 of the step at 14.58 s.

Change: in the decision whether another subtask of a step may be stopped for an order of the fleet role, a run that was adopted less than the longest stop before (bounds.stopGraceMs, and 0.3 s for its report) counts as unavailable. Workers that leave by themselves are evacuated at once as before. The owner's scheduler takes the bound from the settings.

Result: the new case with 0.9 s fails without the change and passes with it.

--- a/src/sesameladder/jobs/_scheduler.py
+++ b/src/sesameladder/jobs/_scheduler.py
@@ -96,6 +96,8 @@
     """Logs a decision; takes the event name and the fields as keywords."""
 
     stop_grace_s: float = 0.9
+    """Longest time, in seconds, from a stop to the end of its run."""
+
     job_table: JobTable = field(default_factory=JobTable)
     workers: dict[str, WorkerView] = field(default_factory=dict)
     runs: dict[SubtaskId, Run] = field(default_factory=dict)
@@ -428,7 +430,9 @@
             if worker.failed_reports:
                 self._release_expired(worker, now)
         self._repeat_orders(now)
-        for run in choose_evacuations(self.workers.values(), self.runs, now):
+        for run in choose_evacuations(
+            self.workers.values(), self.runs, self.stop_grace_s, now
+        ):
             self.log_event(
                 "subtask_evacuated",
                 job=run.subtask.id.job,
--- a/src/sesameladder/jobs/tests/test_evacuation.py
+++ b/src/sesameladder/jobs/tests/test_evacuation.py
@@ -64,6 +64,27 @@
         scheduler.apply_report(run.worker.id, report, now, now)
 
 
+def take_over(
+    earlier: PoolScheduler, now: float, is_draining: bool = False
+) -> PoolScheduler:
+    """Return the next owner, which has read what runs on the workers."""
+    scheduler = PoolScheduler(2, lambda event, **fields: None, fence=9)
+    scheduler.update_workers(
+        [
+            replace(view.record, is_draining=is_draining)
+            for view in earlier.workers.values()
+        ],
+        now,
+    )
+    (job,) = earlier.job_table.jobs.values()
+    scheduler.add_job(job.submission, None, now)
+    for run in earlier.runs.values():
+        status = RunStatus(run.subtask.id, run.number, "", 100)
+        report = WorkerReport(0, 1, (status,), ())
+        scheduler.apply_report(run.worker.id, report, now, now)
+    return scheduler
+
+
 def list_stops(scheduler: PoolScheduler, now: float) -> list[str]:
     commands = scheduler.schedule(now, now * 1000)
     return [c.worker for c in commands if isinstance(c, StopCommand)]
@@ -103,3 +124,23 @@
         if view.id != "i-3":
             view.record = replace(view.record, is_draining=True)
     assert list_stops(scheduler, 1.0) == ["i-1", "i-2"]
+
+
+@pytest.mark.parametrize(("wait_s", "stops"), [(0.9, []), (1.3, ["i-1"])])
+def test_subtask_that_an_earlier_owner_may_have_stopped_counts_as_unavailable(
+    wait_s: float, stops: list[str]
+) -> None:
+    """Guards against too few available subtasks around a change of the owner.
+
+    The earlier owner had stopped one subtask of the step for a drain. It was still
+    listed as running, so the next owner took it for ready and stopped another.
+    """
+    scheduler = take_over(build_pool(), 2.0)
+    scheduler.set_workers_to_drain({"i-1"})
+    assert list_stops(scheduler, 2.0 + wait_s) == stops
+
+
+def test_draining_worker_of_an_earlier_owner_is_evacuated_at_once() -> None:
+    """Guards against subtasks that end with a worker while a new owner waits."""
+    scheduler = take_over(build_pool(), 2.0, is_draining=True)
+    assert list_stops(scheduler, 2.1) == list(WORKERS)
--- a/src/sesameladder/node/_process.py
+++ b/src/sesameladder/node/_process.py
@@ -194,6 +194,7 @@
             if previous is not None:
                 previous.stop()
             task = self._build_pool_task(held)
+            task.scheduler.stop_grace_s = self.settings.stop_grace_ms / 1000
             held.begin_passes(REGISTRY_THREAD)
             self.pool_tasks[held.role] = task
             task.start()
