Keep tracking workers that were ordered to drain

Cause: by reading. An owner left emptied workers under a drain order of the fleet role out of the list of tracked workers. Such an order may end; a start could then reach the worker before the list names it again, and a new owner that does not find the worker in the list of workers, after an outage of the store, would not wait for it.

Change: only workers whose own entry says that they drain, or that have left the list of workers, are left out once they are empty.

Result: the table of test_worker_that_leaves_empty_is_not_tracked has the ordered drain among those that stay; it passes.

--- a/src/sesameladder/jobs/_runs.py
+++ b/src/sesameladder/jobs/_runs.py
@@ -191,10 +191,11 @@
     def may_have_runs(self) -> bool:
         """Return whether runs are or may come to be present on the worker.
 
-        A worker that leaves gets no starts any more. Orders to it are known to have
-        ended once it has reported and no start is unresolved.
+        A worker that leaves by itself gets no starts any more; a drain that was ordered
+        may end. Orders are known to have ended once the worker has reported and no
+        start is unresolved.
         """
-        is_leaving = self.is_draining or not self.is_listed
+        is_leaving = self.record.is_draining or not self.is_listed
         is_empty = self.has_reported and not self.runs and not self.unresolved_starts
         return not (is_leaving and is_empty)
 
--- a/src/sesameladder/jobs/tests/test_tracking.py
+++ b/src/sesameladder/jobs/tests/test_tracking.py
@@ -54,7 +54,7 @@
     ("is_draining", "is_ordered", "is_listed", "names"),
     [
         (True, False, True, [OTHER]),
-        (False, True, True, [OTHER]),
+        (False, True, True, [WORKER, OTHER]),
         (False, False, False, [OTHER]),
         (False, False, True, [WORKER, OTHER]),
     ],
