Look for changes of the tracked workers 20 times a second at most

Cause: the list of tracked workers was built in each pass of a pool's owner, 0.48 ms for 218 workers on this machine, against 0.01 ms for the names only before; a busy owner makes a hundred passes a second.

Change: it is built each 50 ms, and at once when the list of workers has changed; its rows are cheaper to build.

The tests of tracked workers and owners pass.

--- a/src/sesameladder/jobs/_runs.py
+++ b/src/sesameladder/jobs/_runs.py
@@ -195,9 +195,9 @@
         may end. Orders are known to have ended once the worker has reported and no
         start is unresolved.
         """
-        is_leaving = self.record.is_draining or not self.is_listed
-        is_empty = self.has_reported and not self.runs and not self.unresolved_starts
-        return not (is_leaving and is_empty)
+        if self.is_listed and not self.record.is_draining:
+            return True
+        return not self.has_reported or bool(self.runs or self.unresolved_starts)
 
     def accepts_work(self, now: float) -> bool:
         """Return whether new runs may be sent to the worker."""
--- a/src/sesameladder/jobs/_tracking.py
+++ b/src/sesameladder/jobs/_tracking.py
@@ -8,6 +8,7 @@
 from collections.abc import Container, Iterable, Mapping
 from dataclasses import dataclass, field, replace
 from math import ceil
+from operator import attrgetter
 from types import MappingProxyType
 
 from sesameladder.jobs._runs import WorkerView
@@ -15,7 +16,7 @@
 WAIT_STEP_S = 0.5  # bounds how often the remaining time is stored
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class TrackedWorker:
     """A worker that may have runs of the pool."""
 
@@ -102,21 +103,16 @@
         tracked = []
         for view in views:
             if view.may_have_runs:
-                left_s = _round_up(self.get_deadline(view.id) - now)
-                is_waited_for = view.id not in contacted and left_s > 0
-                tracked.append(
-                    TrackedWorker(
-                        view.id,
-                        view.record.born_ms,
-                        left_s if is_waited_for else None,
-                    )
-                )
+                wait_s = None
+                if now < self.get_deadline(view.id) and view.id not in contacted:
+                    wait_s = self._compute_wait(view.id, now)
+                tracked.append(TrackedWorker(view.id, view.record.born_ms, wait_s))
         for name, worker in self.unlisted.items():
-            left_s = _round_up(self.get_deadline(name) - now)
-            if left_s > 0:
-                tracked.append(replace(worker, wait_s=left_s))
-        return tuple(sorted(tracked, key=lambda worker: worker.worker))
-
-
-def _round_up(wait_s: float) -> float:
-    return ceil(wait_s / WAIT_STEP_S) * WAIT_STEP_S
+            if now < self.get_deadline(name):
+                tracked.append(replace(worker, wait_s=self._compute_wait(name, now)))
+        tracked.sort(key=attrgetter("worker"))
+        return tuple(tracked)
+
+    def _compute_wait(self, worker: str, now: float) -> float:
+        left_s = self.get_deadline(worker) - now
+        return ceil(left_s / WAIT_STEP_S) * WAIT_STEP_S
--- a/src/sesameladder/node/_pool_task.py
+++ b/src/sesameladder/node/_pool_task.py
@@ -85,6 +85,7 @@
 SUMMARY_INTERVAL_S = 1.0  # pending counts may be 2 s old
 DEMAND_INTERVAL_S = 0.2  # a demand peak builds up over 3 s; a move takes 1.5 s
 SUMMARY_CHECK_INTERVAL_S = 0.1  # half of DEMAND_INTERVAL_S; visits all open jobs
+TRACKING_CHECK_INTERVAL_S = 0.05  # visits all workers; a new list is checked at once
 CLEANUP_INTERVAL_S = 8.0  # removing keys of ended jobs triggers the pool's own watch
 LOAD_INTERVAL_S = 1.0  # a turn of demand lasts some seconds
 MAX_BATCH_ENTRIES = 24  # the store accepts 32 entries in a transaction
@@ -154,6 +155,7 @@
         "last_load_at",
         "last_summary_at",
         "last_summary_check_at",
+        "last_tracking_check_at",
         "last_write_at",
         "link_failures",
         "links",
@@ -234,7 +236,7 @@
         self.last_cleanup_at = self.last_write_at = self.last_summary_at = (
             read_steady_clock()
         )
-        self.last_summary_check_at = 0.0
+        self.last_summary_check_at = self.last_tracking_check_at = 0.0
         self.load_meter = VmLoadMeter(vm_size)
         self.last_load_at = self.load_meter.last_at
         self.longest_pass_s = 0.0
@@ -558,6 +560,7 @@
             else:
                 pool_records.append(record)
         self.scheduler.update_workers(pool_records, now)
+        self.last_tracking_check_at = 0.0
 
     def _resume_lease_extension(self, worker: str) -> None:
         """Extend the lease of a worker that responds again.
@@ -786,21 +789,7 @@
         return Put(progress_key(self.pool, job.id), encode_progress(job))
 
     def _build_pool_puts(self, now: float) -> list[Put]:
-        puts = []
-        tracked_workers = self.scheduler.list_tracked_workers(now)
-        # An unreadable list is kept until no run of an earlier owner can be left.
-        is_readable = all(w.worker != UNKNOWN_WORKER for w in tracked_workers)
-        if tracked_workers != self.tracked_workers and is_readable:
-            self.tracked_workers = tracked_workers
-            record = TrackedWorkersRecord(
-                tracked_workers,
-                {
-                    worker: round(until - now, 1)
-                    for worker, until in self.long_lease_until.items()
-                },
-            )
-            value = encode_tracked_workers(record)
-            puts.append(Put(tracked_workers_key(self.pool), value))
+        puts = self._build_tracking_puts(now)
         lease = self.get_role_lease()
         if lease is None or now - self.last_summary_check_at < SUMMARY_CHECK_INTERVAL_S:
             return puts
@@ -824,6 +813,24 @@
             puts.append(Put(summary_key(self.pool), encode_summary(summary), lease))
         return puts
 
+    def _build_tracking_puts(self, now: float) -> list[Put]:
+        """Return a put of the list of tracked workers if it has changed."""
+        if now - self.last_tracking_check_at < TRACKING_CHECK_INTERVAL_S:
+            return []
+        self.last_tracking_check_at = now
+        tracked_workers = self.scheduler.list_tracked_workers(now)
+        # An unreadable list is kept until no run of an earlier owner can be left.
+        is_readable = all(w.worker != UNKNOWN_WORKER for w in tracked_workers)
+        if tracked_workers == self.tracked_workers or not is_readable:
+            return []
+        self.tracked_workers = tracked_workers
+        long_leases_s = {
+            worker: round(until - now, 1)
+            for worker, until in self.long_lease_until.items()
+        }
+        record = TrackedWorkersRecord(tracked_workers, long_leases_s)
+        return [Put(tracked_workers_key(self.pool), encode_tracked_workers(record))]
+
     def _build_summary(self) -> PoolSummary:
         views = self.scheduler.workers.values()
         demand = self.scheduler.estimate_demand()
--- a/src/sesameladder/node/_worker_link.py
+++ b/src/sesameladder/node/_worker_link.py
@@ -296,10 +296,12 @@
                 self.clock_offset_s = report.clock_ms / 1000 - read_steady_clock()
             else:
                 self.clock_offset_s = None
-            if read_steady_clock() < self.long_lease_until:
-                self._count_lease(read_steady_clock())
+            received_at = read_steady_clock()
+            if received_at < self.long_lease_until:
+                # An order to an earlier incarnation may have arrived until now.
+                self._count_lease(received_at)
             message = ReportReceived(
-                name, self.record.born_ms, report, sent_at, read_steady_clock()
+                name, self.record.born_ms, report, sent_at, received_at
             )
             self.post(message)
             self.stopping.wait(REPORT_PAUSE_S)
