Give a pool's task the longest stop when it is built

Change: the bound is an argument of the task. No decision changes.

Result: the tests of role tasks, role binding, process, supervision, pool task, owner change and restarted workers pass.

--- a/src/sesameladder/node/_pool_task.py
+++ b/src/sesameladder/node/_pool_task.py
@@ -190,6 +190,7 @@
         worker_lease_ms: int,
         max_worker_lease_ms: int,
         job_state_retention_s: float,
+        stop_grace_s: float,
         is_confirmed: Callable[[float], bool],
         is_exclusive_holder: Callable[[], bool],
         get_role_lease: Callable[[], int | None],
@@ -211,6 +212,7 @@
         self.on_role_lost = on_role_lost
         self.messages: SimpleQueue[PoolMessage] = SimpleQueue()
         self.scheduler = PoolScheduler(role.term, self._log_event, fence=role.fence)
+        self.scheduler.stop_grace_s = stop_grace_s
         self.scheduler.longest_lease_s = compute_lease_time(max_worker_lease_ms)
         self.links: dict[str, WorkerLink] = {}
         self.long_lease_until: dict[str, float] = {}
--- a/src/sesameladder/node/_process.py
+++ b/src/sesameladder/node/_process.py
@@ -194,7 +194,6 @@
             if previous is not None:
                 previous.stop()
             task = self._build_pool_task(held)
-            task.scheduler.stop_grace_s = self.settings.stop_grace_ms / 1000
             held.begin_passes(REGISTRY_THREAD)
             self.pool_tasks[held.role] = task
             task.start()
@@ -229,6 +228,7 @@
             min(WORKER_LEASE_MS, self.settings.max_lease_ms),
             self.settings.max_lease_ms,
             self.settings.job_state_retention_s,
+            self.settings.stop_grace_ms / 1000,
             lambda within_s: self._holds(held) and self.roles.is_confirmed(within_s),
             lambda: self._holds(held) and self.roles.is_exclusive_holder(),
             lambda: self.roles.lease,
--- a/src/sesameladder/node/tests/builders.py
+++ b/src/sesameladder/node/tests/builders.py
@@ -16,6 +16,7 @@
         4000,
         10_000,
         120.0,
+        0.9,
         lambda _: is_confirmed,
         lambda: is_confirmed,
         lambda: None,
--- a/src/sesameladder/node/tests/test_supervision.py
+++ b/src/sesameladder/node/tests/test_supervision.py
@@ -155,6 +155,7 @@
         4000,
         10_000,
         120.0,
+        0.9,
         lambda _: True,
         lambda: store.answer("is_exclusive_holder") is None,
         lambda: 1,
