Ask only unread workers whether earlier runs may be present

Cause: knows_earlier_runs, asked in each pass of a pool's owner, looked at every worker in turn since the deadline of each worker may differ: 0.093 ms for 218 workers on this machine, also long after the owner had read them.

Change: workers that have reported are left out first.

The tests of tracked workers, unread ends, incarnations and evacuation pass.

--- a/src/sesameladder/jobs/_scheduler.py
+++ b/src/sesameladder/jobs/_scheduler.py
@@ -447,9 +447,10 @@
 
     def knows_earlier_runs(self, now: float) -> bool:
         """Return whether all runs of earlier owners are known or have expired."""
-        return not self.unread_workers.has_unlisted(now) and not any(
-            self._may_have_unread_runs(view, now) for view in self.workers.values()
-        )
+        if self.unread_workers.has_unlisted(now):
+            return False
+        unread = [view for view in self.workers.values() if not view.has_reported]
+        return not any(self._may_have_unread_runs(view, now) for view in unread)
 
     def _log_wait(self, now: float, is_over: bool) -> None:
         """Log once which workers earlier work waits for, and the end of the wait."""
