--- a/src/sesameladder/jobs/_scheduler.py
+++ b/src/sesameladder/jobs/_scheduler.py
@@ -142,6 +142,8 @@
     """Time since which earlier work waits for workers; None if it does not wait."""
 
     is_wait_logged: bool = False
+    """Whether the log names the workers that earlier work waits for."""
+
     workers_to_drain: set[str] = field(default_factory=set)
     """Workers that the fleet role ordered to drain, before maintenance or a move."""
 
--- a/src/sesameladder/jobs/_tracking.py
+++ b/src/sesameladder/jobs/_tracking.py
@@ -76,7 +76,7 @@
         return self.deadlines.get(worker, self.deadline)
 
     def forget(self, worker: str) -> None:
-        """Wait no longer for a worker as one that is in no list."""
+        """Count a worker no longer as one that is in no list."""
         self.unlisted.pop(worker, None)
 
     def extend(self, worker: str, deadline: float) -> None:
--- a/src/sesameladder/node/_records.py
+++ b/src/sesameladder/node/_records.py
@@ -116,7 +116,10 @@
 
     workers: tuple[TrackedWorker, ...] = ()
     long_leases_s: dict[str, float] = field(default_factory=dict)
-    """Time for which a worker may hold a lease that its owner hasn't granted."""
+    """Seconds for which a worker may hold a longer lease than its owner counts with.
+
+    By worker; an order to an earlier incarnation may have granted the lease.
+    """
 
 
 def encode_tracked_workers(record: TrackedWorkersRecord) -> bytes:
