--- a/src/sesameladder/node/_records.py
+++ b/src/sesameladder/node/_records.py
@@ -116,7 +116,7 @@
 
     workers: tuple[TrackedWorker, ...] = ()
     long_leases_s: dict[str, float] = field(default_factory=dict)
-    """Seconds for which a worker may hold a longer lease than its owner counts with.
+    """Seconds for which a worker may hold a longer lease than an owner granted.
 
     By worker; an order to an earlier incarnation may have granted the lease.
     """
