Log the runs and ages that end a job as failed

Cause: job_failed named only the number of crashes, and a job that a new owner ended by stored failures had no such line, so a log could not tell starts that never arrived from crashes under a run. Change: job_failed names the failed runs with their limit, and run, address, kind and known age of each crash; crash_suspected names the age of each suspect and whether the worker has ended or is silent.

--- a/src/sesameladder/jobs/_model.py
+++ b/src/sesameladder/jobs/_model.py
@@ -322,6 +322,17 @@
     is_conclusive: bool
     """Whether no run of another job may have been the cause."""
 
+    age_ms: int | None = None
+    """Time for which the worker is known to have had the run, in milliseconds.
+
+    None if no response of the worker had confirmed the run.
+    """
+
+    def describe(self) -> tuple[str, str, int | None]:
+        """Return address, kind and age in ms for log lines."""
+        kind = "suspected" if self.is_suspected else "cleared"
+        return self.address, "conclusive" if self.is_conclusive else kind, self.age_ms
+
 
 @dataclass(slots=True)
 class JobRecord:
--- a/src/sesameladder/jobs/_scheduler.py
+++ b/src/sesameladder/jobs/_scheduler.py
@@ -66,6 +66,8 @@
 MAX_ERROR_CHARACTERS = 200
 WAIT_LOG_S = 1.0  # the workers of a pool are read within a second
 MAX_LOGGED_WORKERS = 20
+MAX_LOGGED_SUSPECTS = 20
+MAX_LOGGED_CRASHES = 20
 GANG_START_LIMIT_S = 1.5  # half the time after which members stop waiting for others
 
 EventLogger = Callable[..., None]
@@ -899,8 +901,7 @@
             and not subtask.is_done
             and failures >= step.job.submission.max_attempts
         ):
-            self.log_event("job_failed", job=end.subtask.job, subtask=end.subtask[1:])
-            self._end_job(step.job, JobState.FAILED, now)
+            self._fail_job(subtask, now)
 
     def _apply_status(
         self, worker: WorkerView, status: RunStatus, received_at: float, now: float
@@ -1074,17 +1075,22 @@
                 continue
             subtask.retract_announcement()
             subtask.crashes[run.number] = Crash(
-                worker.record.address, is_suspect, run in culprits
+                worker.record.address, is_suspect, run in culprits, _describe_age(run)
             )
             if is_suspect:
                 subtask.crashed_at = now
                 self.probation.add(subtask)
                 self.dirty_jobs[subtask.step.job.id] = subtask.step.job
         if suspects:
+            logged = suspects[:MAX_LOGGED_SUSPECTS]
             self.log_event(
                 "crash_suspected",
                 worker=worker.id,
-                suspects=[_name_run(run) for run in suspects],
+                suspects=[_name_run(run) for run in logged],
+                ages_ms=[_describe_age(run) for run in logged],
+                count=len(suspects),
+                has_ended=has_ended,
+                silent_reports=worker.failed_reports,
                 conclusive=bool(culprits),
             )
         return [run.subtask for run in runs if must_give_up(run.subtask)]
@@ -1106,13 +1112,25 @@
         for subtask in given_up:
             job = self.job_table.jobs.get(subtask.id.job)
             if job is not None:
-                self.log_event(
-                    "job_failed",
-                    job=job.id,
-                    subtask=subtask.id[1:],
-                    crashes=len(subtask.crashes),
-                )
-                self._end_job(job, JobState.FAILED, now)
+                self._fail_job(subtask, now)
+
+    def _fail_job(self, subtask: Subtask, now: float) -> None:
+        """End the job of a subtask as failed, and log what decided it."""
+        step = subtask.step
+        members = step.subtasks if step.spec.gang else [subtask]
+        crashes = [row for member in members for row in member.crashes.items()]
+        self.log_event(
+            "job_failed",
+            job=subtask.id.job,
+            subtask=subtask.id[1:],
+            failed_runs=sorted({run for row in members for run in row.failed_runs}),
+            max_attempts=step.job.submission.max_attempts,
+            crashes=len(crashes),
+            crash_runs=[
+                [run, *crash.describe()] for run, crash in crashes[:MAX_LOGGED_CRASHES]
+            ],
+        )
+        self._end_job(step.job, JobState.FAILED, now)
 
     # Jobs ------------------------------------------------------------------
 
@@ -1128,7 +1146,7 @@
                 self._fail_jobs([subtask], now)
                 return
             if subtask.failures >= limit and not subtask.step.spec.is_long_running:
-                self._end_job(job, JobState.FAILED, now)
+                self._fail_job(subtask, now)
                 return
 
     def _end_job(self, job: Job, state: JobState, now: float) -> None:
@@ -1156,6 +1174,14 @@
     return f"{subtask.job}.{path} run {run.number}"
 
 
+def _describe_age(run: Run) -> int | None:
+    """Return for how many ms the worker is known to have had a run.
+
+    None if no response of the worker has confirmed the run.
+    """
+    return None if run.confirmed_at is None else round(run.known_age_s * 1000)
+
+
 def _build_placeholder(status: RunStatus) -> Subtask:
     """Return a subtask for a reported run whose job is not open."""
     submission = Submission(status.subtask.job, "", JobSpec("", ()))
--- a/src/sesameladder/jobs/tests/test_probation.py
+++ b/src/sesameladder/jobs/tests/test_probation.py
@@ -47,12 +47,17 @@
         self.refuses_starts = False
         self.stored: dict[str, bytes] = {}
         self.submissions: dict[str, object] = {}
+        self.events: list[tuple[str, dict[str, object]]] = []
+        """Events that the schedulers have logged, with their fields."""
+
         self.scheduler = self.build_scheduler(1)
         for number in range(workers):
             self.add_worker(f"10.0.0.{number}:1")
 
     def build_scheduler(self, term: int) -> PoolScheduler:
-        return PoolScheduler(term, lambda event, /, **fields: None)
+        return PoolScheduler(
+            term, lambda event, /, **fields: self.events.append((event, fields))
+        )
 
     def add_worker(self, address: str) -> str:
         name = f"i-{len(self.runs)}"
