--- a/src/sesameladder/jobs/tests/simulation.py
+++ b/src/sesameladder/jobs/tests/simulation.py
@@ -55,6 +55,7 @@
 LIST_EXPIRY_S = 4.5
 """Time after which the list of workers drops a worker that does not report to it."""
 
+REPORT_GAP_S = 0.1  # shorter than the product's, so that faults meet more reports
 LIST_INTERVAL_S = 0.7  # time between two reads of the list of workers
 WORKERS_PER_RACK = 4
 RESPONSE_DELAY_S = 0.002
@@ -357,6 +358,7 @@
     lease_until_ms: dict[str, float] = field(default_factory=dict)
     lease_expires_at: dict[str, float] = field(default_factory=dict)
     acknowledged: dict[str, int] = field(default_factory=dict)
+    next_report_at: dict[str, float] = field(default_factory=dict)
     is_deposed: bool = False
     is_partitioned_from_store: bool = False
 
@@ -397,6 +399,14 @@
         self.late_share = 0.0
         """Share of orders that arrive seconds late and whose response is lost."""
 
+        self.report_gap_s: tuple[float, float] | None = None
+        """Shortest and longest time between two reports of a worker to an owner.
+
+        None for one every ``REPORT_GAP_S``, of all workers at the same time.
+        """
+
+        self.report_random = random.Random(seed)
+
         self.restart_delay_s = RESTART_DELAY_S
         self.started_at: dict[str, float] = {}
         """Time of the latest restart after a crash, by worker."""
@@ -664,8 +674,8 @@
             scheduler.update_workers(self._list_workers(), self.time)
         for command in scheduler.schedule(self.time, self.time * 1000):
             self._send(owner, command)
-        if self._is_time_for(0.1):
-            for worker in self.workers:
+        for worker in self.workers:
+            if self._is_report_due(owner, worker):
                 self._report(owner, worker)
         if not owner.is_deposed and self._is_time_for(0.2):
             self._store(owner)
@@ -808,6 +818,15 @@
         else:
             self.run_later(RESPONSE_DELAY_S, lambda: deliver(True))
 
+    def _is_report_due(self, owner: Owner, worker: SimulatedWorker) -> bool:
+        if self.report_gap_s is None:
+            return self._is_time_for(REPORT_GAP_S)
+        if self.time < owner.next_report_at.get(worker.name, 0.0):
+            return False
+        gap_s = self.report_random.uniform(*self.report_gap_s)
+        owner.next_report_at[worker.name] = self.time + gap_s - TICK_S / 2
+        return True
+
     def _report(self, owner: Owner, worker: SimulatedWorker) -> None:
         view = owner.scheduler.workers.get(worker.name)
         if view is None:
