Give up jobs only by crashes that certainly ended runs of theirs

Callers saw a sound job as failed, without a run of it that had failed. Cause: a crash was counted against a subtask when a worker was gone after a start had been sent there, whether or not the start had arrived, and four such counts ended the job. A start answered with "already ended", or a run that was done before a crash that was noticed seconds later, even counted as a run that the crash had certainly ended; two of these ended the job.

Change: a job ends only if two crashes certainly ended runs of the subtask: the incarnation is known to have ended unplanned, the run had begun there, and nothing else can have ended it. Suspects are started right after a report of their worker, whose reports come more often then, so that the start arrives and a sound run is soon known to live. A crash under an ordinary run is conclusive only if it was noticed within 0.5 s of its start.

--- a/src/sesameladder/jobs/_model.py
+++ b/src/sesameladder/jobs/_model.py
@@ -322,6 +322,9 @@
     is_conclusive: bool
     """Whether no run of another job may have been the cause."""
 
+    is_certain: bool = False
+    """Whether the run was on the worker, and the worker has ended by itself."""
+
     age_ms: int | None = None
     """Time for which the worker is known to have had the run, in milliseconds.
 
@@ -330,8 +333,13 @@
 
     def describe(self) -> tuple[str, str, int | None]:
         """Return address, kind and age in ms for log lines."""
-        kind = "suspected" if self.is_suspected else "cleared"
-        return self.address, "conclusive" if self.is_conclusive else kind, self.age_ms
+        if not self.is_suspected:
+            kind = "cleared"
+        elif self.is_conclusive:
+            kind = "conclusive"
+        else:
+            kind = "certain" if self.is_certain else "uncertain"
+        return self.address, kind, self.age_ms
 
 
 @dataclass(slots=True)
--- a/src/sesameladder/jobs/_probation.py
+++ b/src/sesameladder/jobs/_probation.py
@@ -5,6 +5,9 @@
 the worker ended are suspects. A suspect is started again on a worker that is reserved
 for its job, once all other runs there are no longer young. If that worker crashes too,
 no other job is to blame; if the run grows old, its subtask is no suspect any more.
+
+A job is given up only by crashes that are certain to have ended runs of its subtask.
+What is less certain has the subtask started again.
 """
 
 from collections.abc import Container, Iterable, Mapping
@@ -16,11 +19,16 @@
 from sesameladder.jobs._runs import YOUNG_RUN_S, Run, WorkerView
 
 # The users allow to give up a subtask under which two workers have crashed.
+CERTAIN_CRASHES_UNTIL_FAILED = 2
 CONCLUSIVE_CRASHES_UNTIL_FAILED = 2
 # The users forbid a third start after three crashes. One crash is in reserve, since the
 # first may be lost with the owner; another for gangs, whose members are also started
 # again after the crash of a worker that had another member.
 SUSPECTED_CRASHES_UNTIL_FAILED = 4
+# A crash right after a start is known within 0.5 s, by the VM list at the latest. One
+# that becomes known later may have come at any time since.
+PROMPT_NOTICE_S = 0.5
+SHORTEST_DURATION_SHARE = 0.5  # of the expected duration; estimates are rough
 LIKELY_CRASH_AGE_S = 0.02  # crashes came 1 to 10 ms after the start
 UNSTABLE_S = 30.0  # a worker that flaps is down and up again within some seconds
 RESERVATION_DIVISOR = 3  # at most a third of the workers are reserved at a time
@@ -40,6 +48,7 @@
         run
         for run in runs
         if not run.is_rejected
+        and not run.is_superseded
         and (
             run.is_young
             or (run.subtask.id in known_suspects and run.known_age_s < YOUNG_RUN_S)
@@ -47,8 +56,29 @@
     ]
 
 
-def find_culprits(suspects: list[Run]) -> list[Run]:
-    """Return the suspects that certainly were on the worker, if one job is to blame.
+def is_ended_by_crash(run: Run, noticed_at: float, expected_s: float) -> bool:
+    """Return whether the end of its worker has certainly ended a run.
+
+    ``noticed_at`` is the time at which the worker was first known to be silent or
+    gone, ``expected_s`` the expected duration of the run in seconds. A run may have
+    been done before, and its end never reported.
+    """
+    if not run.has_begun:
+        return False
+    if run.subtask.step.spec.is_long_running:
+        return True
+    began_at = run.sent_at if run.confirmed_at is None else run.confirmed_at
+    # A run from a checkpoint takes only what is left of its duration.
+    return (
+        not run.subtask.checkpoint
+        and noticed_at - began_at < SHORTEST_DURATION_SHARE * expected_s
+    )
+
+
+def find_culprits(
+    suspects: list[Run], certain: Container[Run], noticed_at: float
+) -> list[Run]:
+    """Return the suspects that the crash has certainly ended, if one job is to blame.
 
     Likely are the suspects that the worker is hardly known to have outlived. A start
     that was not confirmed may not have reached the worker before it crashed.
@@ -56,7 +86,17 @@
     likely = [run for run in suspects if run.known_age_s < LIKELY_CRASH_AGE_S]
     if len({run.subtask.id.job for run in likely}) != 1:
         return []
-    return [run for run in likely if run.confirmed_at is not None]
+    return [
+        run
+        for run in likely
+        if run in certain
+        and run.confirmed_at is not None
+        and (
+            # Workers that are tried with a suspect report more often.
+            run.number == run.subtask.announced_run
+            or noticed_at - run.confirmed_at < PROMPT_NOTICE_S
+        )
+    ]
 
 
 def must_give_up(subtask: Subtask, counts_unknown: bool = True) -> bool:
@@ -64,10 +104,11 @@
 
     ``counts_unknown`` tells whether starts with an unknown outcome count as crashes.
 
-    Conclusive crashes count once for each address: a worker that crashes again and
-    again by itself is no evidence. Crashes under old runs don't count: a subtask that
-    runs long outlives many workers. The members of a gang count together, since each
-    of them is started again when one crashes.
+    At least two crashes have to be certain. Conclusive ones count once for each
+    address: a worker that crashes again and again by itself is no evidence. Crashes
+    under old runs don't count: a subtask that runs long outlives many workers. The
+    members of a gang count together, since each of them is started again when one
+    crashes.
     """
     step = subtask.step
     members = step.subtasks if step.spec.gang else [subtask]
@@ -77,6 +118,11 @@
         for run, crash in crashes
         if crash.is_suspected and (crash.address or counts_unknown)
     }
+    certain_runs = {
+        run for run, crash in crashes if crash.is_suspected and crash.is_certain
+    }
+    if len(certain_runs) < CERTAIN_CRASHES_UNTIL_FAILED:
+        return False
     conclusive_runs = {run for run, crash in crashes if crash.is_conclusive}
     addresses = {crash.address for _, crash in crashes if crash.is_conclusive}
     limit = SUSPECTED_CRASHES_UNTIL_FAILED - (1 if step.spec.gang else 0)
@@ -205,6 +251,13 @@
                 return worker
         return None
 
+    def list_watched(self, runs: Mapping[SubtaskId, Run]) -> set[str]:
+        """Return the workers on which suspects are tried, or are about to be."""
+        watched = {reservation.worker.id for reservation in self.reservations}
+        tried = filter(None, map(runs.get, self.suspects))
+        watched.update(run.worker.id for run in tried)
+        return watched
+
     def _reserve_worker(
         self, subtask: Subtask, tickets: dict[str, str] | None, now: float
     ) -> WorkerView | None:
--- a/src/sesameladder/jobs/_progress.py
+++ b/src/sesameladder/jobs/_progress.py
@@ -40,10 +40,10 @@
             if subtask.crashes
         }
         # Beside the crashes, since earlier versions read four columns of those.
-        body["crash_ages"] = {
-            _encode_subtask_name(subtask.id): ages
+        body["certain_crashes"] = {
+            _encode_subtask_name(subtask.id): rows
             for subtask in job.iterate_known()
-            if (ages := _encode_crash_ages(subtask.crashes))
+            if (rows := _encode_certain_crashes(subtask.crashes))
         }
     return json.dumps(body, separators=(",", ":")).encode()
 
@@ -66,8 +66,9 @@
                 )
             for name, rows in (body.get("crashes") or {}).items():
                 record.crashes[_decode_subtask_name(job, name)] = _decode_crashes(rows)
-            for name, rows in (body.get("crash_ages") or {}).items():
-                _apply_crash_ages(record.crashes[_decode_subtask_name(job, name)], rows)
+            for name, rows in (body.get("certain_crashes") or {}).items():
+                crashes = record.crashes[_decode_subtask_name(job, name)]
+                _apply_certain_crashes(crashes, rows)
             _check_occurrences(record, spec)
     except (
         ValueError,
@@ -119,18 +120,16 @@
     }
 
 
-def _encode_crash_ages(crashes: dict[int, Crash]) -> list[list[int]]:
-    """Return rows of run number and age in milliseconds, where it is known."""
-    return [
-        [run, crash.age_ms]
-        for run, crash in crashes.items()
-        if crash.age_ms is not None
-    ]
+def _encode_certain_crashes(crashes: dict[int, Crash]) -> list[list[int | None]]:
+    """Return rows of run number and age in milliseconds, None if it is unknown."""
+    return [[run, crash.age_ms] for run, crash in crashes.items() if crash.is_certain]
 
 
-def _apply_crash_ages(crashes: dict[int, Crash], rows: list[list[Any]]) -> None:
+def _apply_certain_crashes(crashes: dict[int, Crash], rows: list[list[Any]]) -> None:
     for run, age_ms in rows:
-        crashes[int(run)].age_ms = int(age_ms)
+        crash = crashes[int(run)]
+        crash.is_certain = True
+        crash.age_ms = None if age_ms is None else int(age_ms)
 
 
 def _encode_subtask_name(subtask: SubtaskId) -> str:
--- a/src/sesameladder/jobs/_runs.py
+++ b/src/sesameladder/jobs/_runs.py
@@ -10,6 +10,9 @@
 MAX_EJECTION_S = 8.0
 OVERDUE_START_S = 1.0  # an order times out after 0.8 s, those behind it wait as long
 YOUNG_RUN_S = 0.1  # a subtask that crashes its worker does so within 10 ms
+# An order without a response counts as having arrived if the worker had responded so
+# shortly before. An owner that is not saturated sends orders within 20 ms of a report.
+RECENT_RESPONSE_S = 0.05
 FAILED_REPORTS_UNTIL_UNRESPONSIVE = 1  # a failed report has already taken 0.8 s
 
 
@@ -32,6 +35,15 @@
     was_unanswered: bool = False
     """Whether a start got no response; copies of it may still reach the worker."""
 
+    response_age_s: float | None = None
+    """Age of the worker's latest response when a start without a response was sent.
+
+    In seconds; the lowest of several such starts. None without one.
+    """
+
+    is_superseded: bool = False
+    """Whether the worker has responded that this run or a later one has ended."""
+
     is_rejected: bool = False
     """Whether the start was rejected.
 
@@ -81,6 +93,19 @@
         last_sign_at = max(self.reported_at, self.worker.latest_started_at)
         return max(0.0, last_sign_at - self.confirmed_at)
 
+    @property
+    def has_begun(self) -> bool:
+        """Return whether the run began on the worker and nothing else has ended it.
+
+        Only then does the end of the worker say anything about the run.
+        """
+        if self.is_superseded or self.is_rejected or self.stopping_since is not None:
+            return False
+        if self.confirmed_at is not None:
+            return True
+        age_s = self.response_age_s
+        return age_s is not None and age_s <= RECENT_RESPONSE_S
+
     @property
     def is_young(self) -> bool:
         """Return whether the run may be the cause if the worker crashes now."""
@@ -132,6 +157,15 @@
     failed_reports: int = 0
     """Number of consecutive reports that failed."""
 
+    silent_since: float | None = None
+    """Time at which the first of them had failed; None while the worker reports."""
+
+    has_new_report: bool = False
+    """Whether a report has arrived since the last pass of the owner.
+
+    A start that is sent now will most likely reach the worker.
+    """
+
     lease_expires_at: float = 0.0
     """Time by which all leases granted to the worker have certainly expired.
 
--- a/src/sesameladder/jobs/_scheduler.py
+++ b/src/sesameladder/jobs/_scheduler.py
@@ -45,6 +45,7 @@
     Probation,
     find_culprits,
     find_suspects,
+    is_ended_by_crash,
     must_give_up,
 )
 from sesameladder.jobs._runs import Run, WorkerView
@@ -265,6 +266,8 @@
             )
             self._withdraw_crashes(worker)
         worker.failed_reports = 0
+        worker.silent_since = None
+        worker.has_new_report = True
         for subtask_id, number in worker.unresolved_starts:
             self.commands.append(StopCommand(worker_id, subtask_id, number))
         for end in report.ended:
@@ -299,6 +302,7 @@
             return
         worker.failed_reports += 1
         if worker.failed_reports == 1:
+            worker.silent_since = now
             self.log_event("worker_silent", worker=worker_id)
         self._release_expired(worker, now)
 
@@ -325,8 +329,13 @@
         number: int,
         outcome: StartOutcome,
         now: float,
+        response_age_s: float | None = None,
     ) -> None:
-        """Apply the outcome of an order to start a run."""
+        """Apply the outcome of an order to start a run.
+
+        ``response_age_s`` is the age of the worker's latest response when the order
+        was sent, in seconds.
+        """
         run = self._find_run(worker_id, subtask_id, number)
         if run is None:
             return
@@ -359,10 +368,13 @@
         if outcome is StartOutcome.UNANSWERED:
             run.was_unanswered = True
             run.retry_at = now + START_RETRY_S
+            if response_age_s is not None:
+                known_s = run.response_age_s
+                run.response_age_s = min(response_age_s, known_s or response_age_s)
             return
         if outcome is StartOutcome.SUPERSEDED:
             # The run may have ended as done; the next report of the worker shows it.
-            run.was_unanswered = True
+            run.was_unanswered = run.is_superseded = True
             run.confirmed_at = now
             run.retry_at = None
             return
@@ -446,6 +458,8 @@
             self._stop(run, now)
         if not self.is_paused:
             self._place(now)
+        for worker in self.workers.values():
+            worker.has_new_report = False
         commands, self.commands = self.commands, []
         return commands
 
@@ -525,6 +539,13 @@
             for subtask in self.probation.suspects.values()
         )
 
+    def list_watched_workers(self) -> set[str]:
+        """Return the workers whose reports are to come often.
+
+        Reports show soon that a suspect runs on, and which worker can be tried.
+        """
+        return self.probation.list_watched(self.runs)
+
     def measure_load(self, now: float) -> PoolLoad:
         """Return how much the owner and the workers have to do."""
         return measure_load(
@@ -606,7 +627,8 @@
                 continue
             if not self._has_place_for_start():
                 break
-            if self.probation.needs_reserved_worker(subtask, now):
+            needs_reserved_worker = self.probation.needs_reserved_worker(subtask, now)
+            if needs_reserved_worker:
                 worker = self.probation.choose_worker(subtask, tickets, now)
                 if worker is None:
                     continue
@@ -616,6 +638,8 @@
                     break
             if not self._is_announced(subtask, subtask.last_run + 1):
                 continue
+            if needs_reserved_worker and not worker.has_new_report:
+                continue
             self._start(subtask, worker, subtask.last_run + 1, now)
             placed.append(worker.id)
         if placed:
@@ -1068,14 +1092,22 @@
             return []
         self.probation.record_crash(worker, now)
         suspects = find_suspects(worker.runs.values(), self.probation.suspects)
-        culprits = find_culprits(suspects) if has_ended else []
+        noticed_at = now if worker.silent_since is None else worker.silent_since
+        certain = {
+            run for run in runs if has_ended and self._is_ended_by(run, noticed_at)
+        }
+        culprits = find_culprits(suspects, certain, noticed_at)
         for run in runs:
             subtask, is_suspect = run.subtask, run in suspects
             if not is_suspect and subtask.step.spec.is_long_running:
                 continue
             subtask.retract_announcement()
             subtask.crashes[run.number] = Crash(
-                worker.record.address, is_suspect, run in culprits, _describe_age(run)
+                worker.record.address,
+                is_suspect,
+                run in culprits,
+                is_certain=run in certain,
+                age_ms=_describe_age(run),
             )
             if is_suspect:
                 subtask.crashed_at = now
@@ -1089,12 +1121,19 @@
                 suspects=[_name_run(run) for run in logged],
                 ages_ms=[_describe_age(run) for run in logged],
                 count=len(suspects),
+                certain=sum(run in certain for run in suspects),
                 has_ended=has_ended,
-                silent_reports=worker.failed_reports,
+                noticed_s_ago=round(now - noticed_at, 3),
                 conclusive=bool(culprits),
             )
         return [run.subtask for run in runs if must_give_up(run.subtask)]
 
+    def _is_ended_by(self, run: Run, noticed_at: float) -> bool:
+        """Return whether a crash noticed at a time has certainly ended a run."""
+        step = run.subtask.step
+        expected_s = self.durations.estimate_duration(step.job.submission, step.number)
+        return is_ended_by_crash(run, noticed_at, expected_s)
+
     def _withdraw_crashes(self, worker: WorkerView) -> None:
         """Take back the crashes counted for a worker that was only silent."""
         for run in worker.lapsed_runs:
--- a/src/sesameladder/jobs/tests/test_evidence_of_crashes.py
+++ b/src/sesameladder/jobs/tests/test_evidence_of_crashes.py
@@ -88,6 +88,7 @@
     """Guards against a run taken for new since no report came meanwhile."""
     simulation = Simulation(seed, WORKERS)
     simulation.report_gap_s = report_gap_s
+    simulation.checker.crashes_that_excuse = CRASHES_ALLOWED
 
     def crash() -> None:
         up = [worker for worker in simulation.workers if worker.is_up]
--- a/src/sesameladder/node/_pool_task.py
+++ b/src/sesameladder/node/_pool_task.py
@@ -431,7 +431,12 @@
             if run is not None and run.number == message.run:
                 START_SECONDS.labels(self.pool).observe(now - run.sent_at)
             scheduler.apply_start_outcome(
-                message.worker, message.subtask, message.run, message.outcome, now
+                message.worker,
+                message.subtask,
+                message.run,
+                message.outcome,
+                now,
+                message.response_age_s,
             )
         elif isinstance(message, StopConfirmed):
             scheduler.apply_stop_response(
@@ -612,6 +617,9 @@
         commands = self.scheduler.schedule(now, read_wall_clock_ms())
         for command in commands:
             self._execute(command)
+        watched = self.scheduler.list_watched_workers()
+        for name, link in self.links.items():
+            link.is_watched = name in watched
         self._write(now)
         self._log_load(now)
 
--- a/src/sesameladder/node/_worker_link.py
+++ b/src/sesameladder/node/_worker_link.py
@@ -28,6 +28,7 @@
 CLOCK_DRIFT_FACTOR = 1.03  # a worker's clock may be 2 % slow
 LEASE_EXPIRY_SLACK_S = 0.3  # for a round trip and the age of the worker's clock reading
 REPORT_WAIT_MS = 400  # maximum age of the known progress and load
+WATCHED_REPORT_WAIT_MS = 50  # while a suspect is tried, for up to 2 s
 REPORT_PAUSE_S = 0.05  # while ends are not acknowledged, reports return at once
 RETRY_PAUSE_S = 0.25
 EARLIER_ORDERS_S = 12.0  # orders without a response arrive up to this late
@@ -80,6 +81,11 @@
     subtask: SubtaskId
     run: int
     outcome: StartOutcome
+    response_age_s: float | None = None
+    """Age of the worker's latest response when the order was sent, in seconds.
+
+    None if the worker has not responded before.
+    """
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,6 +116,7 @@
         "client",
         "clock_offset_s",
         "is_lease_extension_suspended",
+        "is_watched",
         "lease_expires_at",
         "lease_ms",
         "lease_until_ms",
@@ -119,6 +126,7 @@
         "orders",
         "post",
         "record",
+        "responded_at",
         "stopping",
         "threads",
         "withdrawn_starts",
@@ -163,6 +171,12 @@
         and another one may answer next.
         """
 
+        self.responded_at: float | None = None
+        """Steady time of the latest response of the worker; None before the first."""
+
+        self.is_watched = False
+        """Whether reports are to come often; set by the pool's task."""
+
         self.lease_until_ms: int | None = None
         """End of the latest lease, in milliseconds of the worker's clock."""
 
@@ -249,6 +263,9 @@
         order = command.order
         lease_until_ms = self._extend_lease()
         outcome = StartOutcome.UNANSWERED
+        responded_at, response_age_s = self.responded_at, None
+        if responded_at is not None:
+            response_age_s = read_steady_clock() - responded_at
         try:
             if (order.subtask, order.run) in self.withdrawn_starts:
                 outcome = StartOutcome.WITHDRAWN
@@ -258,7 +275,11 @@
                 outcome = self.client.start(order, lease_until_ms)
         finally:
             # Without a message, the start would never be repeated.
-            self.post(StartFinished(command.worker, order.subtask, order.run, outcome))
+            self.post(
+                StartFinished(
+                    command.worker, order.subtask, order.run, outcome, response_age_s
+                )
+            )
         if outcome is StartOutcome.FENCED:
             self.post(OwnerSuperseded(command.worker))
 
@@ -269,7 +290,9 @@
         while not self.stopping.is_set():
             sent_at = read_steady_clock()
             acknowledged_end = self.acknowledged_end if is_same_incarnation else 0
-            wait_ms = REPORT_WAIT_MS if self.clock_offset_s is not None else 0
+            wait_ms = 0
+            if self.clock_offset_s is not None:
+                wait_ms = WATCHED_REPORT_WAIT_MS if self.is_watched else REPORT_WAIT_MS
             try:
                 report = self.client.poll_report(
                     acknowledged_end, self._extend_lease(), wait_ms
@@ -296,7 +319,7 @@
                 self.clock_offset_s = report.clock_ms / 1000 - read_steady_clock()
             else:
                 self.clock_offset_s = None
-            received_at = read_steady_clock()
+            self.responded_at = received_at = read_steady_clock()
             if received_at < self.long_lease_until:
                 # An order to an earlier incarnation may have arrived until now.
                 self._count_lease(received_at)
