Count a failed run of a gang once, however many members fail

A gang whose members failed in the same run had its job shown as failed after one run, though its queue allows more. Cause: the failures of the members were added up, while the published count is of the gang; after a change of owner the members' were not added up at all. Found by listing the ways by which a job is shown as failed; the sites have no gangs, so no caller has seen it. Change: both places count the runs in which any member has failed.

--- a/src/sesameladder/jobs/_job.py
+++ b/src/sesameladder/jobs/_job.py
@@ -191,6 +191,15 @@
             if position not in self.known and not self.is_done(position):
                 yield self.get_subtask(position)
 
+    def count_failures(self, subtask: Subtask) -> int:
+        """Return the number of failed attempts that count for a subtask.
+
+        A gang fails as a whole: members that fail in the same run fail once.
+        """
+        if not self.spec.gang:
+            return subtask.failures
+        return len({run for member in self.subtasks for run in member.failed_runs})
+
     def set_done(self, subtask: Subtask) -> None:
         """Mark a subtask as done and forget what is known of it."""
         subtask.is_done = True
--- a/src/sesameladder/jobs/_scheduler.py
+++ b/src/sesameladder/jobs/_scheduler.py
@@ -917,13 +917,10 @@
         self.dirty_jobs[step.job.id] = step.job
         if run is not None:
             self._release(run, now, FAILURE_PAUSE_S)
-        failures = subtask.failures
-        if step.spec.gang:
-            failures = sum(member.failures for member in step.subtasks)
         if (
             not step.spec.is_long_running
             and not subtask.is_done
-            and failures >= step.job.submission.max_attempts
+            and step.count_failures(subtask) >= step.job.submission.max_attempts
         ):
             self._fail_job(subtask, now)
 
@@ -1184,7 +1181,10 @@
             if must_give_up(subtask, counts_unknown=False):
                 self._fail_jobs([subtask], now)
                 return
-            if subtask.failures >= limit and not subtask.step.spec.is_long_running:
+            step = subtask.step
+            if step.spec.is_long_running:
+                continue
+            if step.count_failures(subtask) >= limit:
                 self._fail_job(subtask, now)
                 return
 
--- a/src/sesameladder/jobs/tests/test_rules.py
+++ b/src/sesameladder/jobs/tests/test_rules.py
@@ -177,6 +177,33 @@
     assert scheduler.job_table.ended[JOB][0] is JobState.DONE
 
 
+@pytest.mark.parametrize("changes_owner", [False, True], ids=["same owner", "next"])
+@pytest.mark.parametrize(
+    ("failing_runs", "state"),
+    [(1, JobState.RUNNING), (2, JobState.FAILED)],
+    ids=["one run", "two runs"],
+)
+def test_gang_fails_once_however_many_members_fail(
+    failing_runs: int, state: JobState, changes_owner: bool
+) -> None:
+    """Guards against a gang that uses up its attempts in one run."""
+    scheduler = build_scheduler(build_record(1))
+    submit(scheduler, replace(STEP, count=2, gang=True))
+    for attempt in range(failing_runs):
+        now = 1.0 + attempt
+        commands = scheduler.schedule(now, now * 1000)
+        assert len(list_starts(commands)) == 2
+        confirm_starts(scheduler, commands, now)
+        report_ends(scheduler, "i-1", EndReason.FAILED, now + 0.2)
+    if changes_owner and JOB in scheduler.job_table.jobs:
+        job = scheduler.job_table.jobs[JOB]
+        record = decode_progress(JOB, encode_progress(job), job.submission.spec)
+        scheduler = build_scheduler(build_record(1))
+        scheduler.add_job(job.submission, record, now)
+    ended = scheduler.job_table.ended.get(JOB)
+    assert (ended[0] if ended else scheduler.job_table.jobs[JOB].state) is state
+
+
 def test_occurrence_waits_for_its_time() -> None:
     """Guards against occurrences that start before they are due."""
     scheduler = build_scheduler(build_record(1))
