Don't take a crash for conclusive when other workers crash with it

Sound jobs could end as failed after two losses of a rack or a zone, in which their subtask was young. Cause: each crash was judged by itself, also when several workers were lost within 0.5 ms, which no subtask does. Change: a crash is conclusive only if no other worker crashed within 0.1 s, apart from those under earlier runs of the subtask; ends that were noticed together are judged together. Tests of the link for what it tells of a worker's responses.

--- a/src/sesameladder/jobs/_probation.py
+++ b/src/sesameladder/jobs/_probation.py
@@ -30,6 +30,7 @@
 PROMPT_NOTICE_S = 0.5
 SHORTEST_DURATION_SHARE = 0.5  # of the expected duration; estimates are rough
 LIKELY_CRASH_AGE_S = 0.02  # crashes came 1 to 10 ms after the start
+COMMON_CAUSE_S = 0.1  # between the crashes of workers that lose power together
 UNSTABLE_S = 30.0  # a worker that flaps is down and up again within some seconds
 RESERVATION_DIVISOR = 3  # at most a third of the workers are reserved at a time
 RESERVATION_TIMEOUT_S = 2.0  # a run is old after 0.1 s and the worker's next report
@@ -143,10 +144,13 @@
 
 @dataclass(frozen=True, slots=True)
 class RecentCrash:
-    """Rack of a crashed worker, empty if unknown, and the steady time in s."""
+    """Rack of a crashed worker, empty if unknown, and when that was noticed.
+
+    The latter in seconds of the steady clock.
+    """
 
     rack: str
-    at: float
+    noticed_at: float
 
 
 class Probation:
@@ -171,9 +175,22 @@
         """Add a subtask under which a worker has crashed."""
         self.suspects[subtask.id] = subtask
 
-    def record_crash(self, worker: WorkerView, now: float) -> None:
+    def record_crash(self, worker: WorkerView, noticed_at: float) -> None:
         """Record that a worker has crashed."""
-        self.crashes[worker.record.address] = RecentCrash(worker.rack, now)
+        self.crashes[worker.record.address] = RecentCrash(worker.rack, noticed_at)
+
+    def has_common_cause(self, run: Run, noticed_at: float) -> bool:
+        """Return whether another worker has crashed at the same time as a run's.
+
+        Crashes under earlier runs of the subtask don't count.
+        """
+        own_addresses = {crash.address for crash in run.subtask.crashes.values()}
+        own_addresses.add(run.worker.record.address)
+        return any(
+            abs(crash.noticed_at - noticed_at) < COMMON_CAUSE_S
+            for address, crash in self.crashes.items()
+            if address not in own_addresses
+        )
 
     def forget_job(self, job: str) -> None:
         """Remove the suspects and the reservation of a job that has ended."""
@@ -202,7 +219,7 @@
         self.crashes = {
             address: crash
             for address, crash in self.crashes.items()
-            if now - crash.at < UNSTABLE_S
+            if now - crash.noticed_at < UNSTABLE_S
         }
         self.reservations = [
             reservation
--- a/src/sesameladder/jobs/_runs.py
+++ b/src/sesameladder/jobs/_runs.py
@@ -233,6 +233,10 @@
             return True
         return not self.has_reported or bool(self.runs or self.unresolved_starts)
 
+    def get_noticed_at(self, now: float) -> float:
+        """Return when a worker that has ended was first known to be silent or gone."""
+        return now if self.silent_since is None else self.silent_since
+
     def accepts_work(self, now: float) -> bool:
         """Return whether new runs may be sent to the worker."""
         return (
--- a/src/sesameladder/jobs/_scheduler.py
+++ b/src/sesameladder/jobs/_scheduler.py
@@ -7,7 +7,7 @@
 the lease of the worker has certainly expired.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from sesameladder.jobs._commands import (
@@ -317,10 +317,23 @@
 
         A ``born_ms`` of 0 stands for the incarnation that is known here.
         """
-        worker = self.workers.get(worker_id)
-        if worker is not None and born_ms in (0, worker.record.born_ms):
+        self.apply_incarnation_ends([(worker_id, born_ms)], now)
+
+    def apply_incarnation_ends(
+        self, incarnations: Iterable[tuple[str, int]], now: float
+    ) -> None:
+        """Release the runs of incarnations that were noticed to have ended together."""
+        ended = []
+        for worker_id, born_ms in incarnations:
+            worker = self.workers.get(worker_id)
+            if worker is not None and born_ms in (0, worker.record.born_ms):
+                ended.append(worker)
+            self.unread_workers.record_end(worker_id, born_ms)
+        for worker in ended:
+            if not worker.is_draining:
+                self.probation.record_crash(worker, worker.get_noticed_at(now))
+        for worker in ended:
             self._remove_worker(worker, now, "worker_ended")
-        self.unread_workers.record_end(worker_id, born_ms)
 
     def apply_start_outcome(
         self,
@@ -1087,13 +1100,17 @@
         ]
         if not runs or worker.is_draining:
             return []
-        self.probation.record_crash(worker, now)
+        noticed_at = worker.get_noticed_at(now)
+        self.probation.record_crash(worker, noticed_at)
         suspects = find_suspects(worker.runs.values(), self.probation.suspects)
-        noticed_at = now if worker.silent_since is None else worker.silent_since
         certain = {
             run for run in runs if has_ended and self._is_ended_by(run, noticed_at)
         }
-        culprits = find_culprits(suspects, certain, noticed_at)
+        culprits = [
+            run
+            for run in find_culprits(suspects, certain, noticed_at)
+            if not self.probation.has_common_cause(run, noticed_at)
+        ]
         for run in runs:
             subtask, is_suspect = run.subtask, run in suspects
             if not is_suspect and subtask.step.spec.is_long_running:
--- a/src/sesameladder/jobs/tests/test_evidence_of_crashes.py
+++ b/src/sesameladder/jobs/tests/test_evidence_of_crashes.py
@@ -76,6 +76,38 @@
     assert pool.get_state(SOUND) is not JobState.FAILED
 
 
+@pytest.mark.parametrize(
+    ("gap_s", "state"),
+    [(0.0, JobState.RUNNING), (0.05, JobState.RUNNING), (1.0, JobState.FAILED)],
+    ids=["together", "shortly after", "by itself"],
+)
+def test_crash_together_with_that_of_another_worker_is_not_conclusive(
+    gap_s: float, state: JobState
+) -> None:
+    """Guards against a job ended by two losses of a rack or a zone."""
+    pool = Pool(workers=8)
+    pool.submit(SOUND)
+    for _ in range(CRASHES_ALLOWED):
+        while (worker := pool.find_worker(SOUND)) is None:
+            pool.step()
+        other = next(name for name in pool.records if name != worker)
+        if gap_s:
+            pool.crash(other)
+            pool.now += gap_s
+            ended = [(worker, 1)]
+        else:
+            ended = [(worker, 1), (other, 1)]
+        for name, _ in ended:
+            record = pool.records.pop(name)
+            pool.add_worker(record.address)
+        view = pool.scheduler.workers[worker]
+        for run in view.runs.values():
+            run.confirmed_at = pool.now
+        pool.scheduler.apply_incarnation_ends(ended, pool.now)
+        pool.now += 1.0
+    assert pool.get_state(SOUND) is state
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 @pytest.mark.parametrize(
     "report_gap_s",
--- a/src/sesameladder/node/_pool_task.py
+++ b/src/sesameladder/node/_pool_task.py
@@ -545,10 +545,13 @@
         # Each notice is applied once: read again, one without a start time would end
         # a later incarnation with the same identifier.
         previous, self.ended_incarnations = self.ended_incarnations, set(orders.ended)
-        for incarnation in self.ended_incarnations - previous:
-            self.scheduler.apply_incarnation_end(
-                incarnation.worker, incarnation.born_ms, now
-            )
+        self.scheduler.apply_incarnation_ends(
+            (
+                (incarnation.worker, incarnation.born_ms)
+                for incarnation in self.ended_incarnations - previous
+            ),
+            now,
+        )
         # The orders that name a worker's end no longer name it as draining; until
         # then it drains, so that its end counts as planned.
         self.scheduler.set_workers_to_drain(set(orders.emptying))
--- a/src/sesameladder/node/tests/test_worker_link.py
+++ b/src/sesameladder/node/tests/test_worker_link.py
@@ -13,7 +13,10 @@
     WorkerReport,
 )
 from sesameladder.jobs.tests.test_rules import build_record
+from sesameladder.node._clock import read_steady_clock
 from sesameladder.node._worker_link import (
+    REPORT_WAIT_MS,
+    WATCHED_REPORT_WAIT_MS,
     LinkMessage,
     ReportFailed,
     ReportReceived,
@@ -82,6 +85,29 @@
     ]
 
 
+@pytest.mark.parametrize(
+    ("responded_s_ago", "is_recent"),
+    [(None, False), (5.0, False), (0.0, True)],
+    ids=["never", "long ago", "just now"],
+)
+def test_outcome_of_a_start_tells_when_the_worker_last_responded(
+    responded_s_ago: float | None, is_recent: bool
+) -> None:
+    """Guards against a start to a silent worker that counts as having arrived."""
+    posted: list[LinkMessage] = []
+    link = WorkerLink(build_record(1), 9, 4000, 10_000, lambda: True, posted.append)
+    link.client = RecordingClient()  # type: ignore[assignment]
+    link.clock_offset_s = 0.0
+    if responded_s_ago is not None:
+        link.responded_at = read_steady_clock() - responded_s_ago
+    link._send_start(StartCommand(WORKER, StartOrder(SUBTASK, 7, "")))
+    (message,) = posted
+    assert isinstance(message, StartFinished)
+    age_s = message.response_age_s
+    assert (age_s is None) == (responded_s_ago is None)
+    assert (age_s is not None and age_s < 1.0) == is_recent
+
+
 class ReportingClient:
     """Answers report calls from a script and records what they acknowledge."""
 
@@ -92,10 +118,12 @@
         self.has_lease: list[bool] = []
         """Whether each call named the end of a lease."""
 
+        self.waits_ms: list[int] = []
+
     def poll_report(
         self, acknowledged: int, lease_until_ms: int | None, wait_ms: int
     ) -> WorkerReport:
-        del wait_ms
+        self.waits_ms.append(wait_ms)
         self.has_lease.append(lease_until_ms is not None)
         self.acknowledged.append(acknowledged)
         report = self.script.pop(0)
@@ -211,3 +239,18 @@
     assert outcomes == [StartOutcome.UNANSWERED, StartOutcome.STARTED]
     assert has_failed_report
     assert link.is_lease_extension_suspended
+
+
+@pytest.mark.parametrize(
+    ("is_watched", "wait_ms"), [(False, REPORT_WAIT_MS), (True, WATCHED_REPORT_WAIT_MS)]
+)
+def test_watched_worker_is_asked_for_reports_more_often(
+    is_watched: bool, wait_ms: int
+) -> None:
+    """Guards against a sound suspect that looks new for as long as a report takes."""
+    link = WorkerLink(build_record(1), 9, 4000, 10_000, lambda: True, lambda _: None)
+    client = ReportingClient(link, [SAME, SAME])
+    link.client = client  # type: ignore[assignment]
+    link.is_watched = is_watched
+    link._read_reports()
+    assert client.waits_ms == [0, wait_ms]
