Date a crash by evidence of the end, and bound crashes that stay uncertain

The review of the fix found runs that counted as ended by a crash though they may have ended before: the first silence of a worker, the time at which a stalled owner applied a response, or a new owner first saw a run, stood for the time of the crash or of the start; a start without a response counted although later reports left the run out; a gang's checkpoint was overlooked; the end of a worker by maintenance or a move counted once its drain had been lifted. And a crashing subtask whose crashes are noticed late was never given up.

Change: a reset of the connection, or the notice of the end, dates a crash; durations count from when the start was sent or from the last report; notices say whether an end was planned; four crashes of runs that had begun end a job.

--- a/src/sesameladder/fleet/_incarnations.py
+++ b/src/sesameladder/fleet/_incarnations.py
@@ -64,9 +64,10 @@
                 # After a crash, the next incarnation may have the same identifier.
                 # Without a start time, the notice could end that one instead.
                 if born_ms or vm.phase is not VmPhase.DOWN:
-                    ended.append(
-                        (previous.pool, EndedIncarnation(previous.worker, born_ms))
+                    incarnation = EndedIncarnation(
+                        previous.worker, born_ms, _is_planned(previous, vm)
                     )
+                    ended.append((previous.pool, incarnation))
         self.last_vms = vms
         workers = {vm.worker for vm in vms.values()}
         self.started_at_ms = {
@@ -82,3 +83,9 @@
     return is_other_worker or (
         previous.phase is VmPhase.UP and vm.phase is not VmPhase.UP
     )
+
+
+def _is_planned(previous: Vm, vm: Vm) -> bool:
+    """Return whether maintenance or a move has ended a VM's worker."""
+    is_ordered = vm.phase in (VmPhase.MOVING, VmPhase.IN_MAINTENANCE)
+    return is_ordered or vm.pool != previous.pool
--- a/src/sesameladder/fleet/_model.py
+++ b/src/sesameladder/fleet/_model.py
@@ -97,6 +97,9 @@
     born_ms: int
     """Start of the incarnation in Unix milliseconds; 0 if unknown."""
 
+    is_planned: bool = False
+    """Whether maintenance or a move of its VM has ended it."""
+
 
 @dataclass(frozen=True, slots=True)
 class OrderedVm:
--- a/src/sesameladder/fleet/tests/test_incarnations.py
+++ b/src/sesameladder/fleet/tests/test_incarnations.py
@@ -11,27 +11,33 @@
 
 
 @pytest.mark.parametrize(
-    ("phase", "worker", "has_ended"),
+    ("phase", "worker", "pool", "has_ended", "is_planned"),
     [
-        (VmPhase.UP, "i-chair-0", False),
-        (VmPhase.DOWN, "", True),
-        (VmPhase.IN_MAINTENANCE, "", True),
-        (VmPhase.MOVING, "", True),
-        (VmPhase.UP, "i-other", True),
+        (VmPhase.UP, "i-chair-0", "chair", False, False),
+        (VmPhase.DOWN, "", "chair", True, False),
+        (VmPhase.IN_MAINTENANCE, "", "chair", True, True),
+        (VmPhase.MOVING, "", "chair", True, True),
+        (VmPhase.UP, "i-other", "chair", True, False),
+        (VmPhase.UP, "i-other", "desk", True, True),
     ],
 )
 def test_ended_incarnation_is_reported(
-    phase: VmPhase, worker: str, has_ended: bool
+    phase: VmPhase, worker: str, pool: str, has_ended: bool, is_planned: bool
 ) -> None:
-    """Guards against work that waits until a crashed worker's lease expires."""
+    """Guards against work that waits until a crashed worker's lease expires.
+
+    A planned end must not count as a crash.
+    """
     vms = build_vms(1)
     tracker = IncarnationTracker()
     assert tracker.observe(vms) == []
     assert tracker.list_workers_without_start() == ["i-chair-0"]
     tracker.record_start("i-chair-0", BORN_MS)
     assert tracker.list_workers_without_start() == []
-    changed = {"m-chair-0": replace(vms["m-chair-0"], phase=phase, worker=worker)}
-    expected = [("chair", EndedIncarnation("i-chair-0", BORN_MS))] if has_ended else []
+    vm = replace(vms["m-chair-0"], phase=phase, worker=worker, pool=pool)
+    changed = {"m-chair-0": vm}
+    ended = EndedIncarnation("i-chair-0", BORN_MS, is_planned)
+    expected = [("chair", ended)] if has_ended else []
     assert tracker.observe(changed) == expected
     assert tracker.observe(changed) == []
 
--- a/src/sesameladder/jobs/_model.py
+++ b/src/sesameladder/jobs/_model.py
@@ -322,8 +322,11 @@
     is_conclusive: bool
     """Whether no run of another job may have been the cause."""
 
+    has_begun: bool = False
+    """Whether the run had begun on the worker, and the worker has ended by itself."""
+
     is_certain: bool = False
-    """Whether the run was on the worker, and the worker has ended by itself."""
+    """Whether the end of the worker has certainly ended the run."""
 
     age_ms: int | None = None
     """Time for which the worker is known to have had the run, in milliseconds.
@@ -337,8 +340,10 @@
             kind = "cleared"
         elif self.is_conclusive:
             kind = "conclusive"
+        elif self.is_certain:
+            kind = "certain"
         else:
-            kind = "certain" if self.is_certain else "uncertain"
+            kind = "begun" if self.has_begun else "uncertain"
         return self.address, kind, self.age_ms
 
 
--- a/src/sesameladder/jobs/_probation.py
+++ b/src/sesameladder/jobs/_probation.py
@@ -6,8 +6,9 @@
 for its job, once all other runs there are no longer young. If that worker crashes too,
 no other job is to blame; if the run grows old, its subtask is no suspect any more.
 
-A job is given up only by crashes that are certain to have ended runs of its subtask.
-What is less certain has the subtask started again.
+A job is given up only by crashes of workers on which runs of its subtask had begun,
+and by two of them only if they are certain to have ended these runs. What is less
+certain has the subtask started again.
 """
 
 from collections.abc import Container, Iterable, Mapping
@@ -25,10 +26,10 @@
 # first may be lost with the owner; another for gangs, whose members are also started
 # again after the crash of a worker that had another member.
 SUSPECTED_CRASHES_UNTIL_FAILED = 4
-# A crash right after a start is known within 0.5 s, by the VM list at the latest. One
-# that becomes known later may have come at any time since.
+# The VM list shows a crash within 0.5 s. One that becomes known later after the start
+# may have come at any time since.
 PROMPT_NOTICE_S = 0.5
-SHORTEST_DURATION_SHARE = 0.5  # of the expected duration; estimates are rough
+SHORTEST_DURATION_SHARE = 0.5  # of the expected duration of a run
 LIKELY_CRASH_AGE_S = 0.02  # crashes came 1 to 10 ms after the start
 COMMON_CAUSE_S = 0.1  # between the crashes of workers that lose power together
 UNSTABLE_S = 30.0  # a worker that flaps is down and up again within some seconds
@@ -60,20 +61,21 @@
 def is_ended_by_crash(run: Run, noticed_at: float, expected_s: float) -> bool:
     """Return whether the end of its worker has certainly ended a run.
 
-    ``noticed_at`` is the time at which the worker was first known to be silent or
-    gone, ``expected_s`` the expected duration of the run in seconds. A run may have
-    been done before, and its end never reported.
+    ``noticed_at`` is the time by which the worker had ended, ``expected_s`` the
+    expected duration of the run in seconds. A run may have been done before, and its
+    end never reported.
     """
     if not run.has_begun:
         return False
-    if run.subtask.step.spec.is_long_running:
+    step = run.subtask.step
+    if step.spec.is_long_running:
         return True
-    began_at = run.sent_at if run.confirmed_at is None else run.confirmed_at
-    # A run from a checkpoint takes only what is left of its duration.
-    return (
-        not run.subtask.checkpoint
-        and noticed_at - began_at < SHORTEST_DURATION_SHARE * expected_s
-    )
+    checkpoint = step.checkpoint if step.spec.gang else run.subtask.checkpoint
+    if checkpoint and not run.reported_at:
+        return False  # an unknown part of its duration is left
+    seen_at = run.reported_at or run.sent_at
+    left_s = expected_s * (1 - run.progress_percent / 100)
+    return noticed_at - seen_at < SHORTEST_DURATION_SHARE * left_s
 
 
 def find_culprits(
@@ -93,9 +95,9 @@
         if run in certain
         and run.confirmed_at is not None
         and (
-            # Workers that are tried with a suspect report more often.
+            # No other job is tried on the worker of an announced run.
             run.number == run.subtask.announced_run
-            or noticed_at - run.confirmed_at < PROMPT_NOTICE_S
+            or noticed_at - run.sent_at < PROMPT_NOTICE_S
         )
     ]
 
@@ -105,11 +107,12 @@
 
     ``counts_unknown`` tells whether starts with an unknown outcome count as crashes.
 
-    At least two crashes have to be certain. Conclusive ones count once for each
-    address: a worker that crashes again and again by itself is no evidence. Crashes
-    under old runs don't count: a subtask that runs long outlives many workers. The
-    members of a gang count together, since each of them is started again when one
-    crashes.
+    Two crashes have to be certain to have ended runs of the subtask, or as many as
+    the limit have to have met runs that had begun. Conclusive ones count once for
+    each address: a worker that crashes again and again by itself is no evidence.
+    Crashes under old runs don't count: a subtask that runs long outlives many
+    workers. Suspected crashes of the members of a gang count together, since each of
+    them is started again when one crashes.
     """
     step = subtask.step
     members = step.subtasks if step.spec.gang else [subtask]
@@ -119,20 +122,33 @@
         for run, crash in crashes
         if crash.is_suspected and (crash.address or counts_unknown)
     }
-    certain_runs = {
-        run for run, crash in crashes if crash.is_suspected and crash.is_certain
+    begun_runs = {
+        run for run, crash in crashes if crash.is_suspected and crash.has_begun
     }
-    if len(certain_runs) < CERTAIN_CRASHES_UNTIL_FAILED:
-        return False
-    conclusive_runs = {run for run, crash in crashes if crash.is_conclusive}
-    addresses = {crash.address for _, crash in crashes if crash.is_conclusive}
+    if len(begun_runs) >= SUSPECTED_CRASHES_UNTIL_FAILED:
+        return True
     limit = SUSPECTED_CRASHES_UNTIL_FAILED - (1 if step.spec.gang else 0)
-    return (
-        len(suspected_runs) >= limit
-        or min(len(conclusive_runs), len(addresses)) >= CONCLUSIVE_CRASHES_UNTIL_FAILED
+    return any(
+        _count_certain(member) >= CERTAIN_CRASHES_UNTIL_FAILED
+        and (
+            len(suspected_runs) >= limit
+            or _count_conclusive(member) >= CONCLUSIVE_CRASHES_UNTIL_FAILED
+        )
+        for member in members
     )
 
 
+def _count_certain(subtask: Subtask) -> int:
+    crashes = subtask.crashes.values()
+    return sum(crash.is_suspected and crash.is_certain for crash in crashes)
+
+
+def _count_conclusive(subtask: Subtask) -> int:
+    """Return the number of addresses with conclusive crashes under a subtask."""
+    crashes = subtask.crashes.values()
+    return len({crash.address for crash in crashes if crash.is_conclusive})
+
+
 @dataclass(slots=True, eq=False)
 class Reservation:
     """A worker reserved for the suspects of one job, since a steady time in s."""
--- a/src/sesameladder/jobs/_progress.py
+++ b/src/sesameladder/jobs/_progress.py
@@ -40,10 +40,10 @@
             if subtask.crashes
         }
         # Beside the crashes, since earlier versions read four columns of those.
-        body["certain_crashes"] = {
+        body["crashes_under_runs"] = {
             _encode_subtask_name(subtask.id): rows
             for subtask in job.iterate_known()
-            if (rows := _encode_certain_crashes(subtask.crashes))
+            if (rows := _encode_crashes_under_runs(subtask.crashes))
         }
     return json.dumps(body, separators=(",", ":")).encode()
 
@@ -66,9 +66,9 @@
                 )
             for name, rows in (body.get("crashes") or {}).items():
                 record.crashes[_decode_subtask_name(job, name)] = _decode_crashes(rows)
-            for name, rows in (body.get("certain_crashes") or {}).items():
+            for name, rows in (body.get("crashes_under_runs") or {}).items():
                 crashes = record.crashes[_decode_subtask_name(job, name)]
-                _apply_certain_crashes(crashes, rows)
+                _apply_crashes_under_runs(crashes, rows)
             _check_occurrences(record, spec)
     except (
         ValueError,
@@ -120,15 +120,22 @@
     }
 
 
-def _encode_certain_crashes(crashes: dict[int, Crash]) -> list[list[int | None]]:
-    """Return rows of run number and age in milliseconds, None if it is unknown."""
-    return [[run, crash.age_ms] for run, crash in crashes.items() if crash.is_certain]
+def _encode_crashes_under_runs(crashes: dict[int, Crash]) -> list[list[int | None]]:
+    """Return rows of run number, is_certain, and age in ms, None if it is unknown.
+
+    Crashes of workers on which the run may not have begun are left out.
+    """
+    return [
+        [run, int(crash.is_certain), crash.age_ms]
+        for run, crash in crashes.items()
+        if crash.has_begun
+    ]
 
 
-def _apply_certain_crashes(crashes: dict[int, Crash], rows: list[list[Any]]) -> None:
-    for run, age_ms in rows:
+def _apply_crashes_under_runs(crashes: dict[int, Crash], rows: list[list[Any]]) -> None:
+    for run, is_certain, age_ms in rows:
         crash = crashes[int(run)]
-        crash.is_certain = True
+        crash.has_begun, crash.is_certain = True, bool(is_certain)
         crash.age_ms = None if age_ms is None else int(age_ms)
 
 
--- a/src/sesameladder/jobs/_runs.py
+++ b/src/sesameladder/jobs/_runs.py
@@ -38,9 +38,13 @@
     response_age_s: float | None = None
     """Age of the worker's latest response when a start without a response was sent.
 
-    In seconds; the lowest of several such starts. None without one.
+    In seconds; the lowest of several such starts. None without one, or after a report
+    that would show the run if it had begun.
     """
 
+    unanswered_at: float = 0.0
+    """Time at which the latest of these starts was given up."""
+
     is_superseded: bool = False
     """Whether the worker has responded that this run or a later one has ended."""
 
@@ -95,7 +99,7 @@
 
     @property
     def has_begun(self) -> bool:
-        """Return whether the run began on the worker and nothing else has ended it.
+        """Return whether the run began on the worker and no order has ended it.
 
         Only then does the end of the worker say anything about the run.
         """
@@ -157,8 +161,11 @@
     failed_reports: int = 0
     """Number of consecutive reports that failed."""
 
-    silent_since: float | None = None
-    """Time at which the first of them had failed; None while the worker reports."""
+    reset_at: float | None = None
+    """Time at which one of them found the connection ended; None without one.
+
+    The worker ended before, unless it reports again. Its silence tells no time.
+    """
 
     has_new_report: bool = False
     """Whether a report has arrived since the last pass of the owner.
@@ -234,8 +241,8 @@
         return not self.has_reported or bool(self.runs or self.unresolved_starts)
 
     def get_noticed_at(self, now: float) -> float:
-        """Return when a worker that has ended was first known to be silent or gone."""
-        return now if self.silent_since is None else self.silent_since
+        """Return the earliest time by which a worker that has ended had done so."""
+        return now if self.reset_at is None else self.reset_at
 
     def accepts_work(self, now: float) -> bool:
         """Return whether new runs may be sent to the worker."""
--- a/src/sesameladder/jobs/_scheduler.py
+++ b/src/sesameladder/jobs/_scheduler.py
@@ -266,7 +266,7 @@
             )
             self._withdraw_crashes(worker)
         worker.failed_reports = 0
-        worker.silent_since = None
+        worker.reset_at = None
         worker.has_new_report = True
         for subtask_id, number in worker.unresolved_starts:
             self.commands.append(StopCommand(worker_id, subtask_id, number))
@@ -295,14 +295,20 @@
                 subtask.not_before = min(subtask.not_before, now)
             self.log_event("worker_learned", worker=worker.id, running=len(running))
 
-    def apply_report_failure(self, worker_id: str, now: float) -> None:
-        """Record that a worker did not respond to the request for a report."""
+    def apply_report_failure(
+        self, worker_id: str, now: float, was_reset: bool = False
+    ) -> None:
+        """Record that a worker did not respond to the request for a report.
+
+        ``was_reset`` tells whether its connection has ended, as opposed to silence.
+        """
         worker = self.workers.get(worker_id)
         if worker is None:
             return
+        if was_reset and worker.reset_at is None:
+            worker.reset_at = now
         worker.failed_reports += 1
         if worker.failed_reports == 1:
-            worker.silent_since = now
             self.log_event("worker_silent", worker=worker_id)
         self._release_expired(worker, now)
 
@@ -312,28 +318,34 @@
         if worker is not None:
             self._remove_worker(worker, now, "worker_replaced")
 
-    def apply_incarnation_end(self, worker_id: str, born_ms: int, now: float) -> None:
+    def apply_incarnation_end(
+        self, worker_id: str, born_ms: int, now: float, is_planned: bool = False
+    ) -> None:
         """Release the runs of an incarnation that has ended.
 
         A ``born_ms`` of 0 stands for the incarnation that is known here.
+        ``is_planned`` tells that maintenance or a move of its VM has ended it.
         """
-        self.apply_incarnation_ends([(worker_id, born_ms)], now)
+        self.apply_incarnation_ends([(worker_id, born_ms, is_planned)], now)
 
     def apply_incarnation_ends(
-        self, incarnations: Iterable[tuple[str, int]], now: float
+        self, incarnations: Iterable[tuple[str, int, bool]], now: float
     ) -> None:
-        """Release the runs of incarnations that were noticed to have ended together."""
+        """Release the runs of incarnations that were noticed to have ended together.
+
+        Each is given by its worker, its ``born_ms`` and whether the end was planned.
+        """
         ended = []
-        for worker_id, born_ms in incarnations:
+        for worker_id, born_ms, is_planned in incarnations:
             worker = self.workers.get(worker_id)
             if worker is not None and born_ms in (0, worker.record.born_ms):
-                ended.append(worker)
+                ended.append((worker, is_planned))
             self.unread_workers.record_end(worker_id, born_ms)
-        for worker in ended:
-            if not worker.is_draining:
+        for worker, is_planned in ended:
+            if not is_planned and not worker.is_draining:
                 self.probation.record_crash(worker, worker.get_noticed_at(now))
-        for worker in ended:
-            self._remove_worker(worker, now, "worker_ended")
+        for worker, is_planned in ended:
+            self._remove_worker(worker, now, "worker_ended", is_planned)
 
     def apply_start_outcome(
         self,
@@ -383,7 +395,10 @@
             run.retry_at = now + START_RETRY_S
             if response_age_s is not None:
                 known_s = run.response_age_s
-                run.response_age_s = min(response_age_s, known_s or response_age_s)
+                run.response_age_s = (
+                    response_age_s if known_s is None else min(response_age_s, known_s)
+                )
+            run.unanswered_at = now
             return
         if outcome is StartOutcome.SUPERSEDED:
             # The run may have ended as done; the next report of the worker shows it.
@@ -943,7 +958,7 @@
         run = self._find_run(worker.id, status.subtask, status.run)
         if run is None:
             run = self._adopt(worker, status, now)
-        run.confirmed_at = run.confirmed_at or now
+        run.confirmed_at = min(run.confirmed_at or received_at, received_at)
         run.reported_at = received_at
         run.retry_at = None
         if status.progress_percent > run.progress_percent:
@@ -1034,6 +1049,8 @@
         for run in list(worker.runs.values()):
             if (run.subtask.id, run.number) in reported:
                 continue
+            if sent_at > run.unanswered_at:
+                run.response_age_s = None
             known_at = run.stop_confirmed_at or run.confirmed_at
             if known_at is not None and sent_at > known_at:
                 self._release(run, now)
@@ -1065,15 +1082,20 @@
             self.workers.pop(worker.id, None)
             self.log_event("worker_gone", worker=worker.id)
 
-    def _remove_worker(self, worker: WorkerView, now: float, event: str) -> None:
+    def _remove_worker(
+        self, worker: WorkerView, now: float, event: str, is_planned: bool = False
+    ) -> None:
         """Release all runs of an incarnation that has ended, and remove it."""
         self.log_event(
             event,
             worker=worker.id,
             runs=len(worker.runs),
             young_runs=[_name_run(run) for run in worker.runs.values() if run.is_young],
+            is_planned=is_planned or worker.is_draining,
         )
-        given_up = self._record_crashes(worker, now, has_ended=True)
+        given_up = []
+        if not is_planned:
+            given_up = self._record_crashes(worker, now, has_ended=True)
         pause_s = 0.0
         if event == "worker_reborn":
             pause_s = max(self.longest_lease_s, worker.lease_expires_at - now)
@@ -1095,11 +1117,14 @@
         A silent worker may be cut off, so its silence alone is not conclusive. Returns
         the subtasks to give up. A worker that drains may have been stopped on purpose.
         """
+        if worker.is_draining:
+            return []
+        lapsed = self._confirm_crashes(worker) if has_ended else []
         runs = [
             run for run in worker.runs.values() if self.runs.get(run.subtask.id) is run
         ]
-        if not runs or worker.is_draining:
-            return []
+        if not runs:
+            return [subtask for subtask in lapsed if must_give_up(subtask)]
         noticed_at = worker.get_noticed_at(now)
         self.probation.record_crash(worker, noticed_at)
         suspects = find_suspects(worker.runs.values(), self.probation.suspects)
@@ -1120,6 +1145,7 @@
                 worker.record.address,
                 is_suspect,
                 run in culprits,
+                has_begun=has_ended and run.has_begun,
                 is_certain=run in certain,
                 age_ms=_describe_age(run),
             )
@@ -1140,7 +1166,8 @@
                 noticed_s_ago=round(now - noticed_at, 3),
                 conclusive=bool(culprits),
             )
-        return [run.subtask for run in runs if must_give_up(run.subtask)]
+        counted = [*lapsed, *(run.subtask for run in runs)]
+        return [subtask for subtask in counted if must_give_up(subtask)]
 
     def _is_ended_by(self, run: Run, noticed_at: float) -> bool:
         """Return whether a crash noticed at a time has certainly ended a run."""
@@ -1148,6 +1175,22 @@
         expected_s = self.durations.estimate_duration(step.job.submission, step.number)
         return is_ended_by_crash(run, noticed_at, expected_s)
 
+    def _confirm_crashes(self, worker: WorkerView) -> list[Subtask]:
+        """Count the runs that were given up by silence, now that the worker has ended.
+
+        Returns their subtasks. Other runs of these may be under way.
+        """
+        subtasks = []
+        for run in worker.lapsed_runs:
+            subtask, job = run.subtask, run.subtask.step.job
+            crash = subtask.crashes.get(run.number)
+            if crash is not None and run.has_begun and job.id in self.job_table.jobs:
+                crash.has_begun = True
+                self.dirty_jobs[job.id] = job
+                subtasks.append(subtask)
+        worker.lapsed_runs.clear()
+        return subtasks
+
     def _withdraw_crashes(self, worker: WorkerView) -> None:
         """Take back the crashes counted for a worker that was only silent."""
         for run in worker.lapsed_runs:
--- a/src/sesameladder/jobs/tests/simulation.py
+++ b/src/sesameladder/jobs/tests/simulation.py
@@ -861,7 +861,8 @@
         worker.advance()
         if not worker.is_up or not self._can_reach(owner, worker):
             owner.silent_workers.add(worker.name)
-            owner.scheduler.apply_report_failure(worker.name, self.time)
+            has_ended = self._can_reach(owner, worker)
+            owner.scheduler.apply_report_failure(worker.name, self.time, has_ended)
             return
         if worker.born_ms != view.record.born_ms:
             owner.scheduler.apply_worker_replacement(worker.name, self.time)
--- a/src/sesameladder/node/_pool_task.py
+++ b/src/sesameladder/node/_pool_task.py
@@ -452,7 +452,7 @@
             self.writer.is_busy = False
             self._apply_write_result(message)
         elif isinstance(message, ReportFailed):
-            scheduler.apply_report_failure(message.worker, now)
+            scheduler.apply_report_failure(message.worker, now, message.was_reset)
         elif isinstance(message, IncarnationReplaced):
             scheduler.apply_worker_replacement(message.worker, now)
         elif isinstance(message, OwnerSuperseded):
@@ -547,7 +547,7 @@
         previous, self.ended_incarnations = self.ended_incarnations, set(orders.ended)
         self.scheduler.apply_incarnation_ends(
             (
-                (incarnation.worker, incarnation.born_ms)
+                (incarnation.worker, incarnation.born_ms, incarnation.is_planned)
                 for incarnation in self.ended_incarnations - previous
             ),
             now,
--- a/src/sesameladder/node/_records.py
+++ b/src/sesameladder/node/_records.py
@@ -177,7 +177,10 @@
         fields = check_object("the record", json.loads(value))
         ended = tuple(
             EndedIncarnation(
-                read_name(row, "worker"), read_number(row, "born_ms", MAX_TIME_MS)
+                read_name(row, "worker"),
+                read_number(row, "born_ms", MAX_TIME_MS),
+                # Absent in the records of older versions.
+                row.get("is_planned") is True,
             )
             for row in fields["ended"]
         )
--- a/src/sesameladder/node/_worker_link.py
+++ b/src/sesameladder/node/_worker_link.py
@@ -18,6 +18,7 @@
 from sesameladder.node._supervision import build_thread
 from sesameladder.node._telemetry import log_warning
 from sesameladder.platform import (
+    ConnectionLost,
     PlatformCallError,
     StaleOwner,
     WorkerClient,
@@ -56,6 +57,9 @@
     born_ms: int
     """Start of the incarnation that was asked."""
 
+    was_reset: bool = False
+    """Whether the worker's connection has ended, as opposed to its silence."""
+
 
 @dataclass(frozen=True, slots=True)
 class IncarnationReplaced:
@@ -306,9 +310,9 @@
                 self.post(OwnerSuperseded(name))
                 self.stopping.wait(RETRY_PAUSE_S)
                 continue
-            except PlatformCallError:
+            except PlatformCallError as error:
                 is_same_incarnation = False
-                self._record_report_failure()
+                self._record_report_failure(isinstance(error, ConnectionLost))
                 self.stopping.wait(RETRY_PAUSE_S)
                 continue
             except Exception:
@@ -329,10 +333,11 @@
             self.post(message)
             self.stopping.wait(REPORT_PAUSE_S)
 
-    def _record_report_failure(self) -> None:
+    def _record_report_failure(self, was_reset: bool = False) -> None:
         self.is_lease_extension_suspended = True
         self.clock_offset_s = None
-        self.post(ReportFailed(self.record.worker, self.record.born_ms))
+        worker, born_ms = self.record.worker, self.record.born_ms
+        self.post(ReportFailed(worker, born_ms, was_reset))
 
 
 def compute_lease_time(lease_ms: int) -> float:
--- a/src/sesameladder/platform/_errors.py
+++ b/src/sesameladder/platform/_errors.py
@@ -32,6 +32,10 @@
     """The call was sent, but no response tells its effect; it may take one later."""
 
 
+class ConnectionLost(OutcomeUnknown):
+    """The connection ended before a response; its peer has ended, or has reset it."""
+
+
 class UnexpectedResponse(PlatformCallError):
     """The response is malformed, or its status is 400 or 403."""
 
--- a/src/sesameladder/platform/_http.py
+++ b/src/sesameladder/platform/_http.py
@@ -9,12 +9,15 @@
     ConnectTimeoutError,
     HTTPError,
     LocationValueError,
+    MaxRetryError,
     NewConnectionError,
+    ProtocolError,
 )
 
 from sesameladder.platform._errors import (
     MALFORMED,
     CallNotSent,
+    ConnectionLost,
     OutcomeUnknown,
     UnexpectedResponse,
 )
@@ -77,8 +80,9 @@
         """Send one request and return its response, whatever the status.
 
         Raises ``CallNotSent`` if no connection was established, ``OutcomeUnknown``
-        if the call may have been executed, and ``UnexpectedResponse`` if the body is
-        not JSON. There are no retries.
+        if the call may have been executed (``ConnectionLost`` if the connection has
+        ended), and ``UnexpectedResponse`` if the body is not JSON. There are no
+        retries.
         """
         connection_pool = self.connection_pool
         sent_headers = {"Content-Type": "application/json", **(headers or {})}
@@ -100,7 +104,8 @@
         except HTTPError as error:
             TRAFFIC.add(len(data or ""), 0)
             self._drop_connections(connection_pool)
-            raise OutcomeUnknown(f"{self.address} did not answer: {error}") from error
+            kind = ConnectionLost if _is_reset(error) else OutcomeUnknown
+            raise kind(f"{self.address} did not answer: {error}") from error
         TRAFFIC.add(len(data or ""), len(response.data))
         return HttpResponse(response.status, _decode_body(response.data, self.address))
 
@@ -129,6 +134,12 @@
         failed.close()
 
 
+def _is_reset(error: HTTPError) -> bool:
+    """Return whether the peer has ended the connection, as opposed to its silence."""
+    cause = error.reason if isinstance(error, MaxRetryError) else error
+    return isinstance(cause, ProtocolError)
+
+
 def _decode_body(data: bytes, address: str) -> dict[str, Any]:
     if not data:
         return {}
