Start suspects of a busy job

A suspect is started only once its announcement is stored. Callers could see a subtask wait for as long as its job's progress changed between each write and its result. Cause: the result of a write counted for nothing if the job had changed since. Change: what a write contains is recorded when it is encoded. Result: test_suspect_of_a_busy_job_is_started failed before.

--- a/src/sesameladder/jobs/_job.py
+++ b/src/sesameladder/jobs/_job.py
@@ -60,6 +60,9 @@
 
     is_announcement_stored: bool = False
 
+    encoded_run: int = 0
+    """Number of the announced run in the progress that is being stored; 0 for none."""
+
     @property
     def failures(self) -> int:
         """Return the number of failed runs."""
--- a/src/sesameladder/jobs/_scheduler.py
+++ b/src/sesameladder/jobs/_scheduler.py
@@ -540,6 +540,8 @@
         """Return the jobs whose progress has to be stored, and clear the set."""
         jobs = list(self.dirty_jobs.values())
         self.dirty_jobs.clear()
+        for job in jobs:
+            self.record_encoded(job)
         return jobs
 
     def get_applied_ends(self) -> dict[tuple[str, int], int]:
@@ -552,12 +554,17 @@
             for worker in self.workers.values()
         }
 
+    def record_encoded(self, job: Job) -> None:
+        """Record that the progress of a job is about to be stored as it is now."""
+        for subtask in self.probation.suspects.values():
+            if subtask.step.job is job:
+                subtask.encoded_run = subtask.announced_run
+
     def record_stored(self, job: Job) -> None:
-        """Record that the progress of a job, as last taken, is in the store."""
-        if job.id in self.dirty_jobs:
-            return
+        """Record that the progress of a job, as last encoded, is in the store."""
         for subtask in self.probation.suspects.values():
-            if subtask.step.job is job and subtask.announced_run:
+            is_encoded = subtask.encoded_run == subtask.announced_run
+            if subtask.step.job is job and subtask.announced_run and is_encoded:
                 subtask.is_announcement_stored = True
 
     def has_unstored_announcements(self) -> bool:
--- a/src/sesameladder/jobs/tests/test_evidence_of_crashes.py
+++ b/src/sesameladder/jobs/tests/test_evidence_of_crashes.py
@@ -22,7 +22,7 @@
     WorkerReport,
 )
 from sesameladder.jobs.tests.simulation import Simulation, play_jobs, verify_outcome
-from sesameladder.jobs.tests.test_probation import SOUND, Pool
+from sesameladder.jobs.tests.test_probation import CRASHING, SOUND, Pool
 from sesameladder.standins.system import SimulatedWork
 
 SEEDS = range(6)
@@ -303,3 +303,25 @@
     (subtask,) = pool.scheduler.job_table.jobs[SOUND].iterate_known()
     assert subtask.crashes == {}
     assert SUBTASK not in pool.scheduler.runs
+
+
+def test_suspect_of_a_busy_job_is_started() -> None:
+    """Guards against an announcement that is never taken as stored.
+
+    The progress of the job changes between each write and its result.
+    """
+    pool = Pool(workers=4)
+    pool.crashing.add(CRASHING)
+    pool.submit(CRASHING)
+    while not pool.crashed:
+        pool.step()
+    pool.is_storing = False
+    job = pool.scheduler.job_table.jobs[CRASHING]
+    for _ in range(200):
+        pool.step()
+        for taken in pool.scheduler.take_dirty_jobs():
+            pool.scheduler.dirty_jobs[job.id] = job
+            pool.scheduler.record_stored(taken)
+        if len(pool.starts) > 1:
+            return
+    raise AssertionError("the suspect was not started within 2 s")
--- a/src/sesameladder/node/_pool_task.py
+++ b/src/sesameladder/node/_pool_task.py
@@ -783,6 +783,7 @@
         jobs = jobs[: MAX_BATCH_ENTRIES - len(puts)]
         for job in jobs:
             del dirty_jobs[job.id]
+            self.scheduler.record_encoded(job)
             puts.append(self._build_progress_put(job))
             if job.state.is_final:
                 self._schedule_removal(job.id)
