Count the upkeeps that the last holder of the fleet role ordered

Cause, by tests: upkeep/N was written with the next change of drains only, after the orders. A holder that ended before that left the VMs in fleet/ordered, which did not say which of them were ordered for maintenance, so the next holder ordered beyond the wave's limit. Maintenance of spare VMs changes no drains, so it stayed unwritten for longer. An order without a response was not counted even by its own holder.

Change: fleet/ordered, stored before the orders, names the wave of each maintenance order, and upkeep/N is written in the same transaction. The next holder counts these VMs towards the limit until the VM list shows them in maintenance, or up for over 1 s; the latter are ordered again, so that no wave ends without a VM whose order was recorded but not sent. An order without a response is treated likewise. No write more. Earlier versions ignore the new field; a record without it names no waves.

The planner's new cases are new functions.

--- a/src/sesameladder/fleet/_maintenance.py
+++ b/src/sesameladder/fleet/_maintenance.py
@@ -51,6 +51,12 @@
     draining_since: dict[str, float] = field(default_factory=dict)
     """Time at which the drain of a VM's worker began, by VM."""
 
+    uncertain_since: dict[str, float] = field(default_factory=dict)
+    """Time from which it isn't known whether maintenance was ordered, by VM.
+
+    Such a VM counts as in maintenance, but not as maintained.
+    """
+
 
 class MaintenancePlanner:
     """Plans the next steps of all waves that haven't ended."""
@@ -65,6 +71,33 @@
         progress = self.progress.setdefault(wave, WaveProgress())
         progress.started_at[vm] = now
         progress.draining_since.pop(vm, None)
+        progress.uncertain_since.pop(vm, None)
+
+    def record_uncertain_start(self, wave: int, vm: str, now: float) -> None:
+        """Record that the maintenance of a VM may have been ordered.
+
+        ``now`` is steady time in seconds, after which no such order is sent. The VM
+        counts towards the wave's limit until the VM list shows whether it is in
+        maintenance. It is ordered again unless that was seen.
+        """
+        progress = self.progress.setdefault(wave, WaveProgress())
+        if vm not in progress.started_at:
+            progress.uncertain_since[vm] = now
+
+    def list_unsettled_starts(self) -> dict[str, int]:
+        """Return the wave of each VM that counts as in maintenance, by VM."""
+        return {
+            vm: number
+            for number, progress in self.progress.items()
+            for vm in (*progress.started_at, *progress.uncertain_since)
+            if vm not in progress.returned_vms
+        }
+
+    def list_uncertain_vms(self) -> list[str]:
+        """Return the VMs of which it isn't known whether maintenance was ordered."""
+        return [
+            vm for progress in self.progress.values() for vm in progress.uncertain_since
+        ]
 
     def plan(
         self,
@@ -91,13 +124,20 @@
             for pool, size in sizes.items()
         }
         workers_to_drain: dict[str, list[str]] = {}
+        # Of all waves: one may be listed no more.
+        for progress in self.progress.values():
+            self._settle_uncertain_starts(progress, vms, now)
         for wave in sorted(waves, key=lambda wave: wave.number):
             progress = self.progress.setdefault(wave.number, WaveProgress())
             self._record_returns(progress, vms, now)
             pending_vms = [
                 vm for vm in wave.vms if vm in vms and vm not in progress.started_at
             ]
-            in_maintenance_count = len(progress.started_at) - len(progress.returned_vms)
+            in_maintenance_count = (
+                len(progress.started_at)
+                - len(progress.returned_vms)
+                + len(progress.uncertain_since)
+            )
             if not pending_vms and not in_maintenance_count:
                 plan.finished_waves.append(wave.number)
                 continue
@@ -146,10 +186,16 @@
                 unavailable_by_pool.get(vms[name].pool, 0),
             ),
         )
+        for name in progress.uncertain_since:
+            vm = vms[name]
+            if vm.phase is VmPhase.UP and vm.pool not in spare_pools:
+                progress.draining_since.setdefault(name, now)
+                workers_to_drain.setdefault(vm.pool, []).append(vm.worker)
+        uncertain = set(self.list_uncertain_vms())
         draining_count = 0
         for name in ordered_names:
             vm = vms[name]
-            if vm.phase is not VmPhase.UP:
+            if vm.phase is not VmPhase.UP or name in uncertain:
                 continue
             is_spare = vm.pool in spare_pools
             since = progress.draining_since.get(name)
@@ -178,20 +224,37 @@
             progress.draining_since.setdefault(name, now)
             workers_to_drain.setdefault(vm.pool, []).append(vm.worker)
 
+    def _settle_uncertain_starts(
+        self, progress: WaveProgress, vms: dict[str, Vm], now: float
+    ) -> None:
+        for name, since in list(progress.uncertain_since.items()):
+            vm = vms.get(name)
+            if vm is not None and vm.phase is VmPhase.IN_MAINTENANCE:
+                progress.started_at[name] = since
+                progress.draining_since.pop(name, None)
+                del progress.uncertain_since[name]
+            elif _has_returned(vm, since, now):
+                # Whether the VM was maintained or never ordered isn't known.
+                del progress.uncertain_since[name]
+
     def _record_returns(
         self, progress: WaveProgress, vms: dict[str, Vm], now: float
     ) -> None:
         for name, since in progress.started_at.items():
             if name in progress.returned_vms:
                 continue
-            vm = vms.get(name)
-            # For half a second after the order the list may still show the VM as up,
-            # although it is about to go down. The check allows 1 s.
-            is_up = vm is not None and vm.phase is VmPhase.UP and now - since > 1.0
-            if vm is None or is_up or now - since > RETURN_TIMEOUT_S:
+            if _has_returned(vms.get(name), since, now):
                 progress.returned_vms.add(name)
 
 
+def _has_returned(vm: Vm | None, since: float, now: float) -> bool:
+    """Return whether a VM counts as in maintenance no more."""
+    # For half a second after the order the list may still show the VM as up,
+    # although it is about to go down. The check allows 1 s.
+    is_up = vm is not None and vm.phase is VmPhase.UP and now - since > 1.0
+    return vm is None or is_up or now - since > RETURN_TIMEOUT_S
+
+
 def limit_unavailable_vms(size: int, idle: int) -> int:
     """Return how many VMs of a pool may drain or be down for maintenance at a time.
 
--- a/src/sesameladder/fleet/_model.py
+++ b/src/sesameladder/fleet/_model.py
@@ -110,6 +110,9 @@
     born_ms: int = 0
     """Start of the worker's incarnation in Unix milliseconds; 0 if unknown."""
 
+    wave: int | None = None
+    """Number of the wave if the order is for maintenance, else None."""
+
 
 @dataclass(frozen=True, slots=True)
 class PoolOrders:
--- a/src/sesameladder/fleet/tests/test_maintenance.py
+++ b/src/sesameladder/fleet/tests/test_maintenance.py
@@ -157,3 +157,71 @@
         away = Counter(vm.pool for vm in vms.values() if vm.phase is not VmPhase.UP)
         assert all(count <= max(1, size // 4) for count in away.values())
     pytest.fail(f"{len(planner.progress[1].started_at)} of {len(waved)} VMs maintained")
+
+
+@pytest.mark.parametrize("pool", ["chair", "spare"])
+@pytest.mark.parametrize(
+    ("phase", "now", "is_counted", "is_maintained"),
+    [
+        (VmPhase.UP, 0.9, True, False),
+        (VmPhase.UP, 1.1, False, False),
+        (VmPhase.IN_MAINTENANCE, 0.2, True, True),
+        (VmPhase.IN_MAINTENANCE, 1.9, True, True),
+        (VmPhase.DOWN, 7.9, True, False),
+        (VmPhase.DOWN, 8.1, False, False),
+        (VmPhase.MOVING, 1.9, True, False),
+    ],
+)
+def test_uncertain_maintenance_counts_but_is_not_taken_for_done(
+    pool: str, phase: VmPhase, now: float, is_counted: bool, is_maintained: bool
+) -> None:
+    """Guards against a wave over its limit, and one that ends without a VM.
+
+    An earlier holder of the fleet role had recorded the order; whether it was sent
+    isn't known.
+    """
+    vms = build_vms(2, pool)
+    first, second = vms
+    drained = frozenset(vm.worker for vm in vms.values())
+    planner = MaintenancePlanner()
+    planner.record_uncertain_start(1, first, 0.0)
+    wave = build_wave(vms, 1)
+    vms[first] = replace(vms[first], phase=phase)
+    plan = planner.plan([wave], vms, drained, drained, SPARE, now)
+    expected = [] if is_counted else [first if phase is VmPhase.UP else second]
+    assert plan.maintenance_starts == [(name, 1) for name in expected]
+    assert list(planner.list_unsettled_starts()) == ([first] if is_counted else [])
+    # All VMs are up again, and the other one has been maintained.
+    planner.record_maintenance_start(1, second, now)
+    vms = build_vms(2, pool)
+    plan = planner.plan([wave], vms, drained, drained, SPARE, 20.0)
+    assert plan.finished_waves == ([1] if is_maintained else [])
+    assert plan.maintenance_starts == ([] if is_maintained else [(first, 1)])
+
+
+def test_vm_of_uncertain_maintenance_is_ordered_for_no_other_wave() -> None:
+    """Guards against a VM that is maintained for one wave and counts for another."""
+    vms = build_vms(1, "spare")
+    planner = MaintenancePlanner()
+    planner.record_uncertain_start(1, "m-spare-0", 0.0)
+    waves = [replace(build_wave(vms), number=number) for number in (1, 2)]
+    plan = planner.plan(waves, vms, NO_WORKERS, NO_WORKERS, SPARE, 0.5)
+    assert plan.maintenance_starts == []
+
+
+def test_uncertain_maintenance_keeps_its_worker_drained() -> None:
+    """Guards against work that is started on a VM which is about to go down."""
+    vms = build_vms(3)
+    planner = MaintenancePlanner()
+    planner.record_uncertain_start(1, "m-chair-1", 0.0)
+    plan = planner.plan([build_wave(vms)], vms, NO_WORKERS, NO_WORKERS, SPARE, 0.5)
+    assert plan.workers_to_drain == {"chair": ("i-chair-1",)}
+
+
+def test_uncertain_maintenance_of_a_wave_that_is_listed_no_more_is_settled() -> None:
+    """Guards against a VM that counts as in maintenance for good."""
+    vms = build_vms(1, "spare")
+    planner = MaintenancePlanner()
+    planner.record_uncertain_start(1, "m-spare-0", 0.0)
+    planner.plan([], vms, NO_WORKERS, NO_WORKERS, SPARE, 1.5)
+    assert planner.list_uncertain_vms() == []
--- a/src/sesameladder/node/_fleet_task.py
+++ b/src/sesameladder/node/_fleet_task.py
@@ -1,10 +1,12 @@
 """Performs the fleet role: orders maintenance and moves of VMs."""
 
 import json
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from concurrent.futures import ThreadPoolExecutor
+from dataclasses import replace
 from functools import partial
 from threading import Event
+from types import MappingProxyType
 
 from sesameladder.fleet import (
     EndedIncarnation,
@@ -49,6 +51,8 @@
 from sesameladder.platform import (
     WAVE_STATUS_PREFIX,
     WORKER_PREFIX,
+    CallNotSent,
+    CallRejected,
     Conflict,
     OrderOutcome,
     PlatformCallError,
@@ -214,6 +218,10 @@
             for vm in ordered_vms:
                 self.ordered_vms[vm.name] = vm
                 self.incarnations.restore(vm)
+                if vm.wave is not None and vm.wave not in self.finished_waves:
+                    self.maintenance_planner.record_uncertain_start(
+                        vm.wave, vm.name, read_steady_clock()
+                    )
         elif item.key.startswith(MAINTENANCE_PREFIX):
             wave = int(item.key.removeprefix(MAINTENANCE_PREFIX))
             now = read_steady_clock()
@@ -388,33 +396,42 @@
         revision = self._commit((Put(BASE_SIZES_KEY, value),))
         self.are_base_sizes_stored = revision is not None
 
-    def _record_orders(self, names: list[str]) -> bool:
+    def _record_orders(
+        self, names: list[str], waves: Mapping[str, int] = MappingProxyType({})
+    ) -> bool:
         """Store which VMs are about to be ordered; return whether that succeeded.
 
-        The next holder of the role waits for these VMs only, and tells the owners of
-        pools which of their workers have ended.
+        ``waves`` holds the wave of each VM whose order is for maintenance. The next
+        holder of the role waits for these VMs only, tells the owners of pools which of
+        their workers have ended, and counts the VMs in maintenance.
         """
         now = read_steady_clock()
         planned = [name for name in names if self.order_gap.may_order(name, now)]
-        if any(self.ordered_vms.get(n) != self._describe_order(n) for n in planned):
+        waves = {**self.maintenance_planner.list_unsettled_starts(), **waves}
+        described = {name: self._describe_order(name, waves) for name in planned}
+        if any(self.ordered_vms.get(name) != vm for name, vm in described.items()):
             self.order_gap.discard_record()
-        vms = self.order_gap.list_to_record(planned, now)
+        uncertain = self.maintenance_planner.list_uncertain_vms()
+        vms = self.order_gap.list_to_record([*planned, *uncertain], now)
         if vms is None:
             return True
-        self.ordered_vms = {name: self._describe_order(name) for name in vms}
+        self.ordered_vms = {name: self._describe_order(name, waves) for name in vms}
         value = encode_ordered_vms(self.role.term, list(self.ordered_vms.values()))
-        if self._commit((Put(ORDERED_VMS_KEY, value),)) is None:
+        # A VM whose order leaves this record is in that of its wave from now on.
+        puts = (Put(ORDERED_VMS_KEY, value), *self._build_maintenance_puts())
+        if self._commit(puts) is None:
             return False
         self.order_gap.record_stored(vms)
         return True
 
-    def _describe_order(self, name: str) -> OrderedVm:
+    def _describe_order(self, name: str, waves: Mapping[str, int]) -> OrderedVm:
         """Return what runs on a VM, or ran there before it was ordered."""
         vm = self.vms.get(name)
         if vm is None or not vm.worker:
-            return self.ordered_vms.get(name, OrderedVm(name))
+            earlier = self.ordered_vms.get(name, OrderedVm(name))
+            return replace(earlier, wave=waves.get(name))
         born_ms = self.incarnations.started_at_ms.get(vm.worker, 0)
-        return OrderedVm(name, vm.pool, vm.worker, born_ms)
+        return OrderedVm(name, vm.pool, vm.worker, born_ms, waves.get(name))
 
     def _send_orders(
         self, maintenance_starts: list[tuple[str, int]], moves: list[tuple[str, str]]
@@ -426,7 +443,7 @@
         """
         names = [name for name, _ in maintenance_starts]
         names += [name for name, _ in moves]
-        if not self._record_orders(names) or not names:
+        if not self._record_orders(names, dict(maintenance_starts)) or not names:
             return
         orders = [
             *(partial(self._start_maintenance, *row) for row in maintenance_starts),
@@ -527,16 +544,23 @@
         vm = self.vms[name]
         if not self._prepare_order(vm):
             return
+        planner = self.maintenance_planner
         now = read_steady_clock()
-        outcome = self.vm_client.start_maintenance(
-            name, wave, self.node, self.role.fence
-        )
+        try:
+            outcome = self.vm_client.start_maintenance(
+                name, wave, self.node, self.role.fence
+            )
+        except (CallNotSent, CallRejected):
+            raise
+        except Exception:
+            planner.record_uncertain_start(wave, name, read_steady_clock())
+            raise
         self.role.record_pass()
         log_event(
             "upkeep_ordered", vm=name, wave=wave, pool=vm.pool, outcome=outcome.value
         )
         if outcome is OrderOutcome.DONE:
-            self.maintenance_planner.record_maintenance_start(wave, name, now)
+            planner.record_maintenance_start(wave, name, now)
 
     def _prepare_order(self, vm: Vm) -> bool:
         """Read what an order needs; return whether this process may order now."""
--- a/src/sesameladder/node/_records.py
+++ b/src/sesameladder/node/_records.py
@@ -187,8 +187,11 @@
 def encode_ordered_vms(term: int, vms: list[OrderedVm]) -> bytes:
     """Encode the VMs that the fleet role's holder of a term orders."""
     workers = {vm.name: [vm.pool, vm.worker, vm.born_ms] for vm in vms if vm.worker}
+    waves = {vm.name: vm.wave for vm in vms if vm.wave is not None}
     names = [vm.name for vm in vms]
-    return _encode_json({"term": term, "vms": names, "workers": workers})
+    return _encode_json(
+        {"term": term, "vms": names, "workers": workers, "waves": waves}
+    )
 
 
 def decode_ordered_vms(value: bytes) -> tuple[int, tuple[OrderedVm, ...]]:
@@ -198,6 +201,7 @@
         term = check_number("term", fields["term"], MAX_COUNTER)
         # Absent in the records of older versions.
         workers = check_object("workers", fields.get("workers") or {})
+        waves = check_object("waves", fields.get("waves") or {})
         vms = []
         for name in _decode_names(fields, "vms"):
             pool, worker, born_ms = workers.get(name) or ("", "", 0)
@@ -205,7 +209,10 @@
                 check_name("a pool", pool)
                 check_name("a worker", worker)
             born_ms = check_number("its start", born_ms, MAX_TIME_MS)
-            vms.append(OrderedVm(name, pool, worker, born_ms))
+            wave = waves.get(name)
+            if wave is not None:
+                wave = check_number("its wave", wave, MAX_COUNTER)
+            vms.append(OrderedVm(name, pool, worker, born_ms, wave))
         return term, tuple(vms)
 
 
--- a/src/sesameladder/node/tests/test_fleet_writes.py
+++ b/src/sesameladder/node/tests/test_fleet_writes.py
@@ -2,6 +2,7 @@
 
 import json
 from collections.abc import Iterator
+from contextlib import suppress
 from dataclasses import replace
 
 import pytest
@@ -18,6 +19,7 @@
 )
 from sesameladder.jobs import Configuration, Resources
 from sesameladder.jobs._model import PoolPolicy
+from sesameladder.node import _fleet_task
 from sesameladder.node._clock import read_steady_clock
 from sesameladder.node._fleet_task import FleetTask
 from sesameladder.node._keys import (
@@ -31,6 +33,7 @@
 from sesameladder.node._roles import HeldRole
 from sesameladder.platform import (
     WAVE_STATUS_PREFIX,
+    CallNotSent,
     Committed,
     Conflict,
     OrderOutcome,
@@ -401,6 +404,158 @@
     assert recorded in decode_ordered_vms(item.value)[1]
 
 
+WAVE = Wave(1, ("m-1", "m-2", "m-3", "m-4"), 25.0, 2)
+STEP_S = 0.2
+
+
+class MaintainedVms(FakeVmClient):
+    """VMs whose maintenance the list shows 0.4 s after its order, for 1.6 s.
+
+    Fails a test in which more VMs than the wave allows are in maintenance.
+    """
+
+    def __init__(self, pool: str) -> None:
+        super().__init__()
+        self.pool = pool
+        self.now = 0.0
+        self.began_at: dict[str, list[float]] = {}
+        self.faults: dict[str, str] = {}
+        """Fault of the next order, by VM: ``not sent`` or ``response lost``."""
+
+    def list_vms(self) -> VmList:
+        vms = []
+        for name in WAVE.vms:
+            age = self.now - max(self.began_at.get(name, [-9.0]))
+            phase = VmPhase.IN_MAINTENANCE if 0.4 <= age < 2.0 else VmPhase.UP
+            vms.append(replace(build_vm(name, self.pool), phase=phase))
+        return VmList(vms)
+
+    def start_maintenance(
+        self, vm: str, wave: int, holder: str, fence: int
+    ) -> OrderOutcome:
+        assert wave == WAVE.number
+        fault = self.faults.pop(vm, "")
+        if fault == "not sent":
+            raise CallNotSent("no connection")
+        away = [n for n, began in self.began_at.items() if self.now - began[-1] < 2.0]
+        assert vm not in away
+        assert len(away) < WAVE.max_in_maintenance, f"{vm} beside {away}"
+        self.began_at.setdefault(vm, []).append(self.now)
+        if fault == "response lost":
+            raise OutcomeUnknown("no response")
+        return super().start_maintenance(vm, wave, holder, fence)
+
+
+def play_wave(task: FleetTask, client: MaintainedVms, steps: int = 150) -> None:
+    """Step until the wave has ended, with all its VMs maintained."""
+    for _ in range(steps):
+        with suppress(OutcomeUnknown, CallNotSent):
+            task._step([WAVE])
+        if WAVE.number in task.finished_waves:
+            break
+        client.now += STEP_S
+    assert WAVE.number in task.finished_waves
+    assert set(client.began_at) == set(WAVE.vms)
+
+
+@pytest.fixture
+def maintained_vms(
+    store: LossyStore, monkeypatch: pytest.MonkeyPatch, request: pytest.FixtureRequest
+) -> MaintainedVms:
+    """Return VMs of a pool, all drained, on whose clock tasks run."""
+    client = MaintainedVms(request.param)
+    monkeypatch.setattr(_fleet_task, "read_steady_clock", lambda: client.now)
+    drained = frozenset(build_vm(name, "").worker for name in WAVE.vms)
+    monkeypatch.setattr(FleetTask, "_list_drained", lambda *_: (drained, drained))
+    return client
+
+
+@pytest.mark.parametrize("maintained_vms", ["chair", "spare"], indirect=True)
+@pytest.mark.parametrize(
+    "end", ["ordered", "response lost", "not sent", "recorded", "one of two"]
+)
+def test_next_holder_counts_maintenance_of_the_last_one(
+    store: LossyStore, maintained_vms: MaintainedVms, end: str
+) -> None:
+    """Guards against a wave's VMs in maintenance beyond its limit.
+
+    The holder of the role ended after its orders and before its next write, and the
+    next one took the VMs for not maintained. Nor may it take a VM for maintained whose
+    order was recorded but not sent.
+    """
+    client = maintained_vms
+    earlier = build_fleet_task(store)
+    earlier.vm_client = client
+    earlier.vms = {vm.name: vm for vm in client.list_vms().vms}
+    starts = [("m-1", 1), ("m-2", 1)]
+    if end == "recorded":
+        earlier.stop()
+    elif end == "one of two":
+        client.faults["m-2"] = "not sent"
+    elif end != "ordered":
+        client.faults |= dict.fromkeys(["m-1", "m-2"], end)
+    with suppress(OutcomeUnknown, CallNotSent):
+        earlier._send_orders(starts, [])
+    item = store.read(ORDERED_VMS_KEY)
+    assert item is not None
+    recorded = {vm.name for vm in decode_ordered_vms(item.value)[1]}
+    assert recorded == {"m-1", "m-2"}
+    client.now += STEP_S
+    following = build_fleet_task(store, 2)
+    following.vm_client = client
+    following._load_state()
+    play_wave(following, client)
+
+
+@pytest.mark.parametrize("maintained_vms", ["chair", "spare"], indirect=True)
+@pytest.mark.parametrize("fault", ["response lost", "not sent"])
+@pytest.mark.parametrize("holders", [1, 3])
+def test_lost_maintenance_orders_keep_the_limit(
+    store: LossyStore, maintained_vms: MaintainedVms, fault: str, holders: int
+) -> None:
+    """Guards against maintenance that isn't counted since its response was lost.
+
+    Nor may its count be lost with the holders that follow each other at each step.
+    """
+    client = maintained_vms
+    client.faults = dict.fromkeys(WAVE.vms, fault)
+    for term in range(1, holders + 1):
+        task = build_fleet_task(store, term)
+        task.vm_client = client
+        task._load_state()
+        if term < holders:
+            with suppress(OutcomeUnknown, CallNotSent):
+                task._step([WAVE])
+            client.now += STEP_S
+    play_wave(task, client)
+
+
+@pytest.mark.parametrize("maintained_vms", ["chair"], indirect=True)
+def test_maintenance_is_stored_without_more_writes(
+    store: LossyStore, maintained_vms: MaintainedVms
+) -> None:
+    """Guards against a fleet role that writes once for each order.
+
+    Two writes suffice for the record and the drains, one for the wave's status and one
+    for the base sizes. A step without a new order needs none.
+    """
+    task = build_fleet_task(store)
+    task.vm_client = maintained_vms
+    task._load_state()
+    revisions = []
+    for _ in range(3):
+        task._step([WAVE])
+        revisions.append(task.sequence_revision)
+    assert maintained_vms.ordered == ["m-1", "m-2"]
+    assert revisions[1] == revisions[2]
+    item = store.read(ORDERED_VMS_KEY)
+    assert item is not None
+    assert {vm.name: vm.wave for vm in decode_ordered_vms(item.value)[1]} == {
+        "m-1": 1,
+        "m-2": 1,
+    }
+
+
 @pytest.mark.parametrize(
     ("value", "expected"),
     [
@@ -409,6 +564,12 @@
             b'{"term": 1, "vms": ["m-1"], "workers": {"m-1": ["p", "i-1", 3]}}',
             OrderedVm("m-1", "p", "i-1", 3),
         ),
+        (
+            b'{"term": 1, "vms": ["m-1"], "waves": {"m-1": 7, "m-2": 8}, "new": 1}',
+            OrderedVm("m-1", wave=7),
+        ),
+        (b'{"term": 1, "vms": ["m-1"], "waves": {"m-1": "x"}}', None),
+        (b'{"term": 1, "vms": ["m-1"], "waves": [3]}', None),
         (b'{"term": 1, "vms": ["m-1"], "workers": {"m-1": ["p", "i-1"]}}', None),
         (b'{"term": 1, "vms": ["m-1"], "workers": {"m-1": [3, "i-1", 3]}}', None),
         (b'{"term": 1, "vms": ["m-1"], "workers": {"m-1": ["p", "i-1", "x"]}}', None),
