--- a/src/sesameladder/jobs/tests/test_incarnations.py
+++ b/src/sesameladder/jobs/tests/test_incarnations.py
@@ -136,6 +136,8 @@
     assert schedule_stored(scheduler, 1.1) == []
     running = (RunStatus(subtask, 1, "", 50),) if is_present else ()
     scheduler.apply_report("i-1", WorkerReport(0, 900, running, ()), 1.1, 1.2)
+    # A suspect is started right after a report of its worker only.
+    scheduler.apply_report("i-2", WorkerReport(0, 1, (), ()), 1.1, 1.2)
     commands = schedule_stored(scheduler, 1.2)
     assert len(commands) == (0 if is_present else 1)
     assert scheduler.runs[subtask].number == (1 if is_present else 2)
