Eject no worker for long-running subtasks that fail elsewhere too

Callers saw accepted sound jobs that were not started for 26 to 35 s beside a nearly empty pool. Cause: each failed run counted against its worker. A long-running subtask is started again however often it fails, so a few that end failed at once had all workers of their pool ejected in turn, and a worker ejected again after one further failure.

Change: the early failures of a long-running step count once, against the worker of the first. When another worker fails the step too, the count is taken back, and with it an ejection that has fewer than three failures left. A run that lasted 10 s before it failed, or that this owner doesn't know, counts against no worker. The failures of other steps count as before, since attempts bound them. A new owner counts anew: one failure for each failing step, until it has failed on a second worker.

--- a/src/sesameladder/jobs/_job.py
+++ b/src/sesameladder/jobs/_job.py
@@ -93,6 +93,7 @@
     __slots__ = (
         "checkpoint",
         "done_mask",
+        "failed_workers",
         "is_open",
         "job",
         "known",
@@ -141,6 +142,9 @@
         A step is ranked while it has waiting subtasks.
         """
 
+        self.failed_workers: set[str] = set()
+        """Workers on which a long-running step has failed early, by identifier."""
+
         self.checkpoint = ""
         """Latest checkpoint of a gang; a checkpoint of any member restores all."""
 
--- a/src/sesameladder/jobs/_runs.py
+++ b/src/sesameladder/jobs/_runs.py
@@ -183,6 +183,14 @@
     """Number of the last end of a run that was applied."""
 
     consecutive_failures: int = 0
+    """Number of failures that count against the worker since the last success."""
+
+    doubtful_steps: set[tuple[str, int, int]] = field(default_factory=set)
+    """Keys of the long-running steps that one of these failures is of.
+
+    Each is taken back if the step fails on another worker too.
+    """
+
     ejected_until: float = 0.0
     """Time until which the worker gets no starts after consecutive failures."""
 
@@ -284,20 +292,35 @@
     def record_success(self) -> None:
         """Record a successful run; it resets the count of failures."""
         self.consecutive_failures = 0
+        self.doubtful_steps.clear()
         self.ejections = 0
 
     def record_failure(self, now: float) -> bool:
-        """Record a failed run; returns True if the worker is ejected."""
+        """Record a failed run; returns True if the worker is ejected.
+
+        After an ejection a single failure ejects the worker again.
+        """
         self.consecutive_failures += 1
         if self.consecutive_failures < FAILURES_UNTIL_EJECTED:
             return False
         pause_s = min(MAX_EJECTION_S, FIRST_EJECTION_S * 2**self.ejections)
         self.ejected_until = now + pause_s
         self.ejections += 1
-        # A single failure after the ejection ejects the worker again.
-        self.consecutive_failures = FAILURES_UNTIL_EJECTED - 1
         return True
 
+    def retract_failure(self, step: tuple[str, int, int], now: float) -> None:
+        """Take back the failure of a long-running step that fails elsewhere too.
+
+        Ends an ejection that the remaining failures don't justify.
+        """
+        if step not in self.doubtful_steps:
+            return
+        self.doubtful_steps.remove(step)
+        self.consecutive_failures -= 1
+        if self.consecutive_failures == FAILURES_UNTIL_EJECTED - 1:
+            self.ejected_until = min(self.ejected_until, now)
+            self.ejections = max(0, self.ejections - 1)
+
     def _change_usage(self, run: Run, sign: int) -> None:
         spec = run.subtask.step.spec
         if not spec.is_best_effort:
--- a/src/sesameladder/jobs/_scheduler.py
+++ b/src/sesameladder/jobs/_scheduler.py
@@ -19,6 +19,7 @@
 from sesameladder.jobs._demand import CoreDemand, estimate_demand
 from sesameladder.jobs._durations import DurationTable
 from sesameladder.jobs._evacuation import choose_evacuations
+from sesameladder.jobs._failures import record_failure
 from sesameladder.jobs._job import Job, Step, Submission, Subtask
 from sesameladder.jobs._job_table import JobTable
 from sesameladder.jobs._load import PoolLoad, measure_load
@@ -907,7 +908,7 @@
         now: float,
     ) -> None:
         step = subtask.step
-        if worker.record_failure(now):
+        if record_failure(self.workers, worker, subtask, run, now):
             self.log_event(
                 "worker_ejected", worker=worker.id, until=worker.ejected_until
             )
