Start long-running subtasks that fail at once ever more rarely

Callers saw accepted sound jobs that were not started beside a nearly empty pool. Cause: a long-running subtask that fails at once was started again after 0.05 s, before all other work, so 160 of them take the starts that others wait for.

Change: a long-running subtask that ends as failed within 10 s waits 0.05, 0.2, 0.8 and then 2 s for its next start, which is well below the 6 s of rule LOST. A run that lasted longer begins anew at 0.05 s. The wait isn't stored: a new owner starts the subtask at once and begins with 0.05 s again, about three more starts of each subtask.

--- a/src/sesameladder/jobs/_job.py
+++ b/src/sesameladder/jobs/_job.py
@@ -45,6 +45,12 @@
     failed_workers: set[str] = field(default_factory=set)
     """Identifiers of the workers on which a run failed."""
 
+    restart_pause_s: float = 0.0
+    """Time in seconds that the subtask waits after its latest failure.
+
+    It grows with each early failure of a long-running subtask, under one owner.
+    """
+
     crashes: dict[int, Crash] = field(default_factory=dict)
     """Crashes of workers under the subtask, by the number of the run they ended."""
 
--- a/src/sesameladder/jobs/_scheduler.py
+++ b/src/sesameladder/jobs/_scheduler.py
@@ -56,7 +56,6 @@
 RUNS_PER_TERM = 1000  # run numbers reserved for each owner of a pool
 START_RETRY_S = 0.1  # the call without a response has already waited for its timeout
 STOP_RETRY_S = 0.6  # a response takes a few ms
-FAILURE_PAUSE_S = 0.05  # a report of other failures on the worker may arrive first
 NO_ROOM_PAUSE_S = 0.1  # about the time until the next report of the worker
 UNREACHABLE_PAUSE_S = 0.5
 # An invalid start stays so; without a pause it uses 100 run numbers a second.
@@ -917,7 +916,7 @@
         subtask.failed_workers.add(worker.id)
         self.dirty_jobs[step.job.id] = step.job
         if run is not None:
-            self._release(run, now, FAILURE_PAUSE_S)
+            self._release(run, now, subtask.restart_pause_s)
         failures = subtask.failures
         if step.spec.gang:
             failures = sum(member.failures for member in step.subtasks)
--- a/src/sesameladder/jobs/tests/test_failing_subtasks.py
+++ b/src/sesameladder/jobs/tests/test_failing_subtasks.py
@@ -1,6 +1,7 @@
 """Tests of what failed runs say about workers and about long-running subtasks."""
 
 from collections import defaultdict
+from itertools import pairwise
 
 import pytest
 
@@ -15,6 +16,7 @@
     Submission,
     SubtaskId,
 )
+from sesameladder.jobs._failures import MAX_PAUSE_S, SETTLED_RUN_S
 from sesameladder.jobs.tests.test_probation import STEP_S, Pool
 from sesameladder.standins.system import SimulatedWork
 
@@ -24,6 +26,7 @@
 SOUND_JOBS = 30
 SOUND_WIDTH = 4
 START_LIMIT_S = 3.0  # rule LOST: a job with nothing running beside capacity
+RESTART_LIMIT_S = 6.0  # rule LOST: a long-running subtask after its last run
 REPORT_DELAY_S = 0.02
 
 
@@ -138,3 +141,49 @@
     assert len(running) == (SOUND_JOBS * SOUND_WIDTH if sound_lasts else 0)
     state = JobState.RUNNING if sound_lasts else JobState.DONE
     assert {pool.get_state(job) for job in sound_jobs} == {state}
+
+
+def test_failing_subtask_is_started_ever_more_rarely_within_the_bound() -> None:
+    """Guards against failing subtasks that use all starts, or that wait too long."""
+    pool = FailingPool()
+    pool.add_work(name_job(1, 0), lasts=True, fails=True)
+    pool.run_for(30.0)
+    (times,) = pool.started.values()
+    gaps_s = [later - time for time, later in pairwise(times)]
+    assert max(gaps_s) < MAX_PAUSE_S + 0.2 < RESTART_LIMIT_S / 2
+    assert 30 / RESTART_LIMIT_S < len(times) <= 30 / MAX_PAUSE_S + 5
+    assert gaps_s[0] < 0.2
+
+
+def test_next_owner_starts_a_failing_subtask_at_once_and_backs_off_anew() -> None:
+    """Guards against a change of owner that brings a flood, or a longer pause."""
+    pool = FailingPool()
+    pool.add_work(name_job(1, 0), lasts=True, fails=True)
+    pool.run_for(10.0)
+    pool.take_over()
+    taken_at = pool.now
+    pool.run_for(20.0)
+    (times,) = pool.started.values()
+    after = [time for time in times if time > taken_at]
+    assert after[0] - taken_at < 1.0
+    assert len(after) <= 20 / MAX_PAUSE_S + 5
+    assert pool.list_ejected() == set()
+
+
+def test_subtask_that_had_settled_is_started_again_at_once() -> None:
+    """Guards against long waits of sound work after earlier failures."""
+    pool = FailingPool()
+    job = name_job(1, 0)
+    pool.add_work(job, lasts=True, fails=True)
+    pool.run_for(10.0)
+    pool.failing.clear()
+    pool.run_for(MAX_PAUSE_S + SETTLED_RUN_S + 1.0)
+    worker = pool.find_worker(job)
+    assert worker is not None
+    subtask = SubtaskId(job, 0, 0, 0)
+    pool.ends.append(
+        (pool.now, worker, subtask, pool.runs[worker][subtask], EndReason.FAILED)
+    )
+    failed_at = pool.now
+    pool.run_for(0.5)
+    assert failed_at < pool.started[subtask][-1] < failed_at + 0.2
