--- a/src/sesameladder/jobs/_job.py
+++ b/src/sesameladder/jobs/_job.py
@@ -45,6 +45,12 @@
     failed_workers: set[str] = field(default_factory=set)
     """Identifiers of the workers on which a run failed."""
 
+    restart_pause_s: float = 0.0
+    """Time in seconds that the subtask waits after its latest failure.
+
+    It grows with each early failure of a long-running subtask, under one owner.
+    """
+
     crashes: dict[int, Crash] = field(default_factory=dict)
     """Crashes of workers under the subtask, by the number of the run they ended."""
 
@@ -96,6 +102,7 @@
     __slots__ = (
         "checkpoint",
         "done_mask",
+        "failed_workers",
         "is_open",
         "job",
         "known",
@@ -144,6 +151,9 @@
         A step is ranked while it has waiting subtasks.
         """
 
+        self.failed_workers: set[str] = set()
+        """Workers on which a long-running step has failed early, by identifier."""
+
         self.checkpoint = ""
         """Latest checkpoint of a gang; a checkpoint of any member restores all."""
 
--- a/src/sesameladder/jobs/_scheduler.py
+++ b/src/sesameladder/jobs/_scheduler.py
@@ -19,6 +19,7 @@
 from sesameladder.jobs._demand import CoreDemand, estimate_demand
 from sesameladder.jobs._durations import DurationTable
 from sesameladder.jobs._evacuation import choose_evacuations
+from sesameladder.jobs._failures import record_failure
 from sesameladder.jobs._job import Job, Step, Submission, Subtask
 from sesameladder.jobs._job_table import JobTable
 from sesameladder.jobs._load import PoolLoad, measure_load
@@ -55,7 +56,6 @@
 RUNS_PER_TERM = 1000  # run numbers reserved for each owner of a pool
 START_RETRY_S = 0.1  # the call without a response has already waited for its timeout
 STOP_RETRY_S = 0.6  # a response takes a few ms
-FAILURE_PAUSE_S = 0.05  # a report of other failures on the worker may arrive first
 NO_ROOM_PAUSE_S = 0.1  # about the time until the next report of the worker
 UNREACHABLE_PAUSE_S = 0.5
 # An invalid start stays so; without a pause it uses 100 run numbers a second.
@@ -942,7 +942,7 @@
         now: float,
     ) -> None:
         step = subtask.step
-        if worker.record_failure(now):
+        if record_failure(self.workers, worker, subtask, run, now):
             self.log_event(
                 "worker_ejected", worker=worker.id, until=worker.ejected_until
             )
@@ -951,7 +951,7 @@
         subtask.failed_workers.add(worker.id)
         self.dirty_jobs[step.job.id] = step.job
         if run is not None:
-            self._release(run, now, FAILURE_PAUSE_S)
+            self._release(run, now, subtask.restart_pause_s)
         if (
             not step.spec.is_long_running
             and not subtask.is_done
