--- a/src/sesameladder/jobs/_runs.py
+++ b/src/sesameladder/jobs/_runs.py
@@ -249,7 +249,7 @@
         return not self.has_reported or bool(self.runs or self.unresolved_starts)
 
     def get_noticed_at(self, now: float) -> float:
-        """Return the earliest time by which a worker that has ended had done so."""
+        """Return the time by which a worker, which has ended, must have ended."""
         return now if self.reset_at is None else self.reset_at
 
     def accepts_work(self, now: float) -> bool:
