Don't count VMs that move to a pool as missing there in maintenance

Cause: the list shows a moving VM in its target pool. The planner of the maintenance waves counted it among the pool's VMs that are not up, which limit how many may drain. While a demand peak brought VMs to a pool, the count was over the limit, and the pool's drains were withdrawn, even those whose long-running subtasks were being moved already.

Its drains were withdrawn at 13.49 s: 3 of its VMs were down and the first 3 moving to it, with a limit of 4 to 5. From 15.5 s to 17.4 s none was down, 19 to 67 were moving, and the limit was 9 to 12. The holder of the fleet role lost the store at 17.5 s; the next one ordered drains again at 18.98 s. The other pools had their last VM ordered at 16.13 s, colourlab at 24.20 s. The wave was done at 26.30 s and had to be by 27.3 s.

Change: VMs that move count neither as unavailable in their target pool nor as part of its size. VMs that are down or in maintenance count as before.

Result: two of the four rows of the new test fail without the change; the tests of fleet/ pass.

--- a/src/sesameladder/fleet/_maintenance.py
+++ b/src/sesameladder/fleet/_maintenance.py
@@ -15,8 +15,9 @@
 from sesameladder.fleet._model import Vm, VmPhase, Wave
 
 EXTRA_DRAINING_VMS = 1  # drained ahead, beyond a wave's limit of VMs in maintenance
-# Shares of a pool's VMs that drain or are not up, as divisors of its size. At least one
-# VM is allowed: of six, two would be a third of the capacity.
+# Shares of a pool's VMs that drain, are down or in maintenance, as divisors of its size
+# without the VMs that move to it. At least one VM is allowed: of six, two would be a
+# third of the capacity.
 IDLE_POOL_DIVISOR = 4
 BUSY_POOL_DIVISOR = 12
 # Longer than a mean subtask (0.5 to 1.4 s) and the start of a long-running one.
@@ -85,7 +86,10 @@
         nothing and need no drain.
         """
         plan = MaintenancePlan()
-        sizes = Counter(vm.pool for vm in vms.values())
+        # A moving VM is listed in its target pool, and is not missing there.
+        sizes = Counter(
+            vm.pool for vm in vms.values() if vm.phase is not VmPhase.MOVING
+        )
         limits = {
             pool: limit_unavailable_vms(size, idle_vms.get(pool, 0))
             for pool, size in sizes.items()
@@ -201,9 +205,9 @@
 
 
 def _count_unavailable(vms: dict[str, Vm]) -> dict[str, int]:
-    """Return the number of VMs that aren't up, by pool."""
+    """Return the number of VMs that are down or in maintenance, by pool."""
     counts: dict[str, int] = {}
     for vm in vms.values():
-        if vm.phase is not VmPhase.UP:
+        if vm.phase not in (VmPhase.UP, VmPhase.MOVING):
             counts[vm.pool] = counts.get(vm.pool, 0) + 1
     return counts
--- a/src/sesameladder/fleet/tests/test_maintenance.py
+++ b/src/sesameladder/fleet/tests/test_maintenance.py
@@ -117,6 +117,32 @@
     assert limit_unavailable_vms(size, idle) == limit
 
 
+@pytest.mark.parametrize(
+    ("size", "others", "phase", "drains"),
+    [
+        (24, 10, VmPhase.MOVING, 2),
+        (12, 12, VmPhase.MOVING, 1),
+        (24, 10, VmPhase.DOWN, 0),
+        (24, 10, VmPhase.IN_MAINTENANCE, 0),
+    ],
+)
+def test_vms_that_move_to_a_pool_neither_block_nor_speed_up_its_maintenance(
+    size: int, others: int, phase: VmPhase, drains: int
+) -> None:
+    """Guards against a wave that stands still while VMs move to a pool.
+
+    The list shows a moving VM in its target pool. Such VMs counted as unavailable, so
+    the drains of a pool were withdrawn for as long as a demand peak brought it VMs.
+    """
+    vms = build_vms(size + others)
+    names = list(vms)
+    for name in names[size:]:
+        vms[name] = replace(vms[name], phase=phase)
+    wave = Wave(1, tuple(names[:size]), 20.0, 8)
+    plan = MaintenancePlanner().plan([wave], vms, NO_WORKERS, NO_WORKERS, SPARE, 0.0)
+    assert len(plan.workers_to_drain.get("chair", ())) == drains
+
+
 UPKEEP_S = 2.0
 NOTICE_S = 0.6  # until the fleet role knows that a worker is drained, or a VM up again
 STEP_S = 0.2
