Say in three comments what the code counts with

Cause: a last reading: a limit without its name, a note on how a value was chosen, and a time described by its notice. Change: comments only.

--- a/src/sesameladder/jobs/_probation.py
+++ b/src/sesameladder/jobs/_probation.py
@@ -107,12 +107,12 @@
 
     ``counts_unknown`` tells whether starts with an unknown outcome count as crashes.
 
-    Two crashes have to be certain to have ended runs of the subtask, or as many as
-    the limit have to have met runs that had begun. Conclusive ones count once for
-    each address: a worker that crashes again and again by itself is no evidence.
-    Crashes under old runs don't count: a subtask that runs long outlives many
-    workers. Suspected crashes of the members of a gang count together, since each of
-    them is started again when one crashes.
+    Two crashes have to be certain to have ended runs of the subtask, or
+    ``SUSPECTED_CRASHES_UNTIL_FAILED`` to have met runs that had begun. Conclusive ones
+    count once for each address: a worker that crashes again and again by itself is no
+    evidence. Crashes under old runs don't count: a subtask that runs long outlives
+    many workers. Suspected crashes of the members of a gang count together, since each
+    of them is started again when one crashes.
     """
     step = subtask.step
     members = step.subtasks if step.spec.gang else [subtask]
@@ -160,9 +160,9 @@
 
 @dataclass(frozen=True, slots=True)
 class RecentCrash:
-    """Rack of a crashed worker, empty if unknown, and when that was noticed.
+    """A crashed worker's rack, empty if unknown, and the time by which it had ended.
 
-    The latter in seconds of the steady clock.
+    The time is in seconds of the steady clock.
     """
 
     rack: str
--- a/src/sesameladder/jobs/_runs.py
+++ b/src/sesameladder/jobs/_runs.py
@@ -11,7 +11,7 @@
 OVERDUE_START_S = 1.0  # an order times out after 0.8 s, those behind it wait as long
 YOUNG_RUN_S = 0.1  # a subtask that crashes its worker does so within 10 ms
 # An order without a response counts as having arrived if the worker had responded so
-# shortly before. An owner that is not saturated sends orders within 20 ms of a report.
+# shortly before it was sent.
 RECENT_RESPONSE_S = 0.05
 FAILED_REPORTS_UNTIL_UNRESPONSIVE = 1  # a failed report has already taken 0.8 s
 
