--- a/src/sesameladder/jobs/_job.py
+++ b/src/sesameladder/jobs/_job.py
@@ -237,6 +237,9 @@
     revision: int = 0
     """Store revision at which the job was accepted."""
 
+    organisation: str = ""
+    """Name of the organisation that sent the job; empty for none."""
+
 
 @dataclass(slots=True, eq=False)
 class Job:
--- a/src/sesameladder/jobs/_model.py
+++ b/src/sesameladder/jobs/_model.py
@@ -4,6 +4,8 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+from sesameladder.organisations import Organisations
+
 
 class SubtaskId(NamedTuple):
     """Identifier of a subtask.
@@ -167,6 +169,8 @@
 
     timeout_ms: int
     advice: AdvicePolicy | None = None
+    is_public: bool = False
+    """Whether calls need no key of an organisation."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -181,6 +185,21 @@
     """Whether the pool holds spare VMs, which are switched off and free."""
 
 
+@dataclass(frozen=True, slots=True)
+class RequestLimits:
+    """Limits of requests that the configuration names; None for those it doesn't."""
+
+    header_bytes: int | None = None
+    """Size of the request line and all header lines."""
+
+    body_bytes: int | None = None
+    header_timeout_s: float | None = None
+    """Time from the first byte of a request to the end of its header."""
+
+    idle_timeout_s: float | None = None
+    """Time that a connection may stay open without a request."""
+
+
 @dataclass(frozen=True, slots=True)
 class Configuration:
     """The configuration in effect."""
@@ -189,6 +208,13 @@
     queues: tuple[QueuePolicy, ...]
     pools: dict[str, PoolPolicy]
     max_body_bytes: int
+    organisations: Organisations | None = None
+    """The organisations; None if the configuration has no such list.
+
+    Without the list calls need no keys, and no caps and shares apply.
+    """
+
+    limits: RequestLimits = RequestLimits()
 
     def find_queue(self, host: str, path: str) -> QueuePolicy | None:
         """Return the queue of a request, or None if no queue matches.
--- a/src/sesameladder/node/_records.py
+++ b/src/sesameladder/node/_records.py
@@ -19,6 +19,7 @@
     read_factor,
     read_name,
     read_number,
+    read_text,
 )
 
 
@@ -32,7 +33,7 @@
     """Share of a pool's peak load that its VM can carry; 0 if not stated."""
 
 
-def encode_submission(queue: QueuePolicy, body: bytes) -> bytes:
+def encode_submission(queue: QueuePolicy, body: bytes, organisation: str = "") -> bytes:
     """Encode a job with the policy of its queue at the time of acceptance."""
     fields = {
         "queue": queue.name,
@@ -43,6 +44,8 @@
         "advice": asdict(queue.advice) if queue.advice else None,
         "body": body.decode(),
     }
+    if organisation:
+        fields["organisation"] = organisation
     return _encode_json(fields)
 
 
@@ -61,6 +64,8 @@
             target_offset_ms=read_number(fields, "goal_ms", MAX_TIME_MS),
             advice=_decode_advice(check_object("advice", advice)) if advice else None,
             revision=revision,
+            # Absent without an organisation, and in the records of older versions.
+            organisation=read_text(fields, "organisation"),
         )
 
 
--- a/src/sesameladder/platform/__init__.py
+++ b/src/sesameladder/platform/__init__.py
@@ -30,6 +30,7 @@
     read_factor,
     read_name,
     read_number,
+    read_text,
 )
 from sesameladder.platform._http import TRAFFIC, Traffic
 from sesameladder.platform._limits import (
@@ -131,4 +132,5 @@
     "read_name",
     "read_number",
     "read_settings",
+    "read_text",
 ]
--- a/src/sesameladder/platform/_documents.py
+++ b/src/sesameladder/platform/_documents.py
@@ -9,6 +9,7 @@
     JobSpec,
     PoolPolicy,
     QueuePolicy,
+    RequestLimits,
     StepSpec,
 )
 from sesameladder.platform._errors import (
@@ -40,6 +41,7 @@
     MAX_SUBTASKS,
     MAX_TIME_MS,
 )
+from sesameladder.platform._organisations import decode_organisations
 from sesameladder.platform._workers import decode_resources
 
 DEFAULT_MAX_BODY_BYTES = 262_144  # if the configuration names no limit
@@ -128,9 +130,25 @@
             queues=tuple(_decode_queue(row) for row in fields["routes"]),
             pools={pool.name: pool for pool in pools},
             max_body_bytes=read_number(limits, "bodyBytes") or DEFAULT_MAX_BODY_BYTES,
+            organisations=(
+                decode_organisations(fields["tenants"]) if "tenants" in fields else None
+            ),
+            limits=_decode_limits(limits),
         )
 
 
+def _decode_limits(fields: Fields) -> RequestLimits:
+    """Decode the limits of requests; one that is absent or 0 is not named."""
+    header_timeout_ms = read_number(fields, "headerTimeoutMs", MAX_TIME_MS)
+    idle_timeout_ms = read_number(fields, "idleTimeoutMs", MAX_TIME_MS)
+    return RequestLimits(
+        header_bytes=read_number(fields, "headerBytes") or None,
+        body_bytes=read_number(fields, "bodyBytes") or None,
+        header_timeout_s=header_timeout_ms / 1000 if header_timeout_ms else None,
+        idle_timeout_s=idle_timeout_ms / 1000 if idle_timeout_ms else None,
+    )
+
+
 def _decode_queue(value: object) -> QueuePolicy:
     row = check_object("a queue", value)
     advice = row.get("advice")
@@ -145,6 +163,7 @@
         target_offset_ms=read_number(row, "goalMs", MAX_TIME_MS),
         timeout_ms=read_number(row, "timeoutMs", MAX_TIME_MS),
         advice=_decode_advice(check_object("advice", advice)) if advice else None,
+        is_public=read_flag(row, "public"),
     )
 
 
--- a/src/sesameladder/platform/_settings.py
+++ b/src/sesameladder/platform/_settings.py
@@ -55,6 +55,18 @@
     maintenance_duration_s: float
     """Time that a VM is away for maintenance."""
 
+    key_revocation_s: float = 0.0
+    """Time from the operator's write to the end of a withdrawn key; 0 if not stated."""
+
+    cap_burst_share: float = 0.0
+    """Share of an organisation's cap by which it may be exceeded for a time."""
+
+    memory_mb: int = 0
+    """Memory of this process in MB; 0 if not stated."""
+
+    max_descriptors: int = 0
+    """Limit of open descriptors of this process; 0 if not stated."""
+
 
 def find_settings_path() -> Path:
     """Return the path of the settings file from the environment, or the default."""
@@ -102,6 +114,10 @@
             job_state_retention_s=float(fields.get("bounds.status_s") or 120),
             move_duration_s=float(fields.get("bounds.moveS") or 1.5),
             maintenance_duration_s=float(fields.get("bounds.upkeepS") or 2),
+            key_revocation_s=float(fields.get("bounds.revokeMs") or 0) / 1000,
+            cap_burst_share=float(fields.get("bounds.quotaBurst") or 0),
+            memory_mb=int(float(fields.get("limits.memoryMb") or 0)),
+            max_descriptors=int(float(fields.get("limits.maxFds") or 0)),
         )
     except KeyError as error:
         raise SettingsInvalid(
