Size pools by the work that arrives, not only by what waits already

Cause: in a demand peak the running and waiting subtasks belong to the first steps of the jobs, so spare VMs were ordered up to two seconds late.

Change: the owner publishes the offered load, the work of the jobs that arrived within the last second, with its summary; lending takes the larger of it and the demand of what runs and waits. Jobs that a new owner reads at its start don't count.

Tests of fleet and of the demand pass.

--- a/src/sesameladder/fleet/_model.py
+++ b/src/sesameladder/fleet/_model.py
@@ -75,15 +75,25 @@
     late_cores: int = 0
     """Part of both for jobs that can't end in time any more, rounded down likewise."""
 
+    offered_cores: int = 0
+    """Cores of long-running work and those that the arriving short work will need.
+
+    Rounded up likewise.
+    """
+
     @property
     def demand_cores(self) -> int:
-        """Return the cores that running and waiting subtasks need."""
-        return self.used_cores + self.waiting_cores
+        """Return the cores that running and waiting subtasks need.
+
+        Not less than the offered load, which rises earlier in a demand peak.
+        """
+        return max(self.used_cores + self.waiting_cores, self.offered_cores)
 
     @property
     def urgent_cores(self) -> int:
         """Return the cores that jobs need which can still end in time."""
-        return max(0, self.demand_cores - self.late_cores)
+        urgent = self.used_cores + self.waiting_cores - self.late_cores
+        return max(0, urgent, self.offered_cores)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/sesameladder/fleet/tests/test_lending.py
+++ b/src/sesameladder/fleet/tests/test_lending.py
@@ -187,3 +187,15 @@
     planner.plan(vms, summaries, SPARE, NO_NAMES, NO_NAMES, 0.0)
     plan = planner.plan(vms, summaries, SPARE, NO_NAMES, drained_workers, 2.0)
     assert plan.moves == [("m-chair-0", "blend")]
+
+
+@pytest.mark.parametrize(("offered", "moves"), [(0, 0), (160, 0), (200, 1), (900, 3)])
+def test_spare_vms_are_lent_for_work_that_has_just_arrived(
+    offered: int, moves: int
+) -> None:
+    """Guards against VMs that arrive only when the later steps of the jobs wait."""
+    vms = build_vms(6) | build_vms(3, "spare")
+    planner = build_planner(vms)
+    summaries = {"chair": replace(build_summary(60, 20), offered_cores=offered)}
+    plan = planner.plan(vms, summaries, SPARE, NO_NAMES, NO_NAMES, 0.0)
+    assert len(plan.moves) == moves
--- a/src/sesameladder/jobs/_demand.py
+++ b/src/sesameladder/jobs/_demand.py
@@ -28,20 +28,28 @@
     late: float
     """Part of both for jobs that can't end in time any more."""
 
+    offered: float = 0.0
+    """Cores of long-running work, and those that the arriving short work will need."""
+
 
 def estimate_demand(
-    steps: Iterable[Step], runs: Iterable[Run], durations: DurationTable
+    steps: Iterable[Step],
+    runs: Iterable[Run],
+    durations: DurationTable,
+    offered_cores: float = 0.0,
 ) -> CoreDemand:
     """Return the demand of the steps that wait and of the current runs.
 
-    Several short subtasks share a core while the backlog is cleared.
+    Several short subtasks share a core while the backlog is cleared. ``offered_cores``
+    would end short work at the rate at which it arrives.
     """
-    used = waiting = late = 0.0
+    used = waiting = late = lasting = 0.0
     for run in runs:
         step = run.subtask.step
         if not step.spec.is_best_effort:
             used += step.spec.needs.cpu_millis
             late += step.spec.needs.cpu_millis if step.urgency >= Urgency.LATE else 0
+            lasting += step.spec.needs.cpu_millis if step.spec.is_long_running else 0
     for step in steps:
         if step.spec.is_best_effort or step.urgency >= Urgency.OVERDUE:
             continue
@@ -52,4 +60,7 @@
         millis = step.waiting_count * step.spec.needs.cpu_millis * share
         waiting += millis
         late += millis if step.urgency >= Urgency.LATE else 0
-    return CoreDemand(used / 1000, waiting / 1000, late / 1000)
+        lasting += millis if step.spec.is_long_running else 0
+    return CoreDemand(
+        used / 1000, waiting / 1000, late / 1000, lasting / 1000 + offered_cores
+    )
--- a/src/sesameladder/jobs/_scheduler.py
+++ b/src/sesameladder/jobs/_scheduler.py
@@ -39,6 +39,7 @@
     WorkerRecord,
     WorkerReport,
 )
+from sesameladder.jobs._offered_load import OfferedLoad
 from sesameladder.jobs._ordering import StepRanking
 from sesameladder.jobs._pacing import Pacer
 from sesameladder.jobs._placement import choose_worker
@@ -115,6 +116,7 @@
 
     durations: DurationTable = field(default_factory=DurationTable)
     ranking: StepRanking = field(init=False)
+    offered_load: OfferedLoad = field(default_factory=OfferedLoad)
     pacer: Pacer = field(default_factory=Pacer)
     probation: Probation = field(default_factory=Probation)
     commands: list[Command] = field(default_factory=list)
@@ -196,6 +198,9 @@
         core_s = self.durations.estimate_job_work(job)
         if not job.is_long_running:
             self.ranking.fairness.record_offer(job, core_s, now)
+            # A new owner reads all earlier jobs at once, which is no demand peak.
+            if submission.revision > self.fence and not submission.spec.occurrences:
+                self.offered_load.record(core_s, now)
         self.log_event(
             "job_taken", job=job.id, queue=submission.queue, core_s=round(core_s, 2)
         )
@@ -590,11 +595,16 @@
             now,
         )
 
-    def estimate_demand(self) -> CoreDemand:
+    def estimate_demand(self, now: float) -> CoreDemand:
         """Return the cores that the pool's jobs need."""
         # Obsolete runs use cores until they end.
         runs = [run for view in self.workers.values() for run in view.runs.values()]
-        return estimate_demand(self.job_table.open_steps.values(), runs, self.durations)
+        return estimate_demand(
+            self.job_table.open_steps.values(),
+            runs,
+            self.durations,
+            self.offered_load.compute_cores(now),
+        )
 
     # Placement -------------------------------------------------------------
 
--- a/src/sesameladder/jobs/tests/test_large_jobs.py
+++ b/src/sesameladder/jobs/tests/test_large_jobs.py
@@ -77,7 +77,7 @@
     scheduler.add_job(build_submission(count, occurrences), None, 0.0)
     scheduler.schedule(0.1, 1e12)
     scheduler.measure_load(0.1)
-    scheduler.estimate_demand()
+    scheduler.estimate_demand(0.0)
     taken_bytes, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
     # A thousand of the largest jobs have to fit on a VM with 200 MB for the process.
--- a/src/sesameladder/jobs/tests/test_ordering.py
+++ b/src/sesameladder/jobs/tests/test_ordering.py
@@ -86,5 +86,5 @@
         "0" * 16, "queue", JobSpec("", (step,)), stretch=1.6, target_offset_ms=600
     )
     scheduler.add_job(job, None, 0.0)
-    demand = scheduler.estimate_demand()
+    demand = scheduler.estimate_demand(0.0)
     assert (demand.used, demand.waiting) == (0.0, cores)
--- a/src/sesameladder/node/_pool_task.py
+++ b/src/sesameladder/node/_pool_task.py
@@ -847,7 +847,7 @@
 
     def _build_summary(self) -> PoolSummary:
         views = self.scheduler.workers.values()
-        demand = self.scheduler.estimate_demand()
+        demand = self.scheduler.estimate_demand(read_steady_clock())
         draining_views = [
             view for view in views if view.drain_reason and view.has_reported
         ]
@@ -864,6 +864,7 @@
             _round_up_cores(demand.used),
             _round_up_cores(demand.waiting),
             floor(demand.late / DEMAND_ROUNDING_CORES) * DEMAND_ROUNDING_CORES,
+            _round_up_cores(demand.offered),
         )
 
     def _schedule_removal(self, job: str) -> None:
--- a/src/sesameladder/node/_records.py
+++ b/src/sesameladder/node/_records.py
@@ -250,6 +250,7 @@
             ),
             # Absent in the summaries of older versions.
             late_cores=read_number(fields, "late_cores", MAX_COUNTER),
+            offered_cores=read_number(fields, "offered_cores", MAX_COUNTER),
         )
 
 
