--- a/src/sesameladder/organisations/_model.py
+++ b/src/sesameladder/organisations/_model.py
@@ -54,17 +54,40 @@
     """Most that may run in all pools together; 0 stands for no limit."""
 
 
+@dataclass(frozen=True, slots=True)
+class OrganisationRefusal:
+    """A row of the configuration that names no organisation."""
+
+    position: int | None
+    """Number of the row, from 0; None for the list as a whole."""
+
+    reason: str
+    """What is wrong, without any value of the row: each may be a key."""
+
+
+@dataclass(frozen=True, slots=True)
+class KeyRefusal:
+    """A key that no organisation can use."""
+
+    positions: tuple[int, ...]
+    """Numbers of the rows that have it, from 0."""
+
+    reason: str
+
+
 class Organisations:
     """The organisations of one configuration."""
 
-    __slots__ = ("by_digest", "by_name", "digester")
+    __slots__ = ("by_digest", "by_name", "digester", "refusals")
 
     def __init__(
         self,
         organisations: Iterable[Organisation] = (),
         digester: KeyDigester = PROCESS_DIGESTER,
+        refusals: Iterable[OrganisationRefusal | KeyRefusal] = (),
     ) -> None:
         self.digester = digester
+        self.refusals = tuple(refusals)
         self.by_name = {row.name: row for row in organisations}
         self.by_digest = {
             digest: row for row in self.by_name.values() for digest in row.key_digests
--- a/src/sesameladder/platform/_documents.py
+++ b/src/sesameladder/platform/_documents.py
@@ -122,7 +122,10 @@
 def decode_configuration(value: bytes) -> Configuration:
     """Decode the operator's configuration; raises ``RecordInvalid``."""
     with decoding_record("configuration"):
-        fields = check_object("the configuration", json.loads(value))
+        fields = json.loads(value)
+        if not isinstance(fields, dict):
+            # The error must not show the value: it may hold keys.
+            raise FieldInvalid("the configuration is not an object")
         pools = [_decode_pool(row) for row in fields["services"]]
         limits = check_object("limits", fields.get("limits") or {})
         return Configuration(
--- a/src/sesameladder/platform/_errors.py
+++ b/src/sesameladder/platform/_errors.py
@@ -95,6 +95,9 @@
         raise RecordTooLarge(f"{record}: {error}") from error
     except FieldInvalid as error:
         raise RecordInvalid(f"{record}: {error}") from error
+    except UnicodeDecodeError as error:
+        # Its representation quotes the document, which may hold keys.
+        raise RecordInvalid(f"{record} is malformed: {error}") from error
     except MALFORMED as error:
         reason = repr(error)[:MAX_ERROR_CHARACTERS]
         raise RecordInvalid(f"{record} is malformed: {reason}") from error
