Check the key of each call, with a configuration that is a lease

Cause: the job API served every caller. A VM that was cut off or paused would have accepted a withdrawn key for as long as it did not hear of the withdrawal.

Change: between route and body, each call to a route that isn't public is checked against one pair of configuration and confirmation time, read after the whole request has arrived. Each successful answer of the configuration watch renews the time; an unreadable or removed configuration doesn't, until a readable one follows. The organisation's name is stored with the job and logged. Checks are counted by outcome, and the age of the configuration is a gauge.

--- a/src/sesameladder/node/_configuration_task.py
+++ b/src/sesameladder/node/_configuration_task.py
@@ -1,6 +1,7 @@
 """Follows the newest configuration and the maintenance waves in the store."""
 
 from dataclasses import dataclass
+from math import inf
 from threading import Event
 
 from sesameladder.fleet import Wave
@@ -9,6 +10,7 @@
 from sesameladder.node._dependency import DependencyState
 from sesameladder.node._supervision import build_thread
 from sesameladder.node._telemetry import log_event, log_warning
+from sesameladder.organisations import KeyRefusal, OrganisationRefusal
 from sesameladder.platform import (
     CONFIGURATION_KEY,
     OPERATOR_PREFIX,
@@ -23,6 +25,7 @@
 
 WATCH_WAIT_MS = 700  # with 0.7 s of slack, a lost watch fails in 1.4 of 2 s allowed
 RETRY_PAUSE_S = 0.15
+MAX_LOGGED_REFUSALS = 100  # of one configuration; the log's queue holds 5,000 lines
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,19 +34,26 @@
 
     configuration: Configuration
     confirmed_at: float
-    """Steady time in seconds at which the latest call that confirmed it was sent."""
+    """Steady time in seconds at which the latest call that confirmed it was sent.
+
+    The configuration holds each change that the store had acknowledged by then. It is
+    minus infinity if no call has confirmed any configuration.
+    """
 
 
 class ConfigurationTask:
     """Thread that reads what the operators write to the store.
 
-    A configuration is replaced only by one with a higher version.
+    A configuration is replaced only by one with a higher version. The latest one that
+    the store holds may be unreadable; then nothing confirms the configuration in force,
+    since the unreadable one may withdraw a key.
     """
 
     __slots__ = (
         "confirmed",
         "current",
         "dependency",
+        "is_readable",
         "stopping",
         "store",
         "thread",
@@ -54,6 +64,12 @@
         self.store = store
         self.current: Configuration | None = None
         self.confirmed: ConfirmedConfiguration | None = None
+        self.is_readable = False
+        """Whether the latest configuration that the store is known to hold is readable.
+
+        False too if the store holds none.
+        """
+
         self.waves: dict[int, Wave] = {}
         self.dependency = DependencyState("store:configuration")
         self.stopping = Event()
@@ -91,6 +107,8 @@
         sent_at = read_steady_clock()
         if revision is None:
             page = self.store.read_range(OPERATOR_PREFIX)
+            if all(item.key != CONFIGURATION_KEY for item in page.items):
+                self.is_readable = False
             for item in page.items:
                 self._apply(item.key, item.value)
             self._confirm(sent_at)
@@ -99,18 +117,30 @@
         for change in batch.changes:
             if change.value is not None:
                 self._apply(change.key, change.value)
+            elif change.key == CONFIGURATION_KEY:
+                self.is_readable = False
         self._confirm(sent_at)
         return batch.revision
 
     def _confirm(self, sent_at: float) -> None:
-        """Record that the current configuration was the newest at a steady time."""
-        if self.current is not None:
-            self.confirmed = ConfirmedConfiguration(self.current, sent_at)
+        """Record that the current configuration was the newest at a steady time.
+
+        If the store holds an unreadable one, the time stays that of the latest answer
+        before it.
+        """
+        if self.current is None:
+            return
+        if not self.is_readable:
+            previous = self.confirmed
+            sent_at = previous.confirmed_at if previous is not None else -inf
+        self.confirmed = ConfirmedConfiguration(self.current, sent_at)
 
     def _apply(self, key: str, value: bytes) -> None:
         try:
             if key == CONFIGURATION_KEY:
+                self.is_readable = False
                 self._apply_configuration(decode_configuration(value))
+                self.is_readable = True
             elif key.startswith(WAVE_PREFIX):
                 wave = decode_wave(value)
                 if wave.number not in self.waves:
@@ -125,3 +155,23 @@
             return
         self.current = configuration
         log_event("configuration_applied", version=configuration.version)
+        if configuration.organisations is not None:
+            _log_refusals(configuration.organisations.refusals)
+
+
+def _log_refusals(refusals: tuple[OrganisationRefusal | KeyRefusal, ...]) -> None:
+    """Log the rows and keys that a configuration names and nobody can use."""
+    for refusal in refusals[:MAX_LOGGED_REFUSALS]:
+        if isinstance(refusal, OrganisationRefusal):
+            log_warning(
+                "organisation_refused", position=refusal.position, error=refusal.reason
+            )
+        else:
+            log_warning(
+                "key_refused",
+                positions=refusal.positions[:MAX_LOGGED_REFUSALS],
+                error=refusal.reason,
+            )
+    further = len(refusals) - MAX_LOGGED_REFUSALS
+    if further > 0:
+        log_warning("further_rows_refused", count=further)
--- a/src/sesameladder/node/_http_servers.py
+++ b/src/sesameladder/node/_http_servers.py
@@ -11,6 +11,7 @@
 
 from sesameladder.jobs import Configuration, QueuePolicy
 from sesameladder.node._clock import read_steady_clock
+from sesameladder.node._configuration_task import ConfirmedConfiguration
 from sesameladder.node._intake import (
     Accepted,
     Cancelled,
@@ -26,13 +27,16 @@
     compute_response_deadline,
 )
 from sesameladder.node._telemetry import (
+    KEY_CHECKS,
     REQUEST_SECONDS,
     REQUESTS,
     log_event,
     log_warning,
     logger,
 )
+from sesameladder.organisations import KeyOutcome, check_key
 
+KEY_HEADER = "HTTP_X_SESAMELADDER_CREDENTIAL"
 TIME_LIMIT_HEADER = "HTTP_X_SESAMELADDER_DEADLINE_MS"
 REQUEST_ID_HEADER = "X-Sesameladder-Request-Id"
 READINESS_PATH = "/v1/ready"
@@ -44,6 +48,8 @@
 DEFAULT_TIME_LIMIT_MS = 3000  # the callers' usual time limit
 MAX_LOGGED_CHARACTERS = 40  # of a header value, which the caller may make any length
 UNCONFIGURED_RETRY_AFTER_S = 1
+# A VM in touch with the store confirms its configuration every 0.7 s.
+UNCONFIRMED_RETRY_AFTER_S = 1
 
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
 Environ = dict[str, Any]
@@ -51,6 +57,7 @@
 REASON_PHRASES = {
     200: "OK",
     400: "Bad Request",
+    401: "Unauthorized",
     404: "Not Found",
     405: "Method Not Allowed",
     410: "Gone",
@@ -137,16 +144,40 @@
     return ApiResponse(status, body)
 
 
+class HandledRequest:
+    """What a request asked for, whose it is, and its response."""
+
+    __slots__ = ("action", "job", "organisation", "response", "version")
+
+    def __init__(
+        self,
+        action: str,
+        response: ApiResponse,
+        job: str = "",
+        organisation: str = "",
+        version: int | None = None,
+    ) -> None:
+        self.action = action
+        self.response = response
+        self.job = job
+        self.organisation = organisation
+        """Name of the organisation whose key was accepted; empty for none."""
+
+        self.version = version
+        """Version of the configuration that the request was handled by."""
+
+
 class JobApiServer:
     """Serves the job API: submits, shows, cancels and counts jobs."""
 
     __slots__ = (
         "closes_connections",
-        "get_configuration",
+        "get_key_revocation_s",
         "in_flight",
         "intake",
         "lock",
         "node",
+        "read_configuration",
         "request_numbers",
         "server",
     )
@@ -156,11 +187,13 @@
         address: str,
         node: str,
         intake: Intake,
-        get_configuration: Callable[[], Configuration | None],
+        read_configuration: Callable[[], ConfirmedConfiguration | None],
+        get_key_revocation_s: Callable[[], float],
     ) -> None:
         self.node = node
         self.intake = intake
-        self.get_configuration = get_configuration
+        self.read_configuration = read_configuration
+        self.get_key_revocation_s = get_key_revocation_s
         self.request_numbers = count(1)
         self.closes_connections = False
         """Whether each connection is closed after its next response."""
@@ -190,57 +223,82 @@
         with self.lock:
             self.in_flight += 1
         try:
-            action, job, response = self._process_request(environ)
+            handled = self._process_request(environ)
         except Exception:
             extra = {"event": "request_error", "request": request_id}
             logger.exception("request failed", extra=extra)
-            action, job, response = "error", "", ApiResponse(500)
+            handled = HandledRequest("error", ApiResponse(500))
         finally:
             with self.lock:
                 self.in_flight -= 1
         elapsed_s = read_steady_clock() - started_at
-        REQUESTS.labels(action, response.status).inc()
-        REQUEST_SECONDS.labels(action).observe(elapsed_s)
-        configuration = self.get_configuration()
+        response = handled.response
+        REQUESTS.labels(handled.action, response.status).inc()
+        REQUEST_SECONDS.labels(handled.action).observe(elapsed_s)
         log_event(
             "request_answered",
             request=request_id,
-            job=job,
-            action=action,
+            job=handled.job,
+            action=handled.action,
+            organisation=handled.organisation,
             status=response.status,
             reason=response.body.get("error", ""),
             took_ms=round(elapsed_s * 1000, 1),
-            version=configuration.version if configuration else None,
+            version=handled.version,
         )
         headers = [(REQUEST_ID_HEADER, request_id)]
         return _send_response(
             response, headers, self.closes_connections, start_response
         )
 
-    def _process_request(self, environ: Environ) -> tuple[str, str, ApiResponse]:
-        """Return the action, the job's identifier and the response."""
+    def _process_request(self, environ: Environ) -> HandledRequest:
+        """Check a request in the documented order and carry it out."""
         body: bytes = environ["wsgi.input"].read()
         method = environ["REQUEST_METHOD"]
-        configuration = self.get_configuration()
-        if configuration is None:
+        # Read once, after the whole request has arrived: the age check of keys holds
+        # for this pair only.
+        confirmed = self.read_configuration()
+        if confirmed is None:
             reason: dict[str, object] = {"error": "no configuration yet"}
-            return "early", "", ApiResponse(503, reason, UNCONFIGURED_RETRY_AFTER_S)
+            response = ApiResponse(503, reason, UNCONFIGURED_RETRY_AFTER_S)
+            return HandledRequest("early", response)
+        configuration = confirmed.configuration
+        version = configuration.version
         path = environ["PATH_INFO"]
         queue = configuration.find_queue(environ.get("HTTP_HOST", ""), path)
         if queue is None:
-            return "unrouted", "", ApiResponse(404, {"error": "no such queue"})
+            response = ApiResponse(404, {"error": "no such queue"})
+            return HandledRequest("unrouted", response, version=version)
+        organisation = ""
+        if configuration.organisations is not None and not queue.is_public:
+            key_check = check_key(
+                configuration.organisations,
+                _read_key(environ),
+                confirmed.confirmed_at,
+                read_steady_clock(),
+                self.get_key_revocation_s(),
+            )
+            KEY_CHECKS.labels(key_check.outcome.value).inc()
+            if key_check.organisation is None:
+                response = _build_key_refusal(key_check.outcome)
+                return HandledRequest("key_check", response, version=version)
+            organisation = key_check.organisation.name
         if len(body) > configuration.max_body_bytes:
-            return "oversize", "", ApiResponse(413, {"error": "body is too large"})
+            response = ApiResponse(413, {"error": "body is too large"})
+            return HandledRequest("oversize", response, "", organisation, version)
         deadline = compute_response_deadline(
             _parse_time_limit_ms(environ), DEFAULT_TIME_LIMIT_MS
         )
         job = path[len(queue.path_prefix) :]
         action, result = self._dispatch(
-            method, configuration, queue, job, body, deadline
+            method, configuration, queue, job, body, deadline, organisation
+        )
+        response = (
+            build_response(result)
+            if result is not None
+            else ApiResponse(405, {"error": f"no {method} here"})
         )
-        if result is None:
-            return action, job, ApiResponse(405, {"error": f"no {method} here"})
-        return action, job, build_response(result)
+        return HandledRequest(action, response, job, organisation, version)
 
     def _dispatch(
         self,
@@ -250,9 +308,11 @@
         job: str,
         body: bytes,
         deadline: float,
+        organisation: str,
     ) -> tuple[str, Result | None]:
         if method == "POST":
-            return "submit", self.intake.submit(queue, job, body, deadline)
+            result = self.intake.submit(queue, job, body, deadline, organisation)
+            return "submit", result
         if method == "GET" and not job:
             return "pending", self.intake.count_pending(queue, deadline)
         if method == "GET":
@@ -311,6 +371,27 @@
     )
 
 
+def _read_key(environ: Environ) -> str:
+    """Return the key of a call; empty for none.
+
+    The server decodes the bytes of a header as Latin-1; keys are UTF-8.
+    """
+    text: str = environ.get(KEY_HEADER, "")
+    try:
+        return text.encode("latin-1").decode()
+    except UnicodeError:
+        return text
+
+
+def _build_key_refusal(outcome: KeyOutcome) -> ApiResponse:
+    """Return the response to a call whose key was not accepted."""
+    if outcome is KeyOutcome.UNCONFIRMED:
+        reason = "the configuration is too old to check the key"
+        return build_response(Rejected(reason, UNCONFIRMED_RETRY_AFTER_S))
+    # Without "has_run": a job of this identifier may have run on an earlier call.
+    return ApiResponse(401, {"error": f"the key is {outcome.value}"})
+
+
 def _parse_time_limit_ms(environ: Environ) -> float | None:
     """Return the caller's time limit in ms, or None if the default applies."""
     text = environ.get(TIME_LIMIT_HEADER)
--- a/src/sesameladder/node/_intake.py
+++ b/src/sesameladder/node/_intake.py
@@ -160,9 +160,17 @@
         self.lock = Lock()
 
     def submit(
-        self, queue: QueuePolicy, job: str, body: bytes, deadline: float
+        self,
+        queue: QueuePolicy,
+        job: str,
+        body: bytes,
+        deadline: float,
+        organisation: str = "",
     ) -> Result:
-        """Store a job; ``deadline`` is the steady time by which to return."""
+        """Store a job; ``deadline`` is the steady time by which to return.
+
+        ``organisation`` is the name of the caller's organisation; empty for none.
+        """
         if not JOB_ID.fullmatch(job):
             return InvalidRequest(
                 f"job identifier {job!r} is not 16 hexadecimal digits"
@@ -179,7 +187,7 @@
         if not self._is_store_responding(key):
             return STORE_UNREACHABLE
         puts = (
-            Put(key, encode_submission(queue, body)),
+            Put(key, encode_submission(queue, body, organisation)),
             Put(accepted_key(job), encode_pool(queue.pool)),
         )
         # Older versions have stored jobs without the key that names their pool.
--- a/src/sesameladder/node/_process.py
+++ b/src/sesameladder/node/_process.py
@@ -3,6 +3,7 @@
 import os
 import signal
 import sys
+from math import inf
 from pathlib import Path
 from threading import Event, Lock, Thread
 from time import sleep
@@ -18,6 +19,7 @@
 from sesameladder.node._registry_task import RegistryTask
 from sesameladder.node._roles import HeldRole, RoleTask
 from sesameladder.node._telemetry import (
+    CONFIGURATION_AGE_SECONDS,
     log_event,
     log_warning,
     render_metrics,
@@ -98,8 +100,10 @@
             settings.job_api_address,
             settings.node,
             Intake(self.store, lambda: self.configuration.dependency.is_lost),
-            lambda: self.configuration.current,
+            self.configuration.read,
+            lambda: self.settings.key_revocation_s,
         )
+        CONFIGURATION_AGE_SECONDS.set_function(self._read_configuration_age)
         self.probe_server = ProbeServer(
             settings.readiness_address, self._is_ready, render_metrics
         )
@@ -167,6 +171,13 @@
         # Callers are better served by a VM that reaches the store.
         return self.roles.is_confirmed(READINESS_TIMEOUT_S)
 
+    def _read_configuration_age(self) -> float:
+        """Return the age of the configuration in seconds; infinite without one."""
+        confirmed = self.configuration.read()
+        return (
+            inf if confirmed is None else read_steady_clock() - confirmed.confirmed_at
+        )
+
     # Roles -----------------------------------------------------------------
 
     def _list_roles(self) -> list[str]:
--- a/src/sesameladder/node/_telemetry.py
+++ b/src/sesameladder/node/_telemetry.py
@@ -91,6 +91,17 @@
     ["role"],
     registry=REGISTRY,
 )
+KEY_CHECKS = Counter(
+    "sesameladder_key_checks",
+    "Checks of the keys of calls",
+    ["outcome"],
+    registry=REGISTRY,
+)
+CONFIGURATION_AGE_SECONDS = Gauge(
+    "sesameladder_configuration_age_seconds",
+    "Time since the sending of the latest call that confirmed the configuration",
+    registry=REGISTRY,
+)
 STORE_FAILURES = Counter(
     "sesameladder_store_failures", "Failed store calls", ["task"], registry=REGISTRY
 )
