--- a/src/sesameladder/node/tests/test_whole_path.py
+++ b/src/sesameladder/node/tests/test_whole_path.py
@@ -37,6 +37,9 @@
         self.folder = folder
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.ports: dict[str, tuple[int, int]] = {}
+        self.headers: dict[str, str] = {}
+        """Headers of each call beside the usual ones."""
+
         self.http = PoolManager(retries=Retry(0), timeout=Timeout(connect=1, read=4))
 
     def start_node(self, name: str, more_settings: str = "") -> None:
@@ -65,7 +68,11 @@
             method,
             f"http://127.0.0.1:{port}{path}",
             body=data,
-            headers={"Host": HOST, "X-Sesameladder-Deadline-Ms": "3000"},
+            headers={
+                "Host": HOST,
+                "X-Sesameladder-Deadline-Ms": "3000",
+                **self.headers,
+            },
         )
         return response.status, json.loads(response.data or b"{}")
 
