Test a paused process that is cut off as well

Cause: with the age check off, the test of a paused process passed: the answer of the store waited in its socket and it read the withdrawal before the call.

Change: a second case cuts the process off during the pause.

Measured: without the age check the new case fails; with it both pass.

--- a/src/sesameladder/node/tests/test_key_revocation.py
+++ b/src/sesameladder/node/tests/test_key_revocation.py
@@ -156,14 +156,19 @@
     wait_for(lambda: cluster.submit("n1", KEPT), 200)
 
 
-def test_paused_process_accepts_no_withdrawn_key(cluster: KeyedCluster) -> None:
+@pytest.mark.parametrize("is_cut", [False, True], ids=["in touch", "cut off"])
+def test_paused_process_accepts_no_withdrawn_key(
+    cluster: KeyedCluster, is_cut: bool
+) -> None:
     """Guards against a process that wakes and answers by what it knew before.
 
-    Calls wait in its socket while it is paused; they are answered when it wakes.
+    Calls wait in its socket while it is paused; they are answered when it wakes. One
+    that is cut off meanwhile has no answer of the store waiting for it either.
     """
     wait_for(lambda: cluster.submit("n1", WITHDRAWN), 200)
     process = cluster.processes["n1"]
     process.send_signal(signal.SIGSTOP)
+    cluster.links["n1"].is_cut = is_cut
     acknowledged_at = cluster.configure(KEPT)
     sleep_until(acknowledged_at + REVOCATION_S)
     # The call is sent while the process is paused, beyond the bound.
@@ -172,7 +177,8 @@
     status, _ = cluster.submit("n1", WITHDRAWN)
     timer.join()
     assert woken
-    assert status in (401, 503)
+    assert status in ((503,) if is_cut else (401, 503))
+    cluster.links["n1"].is_cut = False
     wait_for(lambda: cluster.submit("n1", WITHDRAWN), 401)
     wait_for(lambda: cluster.submit("n1", KEPT), 200)
 
