Let the fault soak withdraw and add keys

Cause: the bound of withdrawals was shown for single faults only.

Keys are withdrawn and added during faults, among them processes that are cut off from the store. No call with a withdrawn key that is sent after the bound may pass the check, none with a key in force may get 401 from 1.5 s after its addition on, and no log may hold a key. Runs without organisations are as before.

--- a/src/sesameladder/node/tests/soak.py
+++ b/src/sesameladder/node/tests/soak.py
@@ -22,6 +22,15 @@
 from sesameladder.jobs import QueuePolicy
 from sesameladder.jobs.tests.capacity_checker import CapacityChecker
 from sesameladder.node._records import encode_submission
+from sesameladder.node.tests.soak_keys import (
+    KEPT_KEY,
+    KEY_HEADER,
+    KEY_PREFIX,
+    REFUSALS,
+    REVOCATION_S,
+    KeyRing,
+)
+from sesameladder.node.tests.store_link import StoreLink
 from sesameladder.node.tests.test_whole_path import (
     HOST,
     POOL,
@@ -166,6 +175,9 @@
         self.soak = soak
         self.number = number
         self.random = random.Random(f"{soak.seed}/{number}")
+        self.key_random = random.Random(f"{soak.seed}/{number}/keys")
+        """Source of the keys of calls; leaves the other choices as they are."""
+
         self.connection: http.client.HTTPConnection | None = None
         self.node = ""
         self.jobs: list[str] = []
@@ -179,10 +191,15 @@
             self.connection = http.client.HTTPConnection(
                 "127.0.0.1", port, timeout=CALL_TIMEOUT_S
             )
+        headers = {"Host": HOST}
+        key_ring = self.soak.key_ring
+        key = None if key_ring is None else key_ring.choose(self.key_random)
+        if key is not None:
+            headers[KEY_HEADER] = key
         sent_at = time.monotonic()
         try:
             self.connection.request(
-                method, path, None if body is None else json.dumps(body), {"Host": HOST}
+                method, path, None if body is None else json.dumps(body), headers
             )
             response = self.connection.getresponse()
             self.text = response.read()
@@ -194,6 +211,11 @@
             self.soak.witness.answers["broken"] += 1
             return 0
         self.soak.witness.answers[f"{method} {response.status}"] += 1
+        if key_ring is not None:
+            now = time.monotonic()
+            fault = key_ring.find_fault(key, response.status, sent_at, now)
+            if fault is not None:
+                self.soak.witness.report(f"{method} {path} to {self.node}: {fault}")
         if response.will_close:
             self.connection.close()
             self.connection = None
@@ -223,15 +245,24 @@
                 return
             if status == 503 and self.random.random() < 0.3:
                 break
+            if status == 401 and self.key_random.random() < 0.3:
+                break
             time.sleep(CALLER_PAUSE_S)
-        if set(statuses) == {503}:
+        if set(statuses) in ({503}, {401}, {401, 503}):
             self.soak.witness.rejected.add(job)
 
 
 class Soak:
     """One seeded run."""
 
-    def __init__(self, seed: int, seconds: float, processes: int, callers: int) -> None:
+    def __init__(
+        self,
+        seed: int,
+        seconds: float,
+        processes: int,
+        callers: int,
+        organisations: int = 0,
+    ) -> None:
         self.seed = seed
         self.seconds = seconds
         self.random = random.Random(seed)
@@ -241,6 +272,12 @@
         self.odd_random = random.Random(f"{seed}/odd")
         """Source of the odd entries and jobs; leaves the other faults as they are."""
 
+        self.key_ring = KeyRing(organisations, seed) if organisations else None
+        """Keys of the organisations; None for configurations without any."""
+
+        self.links: dict[str, StoreLink] = {}
+        """Links of the processes to the store, if there are organisations."""
+
         self.odd_jobs: list[str] = []
         self.standin = SystemStandin(POOL, workers=6 + seed % 4)
         for number, (name, worker) in enumerate(self.standin.workers.items()):
@@ -262,7 +299,7 @@
 
     def run(self) -> list[str]:
         self.standin.start()
-        self.standin.configure(build_configuration(self.version))
+        self.configure()
         try:
             for name in self.names:
                 self.start_node(name)
@@ -275,13 +312,30 @@
         finally:
             self.ended.set()
             self.cluster.stop()
+            for link in self.links.values():
+                link.stop()
             self.standin.stop()
         return self.witness.violations
 
+    def configure(self) -> None:
+        """Write the configuration, with the keys in force."""
+        configuration = build_configuration(self.version)
+        if self.key_ring is not None:
+            configuration["tenants"] = self.key_ring.build_rows()
+        self.standin.configure(configuration)
+        if self.key_ring is not None:
+            self.key_ring.acknowledge(time.monotonic())
+
     def start_node(self, name: str) -> None:
         size = SIZES[int(name[1:]) % len(SIZES)]
         self.disturbed_at[name].append(time.monotonic())
-        self.cluster.start_node(name, f"limits.{size}\n")
+        settings = f"limits.{size}\n"
+        if self.key_ring is not None:
+            if name not in self.links:
+                self.links[name] = StoreLink(self.standin.address)
+            settings += f"platform.addr={self.links[name].address}\n"
+            settings += f"bounds.revokeMs={REVOCATION_S * 1000}\n"
+        self.cluster.start_node(name, settings)
 
     def check_break(
         self, name: str, sent_at: float, waited_s: float, error: str
@@ -326,6 +380,9 @@
             self.inject(
                 self.odd_random.choice((self.write_odd_entry, self.store_odd_job))
             )
+            if self.key_ring is not None:
+                key_kinds = (self.change_keys, self.change_keys, self.cut_off)
+                self.inject(self.key_ring.random.choice(key_kinds))
             next_at = time.monotonic() + self.random.uniform(0.1, 1.5)
             while time.monotonic() < next_at:
                 self.run_pending()
@@ -443,7 +500,39 @@
 
     def reconfigure(self) -> None:
         self.version += self.random.randint(1, 4)
-        self.standin.configure(build_configuration(self.version))
+        self.configure()
+
+    def change_keys(self) -> str:
+        """Withdraw a key, add one, or both."""
+        ring = self.key_ring
+        assert ring is not None
+        name = ring.random.choice(ring.names)
+        chosen = []
+        if ring.random.random() < 0.7:
+            chosen.append(f"adds {ring.add(name)}")
+        current = ring.list_current()
+        if len(current) > len(ring.names) and ring.random.random() < 0.7:
+            key = ring.random.choice(current)
+            ring.withdraw(key, time.monotonic())
+            chosen.append(f"withdraws {key}")
+        self.version += 1
+        self.configure()
+        return ", ".join(chosen)
+
+    def cut_off(self) -> str:
+        """Cut one process off from the store, and change keys meanwhile."""
+        ring = self.key_ring
+        assert ring is not None
+        name = ring.random.choice(self.names)
+        link = self.links[name]
+        link.is_cut = True
+
+        def restore() -> None:
+            link.is_cut = False
+
+        seconds = ring.random.uniform(0.5, 3 * REVOCATION_S)
+        self.later(seconds, restore)
+        return f"{name} for {seconds:.1f} s, {self.change_keys()}"
 
     def stop_store(self) -> None:
         self.stop_store_for(self.random.uniform(0.2, 4.0))
@@ -608,6 +697,9 @@
             return
         name = ready[0]
         until = time.monotonic() + FINISH_LIMIT_S
+        if self.key_ring is not None:
+            self.cluster.headers = {KEY_HEADER: KEPT_KEY}
+            self.check_keys(ready, until)
         self.check_pools(name, until)
         self.check_roles()
         for job, subtasks in self.witness.accepted.items():
@@ -636,6 +728,35 @@
                 return state
             time.sleep(0.05)
 
+    def check_keys(self, names: list[str], until: float) -> None:
+        """Check that each process ends up with the keys in force, and logs none."""
+        ring = self.key_ring
+        assert ring is not None
+        current = set(ring.list_current())
+        for name in names:
+            for key in ring.keys:
+                self.cluster.headers = {KEY_HEADER: key}
+                while True:
+                    sent_at = time.monotonic()
+                    status = self.cluster.call(name, "GET", build_path("0" * 16))[0]
+                    now = time.monotonic()
+                    fault = ring.find_fault(key, status, sent_at, now)
+                    if fault is not None:
+                        self.witness.report(f"end, {name}: {fault}")
+                    is_settled = (
+                        status not in REFUSALS if key in current else status == 401
+                    )
+                    if is_settled or fault is not None:
+                        break
+                    if now >= until:
+                        self.witness.report(f"end, {name}: {key} gets {status}")
+                        break
+                    time.sleep(0.05)
+        self.cluster.headers = {KEY_HEADER: KEPT_KEY}
+        for name in self.names:
+            if KEY_PREFIX in (self.folder / f"{name}.log").read_text():
+                self.witness.report(f"{name} logs a key")
+
     def check_pools(self, name: str, until: float) -> None:
         """Check that each pool runs a job that is submitted after the faults."""
         work = build_job(SimulatedWork(duration_ms=50), 1)
@@ -695,11 +816,20 @@
     parser.add_argument("--seconds", type=float, default=15.0)
     parser.add_argument("--processes", type=int, default=5)
     parser.add_argument("--callers", type=int, default=8)
+    parser.add_argument(
+        "--organisations", type=int, default=0, help="number of them; 0: no keys"
+    )
     options = parser.parse_args()
     first, _, last = options.seeds.partition("-")
     has_failed = False
     for seed in range(int(first), int(last or first) + 1):
-        soak = Soak(seed, options.seconds, options.processes, options.callers)
+        soak = Soak(
+            seed,
+            options.seconds,
+            options.processes,
+            options.callers,
+            options.organisations,
+        )
         violations = soak.run()
         has_failed |= bool(violations)
         print(
