Make the soak find withdrawn keys on processes that are cut off

Change: callers send calls whose answer needs no store, and jobs known as accepted, with keys withdrawn lately; each cut withdraws a key. A short seeded run is in the tests.

--- a/src/sesameladder/node/tests/soak.py
+++ b/src/sesameladder/node/tests/soak.py
@@ -54,6 +54,7 @@
 LOSS_SLACK_S = 0.2
 GRACE_S = 3.0
 LOG_LIMIT_S = 5.0
+KEY_PROBES = 3  # after each submission
 OWNER_LIMIT_S = 5.0
 # A process gives its roles up after 8 s without the store.
 LONG_OUTAGE_S = 8.5, 11.0
@@ -181,6 +182,9 @@
         self.connection: http.client.HTTPConnection | None = None
         self.node = ""
         self.jobs: list[str] = []
+        self.accepted: tuple[str, Any] | None = None
+        """The job that was accepted last, with its body."""
+
         self.thread = Thread(target=self.run, daemon=True)
 
     def call(self, method: str, path: str, body: Any = None) -> int:
@@ -228,8 +232,22 @@
             self.submit(job)
             if self.random.random() < 0.5:
                 self.call("GET", build_path(self.random.choice(self.jobs)))
+            if self.soak.key_ring is not None:
+                self.probe_keys()
             time.sleep(self.random.uniform(0, 2 * CALLER_PAUSE_S))
 
+    def probe_keys(self) -> None:
+        """Send calls whose answers tell of the key without a call of the store.
+
+        Only these can be answered with something else than 401 or 503 by a process
+        that is cut off: a method that doesn't exist, and a job known as accepted.
+        """
+        for _ in range(KEY_PROBES):
+            self.call("PATCH", build_path(self.jobs[-1]))
+        if self.accepted is not None:
+            job, body = self.accepted
+            self.call("POST", build_path(job), body)
+
     def submit(self, job: str) -> None:
         duration_ms = self.random.choice((50, 200, 800))
         width = self.random.choice((1, 2, 5))
@@ -240,6 +258,7 @@
             statuses.append(status)
             if status == 200:
                 self.soak.witness.accepted[job] = 2 * width
+                self.accepted = job, body
                 if self.random.random() < 0.2:
                     self.call("POST", build_path(job), body)
                 return
@@ -502,17 +521,17 @@
         self.version += self.random.randint(1, 4)
         self.configure()
 
-    def change_keys(self) -> str:
-        """Withdraw a key, add one, or both."""
+    def change_keys(self, withdraws: bool = False) -> str:
+        """Withdraw a key, add one, or both; always withdraw one if asked to."""
         ring = self.key_ring
         assert ring is not None
         name = ring.random.choice(ring.names)
         chosen = []
-        if ring.random.random() < 0.7:
+        if withdraws or ring.random.random() < 0.7:
             chosen.append(f"adds {ring.add(name)}")
         current = ring.list_current()
-        if len(current) > len(ring.names) and ring.random.random() < 0.7:
-            key = ring.random.choice(current)
+        if len(current) > len(ring.names) and (withdraws or ring.random.random() < 0.7):
+            key = ring.random.choice(current[: len(ring.names)])
             ring.withdraw(key, time.monotonic())
             chosen.append(f"withdraws {key}")
         self.version += 1
@@ -530,9 +549,9 @@
         def restore() -> None:
             link.is_cut = False
 
-        seconds = ring.random.uniform(0.5, 3 * REVOCATION_S)
+        seconds = ring.random.uniform(REVOCATION_S, 3 * REVOCATION_S)
         self.later(seconds, restore)
-        return f"{name} for {seconds:.1f} s, {self.change_keys()}"
+        return f"{name} for {seconds:.1f} s, {self.change_keys(withdraws=True)}"
 
     def stop_store(self) -> None:
         self.stop_store_for(self.random.uniform(0.2, 4.0))
--- a/src/sesameladder/node/tests/soak_keys.py
+++ b/src/sesameladder/node/tests/soak_keys.py
@@ -13,7 +13,8 @@
 # A VM refuses a key as unknown only by a configuration that is at most this old.
 ADDITION_S = 1.5
 REFUSALS = 0, 401, 503  # 0: the connection broke
-CURRENT_SHARE, WITHDRAWN_SHARE, STRANGER_SHARE = 0.75, 0.15, 0.05
+CURRENT_SHARE, WITHDRAWN_SHARE, STRANGER_SHARE = 0.6, 0.3, 0.05
+RECENT_KEYS = 3  # only those withdrawn lately can be in force on some process
 ODD_ROWS: tuple[Any, ...] = (
     7,
     {"apiKeys": [f"{KEY_PREFIX}nameless"]},
@@ -99,7 +100,10 @@
         """Return a key for a call, mostly one in force; None for no key."""
         share = source.random()
         with self.lock:
-            withdrawn = [k for k, t in self.keys.items() if t.withdrawn_at < inf]
+            withdrawn = sorted(
+                (k for k, t in self.keys.items() if t.withdrawn_at < inf),
+                key=lambda k: self.keys[k].withdrawn_at,
+            )[-RECENT_KEYS:]
             current = [k for k, t in self.keys.items() if t.withdrawn_at == inf]
         if share < CURRENT_SHARE:
             return source.choice(current)
--- a/src/sesameladder/node/tests/test_soak.py
+++ b/src/sesameladder/node/tests/test_soak.py
@@ -17,3 +17,11 @@
     soak = Soak(seed, seconds=8.0, processes=processes, callers=6)
     assert soak.run() == []
     assert soak.witness.accepted
+
+
+def test_withdrawn_keys_are_refused_during_faults() -> None:
+    """Guards against withdrawn keys that work on, and added ones that don't work."""
+    soak = Soak(4, seconds=8.0, processes=4, callers=6, organisations=3)
+    assert soak.run() == []
+    assert soak.witness.accepted
+    assert soak.faults["change_keys"] + soak.faults["cut_off"] > 0
