--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,7 @@
 DEPLOYMENT ?= coral-strand
 SEEDS ?= 1-50
 SOAK_SECONDS ?= 10
+ORGANISATIONS ?= 0
 BIN := $(VENV)/bin
 export PYTHONPATH := $(CURDIR)/src
 export PYTHONHASHSEED := 0
@@ -43,7 +44,7 @@
 	$(BIN)/python -m sesameladder.measure.slopes
 
 soak: setup
-	$(BIN)/python -m sesameladder.node.tests.soak --seeds $(SEEDS) --seconds $(SOAK_SECONDS)
+	$(BIN)/python -m sesameladder.node.tests.soak --seeds $(SEEDS) --seconds $(SOAK_SECONDS) --organisations $(ORGANISATIONS)
 
 golden: setup
 	SESAMELADDER_REGENERATE_GOLDEN=1 $(BIN)/python -m pytest -k golden
--- a/src/sesameladder/node/tests/test_key_revocation.py
+++ b/src/sesameladder/node/tests/test_key_revocation.py
@@ -101,6 +101,7 @@
         port = cluster.ports[name][1]
         metrics = cluster.http.request("GET", f"http://127.0.0.1:{port}/metrics").data
         assert b"sesameladder_key_checks_total" in metrics
+        assert b"sesameladder_configuration_age_seconds " in metrics
         text = (cluster.folder / f"{name}.log").read_text() + metrics.decode()
         assert f'"organisation": "o-{KEPT}"' in text
         for key in (KEPT, WITHDRAWN, ADDED, "sk-stranger"):
