--- a/src/sesameladder/jobs/_scheduler.py
+++ b/src/sesameladder/jobs/_scheduler.py
@@ -20,6 +20,7 @@
 from sesameladder.jobs._durations import DurationTable
 from sesameladder.jobs._evacuation import choose_evacuations
 from sesameladder.jobs._failures import record_failure
+from sesameladder.jobs._gang_placement import plan_gang
 from sesameladder.jobs._job import Job, Step, Submission, Subtask
 from sesameladder.jobs._job_table import JobTable
 from sesameladder.jobs._load import PoolLoad, measure_load
@@ -69,7 +70,6 @@
 MAX_LOGGED_WORKERS = 20
 MAX_LOGGED_SUSPECTS = 20
 MAX_LOGGED_CRASHES = 20
-GANG_START_LIMIT_S = 1.5  # half the time after which members stop waiting for others
 
 EventLogger = Callable[..., None]
 
@@ -634,7 +634,7 @@
                 if step.job.submission.advice and not self._ensure_tickets(step, now):
                     continue
                 if step.spec.gang:
-                    self._place_gang(step, self.probation.open_workers, now)
+                    self._place_gang(step, now)
                 else:
                     self._place_step(step, now)
             except Exception as error:
@@ -686,66 +686,23 @@
                 waiting=step.waiting_count,
             )
 
-    def _place_gang(self, step: Step, accepting: list[WorkerView], now: float) -> None:
-        """Place all members of a gang at once, or only the missing ones."""
-        members = step.subtasks
-        active = [run for run in map(self._get_run, members) if run is not None]
-        if any(run.stopping_since is not None for run in active):
-            return
-        waiting = list(step.waiting.values())
-        if len(active) + len(waiting) < len(members):
-            return
-        if active and now - min(run.sent_at for run in active) > GANG_START_LIMIT_S:
-            for run in active:
-                self._stop(run, now)
-            return
-        if any(subtask.not_before > now for subtask in waiting):
-            return
-        number = max(subtask.last_run for subtask in members)
-        if active and any(
-            number in subtask.crashes and number != subtask.announced_run
-            for subtask in waiting
-        ):
-            # A member that crashed with its worker has broken this run of the gang.
-            for run in active:
-                self._stop(run, now)
-            return
-        number += 0 if active else 1
-        announced = [self._is_announced(subtask, number) for subtask in waiting]
-        if not all(announced):
-            return
-        racks = {view.rack for view in accepting} if step.spec.same_rack else {""}
-        for rack in sorted(racks):
-            placed = self._try_place_gang(waiting, accepting, number, rack, now)
-            if placed:
-                self.log_event(
-                    "gang_placed", job=step.job.id, step=step.number, rack=rack
-                )
-                return
-
-    def _try_place_gang(
-        self,
-        waiting: list[Subtask],
-        accepting: list[WorkerView],
-        number: int,
-        rack: str,
-        now: float,
-    ) -> bool:
-        reserved: list[Run] = []
-        tickets = self._get_tickets(waiting[0].step)
-        for subtask in waiting:
-            worker = choose_worker(subtask, accepting, tickets, rack)
-            if worker is None:
-                for run in reserved:
-                    run.worker.remove(run)
-                return False
-            run = Run(subtask, number, worker, now)
-            worker.add(run)
-            reserved.append(run)
-        for run in reserved:
-            run.worker.remove(run)
-            self._start(run.subtask, run.worker, number, now)
-        return True
+    def _place_gang(self, step: Step, now: float) -> None:
+        plan = plan_gang(
+            step,
+            self.probation.open_workers,
+            self.runs,
+            self._get_tickets(step),
+            self._is_announced,
+            now,
+        )
+        for run in plan.runs_to_stop:
+            self._stop(run, now)
+        for subtask, worker in plan.starts:
+            self._start(subtask, worker, plan.number, now)
+        if plan.starts:
+            self.log_event(
+                "gang_placed", job=step.job.id, step=step.number, rack=plan.rack
+            )
 
     def _has_place_for_start(self) -> bool:
         return len(self.unanswered_starts) < self.start_window.limit
@@ -825,9 +782,6 @@
 
     # Runs ------------------------------------------------------------------
 
-    def _get_run(self, subtask: Subtask) -> Run | None:
-        return self.runs.get(subtask.id)
-
     def _find_run(self, worker: str, subtask: SubtaskId, number: int) -> Run | None:
         run = self.runs.get(subtask)
         if run is not None and run.worker.id == worker and run.number == number:
