Split the bookkeeping of long worker leases off the pool task

LongLeases holds the times until which a restarted worker may have a lease of the maximum. Behaviour is the same; test_pool_task, test_owner_change and test_restarted_worker pass.

--- a/src/sesameladder/node/_pool_task.py
+++ b/src/sesameladder/node/_pool_task.py
@@ -37,6 +37,7 @@
     summary_key,
     tracked_workers_key,
 )
+from sesameladder.node._long_leases import UNREAD_WORKER_WAIT_S, LongLeases
 from sesameladder.node._pool_writer import PoolWriter, WriteBatch, WriteDone
 from sesameladder.node._records import (
     TrackedWorkersRecord,
@@ -60,7 +61,6 @@
 )
 from sesameladder.node._vm_load import VmLoadMeter, VmSize
 from sesameladder.node._worker_link import (
-    EARLIER_ORDERS_S,
     IncarnationReplaced,
     LinkMessage,
     OwnerSuperseded,
@@ -94,7 +94,6 @@
 ROLE_CONFIRMATION_TIMEOUT_S = 3.0  # running work goes on for one 4 s lease: 7 s in all
 # A shrunk capacity counts 4.5 s after it is listed; an order waits for 1 s at most.
 LIST_CONFIRMATION_TIMEOUT_S = 3.5
-UNREAD_WORKER_WAIT_S = 7.5  # ROLE_CONFIRMATION_TIMEOUT_S and one worker lease
 INBOX_THREAD = "inbox"
 UNKNOWN_WORKER = ""  # no worker's identifier; stands for those that can't be read
 
@@ -160,7 +159,7 @@
         "link_failures",
         "links",
         "load_meter",
-        "long_lease_until",
+        "long_leases",
         "longest_pass_s",
         "max_worker_lease_ms",
         "messages",
@@ -215,12 +214,7 @@
         self.scheduler.stop_grace_s = stop_grace_s
         self.scheduler.longest_lease_s = compute_lease_time(max_worker_lease_ms)
         self.links: dict[str, WorkerLink] = {}
-        self.long_lease_until: dict[str, float] = {}
-        """Steady time until which a worker may hold a lease of the maximum.
-
-        By worker; also for those that are gone and may restart.
-        """
-
+        self.long_leases = LongLeases(worker_lease_ms, max_worker_lease_ms)
         self.link_failures = RefusalLog("worker_link_failed")
         self.writer = PoolWriter(
             pool, role, store, self.messages.put, self._give_up_role
@@ -353,15 +347,12 @@
             # Runs may be present on any worker, also on unlisted ones.
             record = TrackedWorkersRecord((TrackedWorker(UNKNOWN_WORKER),))
         self.tracked_workers = record.workers
-        self.long_lease_until = {
-            worker: now + min(left_s, self.long_lease_period_s)
-            for worker, left_s in record.long_leases_s.items()
-        }
+        self.long_leases.take_over(record.long_leases_s, now)
         self.scheduler.unread_workers = UnreadWorkers.from_tracked(
             record.workers,
             UNREAD_WORKER_WAIT_S,
             now,
-            dict.fromkeys(record.long_leases_s, self.restarted_wait_s),
+            dict.fromkeys(record.long_leases_s, self.long_leases.restarted_wait_s),
         )
 
     def _watch_inbox(self) -> None:
@@ -658,14 +649,14 @@
             if view is None or view.record.born_ms != link.record.born_ms:
                 link.stop()
                 del self.links[name]
-                self.long_lease_until[name] = now + self.long_lease_period_s
-        self.long_lease_until = {
-            name: until for name, until in self.long_lease_until.items() if now < until
-        }
+                self.long_leases.record_end(name, now)
+        self.long_leases.expire(now)
         for name, view in views.items():
             if name in self.links:
                 continue
-            self._check_restart(view.record, now)
+            self.long_leases.check_restart(
+                view.record, self.scheduler.unread_workers, now
+            )
             try:
                 link = WorkerLink(
                     view.record,
@@ -674,7 +665,7 @@
                     self.max_worker_lease_ms,
                     self._may_extend_leases,
                     self.messages.put,
-                    self.long_lease_until.get(name, 0.0),
+                    self.long_leases.until.get(name, 0.0),
                 )
                 link.start()
             except Exception as error:
@@ -686,34 +677,6 @@
             self.link_failures.clear(name)
             self.links[name] = link
 
-    def _check_restart(self, record: WorkerRecord, now: float) -> None:
-        """Note a restart since the last owner stored the worker's start time."""
-        unread_workers = self.scheduler.unread_workers
-        tracked = unread_workers.tracked.get(record.worker)
-        if tracked is None or now >= unread_workers.deadline:
-            return
-        if tracked.born_ms and tracked.born_ms != record.born_ms:
-            self.long_lease_until[record.worker] = now + self.long_lease_period_s
-            longer_s = self.restarted_wait_s - UNREAD_WORKER_WAIT_S
-            unread_workers.extend(record.worker, unread_workers.deadline + longer_s)
-
-    @property
-    def long_lease_period_s(self) -> float:
-        """Return for how long a worker may hold a long lease after a restart.
-
-        Orders to the earlier incarnation arrive for a while, and each gives a lease.
-        """
-        return EARLIER_ORDERS_S + compute_lease_time(self.max_worker_lease_ms)
-
-    @property
-    def restarted_wait_s(self) -> float:
-        """Return how long to wait for a silent worker that has restarted."""
-        return (
-            UNREAD_WORKER_WAIT_S
-            + compute_lease_time(self.max_worker_lease_ms)
-            - compute_lease_time(self.worker_lease_ms)
-        )
-
     def _may_extend_leases(self) -> bool:
         """Return whether the role may still be held.
 
@@ -838,11 +801,7 @@
         if tracked_workers == self.tracked_workers or not is_readable:
             return []
         self.tracked_workers = tracked_workers
-        long_leases_s = {
-            worker: round(until - now, 1)
-            for worker, until in self.long_lease_until.items()
-        }
-        record = TrackedWorkersRecord(tracked_workers, long_leases_s)
+        record = TrackedWorkersRecord(tracked_workers, self.long_leases.describe(now))
         return [Put(tracked_workers_key(self.pool), encode_tracked_workers(record))]
 
     def _build_summary(self) -> PoolSummary:
--- a/src/sesameladder/node/tests/test_owner_change.py
+++ b/src/sesameladder/node/tests/test_owner_change.py
@@ -19,7 +19,8 @@
 from sesameladder.jobs.tests.test_rules import build_record
 from sesameladder.node._clock import read_steady_clock
 from sesameladder.node._keys import cancel_key, orders_key, submission_key
-from sesameladder.node._pool_task import UNREAD_WORKER_WAIT_S, InboxChanges
+from sesameladder.node._long_leases import UNREAD_WORKER_WAIT_S
+from sesameladder.node._pool_task import InboxChanges
 from sesameladder.node._records import encode_orders, encode_submission
 from sesameladder.node._worker_link import (
     IncarnationReplaced,
