Decide on the caps of organisations across pools

An organisation's work in all pools together may not exceed its cap, whatever becomes of owners and of calls to the store. PoolScheduler asks CappedStarts for each waiting step, and the demand estimate leaves out what a cap forbids.

--- a/src/sesameladder/jobs/__init__.py
+++ b/src/sesameladder/jobs/__init__.py
@@ -3,6 +3,11 @@
 The package decides only: it opens no sockets and reads no clocks.
 """
 
+from sesameladder.jobs._capped_starts import (
+    CappedStarts,
+    PoolCaps,
+    explain_impossible_gang,
+)
 from sesameladder.jobs._commands import (
     AdviceCommand,
     Command,
@@ -46,6 +51,7 @@
 __all__ = [
     "AdviceCommand",
     "AdvicePolicy",
+    "CappedStarts",
     "Command",
     "Configuration",
     "CoreDemand",
@@ -56,6 +62,7 @@
     "JobState",
     "JobTable",
     "PaceCommand",
+    "PoolCaps",
     "PoolLoad",
     "PoolPolicy",
     "PoolScheduler",
@@ -82,4 +89,5 @@
     "WorkerView",
     "decode_progress",
     "encode_progress",
+    "explain_impossible_gang",
 ]
--- a/src/sesameladder/jobs/_demand.py
+++ b/src/sesameladder/jobs/_demand.py
@@ -7,6 +7,7 @@
 from sesameladder.jobs._job import Step
 from sesameladder.jobs._ordering import Urgency
 from sesameladder.jobs._runs import Run
+from sesameladder.organisations import DemandLimit
 
 # A job of 1 s has a target of 2 to 3 s, which it misses if it waits longer.
 BACKLOG_CLEAR_S = 1.0
@@ -30,11 +31,15 @@
 
 
 def estimate_demand(
-    steps: Iterable[Step], runs: Iterable[Run], durations: DurationTable
+    steps: Iterable[Step],
+    runs: Iterable[Run],
+    durations: DurationTable,
+    limit: DemandLimit | None = None,
 ) -> CoreDemand:
     """Return the demand of the steps that wait and of the current runs.
 
-    Several short subtasks share a core while the backlog is cleared.
+    Several short subtasks share a core while the backlog is cleared. Work that the
+    caps forbid, by ``limit``, is not counted: VMs would be moved for it in vain.
     """
     used = waiting = late = 0.0
     for run in runs:
@@ -50,6 +55,9 @@
             expected_s = durations.estimate_duration(step.job.submission, step.number)
             share = min(1.0, expected_s / BACKLOG_CLEAR_S)
         millis = step.waiting_count * step.spec.needs.cpu_millis * share
+        if limit is not None:
+            organisation = step.job.submission.organisation
+            millis = limit.take(organisation, step.spec.needs, millis)
         waiting += millis
         late += millis if step.urgency >= Urgency.LATE else 0
     return CoreDemand(used / 1000, waiting / 1000, late / 1000)
--- a/src/sesameladder/jobs/_scheduler.py
+++ b/src/sesameladder/jobs/_scheduler.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
+from sesameladder.jobs._capped_starts import CappedStarts
 from sesameladder.jobs._commands import (
     AdviceCommand,
     Command,
@@ -162,6 +163,9 @@
     False while a newer owner may have extended the leases of silent workers.
     """
 
+    capped_starts: CappedStarts | None = None
+    """What the caps of organisations allow; None while no organisation has one."""
+
     is_paused: bool = False
     """Whether starts are suspended.
 
@@ -484,13 +488,29 @@
                 worker=run.worker.id,
             )
             self._stop(run, now)
+        if self.capped_starts is not None:
+            self._begin_capped_pass(self.capped_starts, now)
         if not self.is_paused:
             self._place(now)
+        if self.capped_starts is not None:
+            self.capped_starts.end_pass(now)
         for worker in self.workers.values():
             worker.has_new_report = False
         commands, self.commands = self.commands, []
         return commands
 
+    def _begin_capped_pass(self, capped_starts: CappedStarts, now: float) -> None:
+        views = self.workers.values()
+        is_sized = not any(view.unsized_runs for view in views)
+        capped_starts.begin_pass(
+            self.job_table.open_steps.values(),
+            views,
+            (row for rows in self.subtasks_lost_by_restart.values() for row in rows),
+            (self.term - 1) * RUNS_PER_TERM,
+            is_sized and self.knows_earlier_runs(now),
+            now,
+        )
+
     def knows_earlier_runs(self, now: float) -> bool:
         """Return whether all runs of earlier owners are known or have expired."""
         if self.unread_workers.has_unlisted(now):
@@ -594,7 +614,9 @@
         """Return the cores that the pool's jobs need."""
         # Obsolete runs use cores until they end.
         runs = [run for view in self.workers.values() for run in view.runs.values()]
-        return estimate_demand(self.job_table.open_steps.values(), runs, self.durations)
+        limit = self.capped_starts.limit_demand() if self.capped_starts else None
+        steps = self.job_table.open_steps.values()
+        return estimate_demand(steps, runs, self.durations, limit)
 
     # Placement -------------------------------------------------------------
 
@@ -630,6 +652,8 @@
             # reported yet.
             if not can_start_earlier_jobs and step.job.submission.revision < self.fence:
                 continue
+            if self.capped_starts and not self.capped_starts.may_start_step(step):
+                continue
             try:
                 if step.job.submission.advice and not self._ensure_tickets(step, now):
                     continue
@@ -662,6 +686,8 @@
                 continue
             if not self._has_place_for_start():
                 break
+            if self.capped_starts and not self.capped_starts.may_start(subtask):
+                break
             needs_reserved_worker = self.probation.needs_reserved_worker(subtask, now)
             if needs_reserved_worker:
                 worker = self.probation.choose_worker(subtask, tickets, now)
@@ -725,6 +751,8 @@
         self.unanswered_starts.append(run)
         worker.add(run)
         self.job_table.set_placed(subtask)
+        if self.capped_starts is not None:
+            self.capped_starts.record_start(subtask)
         job = subtask.step.job
         if job.state is JobState.QUEUED:
             job.state = JobState.RUNNING
