Follow and write the cap records for the pools of a process

CapTask has one thread that watches the prefix cap/ and one that writes the rows of the owned pools, both only while a pool is owned and an organisation has a cap.

--- a/src/sesameladder/node/_intake.py
+++ b/src/sesameladder/node/_intake.py
@@ -18,6 +18,7 @@
     ProgressInvalid,
     QueuePolicy,
     decode_progress,
+    explain_impossible_gang,
 )
 from sesameladder.node._clock import read_steady_clock
 from sesameladder.node._keys import (
@@ -36,6 +37,7 @@
     encode_submission,
 )
 from sesameladder.node._telemetry import log_warning
+from sesameladder.organisations import Organisation
 from sesameladder.platform import (
     Committed,
     Conflict,
@@ -160,7 +162,12 @@
         self.lock = Lock()
 
     def submit(
-        self, queue: QueuePolicy, job: str, body: bytes, deadline: float
+        self,
+        queue: QueuePolicy,
+        job: str,
+        body: bytes,
+        deadline: float,
+        organisation: Organisation | None = None,
     ) -> Result:
         """Store a job; ``deadline`` is the steady time by which to return."""
         if not JOB_ID.fullmatch(job):
@@ -170,7 +177,11 @@
         if job in self.pool_by_job:
             return Accepted(is_new=False)
         try:
-            decode_job(body)
+            spec = decode_job(body)
+            if organisation is not None:
+                reason = explain_impossible_gang(spec, organisation)
+                if reason:
+                    raise RecordTooLarge(reason)
         except RecordInvalid as error:
             return self._refuse(error, queue.pool, job)
         if self.is_store_unreachable():
@@ -178,8 +189,9 @@
         key = submission_key(queue.pool, job)
         if not self._is_store_responding(key):
             return STORE_UNREACHABLE
+        name = organisation.name if organisation is not None else ""
         puts = (
-            Put(key, encode_submission(queue, body)),
+            Put(key, encode_submission(queue, body, name)),
             Put(accepted_key(job), encode_pool(queue.pool)),
         )
         # Older versions have stored jobs without the key that names their pool.
--- a/src/sesameladder/node/_keys.py
+++ b/src/sesameladder/node/_keys.py
@@ -1,5 +1,7 @@
 """Keys of the records that this system keeps in the platform's store."""
 
+from hashlib import blake2b
+
 ROLE_PREFIX = "own/"
 """Prefix of the keys that name role holders; each expires with the holder's lease."""
 
@@ -79,6 +81,19 @@
     return f"{SUMMARY_PREFIX}{pool}"
 
 
+CAP_PREFIX = "cap/"
+CAP_DIGEST_BYTES = 16
+
+
+def cap_key(organisation: str) -> str:
+    """Return the key of what each pool is granted of an organisation's cap.
+
+    Names of organisations may have characters that keys can't.
+    """
+    digest = blake2b(organisation.encode(), digest_size=CAP_DIGEST_BYTES)
+    return f"{CAP_PREFIX}{digest.hexdigest()}"
+
+
 MAINTENANCE_PREFIX = "upkeep/"
 
 
--- a/src/sesameladder/node/_pool_task.py
+++ b/src/sesameladder/node/_pool_task.py
@@ -14,6 +14,7 @@
 )
 from sesameladder.jobs import (
     AdviceCommand,
+    CappedStarts,
     Command,
     Job,
     JobRecord,
@@ -126,12 +127,22 @@
     valid_s: float
 
 
+class CapsChanged:
+    """Wakes the task's thread, since waiting work may start."""
+
+
 class StopPool:
     """Wakes the task's thread, so that it ends."""
 
 
 PoolMessage = (
-    LinkMessage | InboxChanges | WorkersUpdated | WriteDone | AdviceFinished | StopPool
+    LinkMessage
+    | InboxChanges
+    | WorkersUpdated
+    | WriteDone
+    | AdviceFinished
+    | CapsChanged
+    | StopPool
 )
 
 
@@ -142,6 +153,7 @@
         "advice_client",
         "ended_earlier",
         "ended_incarnations",
+        "get_capped_starts",
         "get_role_lease",
         "inbox_revision",
         "inbox_thread",
@@ -195,6 +207,7 @@
         get_role_lease: Callable[[], int | None],
         on_role_lost: Callable[[HeldRole, str], None],
         vm_size: VmSize,
+        get_capped_starts: Callable[[], CappedStarts | None] = lambda: None,
     ) -> None:
         self.pool = pool
         self.role = role
@@ -208,6 +221,7 @@
         self.is_confirmed = is_confirmed
         self.is_exclusive_holder = is_exclusive_holder
         self.get_role_lease = get_role_lease
+        self.get_capped_starts = get_capped_starts
         self.on_role_lost = on_role_lost
         self.messages: SimpleQueue[PoolMessage] = SimpleQueue()
         self.scheduler = PoolScheduler(role.term, self._log_event, fence=role.fence)
@@ -608,6 +622,7 @@
             view = self.scheduler.workers.get(name)
             if view is not None:
                 view.lease_expires_at = link.lease_expires_at
+        self.scheduler.capped_starts = self.get_capped_starts()
         commands = self.scheduler.schedule(now, read_wall_clock_ms())
         for command in commands:
             self._execute(command)
--- a/src/sesameladder/node/_process.py
+++ b/src/sesameladder/node/_process.py
@@ -8,13 +8,14 @@
 from time import sleep
 
 from sesameladder.jobs import WorkerRecord
+from sesameladder.node._cap_task import CapTask
 from sesameladder.node._clock import read_steady_clock
 from sesameladder.node._configuration_task import ConfigurationTask
 from sesameladder.node._fleet_task import FleetTask
 from sesameladder.node._http_servers import JobApiServer, ProbeServer
 from sesameladder.node._intake import Intake
 from sesameladder.node._keys import FLEET_ROLE, POOL_ROLE_PREFIX, pool_role
-from sesameladder.node._pool_task import PoolTask, WorkersUpdated
+from sesameladder.node._pool_task import CapsChanged, PoolTask, WorkersUpdated
 from sesameladder.node._registry_task import RegistryTask
 from sesameladder.node._roles import HeldRole, RoleTask
 from sesameladder.node._telemetry import (
@@ -50,6 +51,7 @@
 
     __slots__ = (
         "advice_client",
+        "cap_task",
         "configuration",
         "fleet_task",
         "is_shutting_down",
@@ -94,6 +96,7 @@
             self._publish_workers,
             self._record_registry_pass,
         )
+        self.cap_task = CapTask(self.store, self.configuration.read, self._wake_pool)
         self.job_api = JobApiServer(
             settings.job_api_address,
             settings.node,
@@ -134,6 +137,7 @@
         self.roles.start()
         self.unrouted_pools.start()
         self.registry.start()
+        self.cap_task.start()
         text = self._read_settings_text()
         while not self.stopping.wait(SETTINGS_CHECK_S):
             text = self._reload_changed_settings(text)
@@ -146,6 +150,7 @@
         self.is_shutting_down = True
         self.unrouted_pools.stop()
         self.registry.stop()
+        self.cap_task.stop()
         self.roles.stop()
         grace_s = self.settings.shutdown_grace_s
         sleep(
@@ -193,6 +198,8 @@
             previous = self.pool_tasks.get(held.role)
             if previous is not None:
                 previous.stop()
+            pool = held.role.removeprefix(POOL_ROLE_PREFIX)
+            self.cap_task.add_pool(pool, held.fence)
             task = self._build_pool_task(held)
             held.begin_passes(REGISTRY_THREAD)
             self.pool_tasks[held.role] = task
@@ -211,6 +218,7 @@
                 return
             del self.pool_tasks[held.role]
         task.stop()
+        self.cap_task.remove_pool(task.pool, held.fence)
 
     def _holds(self, held: HeldRole) -> bool:
         """Return whether a role has been held without a break since it was taken.
@@ -220,8 +228,9 @@
         return self.roles.held.get(held.role) == held
 
     def _build_pool_task(self, held: HeldRole) -> PoolTask:
+        pool = held.role.removeprefix(POOL_ROLE_PREFIX)
         return PoolTask(
-            held.role.removeprefix(POOL_ROLE_PREFIX),
+            pool,
             held,
             self.store,
             self.advice_client,
@@ -234,6 +243,7 @@
             lambda: self.roles.lease,
             lambda role, reason: self.roles.drop(role.role, role.fence, reason),
             VmSize(self.settings.cores, self.settings.link_mbps),
+            lambda: self.cap_task.get_capped_starts(pool),
         )
 
     def _build_fleet_task(self, held: HeldRole) -> FleetTask:
@@ -254,6 +264,12 @@
         for task in self._list_pool_tasks():
             task.messages.put(WorkersUpdated(records, confirmed_at))
 
+    def _wake_pool(self, pool: str) -> None:
+        with self.lock:
+            task = self.pool_tasks.get(pool_role(pool))
+        if task is not None:
+            task.messages.put(CapsChanged())
+
     def _record_registry_pass(self) -> None:
         for task in self._list_pool_tasks():
             task.role.record_pass(REGISTRY_THREAD)
--- a/src/sesameladder/node/_records.py
+++ b/src/sesameladder/node/_records.py
@@ -1,16 +1,20 @@
 """Encodings of submissions, role holders, orders and summaries in the store."""
 
 import json
+from collections.abc import Mapping
 from dataclasses import asdict, dataclass, field
 from typing import Any
 
 from sesameladder.fleet import EndedIncarnation, OrderedVm, PoolOrders, PoolSummary
 from sesameladder.jobs import AdvicePolicy, QueuePolicy, Submission, TrackedWorker
+from sesameladder.node._keys import cap_key
+from sesameladder.organisations import Amounts, CapRow
 from sesameladder.platform import (
     MAX_AMOUNT,
     MAX_COUNTER,
     MAX_TIME_MS,
     Fields,
+    RecordInvalid,
     check_name,
     check_number,
     check_object,
@@ -253,6 +257,34 @@
         )
 
 
+def encode_cap_record(organisation: str, rows: Mapping[str, CapRow]) -> bytes:
+    """Encode what the pools are granted of an organisation's cap, and want."""
+    encoded = {
+        pool: [*_list_amounts(r.granted), *_list_amounts(r.wanted)]
+        for pool, r in rows.items()
+    }
+    return _encode_json({"organisation": organisation, "rows": encoded})
+
+
+def decode_cap_record(key: str, value: bytes) -> tuple[str, dict[str, CapRow]]:
+    """Decode an organisation's name and its rows by pool; raises ``RecordInvalid``."""
+    with decoding_record("record of a cap"):
+        fields = check_object("the record", json.loads(value))
+        organisation = read_name(fields, "organisation")
+        if cap_key(organisation) != key:
+            raise RecordInvalid(f"the record of a cap has the key {key}")
+        rows = {}
+        for pool, row in check_object("rows", fields["rows"]).items():
+            amounts = [check_number("an amount", n, MAX_COUNTER) for n in row]
+            granted, wanted = Amounts(*amounts[:3]), Amounts(*amounts[3:])
+            rows[check_name("a pool", pool)] = CapRow(granted, wanted)
+        return organisation, rows
+
+
+def _list_amounts(amounts: Amounts) -> list[int]:
+    return [amounts.cpu_millis, amounts.memory_mb, amounts.gpus]
+
+
 def _decode_names(fields: Fields, name: str) -> tuple[str, ...]:
     return tuple(check_name(name, text) for text in fields[name])
 
--- a/src/sesameladder/node/_telemetry.py
+++ b/src/sesameladder/node/_telemetry.py
@@ -80,6 +80,24 @@
     ["pool"],
     registry=REGISTRY,
 )
+CAP_GRANTED = Gauge(
+    "sesameladder_cap_granted",
+    "What the pool is granted of the caps of organisations",
+    ["pool", "resource"],
+    registry=REGISTRY,
+)
+CAP_USED = Gauge(
+    "sesameladder_cap_used",
+    "What runs or may run in the pool of organisations with a cap",
+    ["pool", "resource"],
+    registry=REGISTRY,
+)
+CAP_WAITING = Gauge(
+    "sesameladder_cap_waiting_subtasks",
+    "Subtasks that wait since the cap of their organisation is reached",
+    ["pool"],
+    registry=REGISTRY,
+)
 UNATTENDED_ROLES = Gauge(
     "sesameladder_unattended_roles",
     "Roles that the store grants to this process and that have no task here",
--- a/src/sesameladder/organisations/_caps.py
+++ b/src/sesameladder/organisations/_caps.py
@@ -125,6 +125,12 @@
     inherited: dict[str, Amounts] = field(default_factory=dict)
     """Part of the rows that runs of earlier owners may use."""
 
+    is_measured: bool = False
+    """Whether a pass has told what is present, with records read after the take-over.
+
+    Before, the inherited rows must not be lowered.
+    """
+
     is_settled: bool = False
     """Whether all runs of earlier owners are known."""
 
@@ -227,6 +233,10 @@
             self.uncapped_since[name] = now
         for name in capped:
             self.uncapped_since.pop(name, None)
+        if not self.caps:
+            # Without caps, passes don't tell what is present.
+            for owned in self.pools.values():
+                owned.is_measured = False
         self.caps, self.known_caps = capped, dict(caps)
         self._mark_changed(capped)
 
@@ -294,6 +304,7 @@
         )
         owned.present, owned.own = present, own
         self._update_inherited(pool, owned, is_settled)
+        owned.is_measured = self.records_confirmed_at > owned.added_at
         owned.pass_limits.clear()
         rooms = {}
         for name in names:
@@ -337,7 +348,7 @@
         Its outcome has to be recorded before the next call.
         """
         for pool, owned in self.pools.items():
-            if self.records_confirmed_at <= owned.added_at:
+            if not owned.is_measured:
                 continue
             for name in sorted(owned.changed):
                 cap = self.caps.get(name)
--- a/src/sesameladder/organisations/tests/cap_simulation.py
+++ b/src/sesameladder/organisations/tests/cap_simulation.py
@@ -255,9 +255,7 @@
         """Call something after a delay in seconds."""
         self.later.append((self.now + delay_s, next(self.numbers), call))
 
-    def start(
-        self, pool: str, organisation: str, needs: Amounts, fence: int
-    ) -> None:
+    def start(self, pool: str, organisation: str, needs: Amounts, fence: int) -> None:
         """Start a run unless the workers refuse the owner, and check the bound."""
         if fence < self.pools[pool].settled_fence:
             return
