--- a/src/sesameladder/organisations/_caps.py
+++ b/src/sesameladder/organisations/_caps.py
@@ -33,7 +33,7 @@
 WANT_CHANGE_INTERVAL_S = 0.25  # bounds the writes of a pool that waits
 # Bounds of the wait when the equal share of a pool is less than one subtask.
 TURN_S = 1.0
-YIELD_PERIOD_S = 2 * TURN_S
+YIELD_PERIOD_S = 4 * TURN_S
 # Other owners may start work under an earlier configuration for this long, and work
 # without a cap is in no row.
 CONFIGURATION_APPLY_S = 3.0
@@ -150,6 +150,9 @@
     pressed_since: dict[str, float] = field(default_factory=dict)
     """Time since which other pools want part of this pool's row."""
 
+    yields_until: dict[str, float] = field(default_factory=dict)
+    """Time until which another pool takes its turn."""
+
     waiting: int = 0
     """Number of subtasks that wait for a cap."""
 
@@ -529,7 +532,7 @@
         if self._is_wanted_elsewhere(pool, name):
             want = owned.wants.get(name)
             kept = floor
-            if want is not None:
+            if want is not None and is_within(add(used, want.first), ceiling):
                 kept = highest(floor, lowest(add(used, want.total), ceiling))
                 kept = lowest(kept, granted)
             # Single small ends of runs aren't worth a write.
@@ -576,11 +579,14 @@
         share = divide(cap, contenders)
         ceiling = lowest(left, highest(share, subtract(left, wanted)))
         if row.granted == NOTHING:
-            owned.pressed_since.pop(name, None)
-            pressed_s = 0.0
+            since = owned.pressed_since.pop(name, now)
+            if now - since >= TURN_S:
+                owned.yields_until[name] = now + TURN_S
+            has_turn = now >= owned.yields_until.get(name, 0.0)
         else:
-            pressed_s = now - owned.pressed_since.setdefault(name, now)
-        if pressed_s % YIELD_PERIOD_S < TURN_S:
+            since = owned.pressed_since.setdefault(name, now)
+            has_turn = (now - since) % YIELD_PERIOD_S < TURN_S
+        if has_turn:
             unit = keep_limited(owned.units.get(name, NOTHING), cap)
             ceiling = lowest(left, highest(ceiling, unit))
         return ceiling
