Bound the writes of caps while work ends run by run

While another pool waited for a cap, each end of a run gave a part of the row back. A row is now returned at most every 0.1 s.

--- a/src/sesameladder/node/_cap_task.py
+++ b/src/sesameladder/node/_cap_task.py
@@ -286,7 +286,7 @@
             preconditions.append((role_key(pool_role(write.ownerless_pool)), 0))
         puts = (Put(key, encode_cap_record(write.organisation, write.rows)),)
         with self.lock:
-            self.ledger.record_sent(write)
+            self.ledger.record_sent(write, read_steady_clock())
         try:
             if write.removes_record:
                 outcome = self.store.commit((), (key,), tuple(preconditions))
--- a/src/sesameladder/organisations/_cap_pass.py
+++ b/src/sesameladder/organisations/_cap_pass.py
@@ -61,8 +61,8 @@
     oversized: Amounts | None = None
     """Needs of the first subtask that alone exceeds the cap."""
 
-    latest: Needs | None = None
-    """Needs of the latest subtask that was counted."""
+    covered: Needs | None = None
+    """Needs of subtasks of which no more fit on the workers."""
 
     waiting: int = 0
     """Number of subtasks that wait."""
@@ -91,11 +91,15 @@
         room = self.rooms.get(organisation)
         if room is None:
             return organisation not in self.caps
-        free = room.free
-        return (
-            _fits(needs.cpu_millis * count, free.cpu_millis, room, room.cap.cpu_millis)
-            and _fits(needs.memory_mb * count, free.memory_mb, room, room.cap.memory_mb)
-            and _fits(needs.gpus * count, free.gpus, room, room.cap.gpus)
+        free, cap = room.free, room.cap
+        if cap.cpu_millis and needs.cpu_millis * count > free.cpu_millis:
+            return False
+        if cap.memory_mb and needs.memory_mb * count > free.memory_mb:
+            return False
+        if cap.gpus and needs.gpus * count > free.gpus:
+            return False
+        return room.allows_oversized or not exceeds_cap(
+            multiply(to_amounts(needs), count), cap
         )
 
     def record_start(self, organisation: str, needs: Needs) -> None:
@@ -125,10 +129,8 @@
         if want is None:
             want = self.wants[organisation] = Want()
         want.waiting += count
-        is_full = want.total.cpu_millis >= self.free_cpu_millis
-        if group == 1 and is_full and needs == want.latest:
+        if group == 1 and want.covered is not None and needs == want.covered:
             return
-        want.latest = needs
         unit = keep_limited(multiply(to_amounts(needs), group), room.cap)
         if exceeds_cap(unit, room.cap):
             if group == 1:
@@ -140,7 +142,10 @@
         units = count // group
         if unit.cpu_millis:
             left = self.free_cpu_millis - want.total.cpu_millis
-            units = min(units, max(0, left // unit.cpu_millis))
+            fitting = max(0, left // unit.cpu_millis)
+            if group == 1 and fitting < units:
+                want.covered = needs
+            units = min(units, fitting)
         if want.total == NOTHING:
             units = max(1, units)
         want.total = add(want.total, multiply(unit, units))
@@ -151,12 +156,6 @@
     return Amounts(needs.cpu_millis, needs.memory_mb, needs.gpus)
 
 
-def _fits(amount: int, free: int, room: Room, cap: int) -> bool:
-    if not cap:
-        return True
-    return amount <= free and (amount <= cap or room.allows_oversized)
-
-
 class DemandLimit:
     """Part of the waiting work that the caps let a pool start."""
 
--- a/src/sesameladder/organisations/_caps.py
+++ b/src/sesameladder/organisations/_caps.py
@@ -31,6 +31,7 @@
 UNUSED_STEPS = 2
 UNUSED_S = 0.5  # short jobs last longer, so rows don't follow each end of a run
 WANT_CHANGE_INTERVAL_S = 0.25  # bounds the writes of a pool that waits
+RETURN_INTERVAL_S = 0.1  # bounds the writes while runs end one after the other
 # Bounds of the wait when the equal share of a pool is less than one subtask.
 TURN_S = 1.0
 YIELD_PERIOD_S = 4 * TURN_S
@@ -361,7 +362,7 @@
                     continue
                 row = self._decide_row(pool, owned, name, cap, now)
                 if row is not None:
-                    return self._build_write(pool, owned, name, row, now)
+                    return self._build_write(pool, owned, name, row)
                 if self._is_at_rest(pool, owned, name):
                     owned.changed.discard(name)
         return self._plan_removal(now)
@@ -394,8 +395,10 @@
             },
         )
 
-    def record_sent(self, write: RecordWrite) -> None:
+    def record_sent(self, write: RecordWrite, now: float) -> None:
         """Count a write as possibly executed from now on."""
+        if write.pool in self.pools and not write.ownerless_pool:
+            self.pools[write.pool].written_at[write.organisation] = now
         granted = write.rows.get(write.pool, EMPTY_ROW).granted
         calls = self.pending.setdefault(write.organisation, Counter())
         calls[write.revision, write.pool, granted] += 1
@@ -536,7 +539,8 @@
                 kept = highest(floor, lowest(add(used, want.total), ceiling))
                 kept = lowest(kept, granted)
             # Single small ends of runs aren't worth a write.
-            if _reaches(subtract(granted, kept), divide(step, 4), cap):
+            is_due = now - owned.written_at.get(name, 0.0) >= RETURN_INTERVAL_S
+            if is_due and _reaches(subtract(granted, kept), divide(step, 4), cap):
                 self._clear_unused(owned, name)
                 return kept
         unused = subtract(granted, floor)
@@ -592,14 +596,13 @@
         return ceiling
 
     def _build_write(
-        self, pool: str, owned: OwnedPool, name: str, row: CapRow, now: float
+        self, pool: str, owned: OwnedPool, name: str, row: CapRow
     ) -> RecordWrite:
         record = self.records.get(name, NO_RECORD)
         before = record.rows.get(pool, EMPTY_ROW)
         rows = {key: value for key, value in record.rows.items() if key != pool}
         if row != EMPTY_ROW:
             rows[pool] = row
-        owned.written_at[name] = now
         event = ""
         if not is_within(row.granted, before.granted):
             event = "cap_granted"
--- a/src/sesameladder/organisations/tests/cap_simulation.py
+++ b/src/sesameladder/organisations/tests/cap_simulation.py
@@ -184,7 +184,7 @@
             write = self.ledger.plan(now)
             if write is None:
                 return
-            self.ledger.record_sent(write)
+            self.ledger.record_sent(write, now)
             self.send(write, now)
 
     def send(self, write: RecordWrite, now: float) -> None:
--- a/src/sesameladder/organisations/tests/test_caps.py
+++ b/src/sesameladder/organisations/tests/test_caps.py
@@ -83,7 +83,7 @@
         write = self.plan()
         if write is None:
             return None
-        self.ledger.record_sent(write)
+        self.ledger.record_sent(write, self.now)
         self.revision += 1
         self.ledger.record_stored(write, self.revision, self.now)
         return write.rows.get("p", CapRow())
@@ -233,6 +233,7 @@
     assert owner.run_pass(waiting=1) == 0
     assert owner.plan_row() == row(6_000, 1_000)
     owner.is_settled = True
+    owner.wait(0.2)
     assert owner.run_pass() == 0
     planned = owner.plan_row()
     assert planned is not None
@@ -252,7 +253,7 @@
     owner.present = Amounts(present)
     owner.run_pass()
     rows = {"p": row(after)}
-    owner.ledger.record_sent(RecordWrite("a", owner.revision, rows, "p", 1))
+    owner.ledger.record_sent(RecordWrite("a", owner.revision, rows, "p", 1), T)
     assert owner.run_pass(waiting=6) == starts
     owner.set_rows({"p": row(6_000)})
     owner.run_pass(waiting=6 - starts)
@@ -264,7 +265,7 @@
     owner = Owner({"p": row(2_000)})
     owner.ledger.add_pool("q", 2, T - 1)
     rows = {"p": row(2_000), "q": row(13_000)}
-    owner.ledger.record_sent(RecordWrite("a", owner.revision, rows, "q", 2))
+    owner.ledger.record_sent(RecordWrite("a", owner.revision, rows, "q", 2), T)
     owner.run_pass(waiting=9)
     owner.store()
     assert owner.ledger.list_rows("p")["a"] == Amounts(3_000)
@@ -274,8 +275,8 @@
     """Guards against a call that is forgotten while it may still be executed."""
     owner = Owner({"p": row(4_000)})
     write = RecordWrite("a", owner.revision, {"p": row(1_000)}, "p", 1)
-    owner.ledger.record_sent(write)
-    owner.ledger.record_sent(write)
+    owner.ledger.record_sent(write, T)
+    owner.ledger.record_sent(write, T)
     owner.ledger.record_refused(write)
     assert owner.run_pass(waiting=4) == 1
 
