--- a/src/sesameladder/node/tests/test_caps.py
+++ b/src/sesameladder/node/tests/test_caps.py
@@ -3,7 +3,7 @@
 import json
 import signal
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from pathlib import Path
 from threading import Lock
 from typing import Any
@@ -52,7 +52,13 @@
 class RunCounter:
     """Counts the running subtasks of all pools and checks them against the cap."""
 
-    def __init__(self, standin: SystemStandin, cap_millis: int) -> None:
+    def __init__(
+        self,
+        standin: SystemStandin,
+        cap_millis: int,
+        is_counted: Callable[[str], bool] = lambda task: True,
+    ) -> None:
+        self.is_counted = is_counted
         self.lock = Lock()
         self.running: set[tuple[str, str, int]] = set()
         self.most_millis = 0
@@ -67,6 +73,8 @@
         self.caps.append((time.monotonic(), cap_millis))
 
     def record_start(self, worker: Any, task: str, run: int) -> None:
+        if not self.is_counted(task):
+            return
         with self.lock:
             self.running.add((worker.name, task, run))
             millis = len(self.running) * SUBTASK_MILLIS
