Begin no run late under a cap that has been lowered

A start without an answer counts from the first order on, but a repetition may be the one that begins the run, and a process may be paused between a decision and the sending. While the rows exceed the cap such a start is now blocked by a stop, while the view of the store is old it is not repeated, and an order is not sent later than 1.5 s after its decision (view of 1.5 s, in force for 3 s).

--- a/src/sesameladder/jobs/_capped_starts.py
+++ b/src/sesameladder/jobs/_capped_starts.py
@@ -2,11 +2,12 @@
 
 from collections import Counter
 from collections.abc import Iterable
+from math import inf
 from typing import Protocol
 
 from sesameladder.jobs._job import Step, Subtask
 from sesameladder.jobs._model import JobSpec
-from sesameladder.jobs._runs import WorkerView
+from sesameladder.jobs._runs import Run, WorkerView
 from sesameladder.organisations import (
     NOTHING,
     Amounts,
@@ -20,6 +21,8 @@
 )
 
 NO_CAPS = CapPass({})
+# A configuration is in force for 3 s after a newer one; the view is up to 1.5 s old.
+START_VALID_S = 1.5
 
 
 class PoolCaps(Protocol):
@@ -48,11 +51,12 @@
     anything costs one answer.
     """
 
-    __slots__ = ("caps", "current")
+    __slots__ = ("began_at", "caps", "current")
 
     def __init__(self, caps: PoolCaps) -> None:
         self.caps = caps
         self.current = NO_CAPS
+        self.began_at = 0.0
 
     def begin_pass(
         self,
@@ -87,6 +91,8 @@
         present = _sum_by_organisation(runs_by_step)
         own = _sum_by_organisation(own_by_step)
         names = {step.job.submission.organisation for step in open_steps}
+        names.update(present)
+        self.began_at = now
         self.current = self.caps.begin_pass(
             names, present, own, is_settled, free_cpu_millis, now
         )
@@ -133,6 +139,28 @@
             needs = subtask.step.spec.needs
             self.current.record_start(organisation, needs)
 
+    def may_repeat(self, run: Run) -> bool:
+        """Return whether a start that got no response may be repeated now."""
+        return self.current.may_repeat(run.subtask.step.job.submission.organisation)
+
+    def must_block(self, run: Run) -> bool:
+        """Return whether a start that got no response is to be blocked by a stop.
+
+        The cap has been lowered since it was first sent, and it may not have begun.
+        """
+        step = run.subtask.step
+        organisation = step.job.submission.organisation
+        return self.current.must_block(organisation, step.spec.needs)
+
+    def get_start_deadline(self, run: Run) -> float:
+        """Return the time after which a start must not be sent any more.
+
+        The process may be paused between the decision and the sending.
+        """
+        if run.subtask.step.job.submission.organisation not in self.current.caps:
+            return inf
+        return self.began_at + START_VALID_S
+
     def limit_demand(self) -> DemandLimit:
         """Return the part of the waiting work that the caps let the pool start."""
         return DemandLimit(self.current.rooms)
--- a/src/sesameladder/jobs/_commands.py
+++ b/src/sesameladder/jobs/_commands.py
@@ -1,6 +1,7 @@
 """Commands of the scheduler to the tasks that own the connections."""
 
 from dataclasses import dataclass
+from math import inf
 
 from sesameladder.jobs._model import StartOrder, SubtaskId
 
@@ -11,6 +12,8 @@
 
     worker: str
     order: StartOrder
+    send_before: float = inf
+    """Steady time in seconds after which the order must not be sent any more."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/sesameladder/jobs/_scheduler.py
+++ b/src/sesameladder/jobs/_scheduler.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from math import inf
 
 from sesameladder.jobs._capped_starts import CappedStarts
 from sesameladder.jobs._commands import (
@@ -477,6 +478,8 @@
         for worker in list(self.workers.values()):
             if worker.failed_reports:
                 self._release_expired(worker, now)
+        if self.capped_starts is not None:
+            self._begin_capped_pass(self.capped_starts, now)
         self._repeat_orders(now)
         for run in choose_evacuations(
             self.workers.values(), self.runs, self.stop_grace_s, now
@@ -488,8 +491,6 @@
                 worker=run.worker.id,
             )
             self._stop(run, now)
-        if self.capped_starts is not None:
-            self._begin_capped_pass(self.capped_starts, now)
         if not self.is_paused:
             self._place(now)
         if self.capped_starts is not None:
@@ -787,7 +788,9 @@
             checkpoint,
             tickets.get(run.worker.id, ""),
         )
-        self.commands.append(StartCommand(run.worker.id, order))
+        caps = self.capped_starts
+        deadline = caps.get_start_deadline(run) if caps is not None else inf
+        self.commands.append(StartCommand(run.worker.id, order, deadline))
 
     def _ensure_tickets(self, step: Step, now: float) -> bool:
         known = self.tickets.get(step.key)
@@ -853,12 +856,15 @@
             if run.stopping_since is not None:
                 if now - run.stop_sent_at >= STOP_RETRY_S:
                     self._stop(run, now)
-            elif (is_due or run.is_overdue(now)) and run.worker.is_overcommitted_by(
-                run
+            elif (is_due or run.is_overdue(now)) and (
+                run.worker.is_overcommitted_by(run)
+                or (self.capped_starts and self.capped_starts.must_block(run))
             ):
-                # The worker's capacity has shrunk since the start was first sent.
+                # The worker or the cap has shrunk since the start was first sent.
                 self._stop(run, now)
-            elif is_due:
+            elif is_due and (
+                not self.capped_starts or self.capped_starts.may_repeat(run)
+            ):
                 run.retry_at = None
                 self._send_start(run)
 
--- a/src/sesameladder/jobs/tests/test_capped_starts.py
+++ b/src/sesameladder/jobs/tests/test_capped_starts.py
@@ -12,6 +12,7 @@
     JobSpec,
     PoolScheduler,
     Resources,
+    StartCommand,
     StepSpec,
     SubtaskId,
     explain_impossible_gang,
@@ -45,6 +46,8 @@
         self.present: dict[str, Amounts] = {}
         self.own: dict[str, Amounts] = {}
         self.is_settled = True
+        self.is_open = True
+        self.is_over = False
         self.result = CapPass({})
 
     def begin_pass(
@@ -61,7 +64,8 @@
         self.is_settled = is_settled
         used = present.get("a", NOTHING).cpu_millis
         free = Amounts(max(0, self.row_millis - used))
-        room = Room(CAP, free=free, headroom=free)
+        is_alone = self.row_millis > CAP.cpu_millis
+        room = Room(CAP, free, is_alone, self.is_open, self.is_over, free)
         return CapPass({"a": room}, {"a": CAP}, free_cpu_millis)
 
     def end_pass(self, result: CapPass, now: float) -> None:
@@ -183,6 +187,37 @@
         assert caps.present["a"] == Amounts(1_000, 100)
 
 
+@pytest.mark.parametrize(
+    ("is_open", "is_over", "needs", "expected"),
+    [
+        (True, False, 1_000, ["StartCommand"]),
+        (False, False, 1_000, []),
+        (False, True, 1_000, ["StopCommand"]),
+        (False, True, 4_001, []),
+    ],
+    ids=["open", "old view", "over the cap", "alone over the cap"],
+)
+def test_start_without_an_answer_begins_nothing_that_the_cap_forbids(
+    is_open: bool, is_over: bool, needs: int, expected: list[str]
+) -> None:
+    """Guards against a repeated start that begins a run under a lowered cap."""
+    records = [replace(build_record(0), capacity=Resources(9_000, 8_000))]
+    scheduler = build_scheduler(*records)
+    caps = FixedCaps(needs)
+    scheduler.capped_starts = CappedStarts(caps)
+    submit_for(scheduler, "a", replace(STEP, count=1, needs=Resources(needs)))
+    (command,) = scheduler.schedule(0.1, 100.0)
+    assert isinstance(command, StartCommand)
+    assert command.send_before == pytest.approx(1.6)
+    order = command.order
+    scheduler.apply_start_outcome(
+        "i-0", order.subtask, order.run, StartOutcome.UNANSWERED, 0.2
+    )
+    caps.is_open, caps.is_over = is_open, is_over
+    commands = scheduler.schedule(0.5, 500.0)
+    assert [type(command).__name__ for command in commands] == expected
+
+
 def test_demand_leaves_out_what_the_cap_forbids() -> None:
     """Guards against VMs that are moved to a pool for work that must wait there."""
     scheduler, _ = build_capped(2_000, workers=1)
--- a/src/sesameladder/node/_worker_link.py
+++ b/src/sesameladder/node/_worker_link.py
@@ -271,7 +271,8 @@
         if responded_at is not None:
             response_age_s = read_steady_clock() - responded_at
         try:
-            if (order.subtask, order.run) in self.withdrawn_starts:
+            is_late = read_steady_clock() > command.send_before
+            if is_late or (order.subtask, order.run) in self.withdrawn_starts:
                 outcome = StartOutcome.WITHDRAWN
             elif lease_until_ms is None:
                 outcome = StartOutcome.NOT_SENT
--- a/src/sesameladder/node/tests/test_owner_change.py
+++ b/src/sesameladder/node/tests/test_owner_change.py
@@ -122,6 +122,31 @@
     assert outcomes == [StartOutcome.STARTED, StartOutcome.NOT_SENT]
 
 
+@pytest.mark.parametrize(
+    ("valid_s", "expected"),
+    [(-0.1, StartOutcome.WITHDRAWN), (60.0, StartOutcome.STARTED)],
+    ids=["late", "in time"],
+)
+def test_start_is_not_sent_after_its_deadline(
+    monkeypatch: pytest.MonkeyPatch, valid_s: float, expected: StartOutcome
+) -> None:
+    """Guards against starts under an earlier cap after a pause of the process."""
+    monkeypatch.setattr(WorkerLink, "start", lambda self: None)
+    task = build_pool_task()
+    task.scheduler.update_workers([build_record(1)], 0.0)
+    task._update_links()
+    link = task.links[WORKER]
+    client = RecordingClient()
+    link.client = client  # type: ignore[assignment]
+    link.clock_offset_s = 0.0
+    deadline = read_steady_clock() + valid_s
+    link._send_start(StartCommand(WORKER, StartOrder(SUBTASK, 7, ""), deadline))
+    message = task.messages.get()
+    assert isinstance(message, StartFinished)
+    assert message.outcome is expected
+    assert (client.calls == []) is (expected is StartOutcome.WITHDRAWN)
+
+
 @pytest.mark.parametrize(
     ("build_key", "method"),
     [(submission_key, "add_job"), (cancel_key, "cancel_job")],
--- a/src/sesameladder/organisations/_cap_pass.py
+++ b/src/sesameladder/organisations/_cap_pass.py
@@ -43,6 +43,12 @@
     allows_oversized: bool = False
     """Whether one subtask that alone exceeds the cap may start within ``free``."""
 
+    is_open: bool = False
+    """Whether the view of the store allows starts, and all rows fit in the cap."""
+
+    is_over: bool = False
+    """Whether all rows together exceed the cap."""
+
     headroom: Amounts = NOTHING
     """What the organisation could run more in the pool if its row were raised."""
 
@@ -102,6 +108,21 @@
             multiply(to_amounts(needs), count), cap
         )
 
+    def may_repeat(self, organisation: str) -> bool:
+        """Return whether a start without an answer, which counts already, may be sent.
+
+        It may be the one that begins the run.
+        """
+        room = self.rooms.get(organisation)
+        return organisation not in self.caps or (room is not None and room.is_open)
+
+    def must_block(self, organisation: str, needs: Needs) -> bool:
+        """Return whether a start without an answer must not begin any more."""
+        room = self.rooms.get(organisation)
+        if room is None or not room.is_over:
+            return False
+        return not exceeds_cap(to_amounts(needs), room.cap)
+
     def record_start(self, organisation: str, needs: Needs) -> None:
         """Count a subtask that is started in this pass."""
         room = self.rooms.get(organisation)
--- a/src/sesameladder/organisations/_caps.py
+++ b/src/sesameladder/organisations/_caps.py
@@ -225,7 +225,7 @@
             may_run = name in known or name in self.uncapped_since
             if may_run and keep_limited(cap, before) != cap:
                 self.settles_at[name] = now + CONFIGURATION_APPLY_S
-            if exceeds_cap(before, cap):
+            if self.pools and exceeds_cap(before, cap):
                 self.log_event(
                     "cap_lowered",
                     organisation=name,
@@ -448,9 +448,11 @@
         total = keep_limited(add(others, self._get_highest(pool, name)), cap)
         if not is_within(total, cap):
             # Only the row of one subtask that alone exceeds the cap may do so.
+            room.is_over = True
             if is_alone:
                 room.free, room.allows_oversized = usable, True
             return room
+        room.is_open = True
         room.free = subtract(lowest(usable, ceiling), used)
         return room
 
