--- a/src/sesameladder/node/_cap_task.py
+++ b/src/sesameladder/node/_cap_task.py
@@ -46,6 +46,8 @@
 )
 
 WATCH_WAIT_MS = 400  # with 0.7 s of slack, a lost watch fails within the 1.5 s allowed
+# With 55 owners, watches that return with each change would exceed the store's reads.
+CHANGE_PAUSE_S = 0.05
 RETRY_PAUSE_S = 0.15
 IDLE_PAUSE_S = 0.25  # while no organisation has a cap or no pool is owned
 PLAN_INTERVAL_S = 0.1  # resolution of the ledger's timers
@@ -224,6 +226,7 @@
         if changes:
             self.wake.set()
             self._wake_waiting_pools()
+            self.stopping.wait(CHANGE_PAUSE_S)
         return next_revision
 
     def _apply_record(self, key: str, value: bytes | None, revision: int) -> None:
