Hold no part of a cap for a subtask that has to run alone

A subtask that alone exceeds the cap put its whole size into the wanted amounts, so other pools were held to an equal share for as long as it waited. It now asks only for what others don't use. cap_reached is logged too when the same write raises the row.

--- a/src/sesameladder/node/_cap_task.py
+++ b/src/sesameladder/node/_cap_task.py
@@ -304,9 +304,9 @@
             return False
         with self.lock:
             self.ledger.record_stored(write, outcome.revision, read_steady_clock())
-        if write.event:
-            log_event(write.event, **write.fields)
-        if write.event == "cap_granted":
+        for event in write.events:
+            log_event(event, **write.fields)
+        if "cap_granted" in write.events:
             self.wake_pool(write.pool)
         return True
 
--- a/src/sesameladder/organisations/_caps.py
+++ b/src/sesameladder/organisations/_caps.py
@@ -8,7 +8,7 @@
 """
 
 from collections import Counter
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from sesameladder.organisations._amounts import (
@@ -31,6 +31,7 @@
 UNUSED_STEPS = 2
 UNUSED_S = 0.5  # short jobs last longer, so rows don't follow each end of a run
 WANT_CHANGE_INTERVAL_S = 0.25  # bounds the writes of a pool that waits
+ANY_AMOUNT = Amounts(1, 1, 1)
 RETURN_INTERVAL_S = 0.1  # bounds the writes while runs end one after the other
 # Bounds of the wait when the equal share of a pool is less than one subtask.
 TURN_S = 1.0
@@ -107,8 +108,8 @@
     ownerless_pool: str = ""
     """Pool whose row is removed; its role must have no holder."""
 
-    event: str = ""
-    """Name of the event to log once this is stored; empty for none."""
+    events: Sequence[str] = ()
+    """Names of the events to log once this is stored."""
 
     fields: Mapping[str, object] = field(default_factory=dict)
 
@@ -385,7 +386,7 @@
             own_pool,
             owned.fence,
             ownerless_pool=pool,
-            event="cap_returned",
+            events=("cap_returned",),
             fields={
                 "organisation": organisation,
                 "pool": pool,
@@ -490,7 +491,8 @@
         new = granted
         if want is not None:
             if want.oversized is not None:
-                wanted = want.oversized
+                # Other pools only return what they don't use: it has to run alone.
+                wanted = lowest(want.oversized, ANY_AMOUNT)
                 if used == floor == others == NOTHING and may_raise:
                     return CapRow(want.oversized)
             if want.first != NOTHING:
@@ -499,7 +501,8 @@
                 is_enough = is_within(add(used, want.first), raised)
                 if may_raise and is_enough:
                     new = raised
-                wanted = highest(wanted, subtract(lowest(target, cap), new))
+                needed = lowest(add(used, want.total), cap)
+                wanted = highest(wanted, subtract(needed, new))
         elif row.wanted != NOTHING and now - owned.wanted_at.get(name, 0.0) < UNUSED_S:
             wanted = row.wanted
         if new == granted:
@@ -542,7 +545,9 @@
                 kept = lowest(kept, granted)
             # Single small ends of runs aren't worth a write.
             is_due = now - owned.written_at.get(name, 0.0) >= RETURN_INTERVAL_S
-            if is_due and _reaches(subtract(granted, kept), divide(step, 4), cap):
+            is_emptied = kept == NOTHING != granted
+            is_worth_it = _reaches(subtract(granted, kept), divide(step, 4), cap)
+            if is_due and (is_emptied or is_worth_it):
                 self._clear_unused(owned, name)
                 return kept
         unused = subtract(granted, floor)
@@ -605,13 +610,13 @@
         rows = {key: value for key, value in record.rows.items() if key != pool}
         if row != EMPTY_ROW:
             rows[pool] = row
-        event = ""
+        events = []
         if not is_within(row.granted, before.granted):
-            event = "cap_granted"
+            events.append("cap_granted")
         elif row.granted != before.granted:
-            event = "cap_returned"
-        elif before.wanted == NOTHING != row.wanted:
-            event = "cap_reached"
+            events.append("cap_returned")
+        if before.wanted == NOTHING != row.wanted:
+            events.append("cap_reached")
         want = owned.wants.get(name)
         fields = {
             "organisation": name,
@@ -625,7 +630,7 @@
             "waiting": want.waiting if want is not None else 0,
         }
         return RecordWrite(
-            name, record.revision, rows, pool, owned.fence, event=event, fields=fields
+            name, record.revision, rows, pool, owned.fence, events=events, fields=fields
         )
 
     def _plan_removal(self, now: float) -> RecordWrite | None:
