--- a/src/sesameladder/node/_records.py
+++ b/src/sesameladder/node/_records.py
@@ -26,6 +26,8 @@
     read_text,
 )
 
+AMOUNTS_PER_ROW = 6  # granted and wanted: millicores, MB and GPUs
+
 
 @dataclass(frozen=True, slots=True)
 class RoleHolder:
@@ -276,6 +278,8 @@
         rows = {}
         for pool, row in check_object("rows", fields["rows"]).items():
             amounts = [check_number("an amount", n, MAX_COUNTER) for n in row]
+            if len(amounts) != AMOUNTS_PER_ROW:
+                raise RecordInvalid(f"a row of {len(amounts)} amounts")
             granted, wanted = Amounts(*amounts[:3]), Amounts(*amounts[3:])
             rows[check_name("a pool", pool)] = CapRow(granted, wanted)
         return organisation, rows
