Merge the caps of organisations across pools

Cause: an organisation with a cap of 16,000 millicores had 128,000 running.

Change: owners start work of capped organisations only within their rows of the cap records in the store (docs/design/caps.md). Intake gets the organisation of the key itself, since it refuses gangs that can never run.

--- a/src/sesameladder/jobs/_scheduler.py
+++ b/src/sesameladder/jobs/_scheduler.py
@@ -9,7 +9,9 @@
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from math import inf
 
+from sesameladder.jobs._capped_starts import CappedStarts
 from sesameladder.jobs._commands import (
     AdviceCommand,
     Command,
@@ -20,6 +22,7 @@
 from sesameladder.jobs._durations import DurationTable
 from sesameladder.jobs._evacuation import choose_evacuations
 from sesameladder.jobs._failures import record_failure
+from sesameladder.jobs._gang_placement import plan_gang
 from sesameladder.jobs._job import Job, Step, Submission, Subtask
 from sesameladder.jobs._job_table import JobTable
 from sesameladder.jobs._load import PoolLoad, measure_load
@@ -70,7 +73,6 @@
 MAX_LOGGED_WORKERS = 20
 MAX_LOGGED_SUSPECTS = 20
 MAX_LOGGED_CRASHES = 20
-GANG_START_LIMIT_S = 1.5  # half the time after which members stop waiting for others
 
 EventLogger = Callable[..., None]
 
@@ -164,6 +166,9 @@
     False while a newer owner may have extended the leases of silent workers.
     """
 
+    capped_starts: CappedStarts | None = None
+    """What the caps of organisations allow; None while no organisation has one."""
+
     is_paused: bool = False
     """Whether starts are suspended.
 
@@ -478,6 +483,8 @@
         for worker in list(self.workers.values()):
             if worker.failed_reports:
                 self._release_expired(worker, now)
+        if self.capped_starts is not None:
+            self._begin_capped_pass(self.capped_starts, now)
         self._repeat_orders(now)
         for run in choose_evacuations(
             self.workers.values(), self.runs, self.stop_grace_s, now
@@ -491,11 +498,25 @@
             self._stop(run, now)
         if not self.is_paused:
             self._place(now)
+        if self.capped_starts is not None:
+            self.capped_starts.end_pass(now)
         for worker in self.workers.values():
             worker.has_new_report = False
         commands, self.commands = self.commands, []
         return commands
 
+    def _begin_capped_pass(self, capped_starts: CappedStarts, now: float) -> None:
+        views = self.workers.values()
+        is_sized = not any(view.unsized_runs for view in views)
+        capped_starts.begin_pass(
+            self.job_table.open_steps.values(),
+            views,
+            (row for rows in self.subtasks_lost_by_restart.values() for row in rows),
+            (self.term - 1) * RUNS_PER_TERM,
+            is_sized and self.knows_earlier_runs(now),
+            now,
+        )
+
     def knows_earlier_runs(self, now: float) -> bool:
         """Return whether all runs of earlier owners are known or have expired."""
         if self.unread_workers.has_unlisted(now):
@@ -599,11 +620,13 @@
         """Return the cores that the pool's jobs need."""
         # Obsolete runs use cores until they end.
         runs = [run for view in self.workers.values() for run in view.runs.values()]
+        limit = self.capped_starts.limit_demand() if self.capped_starts else None
         return estimate_demand(
             self.job_table.open_steps.values(),
             runs,
             self.durations,
             self.offered_load.compute_cores(now),
+            limit,
         )
 
     # Placement -------------------------------------------------------------
@@ -640,11 +663,13 @@
             # reported yet.
             if not can_start_earlier_jobs and step.job.submission.revision < self.fence:
                 continue
+            if self.capped_starts and not self.capped_starts.may_start_step(step):
+                continue
             try:
                 if step.job.submission.advice and not self._ensure_tickets(step, now):
                     continue
                 if step.spec.gang:
-                    self._place_gang(step, self.probation.open_workers, now)
+                    self._place_gang(step, now)
                 else:
                     self._place_step(step, now)
             except Exception as error:
@@ -672,6 +697,8 @@
                 continue
             if not self._has_place_for_start():
                 break
+            if self.capped_starts and not self.capped_starts.may_start(subtask):
+                break
             needs_reserved_worker = self.probation.needs_reserved_worker(subtask, now)
             if needs_reserved_worker:
                 worker = self.probation.choose_worker(subtask, tickets, now)
@@ -696,66 +723,23 @@
                 waiting=step.waiting_count,
             )
 
-    def _place_gang(self, step: Step, accepting: list[WorkerView], now: float) -> None:
-        """Place all members of a gang at once, or only the missing ones."""
-        members = step.subtasks
-        active = [run for run in map(self._get_run, members) if run is not None]
-        if any(run.stopping_since is not None for run in active):
-            return
-        waiting = list(step.waiting.values())
-        if len(active) + len(waiting) < len(members):
-            return
-        if active and now - min(run.sent_at for run in active) > GANG_START_LIMIT_S:
-            for run in active:
-                self._stop(run, now)
-            return
-        if any(subtask.not_before > now for subtask in waiting):
-            return
-        number = max(subtask.last_run for subtask in members)
-        if active and any(
-            number in subtask.crashes and number != subtask.announced_run
-            for subtask in waiting
-        ):
-            # A member that crashed with its worker has broken this run of the gang.
-            for run in active:
-                self._stop(run, now)
-            return
-        number += 0 if active else 1
-        announced = [self._is_announced(subtask, number) for subtask in waiting]
-        if not all(announced):
-            return
-        racks = {view.rack for view in accepting} if step.spec.same_rack else {""}
-        for rack in sorted(racks):
-            placed = self._try_place_gang(waiting, accepting, number, rack, now)
-            if placed:
-                self.log_event(
-                    "gang_placed", job=step.job.id, step=step.number, rack=rack
-                )
-                return
-
-    def _try_place_gang(
-        self,
-        waiting: list[Subtask],
-        accepting: list[WorkerView],
-        number: int,
-        rack: str,
-        now: float,
-    ) -> bool:
-        reserved: list[Run] = []
-        tickets = self._get_tickets(waiting[0].step)
-        for subtask in waiting:
-            worker = choose_worker(subtask, accepting, tickets, rack)
-            if worker is None:
-                for run in reserved:
-                    run.worker.remove(run)
-                return False
-            run = Run(subtask, number, worker, now)
-            worker.add(run)
-            reserved.append(run)
-        for run in reserved:
-            run.worker.remove(run)
-            self._start(run.subtask, run.worker, number, now)
-        return True
+    def _place_gang(self, step: Step, now: float) -> None:
+        plan = plan_gang(
+            step,
+            self.probation.open_workers,
+            self.runs,
+            self._get_tickets(step),
+            self._is_announced,
+            now,
+        )
+        for run in plan.runs_to_stop:
+            self._stop(run, now)
+        for subtask, worker in plan.starts:
+            self._start(subtask, worker, plan.number, now)
+        if plan.starts:
+            self.log_event(
+                "gang_placed", job=step.job.id, step=step.number, rack=plan.rack
+            )
 
     def _has_place_for_start(self) -> bool:
         return len(self.unanswered_starts) < self.start_window.limit
@@ -778,6 +762,8 @@
         self.unanswered_starts.append(run)
         worker.add(run)
         self.job_table.set_placed(subtask)
+        if self.capped_starts is not None:
+            self.capped_starts.record_start(subtask)
         job = subtask.step.job
         if job.state is JobState.QUEUED:
             job.state = JobState.RUNNING
@@ -812,7 +798,9 @@
             checkpoint,
             tickets.get(run.worker.id, ""),
         )
-        self.commands.append(StartCommand(run.worker.id, order))
+        caps = self.capped_starts
+        deadline = caps.get_start_deadline(run) if caps is not None else inf
+        self.commands.append(StartCommand(run.worker.id, order, deadline))
 
     def _ensure_tickets(self, step: Step, now: float) -> bool:
         known = self.tickets.get(step.key)
@@ -835,9 +823,6 @@
 
     # Runs ------------------------------------------------------------------
 
-    def _get_run(self, subtask: Subtask) -> Run | None:
-        return self.runs.get(subtask.id)
-
     def _find_run(self, worker: str, subtask: SubtaskId, number: int) -> Run | None:
         run = self.runs.get(subtask)
         if run is not None and run.worker.id == worker and run.number == number:
@@ -881,12 +866,15 @@
             if run.stopping_since is not None:
                 if now - run.stop_sent_at >= STOP_RETRY_S:
                     self._stop(run, now)
-            elif (is_due or run.is_overdue(now)) and run.worker.is_overcommitted_by(
-                run
+            elif (is_due or run.is_overdue(now)) and (
+                run.worker.is_overcommitted_by(run)
+                or (self.capped_starts and self.capped_starts.must_block(run))
             ):
-                # The worker's capacity has shrunk since the start was first sent.
+                # The worker or the cap has shrunk since the start was first sent.
                 self._stop(run, now)
-            elif is_due:
+            elif is_due and (
+                not self.capped_starts or self.capped_starts.may_repeat(run)
+            ):
                 run.retry_at = None
                 self._send_start(run)
 
--- a/src/sesameladder/node/_http_servers.py
+++ b/src/sesameladder/node/_http_servers.py
@@ -34,7 +34,7 @@
     log_warning,
     logger,
 )
-from sesameladder.organisations import KeyOutcome, check_key
+from sesameladder.organisations import KeyOutcome, Organisation, check_key
 
 KEY_HEADER = "HTTP_X_SESAMELADDER_CREDENTIAL"
 TIME_LIMIT_HEADER = "HTTP_X_SESAMELADDER_DEADLINE_MS"
@@ -269,7 +269,7 @@
         if queue is None:
             response = ApiResponse(404, {"error": "no such queue"})
             return HandledRequest("unrouted", response, version=version)
-        organisation = ""
+        organisation: Organisation | None = None
         if configuration.organisations is not None and not queue.is_public:
             key_check = check_key(
                 configuration.organisations,
@@ -282,10 +282,11 @@
             if key_check.organisation is None:
                 response = _build_key_refusal(key_check.outcome)
                 return HandledRequest("key_check", response, version=version)
-            organisation = key_check.organisation.name
+            organisation = key_check.organisation
+        name = organisation.name if organisation is not None else ""
         if len(body) > configuration.max_body_bytes:
             response = ApiResponse(413, {"error": "body is too large"})
-            return HandledRequest("oversize", response, "", organisation, version)
+            return HandledRequest("oversize", response, "", name, version)
         deadline = compute_response_deadline(
             _parse_time_limit_ms(environ), DEFAULT_TIME_LIMIT_MS
         )
@@ -298,7 +299,7 @@
             if result is not None
             else ApiResponse(405, {"error": f"no {method} here"})
         )
-        return HandledRequest(action, response, job, organisation, version)
+        return HandledRequest(action, response, job, name, version)
 
     def _dispatch(
         self,
@@ -308,7 +309,7 @@
         job: str,
         body: bytes,
         deadline: float,
-        organisation: str,
+        organisation: Organisation | None,
     ) -> tuple[str, Result | None]:
         if method == "POST":
             result = self.intake.submit(queue, job, body, deadline, organisation)
--- a/src/sesameladder/organisations/__init__.py
+++ b/src/sesameladder/organisations/__init__.py
@@ -3,6 +3,14 @@
 The package decides only: it opens no sockets and reads no clocks.
 """
 
+from sesameladder.organisations._amounts import NOTHING, add, exceeds_cap, multiply
+from sesameladder.organisations._cap_pass import CapPass, DemandLimit, to_amounts
+from sesameladder.organisations._caps import (
+    CapLedger,
+    CapRecord,
+    CapRow,
+    RecordWrite,
+)
 from sesameladder.organisations._keys import KeyCheck, KeyOutcome, check_key
 from sesameladder.organisations._model import (
     MAX_KEY_BYTES,
@@ -16,7 +24,13 @@
 
 __all__ = [
     "MAX_KEY_BYTES",
+    "NOTHING",
     "Amounts",
+    "CapLedger",
+    "CapPass",
+    "CapRecord",
+    "CapRow",
+    "DemandLimit",
     "KeyCheck",
     "KeyDigester",
     "KeyOutcome",
@@ -24,5 +38,10 @@
     "Organisation",
     "OrganisationRefusal",
     "Organisations",
+    "RecordWrite",
+    "add",
     "check_key",
+    "exceeds_cap",
+    "multiply",
+    "to_amounts",
 ]
