Run copies of slow subtasks in the pool's scheduler

A subtask that runs far longer than predicted held up its whole job. Steps with allows_copies now get a second run on another worker when the expected remaining time of the first run, by the latest 200 finished runs of its queue and image, exceeds that of a fresh run and its start. Both runs are current: either end that is done counts, a failed one leaves the other, and the subtask waits only without any. Copies come after all first runs, never while a waiting step is in time, and use at most a tenth of the pool's cores. A new owner adopts both runs.

--- a/src/sesameladder/jobs/_evacuation.py
+++ b/src/sesameladder/jobs/_evacuation.py
@@ -9,6 +9,7 @@
 """
 
 from collections.abc import Iterable, Mapping
+from types import MappingProxyType
 
 from sesameladder.jobs._model import SubtaskId
 from sesameladder.jobs._runs import Run, WorkerView
@@ -23,10 +24,12 @@
     runs: Mapping[SubtaskId, Run],
     stop_grace_s: float,
     now: float,
+    copies: Mapping[SubtaskId, Run] = MappingProxyType({}),
 ) -> list[Run]:
     """Return the runs to stop now, in the order of the workers.
 
-    ``stop_grace_s`` is the longest time that a stop takes.
+    ``stop_grace_s`` is the longest time that a stop takes. ``copies`` are second
+    current runs, which are stopped like the first ones.
     """
     settled_before = now - stop_grace_s - STOP_REPORT_S
     chosen: list[Run] = []
@@ -36,7 +39,9 @@
         if not is_leaving and not worker.drain_reason:
             continue
         for run in list(worker.runs.values()):
-            if run.stopping_since is not None or runs.get(run.subtask.id) is not run:
+            key = run.subtask.id
+            is_current = runs.get(key) is run or copies.get(key) is run
+            if run.stopping_since is not None or not is_current:
                 continue
             step = run.subtask.step
             if not step.spec.is_long_running:
--- a/src/sesameladder/jobs/_load.py
+++ b/src/sesameladder/jobs/_load.py
@@ -26,6 +26,9 @@
     free_cores: float
     """Unused cores of the workers that accept work."""
 
+    copy_cores: float = 0.0
+    """Cores in use by copies of slow subtasks, and by runs stopped due to one."""
+
     @property
     def is_idle(self) -> bool:
         """Return whether nothing waits for the owner or for a worker."""
@@ -37,6 +40,7 @@
     runs: Iterable[Run],
     workers: Iterable[WorkerView],
     now: float,
+    copy_cores: float = 0.0,
 ) -> PoolLoad:
     """Return the load at the steady time ``now``, in seconds."""
     waiting = sum(step.waiting_count for step in open_steps)
@@ -51,4 +55,6 @@
     free_millis = sum(
         view.free_cpu_millis for view in workers if view.accepts_work(now)
     )
-    return PoolLoad(waiting, running, unconfirmed, oldest_s, free_millis / 1000)
+    return PoolLoad(
+        waiting, running, unconfirmed, oldest_s, free_millis / 1000, copy_cores
+    )
--- a/src/sesameladder/jobs/_scheduler.py
+++ b/src/sesameladder/jobs/_scheduler.py
@@ -2,7 +2,8 @@
 
 The scheduler has no sockets, threads or clock: its methods take events with the
 time, and ``schedule`` returns the commands. A subtask has at most one current run
-that may be present on a worker. A run is given up only when the worker has reported
+that may be present on a worker, or two if its step allows copies (``_copies.py``); it
+waits only without any. A run is given up only when the worker has reported
 its end, has blocked its start or has been replaced by another incarnation, or when
 the lease of the worker has certainly expired.
 """
@@ -16,6 +17,8 @@
     StartCommand,
     StopCommand,
 )
+from sesameladder.jobs._copies import Copies
+from sesameladder.jobs._crashes import CrashRecorder, name_run
 from sesameladder.jobs._demand import CoreDemand, estimate_demand
 from sesameladder.jobs._durations import DurationTable
 from sesameladder.jobs._evacuation import choose_evacuations
@@ -24,7 +27,6 @@
 from sesameladder.jobs._job_table import JobTable
 from sesameladder.jobs._load import PoolLoad, measure_load
 from sesameladder.jobs._model import (
-    Crash,
     EndReason,
     JobRecord,
     JobSpec,
@@ -39,16 +41,10 @@
     WorkerRecord,
     WorkerReport,
 )
-from sesameladder.jobs._ordering import StepRanking
+from sesameladder.jobs._ordering import StepRanking, Urgency
 from sesameladder.jobs._pacing import Pacer
 from sesameladder.jobs._placement import choose_worker
-from sesameladder.jobs._probation import (
-    Probation,
-    find_culprits,
-    find_suspects,
-    is_ended_by_crash,
-    must_give_up,
-)
+from sesameladder.jobs._probation import Probation, must_give_up
 from sesameladder.jobs._runs import Run, WorkerView
 from sesameladder.jobs._start_window import StartWindow
 from sesameladder.jobs._tracking import TrackedWorker, UnreadWorkers
@@ -67,7 +63,6 @@
 MAX_ERROR_CHARACTERS = 200
 WAIT_LOG_S = 1.0  # the workers of a pool are read within a second
 MAX_LOGGED_WORKERS = 20
-MAX_LOGGED_SUSPECTS = 20
 MAX_LOGGED_CRASHES = 20
 GANG_START_LIMIT_S = 1.5  # half the time after which members stop waiting for others
 
@@ -104,7 +99,12 @@
     job_table: JobTable = field(default_factory=JobTable)
     workers: dict[str, WorkerView] = field(default_factory=dict)
     runs: dict[SubtaskId, Run] = field(default_factory=dict)
-    """Current run by subtask, for subtasks that have one."""
+    """Current run by subtask, for subtasks that have one.
+
+    A subtask with a copy has a second one in ``copies``.
+    """
+
+    copies: Copies = field(default_factory=Copies)
 
     obsolete_runs: list[Run] = field(default_factory=list)
     """Runs of ended jobs and superseded runs that may still be present."""
@@ -117,6 +117,7 @@
     ranking: StepRanking = field(init=False)
     pacer: Pacer = field(default_factory=Pacer)
     probation: Probation = field(default_factory=Probation)
+    crashes: CrashRecorder = field(init=False)
     commands: list[Command] = field(default_factory=list)
     dirty_jobs: dict[str, Job] = field(default_factory=dict)
     """Jobs with changed progress since the last ``take_dirty_jobs``, by identifier."""
@@ -169,8 +170,16 @@
     """
 
     def __post_init__(self) -> None:
-        """Create the ranking, which shares the learned durations."""
+        """Create the parts that share the learned durations and other state."""
         self.ranking = StepRanking(self.durations)
+        self.crashes = CrashRecorder(
+            self.job_table,
+            self.durations,
+            self.probation,
+            self.dirty_jobs,
+            self._is_current,
+            lambda event, **fields: self.log_event(event, **fields),
+        )
 
     # Events ----------------------------------------------------------------
 
@@ -264,7 +273,7 @@
                 worker=worker_id,
                 ghosts=len(worker.unresolved_starts),
             )
-            self._withdraw_crashes(worker)
+            self.crashes.withdraw(worker)
         worker.failed_reports = 0
         worker.reset_at = None
         worker.has_new_report = True
@@ -475,7 +484,7 @@
                 self._release_expired(worker, now)
         self._repeat_orders(now)
         for run in choose_evacuations(
-            self.workers.values(), self.runs, self.stop_grace_s, now
+            self.workers.values(), self.runs, self.stop_grace_s, now, self.copies.runs
         ):
             self.log_event(
                 "subtask_evacuated",
@@ -486,6 +495,7 @@
             self._stop(run, now)
         if not self.is_paused:
             self._place(now)
+            self._place_copies(now)
         for worker in self.workers.values():
             worker.has_new_report = False
         commands, self.commands = self.commands, []
@@ -585,9 +595,10 @@
         """Return how much the owner and the workers have to do."""
         return measure_load(
             self.job_table.open_steps.values(),
-            self.runs.values(),
+            [*self.runs.values(), *self.copies.runs.values()],
             self.workers.values(),
             now,
+            self.copies.count_cpu_millis() / 1000,
         )
 
     def estimate_demand(self) -> CoreDemand:
@@ -753,18 +764,79 @@
     def _is_unanswered(self, run: Run) -> bool:
         """Return whether the first response to a run's start is still expected."""
         return (
-            self.runs.get(run.subtask.id) is run
+            self._is_current(run)
             and run.confirmed_at is None
             and not run.was_unanswered
             and run.stopping_since is None
         )
 
+    def _place_copies(self, now: float) -> None:
+        """Start copies of slow runs, after all first runs."""
+        chosen = self.copies.choose(
+            self.runs, self.obsolete_runs, self.start_window.delay_s, now
+        )
+        open_steps = self.job_table.open_steps.values()
+        if not chosen or any(step.urgency <= Urgency.IN_TIME for step in open_steps):
+            return
+        views = [view for view in self.workers.values() if view.is_listed]
+        pool_cpu_millis = sum(view.capacity.cpu_millis for view in views)
+        knows_earlier_runs = self.knows_earlier_runs(now)
+        for saved_s, first in chosen:
+            step = first.subtask.step
+            if not self._has_place_for_start():
+                return
+            is_known = knows_earlier_runs or step.job.submission.revision >= self.fence
+            if is_known and self._may_start_copy(first.subtask, pool_cpu_millis, now):
+                try:
+                    self._place_copy(first, saved_s, now)
+                except Exception as error:
+                    self._set_aside(step, error, now)
+
+    def _may_start_copy(
+        self, subtask: Subtask, pool_cpu_millis: int, now: float
+    ) -> bool:
+        """Return whether a copy may start, by what limits first runs and copies.
+
+        A check of all starts, such as that of caps, belongs here too.
+        """
+        is_set_aside = now < self.set_aside_until.get(subtask.id.job, 0.0)
+        return not is_set_aside and self.copies.has_budget(subtask, pool_cpu_millis)
+
+    def _place_copy(self, first: Run, saved_s: float, now: float) -> None:
+        subtask, step = first.subtask, first.subtask.step
+        if step.job.submission.advice and not self._ensure_tickets(step, now):
+            return
+        others = [
+            view for view in self.probation.open_workers if view.id != first.worker.id
+        ]
+        worker = choose_worker(subtask, others, self._get_tickets(step))
+        if worker is None:
+            return
+        self._start(subtask, worker, subtask.last_run + 1, now, is_copy=True)
+        self.log_event(
+            "copy_started",
+            job=step.job.id,
+            subtask=subtask.id[1:],
+            first_run=first.number,
+            copy_run=subtask.last_run,
+            first_worker=first.worker.id,
+            worker=worker.id,
+            age_s=round(now - (first.confirmed_at or now), 3),
+            saved_s=round(saved_s, 3),
+        )
+
     def _start(
-        self, subtask: Subtask, worker: WorkerView, number: int, now: float
+        self,
+        subtask: Subtask,
+        worker: WorkerView,
+        number: int,
+        now: float,
+        is_copy: bool = False,
     ) -> None:
         run = Run(subtask, self._limit_run_number(number), worker, now)
         subtask.last_run = run.number
-        self.runs[subtask.id] = run
+        (self.copies.runs if is_copy else self.runs)[subtask.id] = run
+        self.copies.watch(run, self.durations)
         self.unanswered_starts.append(run)
         worker.add(run)
         self.job_table.set_placed(subtask)
@@ -828,10 +900,15 @@
     def _get_run(self, subtask: Subtask) -> Run | None:
         return self.runs.get(subtask.id)
 
+    def _is_current(self, run: Run) -> bool:
+        """Return whether a run is the first run of its subtask or its copy."""
+        key = run.subtask.id
+        return self.runs.get(key) is run or self.copies.runs.get(key) is run
+
     def _find_run(self, worker: str, subtask: SubtaskId, number: int) -> Run | None:
-        run = self.runs.get(subtask)
-        if run is not None and run.worker.id == worker and run.number == number:
-            return run
+        for run in (self.runs.get(subtask), self.copies.runs.get(subtask)):
+            if run is not None and run.worker.id == worker and run.number == number:
+                return run
         for obsolete_run in self.obsolete_runs:
             is_same_run = (
                 obsolete_run.subtask.id == subtask and obsolete_run.number == number
@@ -851,8 +928,9 @@
     def _release(self, run: Run, now: float, pause_s: float = 0.0) -> None:
         """Remove a run that is certainly not present.
 
-        If it was the current run of its subtask, the subtask waits again, and is not
-        started for ``pause_s``.
+        If it was the only current run of its subtask, the subtask waits again. The
+        subtask is not started for ``pause_s``, nor before an earlier pause has ended
+        if it had another run meanwhile.
         """
         run.worker.remove(run)
         if run.number == run.subtask.announced_run:
@@ -860,13 +938,24 @@
         if run in self.obsolete_runs:
             self.obsolete_runs.remove(run)
             return
-        if self.runs.get(run.subtask.id) is run:
-            del self.runs[run.subtask.id]
-            run.subtask.not_before = now + pause_s
-            self.job_table.set_waiting(run.subtask)
+        if self._is_current(run):
+            subtask = run.subtask
+            is_paused = subtask.step.spec.allows_copies and subtask.not_before > now
+            earliest = subtask.not_before if is_paused else now
+            subtask.not_before = max(earliest, now + pause_s)
+            self._remove_current(run, "lost", now)
+            if subtask.id not in self.runs:
+                self.job_table.set_waiting(subtask)
+
+    def _remove_current(self, run: Run, outcome: str, now: float) -> None:
+        """Remove a current run; ``Copies.remove`` explains the outcomes."""
+        fields = self.copies.remove(run, self.runs, outcome, now)
+        if fields is not None:
+            self.log_event("copy_ended", **fields)
 
     def _repeat_orders(self, now: float) -> None:
-        for run in [*self.runs.values(), *self.obsolete_runs]:
+        current = [*self.runs.values(), *self.copies.runs.values()]
+        for run in [*current, *self.obsolete_runs]:
             is_due = run.retry_at is not None and now >= run.retry_at
             if run.stopping_since is not None:
                 if now - run.stop_sent_at >= STOP_RETRY_S:
@@ -891,7 +980,8 @@
                 self._release(run, now)
             return
         subtask.last_run = max(subtask.last_run, end.run)
-        if end.checkpoint:
+        is_copy = run is not None and self.copies.runs.get(subtask.id) is run
+        if end.checkpoint and not is_copy:
             subtask.checkpoint = subtask.step.checkpoint = end.checkpoint
         if end.reason is EndReason.DONE:
             self._apply_done(worker, subtask, run, now)
@@ -919,6 +1009,10 @@
             started_at = None if run.was_unanswered else run.confirmed_at
             if started_at is not None and not step.spec.is_long_running:
                 self.durations.add(step, max(0.001, now - started_at))
+                self.copies.record_done(run, now - started_at)
+            copy = self.copies.find_other(run, self.runs)
+            if copy is not None:
+                self._make_obsolete(copy, now, "done")
             self._release(run, now)
         if step.spec.is_long_running:
             return
@@ -926,9 +1020,8 @@
         is_job_done = False
         for member in members:
             is_job_done |= self.job_table.set_done(member)
-            other = self.runs.get(member.id)
-            if other is not None and not step.spec.gang:
-                self._make_obsolete(other, now)
+            while member.id in self.runs and not step.spec.gang:
+                self._make_obsolete(self.runs[member.id], now)
         self.dirty_jobs[step.job.id] = step.job
         if is_job_done:
             self._end_job(step.job, JobState.DONE, now)
@@ -972,7 +1065,8 @@
             run.progress_at = now
         run.progress_percent = status.progress_percent
         run.load = status.load
-        if status.checkpoint and not run.is_rejected:
+        is_copy = self.copies.runs.get(status.subtask) is run
+        if status.checkpoint and not run.is_rejected and not is_copy:
             run.subtask.checkpoint = run.subtask.step.checkpoint = status.checkpoint
 
     def _adopt(self, worker: WorkerView, status: RunStatus, now: float) -> Run:
@@ -991,11 +1085,12 @@
             return run
         subtask.last_run = max(subtask.last_run, status.run)
         current = self.runs.get(subtask.id)
+        is_pair = current is not None and self.copies.may_adopt(current, worker)
         if subtask.is_done or (
-            current is not None and current.confirmed_at is not None
+            current is not None and current.confirmed_at is not None and not is_pair
         ):
             return self._adopt_obsolete(subtask, worker, status.run, now)
-        if current is not None:
+        if current is not None and not is_pair:
             self._make_obsolete(current, now)
         run = Run(
             subtask,
@@ -1007,7 +1102,11 @@
             is_adopted=True,
         )
         worker.add(run)
-        self.runs[subtask.id] = run
+        if is_pair:
+            self.copies.adopt(run, self.runs)
+        else:
+            self.runs[subtask.id] = run
+        self.copies.watch(run, self.durations)
         self.job_table.set_placed(subtask)
         if subtask.step.job.state is JobState.QUEUED:
             subtask.step.job.state = JobState.RUNNING
@@ -1034,10 +1133,10 @@
         self._stop(run, now)
         return run
 
-    def _make_obsolete(self, run: Run, now: float) -> None:
-        """Stop a run that is no longer the current run of its subtask."""
-        if self.runs.get(run.subtask.id) is run:
-            del self.runs[run.subtask.id]
+    def _make_obsolete(self, run: Run, now: float, outcome: str = "dropped") -> None:
+        """Stop a run that is no longer a current run of its subtask."""
+        if self._is_current(run):
+            self._remove_current(run, outcome, now)
         self.obsolete_runs.append(run)
         self._stop(run, now)
 
@@ -1069,7 +1168,7 @@
         worker.has_unread_ends = False
         if self._may_have_unread_runs(worker, now):
             return
-        given_up = self._record_crashes(worker, now, has_ended=False)
+        given_up = self.crashes.record(worker, now, has_ended=False)
         for run in list(worker.runs.values()):
             if run.confirmed_at is None:
                 worker.unresolved_starts[run.subtask.id, run.number] = now
@@ -1097,12 +1196,12 @@
             event,
             worker=worker.id,
             runs=len(worker.runs),
-            young_runs=[_name_run(run) for run in worker.runs.values() if run.is_young],
+            young_runs=[name_run(run) for run in worker.runs.values() if run.is_young],
             is_planned=is_planned or worker.is_draining,
         )
         given_up = []
         if not is_planned:
-            given_up = self._record_crashes(worker, now, has_ended=True)
+            given_up = self.crashes.record(worker, now, has_ended=True)
         pause_s = 0.0
         if event == "worker_reborn":
             pause_s = max(self.longest_lease_s, worker.lease_expires_at - now)
@@ -1114,101 +1213,7 @@
             del self.workers[worker.id]
         self._fail_jobs(given_up, now)
 
-    # Crashes ---------------------------------------------------------------
-
-    def _record_crashes(
-        self, worker: WorkerView, now: float, has_ended: bool
-    ) -> list[Subtask]:
-        """Count the end or silence of a worker against the subtasks it had.
-
-        A silent worker may be cut off, so its silence alone is not conclusive. Returns
-        the subtasks to give up. A worker that drains may have been stopped on purpose.
-        """
-        if worker.is_draining:
-            return []
-        lapsed = self._confirm_crashes(worker) if has_ended else []
-        runs = [
-            run for run in worker.runs.values() if self.runs.get(run.subtask.id) is run
-        ]
-        if not runs:
-            return [subtask for subtask in lapsed if must_give_up(subtask)]
-        noticed_at = worker.get_noticed_at(now)
-        self.probation.record_crash(worker, noticed_at)
-        suspects = find_suspects(worker.runs.values(), self.probation.suspects)
-        certain = {
-            run for run in runs if has_ended and self._is_ended_by(run, noticed_at)
-        }
-        culprits = [
-            run
-            for run in find_culprits(suspects, certain, noticed_at)
-            if not self.probation.has_common_cause(run, noticed_at)
-        ]
-        for run in runs:
-            subtask, is_suspect = run.subtask, run in suspects
-            if not is_suspect and subtask.step.spec.is_long_running:
-                continue
-            subtask.retract_announcement()
-            subtask.crashes[run.number] = Crash(
-                worker.record.address,
-                is_suspect,
-                run in culprits,
-                has_begun=has_ended and run.has_begun,
-                is_certain=run in certain,
-                age_ms=_describe_age(run),
-            )
-            if is_suspect:
-                subtask.crashed_at = now
-                self.probation.add(subtask)
-                self.dirty_jobs[subtask.step.job.id] = subtask.step.job
-        if suspects:
-            logged = suspects[:MAX_LOGGED_SUSPECTS]
-            self.log_event(
-                "crash_suspected",
-                worker=worker.id,
-                suspects=[_name_run(run) for run in logged],
-                ages_ms=[_describe_age(run) for run in logged],
-                count=len(suspects),
-                certain=sum(run in certain for run in suspects),
-                has_ended=has_ended,
-                noticed_s_ago=round(now - noticed_at, 3),
-                conclusive=bool(culprits),
-            )
-        counted = [*lapsed, *(run.subtask for run in runs)]
-        return [subtask for subtask in counted if must_give_up(subtask)]
-
-    def _is_ended_by(self, run: Run, noticed_at: float) -> bool:
-        """Return whether a crash noticed at a time has certainly ended a run."""
-        step = run.subtask.step
-        expected_s = self.durations.estimate_duration(step.job.submission, step.number)
-        return is_ended_by_crash(run, noticed_at, expected_s)
-
-    def _confirm_crashes(self, worker: WorkerView) -> list[Subtask]:
-        """Count the runs that were given up by silence, now that the worker has ended.
-
-        Returns their subtasks. Other runs of these may be under way.
-        """
-        subtasks = []
-        for run in worker.lapsed_runs:
-            subtask, job = run.subtask, run.subtask.step.job
-            crash = subtask.crashes.get(run.number)
-            if crash is not None and run.has_begun and job.id in self.job_table.jobs:
-                crash.has_begun = True
-                self.dirty_jobs[job.id] = job
-                subtasks.append(subtask)
-        worker.lapsed_runs.clear()
-        return subtasks
-
-    def _withdraw_crashes(self, worker: WorkerView) -> None:
-        """Take back the crashes counted for a worker that was only silent."""
-        for run in worker.lapsed_runs:
-            subtask, job = run.subtask, run.subtask.step.job
-            if subtask.crashes.pop(run.number, None) is None:
-                continue
-            if not any(crash.is_suspected for crash in subtask.crashes.values()):
-                self.probation.suspects.pop(subtask.id, None)
-            if job.id in self.job_table.jobs:
-                self.dirty_jobs[job.id] = job
-        worker.lapsed_runs.clear()
+    # Failed jobs -----------------------------------------------------------
 
     def _fail_jobs(self, given_up: list[Subtask], now: float) -> None:
         """End the jobs of subtasks under which too many workers have crashed."""
@@ -1263,7 +1268,8 @@
         self.probation.forget_job(job.id)
         self.set_aside_until.pop(job.id, None)
         # Members of a gang that is done may still have their run.
-        for run in [run for key, run in self.runs.items() if key.job == job.id]:
+        current = [*self.runs.values(), *self.copies.runs.values()]
+        for run in [run for run in current if run.subtask.id.job == job.id]:
             self._make_obsolete(run, now)
         for step in job.steps.values():
             self.tickets.pop(step.key, None)
@@ -1274,20 +1280,6 @@
     return max((view.free_cpu_millis for view in workers), default=-1)
 
 
-def _name_run(run: Run) -> str:
-    subtask = run.subtask.id
-    path = f"{subtask.occurrence}.{subtask.step}.{subtask.position}"
-    return f"{subtask.job}.{path} run {run.number}"
-
-
-def _describe_age(run: Run) -> int | None:
-    """Return for how many ms the worker is known to have had a run.
-
-    None if no response of the worker has confirmed the run.
-    """
-    return None if run.confirmed_at is None else round(run.known_age_s * 1000)
-
-
 def _build_placeholder(status: RunStatus) -> Subtask:
     """Return a subtask for a reported run whose job is not open."""
     submission = Submission(status.subtask.job, "", JobSpec("", ()))
