Bound the cost of copies and tell their cores

The check of the running subtasks passes over runs younger than the mean run, and the statistics keep at most 200 kinds. A run whose worker has not responded since the run was young gets no copy: it may have crashed its worker, and the copy would crash another. Copies don't count as demand, so no VM moves to a pool for them. The gauge sesameladder_copy_cores shows the cores in use.

--- a/src/sesameladder/jobs/_copies.py
+++ b/src/sesameladder/jobs/_copies.py
@@ -26,6 +26,7 @@
 MIN_SAMPLES = 50
 CHECK_INTERVAL_S = 0.1  # a slow subtask runs for seconds
 MAX_CORE_SHARE = 0.1
+MAX_KINDS = 200  # about 15 KB each; callers choose the names of images
 # An invalid start stays so; without a pause it uses up the run numbers of the term.
 RETRY_PAUSE_S = 0.5
 # A run that outlasts all known ones is expected to take as long again. That holds for
@@ -84,7 +85,7 @@
             self.sums = list(accumulate(reversed(self.ordered)))[::-1]
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class WatchedRun:
     """A run of a step that allows copies."""
 
@@ -92,6 +93,9 @@
     expected_s: float
     """Expected time at its start, in seconds."""
 
+    check_at: float = 0.0
+    """Time until which the run is no older than the mean run, so needs no copy."""
+
 
 @dataclass(slots=True, eq=False)
 class Copies:
@@ -211,13 +215,17 @@
         }
         rows = []
         for run, watched in self.watched.items():
+            if now < watched.check_at or run.confirmed_at is None:
+                continue
             tail = self.tails.get(watched.kind)
-            if run.confirmed_at is None or tail is None:
+            if tail is None or len(tail.ratios) < MIN_SAMPLES:
                 continue
+            mean = tail.mean
             age_ratio = (now - run.confirmed_at) / watched.expected_s
-            if len(tail.ratios) < MIN_SAMPLES or age_ratio <= tail.mean:
+            if age_ratio <= mean:
+                watched.check_at = run.confirmed_at + mean * watched.expected_s
                 continue
-            saved_ratio = tail.estimate_remaining(age_ratio) - tail.mean
+            saved_ratio = tail.estimate_remaining(age_ratio) - mean
             saved_s = saved_ratio * watched.expected_s - start_s
             if saved_s > 0 and self._may_copy(run, runs, now):
                 rows.append((saved_s, run))
@@ -246,9 +254,10 @@
     def _may_copy(self, run: Run, runs: Mapping[SubtaskId, Run], now: float) -> bool:
         """Return whether a run is the only one of its subtask and may get a copy.
 
-        A subtask under which a worker has crashed may be the cause, and gets none.
-        Neither does one that could use up its attempts while the copy is on its way:
-        the copy would start after the last one.
+        A subtask under which a worker has crashed may be the cause, and gets none. Nor
+        does one whose worker has not responded since the run was young: it may have
+        crashed. Nor does one that could use up its attempts while the copy is on its
+        way: the copy would start after the last one.
         """
         subtask = run.subtask
         return (
@@ -257,6 +266,7 @@
             and run.stopping_since is None
             and not run.is_superseded
             and not run.is_rejected
+            and not run.is_young
             and not subtask.crashes
             and subtask.not_before <= now
             and now >= self.paused_until.get(subtask.id, 0.0)
@@ -264,8 +274,12 @@
         )
 
     def _add_sample(self, watched: WatchedRun, actual_s: float) -> None:
-        tail = self.tails.setdefault(watched.kind, TailStatistics())
+        # The kinds stay in the order of their latest sample.
+        tail = self.tails.pop(watched.kind, None) or TailStatistics()
+        self.tails[watched.kind] = tail
         tail.add(actual_s / watched.expected_s)
+        if len(self.tails) > MAX_KINDS:
+            del self.tails[next(iter(self.tails))]
 
 
 def _get_age(run: Run, now: float) -> float:
--- a/src/sesameladder/jobs/_scheduler.py
+++ b/src/sesameladder/jobs/_scheduler.py
@@ -603,8 +603,11 @@
 
     def estimate_demand(self) -> CoreDemand:
         """Return the cores that the pool's jobs need."""
-        # Obsolete runs use cores until they end.
+        # Obsolete runs use cores until they end. Copies only use what is left over.
         runs = [run for view in self.workers.values() for run in view.runs.values()]
+        if self.copies.runs:
+            copies = set(self.copies.runs.values())
+            runs = [run for run in runs if run not in copies]
         return estimate_demand(self.job_table.open_steps.values(), runs, self.durations)
 
     # Placement -------------------------------------------------------------
--- a/src/sesameladder/jobs/tests/test_copies.py
+++ b/src/sesameladder/jobs/tests/test_copies.py
@@ -23,7 +23,7 @@
     WorkerRecord,
     WorkerReport,
 )
-from sesameladder.jobs._copies import MIN_SAMPLES, TailStatistics
+from sesameladder.jobs._copies import MAX_KINDS, MIN_SAMPLES, TailStatistics, WatchedRun
 from sesameladder.jobs._model import Crash
 
 JOB, OTHER = "00000000000000aa", "00000000000000bb"
@@ -92,6 +92,12 @@
         report = WorkerReport(0, 1, running, ())
         self.scheduler.apply_report(worker, report, at(now), at(now))
 
+    def report_runs(self, now: float) -> None:
+        """Report the runs of all workers as they are known."""
+        for view in self.scheduler.workers.values():
+            rows = [RunStatus(key, run, "", 10) for key, run in view.runs]
+            self.report(view.id, now, *rows)
+
     def end(
         self, run: Run, reason: EndReason, now: float, checkpoint: str = ""
     ) -> None:
@@ -130,6 +136,7 @@
     pool.read_workers()
     pool.submit(JOB, spec, attempts)
     assert len(pool.step(0.0)) == 1
+    pool.report_runs(0.5)
     return pool
 
 
@@ -179,6 +186,11 @@
     pool.first.was_unanswered = True
 
 
+def set_silent(pool: Pool) -> None:
+    pool.first.reported_at = 0.0
+    pool.first.worker.failed_reports = 1
+
+
 def set_few_samples(pool: Pool) -> None:
     tail = pool.scheduler.copies.tails["q", ""] = TailStatistics()
     for ratio in (BODY + TAIL)[1 - MIN_SAMPLES :]:
@@ -232,6 +244,7 @@
         (set_crash, COPY_AT, False),  # may be what crashed the worker
         (set_failures, COPY_AT, False),  # a failure under way uses up the attempts
         (set_unconfirmed, COPY_AT, False),
+        (set_silent, COPY_AT, False),  # its worker may have crashed
         (set_few_samples, COPY_AT, False),
         (add_obsolete, COPY_AT, False),
         (add_waiting_job, COPY_AT, False),  # in time, and it fits on no worker
@@ -278,6 +291,7 @@
     pool.read_workers()
     pool.submit(JOB, replace(SPEC, count=8))
     assert len(pool.step(0.0)) == 8
+    pool.report_runs(0.5)
     assert len(pool.step(COPY_AT)) == 4
     copies = pool.scheduler.copies
     assert copies.count_cpu_millis() == 4000
@@ -324,6 +338,7 @@
     pool.end(pool.first, EndReason.FAILED, 2.0)
     pool.end(pool.first, EndReason.FAILED, 2.1)
     assert len(pool.step(2.2)) == 1
+    pool.report_runs(3.0)
     assert pool.step(5.0) == []  # no copy: its start could follow the third failure
     pool.end(pool.first, EndReason.FAILED, 5.1)
     assert pool.scheduler.job_table.ended[JOB][0] is JobState.FAILED
@@ -456,3 +471,19 @@
     pool.report(pool.first.worker.id, 2.0, RunStatus(SUBTASK, 1, "", 40))
     pool.end(pool.copy, EndReason.DONE, 2.5)
     assert list(tail.ratios)[-2:] == pytest.approx([1.0, 5.0])
+
+
+def test_copies_do_not_count_as_demand() -> None:
+    """Guards against VMs that move to a pool for the sake of copies."""
+    pool = build_pair()
+    assert pool.scheduler.estimate_demand().used == 1.0
+    assert pool.scheduler.measure_load(at(COPY_AT)).copy_cores == 1.0
+
+
+def test_statistics_are_bounded() -> None:
+    """Guards against memory that grows with the names of images."""
+    pool = build_pair()
+    copies = pool.scheduler.copies
+    for number in range(2 * MAX_KINDS):
+        copies._add_sample(WatchedRun(("q", f"image-{number}"), 1.0), 1.0)
+    assert len(copies.tails) == MAX_KINDS
--- a/src/sesameladder/node/_pool_task.py
+++ b/src/sesameladder/node/_pool_task.py
@@ -50,13 +50,12 @@
 from sesameladder.node._roles import HeldRole
 from sesameladder.node._supervision import build_thread
 from sesameladder.node._telemetry import (
-    FREE_CORES,
     REPORT_SECONDS,
     START_SECONDS,
-    UNCONFIRMED_STARTS,
     log_event,
     log_failure,
     log_warning,
+    publish_load,
 )
 from sesameladder.node._vm_load import VmLoadMeter, VmSize
 from sesameladder.node._worker_link import (
@@ -632,8 +631,7 @@
             return
         self.last_load_at = now
         load = self.scheduler.measure_load(now)
-        UNCONFIRMED_STARTS.labels(self.pool).set(load.unconfirmed)
-        FREE_CORES.labels(self.pool).set(load.free_cores)
+        publish_load(self.pool, load)
         vm_load = self.load_meter.read()
         longest_pass_ms, self.longest_pass_s = round(self.longest_pass_s * 1000), 0.0
         if not load.is_idle:
--- a/src/sesameladder/node/_telemetry.py
+++ b/src/sesameladder/node/_telemetry.py
@@ -19,6 +19,7 @@
 )
 
 from sesameladder.eventlog import EventFormatter
+from sesameladder.jobs import PoolLoad
 
 MAX_QUEUED_LOG_LINES = 5000  # about 1.5 MB; what a busy pool logs in 30 s
 PROGRAM = "sesameladder-node"
@@ -80,6 +81,12 @@
     ["pool"],
     registry=REGISTRY,
 )
+COPY_CORES = Gauge(
+    "sesameladder_copy_cores",
+    "Cores in use by copies of slow subtasks, and by runs stopped due to one",
+    ["pool"],
+    registry=REGISTRY,
+)
 UNATTENDED_ROLES = Gauge(
     "sesameladder_unattended_roles",
     "Roles that the store grants to this process and that have no task here",
@@ -151,6 +158,13 @@
     logger.exception(event, extra={"event": event, "event_fields": fields})
 
 
+def publish_load(pool: str, load: PoolLoad) -> None:
+    """Set the gauges of a pool's load."""
+    UNCONFIRMED_STARTS.labels(pool).set(load.unconfirmed)
+    FREE_CORES.labels(pool).set(load.free_cores)
+    COPY_CORES.labels(pool).set(load.copy_cores)
+
+
 def render_metrics() -> bytes:
     """Return all metrics in the Prometheus text format."""
     return generate_latest(REGISTRY)
