--- a/src/sesameladder/jobs/_scheduler.py
+++ b/src/sesameladder/jobs/_scheduler.py
@@ -957,8 +957,8 @@
             self.log_event("copy_ended", **fields)
 
     def _repeat_orders(self, now: float) -> None:
-        current = [*self.runs.values(), *self.copies.runs.values()]
-        for run in [*current, *self.obsolete_runs]:
+        copies = self.copies.runs.values()
+        for run in [*self.runs.values(), *copies, *self.obsolete_runs]:
             is_due = run.retry_at is not None and now >= run.retry_at
             if run.stopping_since is not None:
                 if now - run.stop_sent_at >= STOP_RETRY_S:
--- a/src/sesameladder/jobs/tests/test_copies.py
+++ b/src/sesameladder/jobs/tests/test_copies.py
@@ -427,6 +427,17 @@
     assert StopCommand(pool.names[2], SUBTASK, 3) in pool.stops
 
 
+def test_second_run_on_the_same_worker_is_no_copy() -> None:
+    """Guards against a pair on one worker, which has one run of a subtask at a time."""
+    pool = Pool(term=2, fence=1)
+    pool.submit()
+    pool.report(pool.names[0], 0.1, RunStatus(SUBTASK, 1, "", 10))
+    pool.report(pool.names[0], 0.2, RunStatus(SUBTASK, 2, "", 10))
+    assert not pool.scheduler.copies.runs
+    pool.step(0.3)
+    assert pool.stops == [StopCommand(pool.names[0], SUBTASK, 2)]
+
+
 def test_new_owner_copies_only_once_it_knows_earlier_runs() -> None:
     """Guards against a third run: a copy may be on a worker that was not read."""
     pool = Pool(term=2, fence=1)
