--- a/src/sesameladder/jobs/_copies.py
+++ b/src/sesameladder/jobs/_copies.py
@@ -33,6 +33,12 @@
 # a Pareto distribution with index 2.
 UNSEEN_FACTOR = 2.0
 
+# Where slow runs are due to the worker, half of the copies or more end first; where
+# they are due to the subtask, none does, and the copies only cost.
+MAX_PAIRS = 20
+MIN_WIN_SHARE = 0.1
+LOSS_PAUSE_S = 5.0  # until one copy tries whether that has changed
+
 Kind = tuple[str, str]
 """Queue and image."""
 
@@ -55,6 +61,12 @@
     sums: list[float] = field(default_factory=list)
     """Sum of the ratios from each position of ``ordered`` on."""
 
+    wins: deque[bool] = field(default_factory=lambda: deque(maxlen=MAX_PAIRS))
+    """Whether the copy was done first, for the latest pairs of runs."""
+
+    paused_until: float = 0.0
+    """Steady time until which no copy starts, since copies rarely end first."""
+
     def add(self, ratio: float) -> None:
         """Add the ratio of a run."""
         self.ratios.append(ratio)
@@ -79,6 +91,18 @@
             return age_ratio * (UNSEEN_FACTOR - 1)
         return self.sums[index] / longer - age_ratio
 
+    @property
+    def rarely_wins(self) -> bool:
+        """Return whether copies have rarely ended before the first runs."""
+        is_known = len(self.wins) == MAX_PAIRS
+        return is_known and sum(self.wins) < MIN_WIN_SHARE * MAX_PAIRS
+
+    def record_pair(self, has_copy_won: bool, now: float) -> None:
+        """Add the outcome of a pair of runs, of which one is done."""
+        self.wins.append(has_copy_won)
+        if self.rarely_wins:
+            self.paused_until = now + LOSS_PAUSE_S
+
     def _sort(self) -> None:
         if not self.ordered and self.ratios:
             self.ordered = sorted(self.ratios)
@@ -183,8 +207,8 @@
             self.stopped.append(run)
             if outcome == "done":
                 outcome = "first_done" if run is copy else "copy_done"
-                if watched is not None and run is not copy:
-                    self._add_sample(watched, _project_duration(run, now))
+                if watched is not None:
+                    self._record_pair(watched, run, run is not copy, now)
         cores = run.subtask.step.spec.needs.cpu_millis / 1000
         return {
             "job": key.job,
@@ -218,7 +242,11 @@
             if now < watched.check_at or run.confirmed_at is None:
                 continue
             tail = self.tails.get(watched.kind)
-            if tail is None or len(tail.ratios) < MIN_SAMPLES:
+            if (
+                tail is None
+                or len(tail.ratios) < MIN_SAMPLES
+                or now < tail.paused_until
+            ):
                 continue
             mean = tail.mean
             age_ratio = (now - run.confirmed_at) / watched.expected_s
@@ -233,7 +261,8 @@
             return []
         present = {run.subtask.id for run in obsolete_runs}
         rows = [row for row in rows if row[1].subtask.id not in present]
-        return sorted(rows, key=lambda row: -row[0])
+        rows.sort(key=lambda row: -row[0])
+        return list(self._limit_trials(rows))
 
     def has_budget(self, subtask: Subtask, pool_cpu_millis: int) -> bool:
         """Return whether a copy keeps within the share of the pool's cores."""
@@ -273,6 +302,31 @@
             and subtask.failures + 1 < subtask.step.job.submission.max_attempts
         )
 
+    def _limit_trials(
+        self, rows: Iterable[tuple[float, Run]]
+    ) -> Iterable[tuple[float, Run]]:
+        """Yield one run of each kind of which copies rarely win, and all others."""
+        tried = {
+            self.watched[copy].kind
+            for copy in self.runs.values()
+            if copy in self.watched
+        }
+        for row in rows:
+            kind = self.watched[row[1]].kind
+            if kind in tried and self.tails[kind].rarely_wins:
+                continue
+            tried.add(kind)
+            yield row
+
+    def _record_pair(
+        self, watched: WatchedRun, loser: Run, has_copy_won: bool, now: float
+    ) -> None:
+        if has_copy_won:
+            self._add_sample(watched, _project_duration(loser, now))
+        tail = self.tails.get(watched.kind)
+        if tail is not None:
+            tail.record_pair(has_copy_won, now)
+
     def _add_sample(self, watched: WatchedRun, actual_s: float) -> None:
         # The kinds stay in the order of their latest sample.
         tail = self.tails.pop(watched.kind, None) or TailStatistics()
--- a/src/sesameladder/jobs/tests/test_copies.py
+++ b/src/sesameladder/jobs/tests/test_copies.py
@@ -491,6 +491,33 @@
     assert pool.scheduler.measure_load(at(COPY_AT)).copy_cores == 1.0
 
 
+@pytest.mark.parametrize(
+    ("wins", "tried_at", "copies"),
+    [
+        ([False] * 19, 1.5, 2),  # too few pairs to tell
+        ([False] * 18 + [True] * 2, 1.5, 2),
+        ([False] * 19 + [True], 1.5, 0),  # the pause has not ended
+        ([False] * 20, 6.5, 1),  # one copy tries
+        ([False] * 20 + [True] * 2, 6.5, 2),
+    ],
+)
+def test_copies_that_rarely_win_are_paused(
+    wins: list[bool], tried_at: float, copies: int
+) -> None:
+    """Guards against copies of subtasks that are slow on every worker."""
+    pool = Pool(workers=3)
+    pool.read_workers()
+    pool.submit(JOB, replace(SPEC, count=2, estimate_ms=round(tried_at * 1000 / 1.5)))
+    pool.step(0.0)
+    pool.report_runs(0.5)
+    tail = pool.scheduler.copies.tails["q", ""]
+    for has_won in wins:
+        tail.record_pair(has_won, at(1.0))
+    pool.step(tried_at)
+    pool.step(tried_at + 0.2)
+    assert len(pool.scheduler.copies.runs) == copies
+
+
 def test_statistics_are_bounded() -> None:
     """Guards against memory that grows with the names of images."""
     pool = build_pair()
