Measure copies with the other measurements

make measure runs the uneven load at 0.5 and 1 times the room, with copies and without; python -m sesameladder.measure.copies prints all loads. A test covers the wait for a restarted worker that outlasts the copy; with that wait taken out it fails.

--- a/src/sesameladder/jobs/tests/test_copies.py
+++ b/src/sesameladder/jobs/tests/test_copies.py
@@ -62,11 +62,11 @@
             tail.add(ratio)
         self.ends = 0
 
-    def list_workers(self, cores: int, draining: str = "") -> None:
+    def list_workers(self, cores: int, draining: str = "", reborn: str = "") -> None:
         records = [
             WorkerRecord(
                 name,
-                1,
+                2 if name == reborn else 1,
                 "pool",
                 f"10.0.0.{number}:1",
                 "zone-a",
@@ -357,6 +357,23 @@
         assert pool.step(8.0) == []  # a subtask with a crash gets no other copy
 
 
+def test_restarted_worker_may_still_have_the_first_run() -> None:
+    """Guards against a start beside a run that the next incarnation may have.
+
+    The end of the copy had taken back the wait for that incarnation's first report.
+    """
+    pool = build_pair()
+    first, copy = pool.first, pool.copy
+    pool.scheduler.longest_lease_s = 12.0
+    pool.list_workers(CORES, reborn=first.worker.id)
+    assert pool.first is copy
+    pool.end(copy, EndReason.STOPPED, 2.0)
+    assert pool.step(2.5) == []
+    report = WorkerReport(0, 2, (), ())
+    pool.scheduler.apply_report(first.worker.id, report, at(3.0), at(3.0))
+    assert len(pool.step(3.1)) == 1
+
+
 def test_silent_worker_leaves_the_copy() -> None:
     """Guards against a start of a subtask whose copy goes on, when a lease lapses."""
     pool = build_pair()
--- a/src/sesameladder/measure/__main__.py
+++ b/src/sesameladder/measure/__main__.py
@@ -20,6 +20,7 @@
     at_most_once,
     cell,
     configuration,
+    copies,
     planning,
     request_path,
 )
@@ -39,7 +40,11 @@
     configuration.measure,
 )
 
-TARGET_SIZE_MEASURES: tuple[Measure, ...] = (planning.measure, configuration.measure)
+TARGET_SIZE_MEASURES: tuple[Measure, ...] = (
+    planning.measure,
+    configuration.measure,
+    copies.measure,
+)
 
 
 @cappa.command(name="measure", help="Measure the decision code.")
