--- a/src/sesameladder/jobs/_scheduler.py
+++ b/src/sesameladder/jobs/_scheduler.py
@@ -784,16 +784,20 @@
         views = [view for view in self.workers.values() if view.is_listed]
         pool_cpu_millis = sum(view.capacity.cpu_millis for view in views)
         knows_earlier_runs = self.knows_earlier_runs(now)
+        max_free_cpu_millis = _find_max_free_cpu(self.probation.open_workers)
         for saved_s, first in chosen:
             step = first.subtask.step
             if not self._has_place_for_start():
                 return
+            if step.spec.needs.cpu_millis > max_free_cpu_millis:
+                continue
             is_known = knows_earlier_runs or step.job.submission.revision >= self.fence
             if is_known and self._may_start_copy(first.subtask, pool_cpu_millis, now):
                 try:
                     self._place_copy(first, saved_s, now)
                 except Exception as error:
                     self._set_aside(step, error, now)
+                max_free_cpu_millis = _find_max_free_cpu(self.probation.open_workers)
 
     def _may_start_copy(
         self, subtask: Subtask, pool_cpu_millis: int, now: float
