--- a/src/sesameladder/jobs/_copies.py
+++ b/src/sesameladder/jobs/_copies.py
@@ -17,7 +17,6 @@
 from itertools import accumulate
 
 from sesameladder.jobs._durations import DurationTable
-from sesameladder.jobs._job import Subtask
 from sesameladder.jobs._model import StepSpec, SubtaskId
 from sesameladder.jobs._runs import Run, WorkerView
 
@@ -264,10 +263,11 @@
         rows.sort(key=lambda row: -row[0])
         return list(self._limit_trials(rows))
 
-    def has_budget(self, subtask: Subtask, pool_cpu_millis: int) -> bool:
-        """Return whether a copy keeps within the share of the pool's cores."""
-        needed = self.count_cpu_millis() + subtask.step.spec.needs.cpu_millis
-        return needed <= MAX_CORE_SHARE * pool_cpu_millis
+    def compute_budget(self, workers: Iterable[WorkerView]) -> float:
+        """Return the millicores of the pool's workers that further copies may use."""
+        listed = (view for view in workers if view.is_listed)
+        pool_cpu_millis = sum(view.capacity.cpu_millis for view in listed)
+        return MAX_CORE_SHARE * pool_cpu_millis - self.count_cpu_millis()
 
     def count_cpu_millis(self) -> int:
         """Return the millicores in use by copies, or by runs stopped due to one."""
--- a/src/sesameladder/jobs/_scheduler.py
+++ b/src/sesameladder/jobs/_scheduler.py
@@ -781,33 +781,34 @@
         open_steps = self.job_table.open_steps.values()
         if not chosen or any(step.urgency <= Urgency.IN_TIME for step in open_steps):
             return
-        views = [view for view in self.workers.values() if view.is_listed]
-        pool_cpu_millis = sum(view.capacity.cpu_millis for view in views)
         knows_earlier_runs = self.knows_earlier_runs(now)
-        max_free_cpu_millis = _find_max_free_cpu(self.probation.open_workers)
+        limit, has_changed = 0.0, True
         for saved_s, first in chosen:
             step = first.subtask.step
             if not self._has_place_for_start():
                 return
-            if step.spec.needs.cpu_millis > max_free_cpu_millis:
-                continue
+            if has_changed:
+                free_cpu_millis = _find_max_free_cpu(self.probation.open_workers)
+                budget = self.copies.compute_budget(self.workers.values())
+                limit = min(free_cpu_millis, budget)
             is_known = knows_earlier_runs or step.job.submission.revision >= self.fence
-            if is_known and self._may_start_copy(first.subtask, pool_cpu_millis, now):
+            has_changed = (
+                is_known
+                and step.spec.needs.cpu_millis <= limit
+                and self._may_start_copy(first.subtask, now)
+            )
+            if has_changed:
                 try:
                     self._place_copy(first, saved_s, now)
                 except Exception as error:
                     self._set_aside(step, error, now)
-                max_free_cpu_millis = _find_max_free_cpu(self.probation.open_workers)
 
-    def _may_start_copy(
-        self, subtask: Subtask, pool_cpu_millis: int, now: float
-    ) -> bool:
-        """Return whether a copy may start, by what limits first runs and copies.
+    def _may_start_copy(self, subtask: Subtask, now: float) -> bool:
+        """Return whether a copy may start, by what limits first runs too.
 
-        A check of all starts, such as that of caps, belongs here too.
+        A check of all starts, such as that of caps, belongs here.
         """
-        is_set_aside = now < self.set_aside_until.get(subtask.id.job, 0.0)
-        return not is_set_aside and self.copies.has_budget(subtask, pool_cpu_millis)
+        return now >= self.set_aside_until.get(subtask.id.job, 0.0)
 
     def _place_copy(self, first: Run, saved_s: float, now: float) -> None:
         subtask, step = first.subtask, first.subtask.step
