--- a/src/sesameladder/jobs/_capped_starts.py
+++ b/src/sesameladder/jobs/_capped_starts.py
@@ -132,6 +132,15 @@
         self.current.record_refusal(organisation, needs, count)
         return False
 
+    def has_room(self, subtask: Subtask) -> bool:
+        """Return whether a copy of a subtask may start.
+
+        A refused copy doesn't count as waiting: no pool gives up its row for it.
+        """
+        organisation = subtask.step.job.submission.organisation
+        needs = subtask.step.spec.needs
+        return not organisation or self.current.may_start(organisation, needs)
+
     def record_start(self, subtask: Subtask) -> None:
         """Count a start of this pass."""
         organisation = subtask.step.job.submission.organisation
