Move the virtual times of fair queueing out of the dispatcher

Cause: the shares of organisations need the same arithmetic as ClassQueue has for teams, and jobs must not import the dispatcher.

Change: sesameladder.fairness.VirtualTimes holds it; ClassQueue uses it.

--- a/src/sesameladder/dispatch/_queue.py
+++ b/src/sesameladder/dispatch/_queue.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field, replace
 
 from sesameladder.dispatch._types import Demand, WorkClass
+from sesameladder.fairness import VirtualTimes
 
 COMPACTION_SLACK_ENTRIES = 64  # keeps small heaps from being rebuilt often
 
@@ -54,9 +55,6 @@
     expected_ms: float = 0.0
     """Sum of the expected run times of the waiting demands, in milliseconds."""
 
-    virtual_time: float = 0.0
-    """Slot milliseconds granted, divided by the team's weight."""
-
     def head(self) -> WaitingDemand | None:
         """Return the next demand without removing it; None if none waits."""
         while self.heap and not self.heap[0][2].is_waiting:
@@ -105,11 +103,8 @@
     """Waiting demands of one class, scheduled by weighted fair queueing.
 
     The team with the lowest virtual time is next; teams whose virtual time is
-    within ``slack_ms`` of it compete by the sort keys of their demands. The
-    virtual clock is the highest virtual time that any team had before a charge.
-    When a team becomes active again, its virtual time is raised to the virtual
-    clock, so it gains no claim on slots for the time in which it had no waiting
-    demands.
+    within ``slack_ms`` of it compete by the sort keys of their demands. Virtual
+    times are in granted slot milliseconds, divided by the team's weight.
     """
 
     __slots__ = (
@@ -118,7 +113,7 @@
         "expected_ms",
         "slack_ms",
         "teams",
-        "virtual_clock",
+        "virtual_times",
     )
 
     def __init__(self) -> None:
@@ -127,14 +122,14 @@
         self.count = 0
         self.expected_ms = 0.0
         self.slack_ms = 0.0
-        self.virtual_clock = 0.0
+        self.virtual_times = VirtualTimes()
 
     def push(self, item: WaitingDemand) -> None:
         """Add a demand."""
         name = item.demand.team
         team = self.teams.setdefault(name, TeamQueue())
         if team.count == 0:
-            team.virtual_time = max(team.virtual_time, self.virtual_clock)
+            self.virtual_times.activate(name)
             self.active[name] = team
         heapq.heappush(team.heap, (item.order_key, item.sequence, item))
         team.count += 1
@@ -166,11 +161,14 @@
         Teams for which ``is_skipped`` returns True are left out. None if no other
         team waits.
         """
-        teams = [team for name, team in self.active.items() if not is_skipped(name)]
-        if not teams:
+        names = [name for name in self.active if not is_skipped(name)]
+        if not names:
             return None
-        latest = min(team.virtual_time for team in teams) + self.slack_ms
-        heads = [team.head() for team in teams if team.virtual_time <= latest]
+        times = self.virtual_times
+        latest = times.find_latest(names, self.slack_ms)
+        heads = [
+            self.active[name].head() for name in names if times.get(name) <= latest
+        ]
         return min(
             (item for item in heads if item is not None),
             key=lambda item: (item.order_key, item.sequence),
@@ -192,10 +190,7 @@
 
         A negative ``slot_ms`` takes back an earlier charge.
         """
-        queue = self.teams.setdefault(team, TeamQueue())
-        if slot_ms > 0:
-            self.virtual_clock = max(self.virtual_clock, queue.virtual_time)
-        queue.virtual_time += slot_ms / weight
+        self.virtual_times.charge(team, slot_ms, weight)
 
 
 class WaitingQueue:
