Share a full pool between organisations by weight

Change: organisations/_shares.py keeps a virtual time and a window of jobs for each organisation. StepRanking orders by standing and rank while new jobs wait for over 0.1 s: begun work, jobs in time within their rate (those of organisations out of turn later), late ones, and then the jobs beyond their rate. Weights come from the configuration in force with each pass. The building of the summary and the load's log lines move to node/_pool_summary.py. Without organisations the order is as before.

--- a/src/sesameladder/jobs/_durations.py
+++ b/src/sesameladder/jobs/_durations.py
@@ -7,6 +7,7 @@
 from math import sqrt
 
 from sesameladder.jobs._job import Job, Step, Submission
+from sesameladder.jobs._model import Resources
 
 SAMPLE_WEIGHT = 0.1  # a demand peak yields over 20 ended runs of a queue in seconds
 MIN_SAMPLES = 5  # with fewer ended runs the caller's estimate is more accurate
@@ -34,6 +35,11 @@
         self.samples += 1
 
 
+def count_cores(needs: Resources) -> float:
+    """Return the cores that a subtask takes; a GPU counts as 8 cores."""
+    return max(needs.cpu_millis / 1000, needs.gpus * 8)
+
+
 @dataclass(slots=True)
 class DurationTable:
     """Expected subtask durations, by queue and image."""
@@ -83,12 +89,8 @@
         return max(path_ends_s, default=0.0)
 
     def estimate_subtask_work(self, job: Job, number: int) -> float:
-        """Return the work of one subtask of a step in core-seconds.
-
-        A GPU counts as 8 cores.
-        """
-        needs = job.submission.spec.steps[number].needs
-        cores = max(needs.cpu_millis / 1000, needs.gpus * 8)
+        """Return the work of one subtask of a step in core-seconds."""
+        cores = count_cores(job.submission.spec.steps[number].needs)
         return cores * self.estimate_duration(job.submission, number)
 
     def estimate_job_work(self, job: Job) -> float:
--- a/src/sesameladder/jobs/_job.py
+++ b/src/sesameladder/jobs/_job.py
@@ -277,6 +277,9 @@
     goes_first: bool = False
     """Whether it precedes smaller jobs; see ``SizeFairness``."""
 
+    is_within_rate: bool = True
+    """Whether it came within its organisation's rate; see ``Shares``."""
+
     @property
     def id(self) -> str:
         """Return the job identifier that the caller chose."""
--- a/src/sesameladder/jobs/_ordering.py
+++ b/src/sesameladder/jobs/_ordering.py
@@ -7,21 +7,29 @@
 least work that has no run yet, since this order ends the most jobs in time. Single
 large jobs go before them, so that no size is left out. Jobs that are late already run
 after the peak.
+
+Where the configuration names organisations and jobs wait, their shares stand in the
+same order: a job beyond its organisation's rate comes after all others, and among jobs
+of one urgency those of an organisation that has had more than its share.
 """
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from enum import IntEnum
 
-from sesameladder.jobs._durations import DurationTable
+from sesameladder.jobs._durations import DurationTable, count_cores
 from sesameladder.jobs._job import Job, Step
 from sesameladder.jobs._model import JobState
+from sesameladder.jobs._runs import Run
 from sesameladder.jobs._size_fairness import SizeFairness
+from sesameladder.organisations import Shares
 
 FORECAST_VALID_S = 0.3  # a tenth of a target; ended subtasks change it only slightly
 MAX_UNUSED_FORECASTS = 200  # about 40 KB; avoids a cleanup in every pass
 OVERDUE_FACTOR = 3.0  # a job has no value after this multiple of its target
-
+# Longest wait of a new job while the order is as without organisations. A pool with
+# room starts a job within one pass and one report, which takes less.
+SHORTAGE_WAIT_S = 0.1
 
 Rank = tuple[int, int, bool, float, float]
 """Urgency, priority, False for jobs that go first, unplaced work, time of acceptance.
@@ -44,6 +52,30 @@
     BEST_EFFORT = 4
 
 
+class Standing(IntEnum):
+    """Place of a step in the order by shares; comes before all of ``Rank``.
+
+    Jobs that have begun and still have a value are finished before new ones begin:
+    what they have used would be lost, and the pool's cores bound their number. Best-
+    effort work uses no cores that others could have, so it stays behind all.
+    """
+
+    LONG_RUNNING = 0
+    BEGUN = 1
+    IN_TIME = 2
+    IN_TIME_OUT_OF_TURN = 3
+    LATE = 4
+    OVERDUE = 5
+    IN_TIME_BEYOND_RATE = 6
+    IN_TIME_BEYOND_RATE_OUT_OF_TURN = 7
+    LATE_BEYOND_RATE = 8
+    OVERDUE_BEYOND_RATE = 9
+    BEST_EFFORT = 10
+
+
+BEYOND_RATE_OFFSET = Standing.IN_TIME_BEYOND_RATE - Standing.IN_TIME
+
+
 def compute_target(job: Job, occurrence: int, durations: DurationTable) -> float:
     """Return the target duration of an occurrence in seconds."""
     submission = job.submission
@@ -80,11 +112,12 @@
     every critical path again after each report had no time left to send orders.
     """
 
-    __slots__ = ("durations", "fairness", "forecasts", "start_delay_s")
+    __slots__ = ("durations", "fairness", "forecasts", "shares", "start_delay_s")
 
     def __init__(self, durations: DurationTable) -> None:
         self.durations = durations
         self.fairness = SizeFairness()
+        self.shares = Shares()
         self.start_delay_s = 0.0
         """Time from the decision to start a subtask until a worker has it."""
 
@@ -112,7 +145,10 @@
                 (self.rank(step, now) if id(step.job) in chosen else rank, step)
                 for rank, step in rows
             ]
-        rows.sort(key=lambda row: row[0])
+        if self.shares.is_enabled:
+            self._sort_by_shares(rows, now)
+        else:
+            rows.sort(key=lambda row: row[0])
         if len(self.forecasts) > 2 * len(rows) + MAX_UNUSED_FORECASTS:
             kept = {step.key for _, step in rows}
             self.forecasts = {
@@ -129,11 +165,101 @@
             if step.job.state is not JobState.QUEUED:
                 continue
             if urgency == Urgency.IN_TIME:
-                in_time.append(step.job)
+                # Beyond its rate a job would not go first, though counted as such.
+                if step.job.is_within_rate:
+                    in_time.append(step.job)
             elif urgency in (Urgency.LATE, Urgency.OVERDUE):
                 self.fairness.record_miss(step.job, now)
         return self.fairness.choose(in_time, now)
 
+    def _sort_by_shares(self, rows: list[tuple[Rank, Step]], now: float) -> None:
+        """Sort the steps by standing and rank, or by rank while nothing waits long."""
+        sharing = [
+            step.job
+            for rank, step in rows
+            if Urgency.LONG_RUNNING < rank[0] < Urgency.BEST_EFFORT
+        ]
+        is_short = any(
+            job.state is JobState.QUEUED
+            and now - job.accepted_at > SHORTAGE_WAIT_S
+            and not job.submission.spec.occurrences
+            for job in sharing
+        )
+        self.shares.begin_pass(
+            (job.submission.organisation for job in sharing), is_short
+        )
+        if is_short:
+            rows.sort(key=lambda row: (self._find_standing(*row), *row[0][1:]))
+        else:
+            rows.sort(key=lambda row: row[0])
+
+    def _find_standing(self, rank: Rank, step: Step) -> Standing:
+        """Return the place of a step in the order by shares."""
+        urgency, job = rank[0], step.job
+        if urgency == Urgency.LONG_RUNNING:
+            return Standing.LONG_RUNNING
+        if urgency == Urgency.BEST_EFFORT:
+            return Standing.BEST_EFFORT
+        if job.state is not JobState.QUEUED:
+            is_overdue = urgency == Urgency.OVERDUE
+            return Standing.OVERDUE if is_overdue else Standing.BEGUN
+        if urgency == Urgency.OVERDUE:
+            standing = Standing.OVERDUE
+        elif urgency == Urgency.LATE:
+            standing = Standing.LATE
+        elif job.goes_first or self.shares.is_in_turn(job.submission.organisation):
+            standing = Standing.IN_TIME
+        else:
+            standing = Standing.IN_TIME_OUT_OF_TURN
+        if job.is_within_rate:
+            return standing
+        return Standing(standing + BEYOND_RATE_OFFSET)
+
+    # Counts of jobs and charges of work ------------------------------------
+
+    def record_arrival(self, job: Job, now: float, is_inherited: bool) -> float:
+        """Count a job that arrives, and return its work in core-seconds.
+
+        The rate at which inherited jobs came is not known to this owner; they count
+        as within it.
+        """
+        core_s = self.durations.estimate_job_work(job)
+        if job.is_long_running:
+            return core_s
+        self.fairness.record_offer(job, core_s, now)
+        if not is_inherited:
+            organisation = job.submission.organisation
+            job.is_within_rate = self.shares.record_arrival(organisation, core_s, now)
+        return core_s
+
+    def record_begin(self, job: Job, now: float) -> None:
+        """Count a job of which the first subtask is started."""
+        if not job.is_long_running:
+            self.fairness.record_begin(job, now)
+
+    def record_start(self, run: Run) -> None:
+        """Charge the expected work of a run to its organisation."""
+        step = run.subtask.step
+        if not self.shares.is_enabled or not _is_charged(step):
+            return
+        run.charged_core_s = self.durations.estimate_subtask_work(step.job, step.number)
+        self.shares.charge(step.job.submission.organisation, run.charged_core_s)
+
+    def record_end(self, run: Run, now: float) -> None:
+        """Replace the charge of a run by the work that it has done.
+
+        A run that no worker is known to have had has done none.
+        """
+        if not run.charged_core_s:
+            return
+        step = run.subtask.step
+        ran_s = now - run.confirmed_at if run.confirmed_at is not None else 0.0
+        core_s = count_cores(step.spec.needs) * max(0.0, ran_s)
+        self.shares.charge(
+            step.job.submission.organisation, core_s - run.charged_core_s
+        )
+        run.charged_core_s = 0.0
+
     def rank(self, step: Step, now: float) -> Rank:
         """Return the sort key of a step; see ``Rank``."""
         job = step.job
@@ -177,3 +303,11 @@
             subtask_core_s,
             now + FORECAST_VALID_S,
         )
+
+
+def _is_charged(step: Step) -> bool:
+    """Return whether runs of a step count towards the shares of a pool.
+
+    Long-running work is limited by caps and best-effort work uses no cores of others.
+    """
+    return not step.spec.is_long_running and not step.spec.is_best_effort
--- a/src/sesameladder/jobs/_runs.py
+++ b/src/sesameladder/jobs/_runs.py
@@ -86,6 +86,9 @@
     reported_at: float = 0.0
     """Time at which the latest report that shows the run was applied."""
 
+    charged_core_s: float = 0.0
+    """Work that its organisation was charged for, in core-seconds."""
+
     @property
     def known_age_s(self) -> float:
         """Return how long the worker is known to have lived with the run, in seconds.
--- a/src/sesameladder/jobs/_scheduler.py
+++ b/src/sesameladder/jobs/_scheduler.py
@@ -193,9 +193,8 @@
         for subtask in job.iterate_known():
             if any(crash.is_suspected for crash in subtask.crashes.values()):
                 self.probation.add(subtask)
-        core_s = self.durations.estimate_job_work(job)
-        if not job.is_long_running:
-            self.ranking.fairness.record_offer(job, core_s, now)
+        is_inherited = submission.revision < self.fence
+        core_s = self.ranking.record_arrival(job, now, is_inherited)
         self.log_event(
             "job_taken", job=job.id, queue=submission.queue, core_s=round(core_s, 2)
         )
@@ -772,8 +771,8 @@
         if job.state is JobState.QUEUED:
             job.state = JobState.RUNNING
             self.dirty_jobs[job.id] = job
-            if not job.is_long_running:
-                self.ranking.fairness.record_begin(job, now)
+            self.ranking.record_begin(job, now)
+        self.ranking.record_start(run)
         self._send_start(run)
 
     def _limit_run_number(self, number: int) -> int:
@@ -855,6 +854,7 @@
         started for ``pause_s``.
         """
         run.worker.remove(run)
+        self.ranking.record_end(run, now)
         if run.number == run.subtask.announced_run:
             run.subtask.retract_announcement()
         if run in self.obsolete_runs:
--- a/src/sesameladder/jobs/tests/test_saturated_owner.py
+++ b/src/sesameladder/jobs/tests/test_saturated_owner.py
@@ -71,12 +71,13 @@
         self.deliveries = 0
         self.ends: dict[str, int] = {}
         self.submitted_at: dict[str, float] = {}
+        self.peak_s = PEAK_S
 
     def run(self, jobs_per_s: float, seconds: float) -> None:
         next_job_at = 0.0
         while self.now < seconds:
             self.now = round(self.now + TICK_S, 6)
-            while next_job_at < min(self.now, PEAK_S):
+            while next_job_at < min(self.now, self.peak_s):
                 self.submit()
                 next_job_at += self.random.expovariate(jobs_per_s)
             while self.events and self.events[0][0] <= self.now:
--- a/src/sesameladder/node/_pool_task.py
+++ b/src/sesameladder/node/_pool_task.py
@@ -2,16 +2,10 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from math import ceil, floor
 from queue import Empty, SimpleQueue
 from threading import Event, Thread
 
-from sesameladder.fleet import (
-    DEMAND_ROUNDING_CORES,
-    EndedIncarnation,
-    PoolOrders,
-    PoolSummary,
-)
+from sesameladder.fleet import EndedIncarnation, PoolOrders
 from sesameladder.jobs import (
     AdviceCommand,
     Command,
@@ -37,6 +31,7 @@
     summary_key,
     tracked_workers_key,
 )
+from sesameladder.node._pool_summary import LoadReporter, SummaryBuilder
 from sesameladder.node._pool_writer import PoolWriter, WriteBatch, WriteDone
 from sesameladder.node._records import (
     TrackedWorkersRecord,
@@ -50,10 +45,8 @@
 from sesameladder.node._roles import HeldRole
 from sesameladder.node._supervision import build_thread
 from sesameladder.node._telemetry import (
-    FREE_CORES,
     REPORT_SECONDS,
     START_SECONDS,
-    UNCONFIRMED_STARTS,
     log_event,
     log_failure,
     log_warning,
@@ -71,6 +64,7 @@
     WorkerLink,
     compute_lease_time,
 )
+from sesameladder.organisations import Organisations
 from sesameladder.platform import (
     AdviceClient,
     PlatformCallError,
@@ -82,12 +76,8 @@
 
 TICK_S = 0.1  # resolution of the scheduler's timers
 PROGRESS_INTERVAL_S = 0.25  # ends are stored together this often and then acknowledged
-SUMMARY_INTERVAL_S = 1.0  # pending counts may be 2 s old
-DEMAND_INTERVAL_S = 0.2  # a demand peak builds up over 3 s; a move takes 1.5 s
-SUMMARY_CHECK_INTERVAL_S = 0.1  # half of DEMAND_INTERVAL_S; visits all open jobs
 TRACKING_CHECK_INTERVAL_S = 0.05  # visits all workers; a new list is checked at once
 CLEANUP_INTERVAL_S = 8.0  # removing keys of ended jobs triggers the pool's own watch
-LOAD_INTERVAL_S = 1.0  # a turn of demand lasts some seconds
 MAX_BATCH_ENTRIES = 24  # the store accepts 32 entries in a transaction
 WATCH_WAIT_MS = 1000
 RETRY_PAUSE_S = 0.15
@@ -143,6 +133,7 @@
         "advice_client",
         "ended_earlier",
         "ended_incarnations",
+        "get_organisations",
         "get_role_lease",
         "inbox_revision",
         "inbox_thread",
@@ -152,14 +143,11 @@
         "job_state_retention_s",
         "keys_to_remove",
         "last_cleanup_at",
-        "last_load_at",
-        "last_summary_at",
-        "last_summary_check_at",
         "last_tracking_check_at",
         "last_write_at",
         "link_failures",
         "links",
-        "load_meter",
+        "load",
         "long_lease_until",
         "longest_pass_s",
         "max_worker_lease_ms",
@@ -171,7 +159,7 @@
         "scheduler",
         "stopping",
         "store",
-        "stored_summary",
+        "summary",
         "thread",
         "tracked_workers",
         "unapplied_changes",
@@ -196,6 +184,7 @@
         get_role_lease: Callable[[], int | None],
         on_role_lost: Callable[[HeldRole, str], None],
         vm_size: VmSize,
+        get_organisations: Callable[[], Organisations | None] = lambda: None,
     ) -> None:
         self.pool = pool
         self.role = role
@@ -210,6 +199,7 @@
         self.is_exclusive_holder = is_exclusive_holder
         self.get_role_lease = get_role_lease
         self.on_role_lost = on_role_lost
+        self.get_organisations = get_organisations
         self.messages: SimpleQueue[PoolMessage] = SimpleQueue()
         self.scheduler = PoolScheduler(role.term, self._log_event, fence=role.fence)
         self.scheduler.stop_grace_s = stop_grace_s
@@ -235,16 +225,13 @@
         """Steady time of the loading, by job that ended under an earlier owner."""
 
         self.keys_to_remove: list[str] = []
-        self.last_cleanup_at = self.last_write_at = self.last_summary_at = (
-            read_steady_clock()
-        )
-        self.last_summary_check_at = self.last_tracking_check_at = 0.0
-        self.load_meter = VmLoadMeter(vm_size)
-        self.last_load_at = self.load_meter.last_at
+        self.last_cleanup_at = self.last_write_at = read_steady_clock()
+        self.last_tracking_check_at = 0.0
+        self.summary = SummaryBuilder(self.scheduler, self.last_write_at)
+        self.load = LoadReporter(pool, self.scheduler, VmLoadMeter(vm_size))
         self.longest_pass_s = 0.0
         """Longest time between two readings of ``messages`` since the last log."""
 
-        self.stored_summary: PoolSummary | None = None
         self.orders_revision = 0
         self.ended_incarnations: set[EndedIncarnation] = set()
         self.tracked_workers: tuple[TrackedWorker, ...] = ()
@@ -587,7 +574,7 @@
             for job in done.batch.jobs:
                 self.scheduler.dirty_jobs.setdefault(job.id, job)
             self.keys_to_remove.extend(done.batch.removals)
-            self.stored_summary = None
+            self.summary.stored = None
             self.tracked_workers = ()
             return
         for job in done.batch.jobs:
@@ -603,6 +590,7 @@
         if not self.is_loaded or self.stopping.is_set():
             return
         now = read_steady_clock()
+        self.scheduler.ranking.shares.organisations = self.get_organisations()
         self._update_links()
         # After a network partition, changes may be read before the loss of the role.
         if self.unapplied_changes and self.is_exclusive_holder():
@@ -624,31 +612,8 @@
         for name, link in self.links.items():
             link.is_watched = name in watched
         self._write(now)
-        self._log_load(now)
-
-    def _log_load(self, now: float) -> None:
-        """Log and publish the load, unless the pool has been idle."""
-        if now - self.last_load_at < LOAD_INTERVAL_S:
-            return
-        self.last_load_at = now
-        load = self.scheduler.measure_load(now)
-        UNCONFIRMED_STARTS.labels(self.pool).set(load.unconfirmed)
-        FREE_CORES.labels(self.pool).set(load.free_cores)
-        vm_load = self.load_meter.read()
-        longest_pass_ms, self.longest_pass_s = round(self.longest_pass_s * 1000), 0.0
-        if not load.is_idle:
-            self._log_event(
-                "pool_load",
-                waiting=load.waiting,
-                running=load.running,
-                unconfirmed=load.unconfirmed,
-                oldest_unconfirmed_ms=round(load.oldest_unconfirmed_s * 1000),
-                free_cores=round(load.free_cores, 1),
-                cores=self.load_meter.size.cores,
-                link_mbps=self.load_meter.size.link_mbps,
-                longest_pass_ms=longest_pass_ms,
-                **vm_load,
-            )
+        if self.load.report(self.longest_pass_s, now):
+            self.longest_pass_s = 0.0
 
     def _update_links(self) -> None:
         views = self.scheduler.workers
@@ -805,26 +770,10 @@
     def _build_pool_puts(self, now: float) -> list[Put]:
         puts = self._build_tracking_puts(now)
         lease = self.get_role_lease()
-        if lease is None or now - self.last_summary_check_at < SUMMARY_CHECK_INTERVAL_S:
-            return puts
-        self.last_summary_check_at = now
-        summary = self._build_summary()
-        if summary == self.stored_summary:
-            return puts
-        stored = self.stored_summary
-        demand_changed = stored is None or (
-            (summary.used_cores, summary.waiting_cores, summary.late_cores)
-            != (stored.used_cores, stored.waiting_cores, stored.late_cores)
-        )
-        interval_s = DEMAND_INTERVAL_S if demand_changed else SUMMARY_INTERVAL_S
-        is_due = now - self.last_summary_at >= interval_s
-        is_urgent = stored is None or (
-            (summary.drained, summary.stoppable, summary.orders_revision)
-            != (stored.drained, stored.stoppable, stored.orders_revision)
-        )
-        if is_due or is_urgent:
-            self.stored_summary, self.last_summary_at = summary, now
-            puts.append(Put(summary_key(self.pool), encode_summary(summary), lease))
+        if lease is not None:
+            summary = self.summary.build_due(self.orders_revision, now)
+            if summary is not None:
+                puts.append(Put(summary_key(self.pool), encode_summary(summary), lease))
         return puts
 
     def _build_tracking_puts(self, now: float) -> list[Put]:
@@ -845,27 +794,6 @@
         record = TrackedWorkersRecord(tracked_workers, long_leases_s)
         return [Put(tracked_workers_key(self.pool), encode_tracked_workers(record))]
 
-    def _build_summary(self) -> PoolSummary:
-        views = self.scheduler.workers.values()
-        demand = self.scheduler.estimate_demand()
-        draining_views = [
-            view for view in views if view.drain_reason and view.has_reported
-        ]
-        drained = sorted(view.id for view in draining_views if not view.runs)
-        stoppable = sorted(
-            view.id for view in draining_views if not view.has_long_running()
-        )
-        return PoolSummary(
-            self.scheduler.job_table.count_pending(),
-            tuple(drained),
-            tuple(stoppable),
-            self.orders_revision,
-            tuple(sorted(view.id for view in views if view.has_long_running())),
-            _round_up_cores(demand.used),
-            _round_up_cores(demand.waiting),
-            floor(demand.late / DEMAND_ROUNDING_CORES) * DEMAND_ROUNDING_CORES,
-        )
-
     def _schedule_removal(self, job: str) -> None:
         self.keys_to_remove.append(submission_key(self.pool, job))
         self.keys_to_remove.append(cancel_key(self.pool, job))
@@ -894,7 +822,3 @@
                 self.ended_earlier.pop(job, None)
                 self.keys_to_remove.append(progress_key(self.pool, job))
                 self.keys_to_remove.append(accepted_key(job))
-
-
-def _round_up_cores(cores: float) -> int:
-    return ceil(cores / DEMAND_ROUNDING_CORES) * DEMAND_ROUNDING_CORES
--- a/src/sesameladder/node/_process.py
+++ b/src/sesameladder/node/_process.py
@@ -26,6 +26,7 @@
 from sesameladder.node._unrouted_pools import UnroutedPools, list_routed_pools
 from sesameladder.node._vm_load import VmSize
 from sesameladder.node._worker_link import WORKER_LEASE_MS
+from sesameladder.organisations import Organisations
 from sesameladder.platform import (
     AdviceClient,
     NodeSettings,
@@ -234,8 +235,13 @@
             lambda: self.roles.lease,
             lambda role, reason: self.roles.drop(role.role, role.fence, reason),
             VmSize(self.settings.cores, self.settings.link_mbps),
+            self._get_organisations,
         )
 
+    def _get_organisations(self) -> Organisations | None:
+        configuration = self.configuration.current
+        return configuration.organisations if configuration is not None else None
+
     def _build_fleet_task(self, held: HeldRole) -> FleetTask:
         return FleetTask(
             held,
--- a/src/sesameladder/node/_telemetry.py
+++ b/src/sesameladder/node/_telemetry.py
@@ -80,6 +80,12 @@
     ["pool"],
     registry=REGISTRY,
 )
+JOBS_BEYOND_RATE = Counter(
+    "sesameladder_jobs_beyond_rate",
+    "Jobs that came beyond their organisation's rate and give way to all others",
+    ["pool"],
+    registry=REGISTRY,
+)
 UNATTENDED_ROLES = Gauge(
     "sesameladder_unattended_roles",
     "Roles that the store grants to this process and that have no task here",
--- a/src/sesameladder/organisations/__init__.py
+++ b/src/sesameladder/organisations/__init__.py
@@ -9,5 +9,18 @@
     Organisation,
     Organisations,
 )
+from sesameladder.organisations._shares import (
+    MAX_LOGGED_SHARES,
+    ShareRow,
+    Shares,
+)
 
-__all__ = ["Amounts", "KeyDigester", "Organisation", "Organisations"]
+__all__ = [
+    "MAX_LOGGED_SHARES",
+    "Amounts",
+    "KeyDigester",
+    "Organisation",
+    "Organisations",
+    "ShareRow",
+    "Shares",
+]
