Publish a forecast of the backlog and refuse jobs that can't be done in time

Cause: in a demand peak intake accepts jobs that have no value any more when they end; it did not know the backlog.

Change: the owner forecasts the least wait of a new job by queue and size, and for organisations beyond their rate, from the work that goes before it. It compares forecasts with the waits of accepted jobs and publishes, once a second with the summary, the part that 19 of 20 waited. Intake reads summaries in the background, at most once a second and pool after submissions, and refuses a job with 503 only if that part and its critical path exceed three times its target. Old forecasts, those of another owner and those whose age is not known accept.

--- a/src/sesameladder/fleet/_model.py
+++ b/src/sesameladder/fleet/_model.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from sesameladder.jobs import Resources
+from sesameladder.jobs import BacklogForecast, Resources
 
 DEMAND_ROUNDING_CORES = 8  # a quarter of a small worker; finer costs more writes
 
@@ -75,6 +75,9 @@
     late_cores: int = 0
     """Part of both for jobs that can't end in time any more, rounded down likewise."""
 
+    forecast: BacklogForecast | None = None
+    """How long new jobs wait; None while they begin soon, and without organisations."""
+
     @property
     def demand_cores(self) -> int:
         """Return the cores that running and waiting subtasks need."""
--- a/src/sesameladder/jobs/__init__.py
+++ b/src/sesameladder/jobs/__init__.py
@@ -3,6 +3,7 @@
 The package decides only: it opens no sockets and reads no clocks.
 """
 
+from sesameladder.jobs._backlog import Backlog
 from sesameladder.jobs._commands import (
     AdviceCommand,
     Command,
@@ -11,6 +12,15 @@
     StopCommand,
 )
 from sesameladder.jobs._demand import CoreDemand
+from sesameladder.jobs._durations import DEFAULT_DURATION_S
+from sesameladder.jobs._forecast import (
+    BacklogForecast,
+    DurationCorrection,
+    Excess,
+    OrganisationForecast,
+    QueueForecast,
+    find_excess,
+)
 from sesameladder.jobs._job import Job, Step, Submission, Subtask
 from sesameladder.jobs._job_table import JobTable
 from sesameladder.jobs._load import PoolLoad
@@ -34,6 +44,7 @@
     WorkerRecord,
     WorkerReport,
 )
+from sesameladder.jobs._ordering import OVERDUE_FACTOR
 from sesameladder.jobs._progress import (
     ProgressInvalid,
     decode_progress,
@@ -44,22 +55,30 @@
 from sesameladder.jobs._tracking import TrackedWorker, UnreadWorkers
 
 __all__ = [
+    "DEFAULT_DURATION_S",
+    "OVERDUE_FACTOR",
     "AdviceCommand",
     "AdvicePolicy",
+    "Backlog",
+    "BacklogForecast",
     "Command",
     "Configuration",
     "CoreDemand",
+    "DurationCorrection",
     "EndReason",
+    "Excess",
     "Job",
     "JobRecord",
     "JobSpec",
     "JobState",
     "JobTable",
+    "OrganisationForecast",
     "PaceCommand",
     "PoolLoad",
     "PoolPolicy",
     "PoolScheduler",
     "ProgressInvalid",
+    "QueueForecast",
     "QueuePolicy",
     "RequestLimits",
     "Resources",
@@ -82,4 +101,5 @@
     "WorkerView",
     "decode_progress",
     "encode_progress",
+    "find_excess",
 ]
--- a/src/sesameladder/jobs/_ordering.py
+++ b/src/sesameladder/jobs/_ordering.py
@@ -16,6 +16,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from enum import IntEnum
+from typing import Protocol
 
 from sesameladder.jobs._durations import DurationTable, count_cores
 from sesameladder.jobs._job import Job, Step
@@ -105,6 +106,16 @@
     """Expiry in seconds of the steady clock."""
 
 
+class JobListener(Protocol):
+    """Is told of the jobs of a pool that arrive and begin."""
+
+    def record_arrival(self, job: Job, core_s: float, now: float) -> None:
+        """Record a job with ``core_s`` core-seconds of work."""
+
+    def record_begin(self, job: Job, now: float) -> None:
+        """Record that the first subtask of a job is started."""
+
+
 class StepRanking:
     """Ranks steps and caches the estimates that are expensive to compute.
 
@@ -112,12 +123,20 @@
     every critical path again after each report had no time left to send orders.
     """
 
-    __slots__ = ("durations", "fairness", "forecasts", "shares", "start_delay_s")
+    __slots__ = (
+        "durations",
+        "fairness",
+        "forecasts",
+        "listeners",
+        "shares",
+        "start_delay_s",
+    )
 
     def __init__(self, durations: DurationTable) -> None:
         self.durations = durations
         self.fairness = SizeFairness()
         self.shares = Shares()
+        self.listeners: list[JobListener] = []
         self.start_delay_s = 0.0
         """Time from the decision to start a subtask until a worker has it."""
 
@@ -230,12 +249,17 @@
         if not is_inherited:
             organisation = job.submission.organisation
             job.is_within_rate = self.shares.record_arrival(organisation, core_s, now)
+            for listener in self.listeners if self.shares.is_enabled else ():
+                listener.record_arrival(job, core_s, now)
         return core_s
 
     def record_begin(self, job: Job, now: float) -> None:
         """Count a job of which the first subtask is started."""
-        if not job.is_long_running:
-            self.fairness.record_begin(job, now)
+        if job.is_long_running:
+            return
+        self.fairness.record_begin(job, now)
+        for listener in self.listeners:
+            listener.record_begin(job, now)
 
     def record_start(self, run: Run) -> None:
         """Charge the expected work of a run to its organisation."""
--- a/src/sesameladder/node/_intake.py
+++ b/src/sesameladder/node/_intake.py
@@ -14,11 +14,13 @@
 
 from sesameladder.jobs import (
     Configuration,
+    JobSpec,
     JobState,
     ProgressInvalid,
     QueuePolicy,
     decode_progress,
 )
+from sesameladder.node._admission import AdmissionControl
 from sesameladder.node._clock import read_steady_clock
 from sesameladder.node._keys import (
     accepted_key,
@@ -142,25 +144,35 @@
 STORE_UNREACHABLE = Rejected("the store does not answer this VM", retry_after_s=1)
 
 
+TOO_LATE = "the queue's backlog is too long for the job to be done in time"
+
+
 class Intake:
     """Reads and writes the records of jobs; thread-safe."""
 
-    __slots__ = ("is_store_unreachable", "lock", "pool_by_job", "store")
+    __slots__ = ("admission", "is_store_unreachable", "lock", "pool_by_job", "store")
 
     def __init__(
         self,
         store: StoreClient,
         is_store_unreachable: Callable[[], bool] = lambda: False,
+        admission: AdmissionControl | None = None,
     ) -> None:
         self.store = store
         self.is_store_unreachable = is_store_unreachable
+        self.admission = admission
         self.pool_by_job: OrderedDict[str, str] = OrderedDict()
         """Pool by job, for up to ``MAX_CACHED_JOBS`` jobs known to be accepted."""
 
         self.lock = Lock()
 
     def submit(
-        self, queue: QueuePolicy, job: str, body: bytes, deadline: float
+        self,
+        queue: QueuePolicy,
+        job: str,
+        body: bytes,
+        deadline: float,
+        organisation: str = "",
     ) -> Result:
         """Store a job; ``deadline`` is the steady time by which to return."""
         if not JOB_ID.fullmatch(job):
@@ -170,7 +182,7 @@
         if job in self.pool_by_job:
             return Accepted(is_new=False)
         try:
-            decode_job(body)
+            spec = decode_job(body)
         except RecordInvalid as error:
             return self._refuse(error, queue.pool, job)
         if self.is_store_unreachable():
@@ -178,8 +190,11 @@
         key = submission_key(queue.pool, job)
         if not self._is_store_responding(key):
             return STORE_UNREACHABLE
+        refusal = self._check_admission(queue, organisation, job, spec)
+        if refusal is not None:
+            return refusal
         puts = (
-            Put(key, encode_submission(queue, body)),
+            Put(key, encode_submission(queue, body, organisation)),
             Put(accepted_key(job), encode_pool(queue.pool)),
         )
         # Older versions have stored jobs without the key that names their pool.
@@ -227,6 +242,33 @@
             return TooLarge(str(error), is_new_job)
         return InvalidRequest(str(error), is_new_job)
 
+    def _check_admission(
+        self, queue: QueuePolicy, organisation: str, job: str, spec: JobSpec
+    ) -> Result | None:
+        """Return the refusal of a job that can't be done in time, or None.
+
+        Another process may have accepted the job. If the store doesn't tell, the job is
+        not refused: the write that follows finds out.
+        """
+        if self.admission is None:
+            return None
+        excess = self.admission.find_excess(queue, organisation, spec)
+        if excess is None:
+            return None
+        keys = (
+            accepted_key(job),
+            submission_key(queue.pool, job),
+            progress_key(queue.pool, job),
+        )
+        try:
+            if any(self.store.read(key) is not None for key in keys):
+                return Accepted(is_new=False)
+        except PlatformCallError as error:
+            log_warning("earlier_job_unread", job=job, error=str(error))
+            return None
+        retry_after_s = self.admission.record_refusal(queue, organisation, excess)
+        return Rejected(TOO_LATE, retry_after_s)
+
     def _find_commit(self, key: str) -> Committed | None:
         """Return the outcome of a write without a response if it took effect."""
         try:
--- a/src/sesameladder/node/_pool_summary.py
+++ b/src/sesameladder/node/_pool_summary.py
@@ -3,7 +3,7 @@
 from math import ceil, floor
 
 from sesameladder.fleet import DEMAND_ROUNDING_CORES, PoolSummary
-from sesameladder.jobs import PoolScheduler
+from sesameladder.jobs import Backlog, PoolScheduler
 from sesameladder.node._telemetry import (
     FREE_CORES,
     JOBS_BEYOND_RATE,
@@ -22,10 +22,17 @@
 class SummaryBuilder:
     """Builds a pool's summary and decides when it is written."""
 
-    __slots__ = ("last_check_at", "last_written_at", "scheduler", "stored")
+    __slots__ = (
+        "backlog",
+        "last_check_at",
+        "last_written_at",
+        "scheduler",
+        "stored",
+    )
 
     def __init__(self, scheduler: PoolScheduler, now: float) -> None:
         self.scheduler = scheduler
+        self.backlog = Backlog(scheduler.ranking)
         self.stored: PoolSummary | None = None
         """The summary last given out to be written; None to write the next one."""
 
@@ -37,7 +44,7 @@
         if now - self.last_check_at < SUMMARY_CHECK_INTERVAL_S:
             return None
         self.last_check_at = now
-        summary = self._build(orders_revision)
+        summary = self._build(orders_revision, now)
         stored = self.stored
         if summary == stored:
             return None
@@ -56,7 +63,8 @@
         self.stored, self.last_written_at = summary, now
         return summary
 
-    def _build(self, orders_revision: int) -> PoolSummary:
+    def _build(self, orders_revision: int, now: float) -> PoolSummary:
+        scheduler = self.scheduler
         views = self.scheduler.workers.values()
         demand = self.scheduler.estimate_demand()
         draining_views = [
@@ -75,6 +83,7 @@
             _round_up_cores(demand.used),
             _round_up_cores(demand.waiting),
             floor(demand.late / DEMAND_ROUNDING_CORES) * DEMAND_ROUNDING_CORES,
+            self.backlog.update(scheduler.job_table, views, scheduler.fence, now),
         )
 
 
--- a/src/sesameladder/node/_process.py
+++ b/src/sesameladder/node/_process.py
@@ -8,6 +8,7 @@
 from time import sleep
 
 from sesameladder.jobs import WorkerRecord
+from sesameladder.node._admission import AdmissionControl
 from sesameladder.node._clock import read_steady_clock
 from sesameladder.node._configuration_task import ConfigurationTask
 from sesameladder.node._fleet_task import FleetTask
@@ -50,6 +51,7 @@
     """The tasks of one process, its settings and its servers."""
 
     __slots__ = (
+        "admission",
         "advice_client",
         "configuration",
         "fleet_task",
@@ -95,10 +97,19 @@
             self._publish_workers,
             self._record_registry_pass,
         )
+        self.admission = AdmissionControl(
+            self.store,
+            lambda: self._get_organisations() is not None,
+            lambda pool: self.roles.get_holder_fence(pool_role(pool)),
+        )
         self.job_api = JobApiServer(
             settings.job_api_address,
             settings.node,
-            Intake(self.store, lambda: self.configuration.dependency.is_lost),
+            Intake(
+                self.store,
+                lambda: self.configuration.dependency.is_lost,
+                self.admission,
+            ),
             lambda: self.configuration.current,
         )
         self.probe_server = ProbeServer(
@@ -134,6 +145,7 @@
         self.configuration.start()
         self.roles.start()
         self.unrouted_pools.start()
+        self.admission.start()
         self.registry.start()
         text = self._read_settings_text()
         while not self.stopping.wait(SETTINGS_CHECK_S):
@@ -160,6 +172,7 @@
         close_thread.start()
         close_thread.join(SERVER_CLOSE_TIMEOUT_S)
         self.configuration.stop()
+        self.admission.stop()
         log_event("shutdown_finished", in_flight=self.job_api.in_flight)
 
     def _is_ready(self) -> bool:
--- a/src/sesameladder/node/_records.py
+++ b/src/sesameladder/node/_records.py
@@ -5,12 +5,22 @@
 from typing import Any
 
 from sesameladder.fleet import EndedIncarnation, OrderedVm, PoolOrders, PoolSummary
-from sesameladder.jobs import AdvicePolicy, QueuePolicy, Submission, TrackedWorker
+from sesameladder.jobs import (
+    AdvicePolicy,
+    BacklogForecast,
+    DurationCorrection,
+    OrganisationForecast,
+    QueueForecast,
+    QueuePolicy,
+    Submission,
+    TrackedWorker,
+)
 from sesameladder.platform import (
     MAX_AMOUNT,
     MAX_COUNTER,
     MAX_TIME_MS,
     Fields,
+    RecordInvalid,
     check_name,
     check_number,
     check_object,
@@ -226,7 +236,10 @@
 
 def encode_summary(summary: PoolSummary) -> bytes:
     """Encode the summary that a pool's owner stores."""
-    return _encode_json(asdict(summary))
+    fields = asdict(summary)
+    if summary.forecast is None:
+        del fields["forecast"]
+    return _encode_json(fields)
 
 
 def decode_summary(value: bytes) -> PoolSummary:
@@ -250,9 +263,62 @@
             ),
             # Absent in the summaries of older versions.
             late_cores=read_number(fields, "late_cores", MAX_COUNTER),
+            forecast=_decode_forecast(fields.get("forecast")),
         )
 
 
+def _decode_forecast(value: object) -> BacklogForecast | None:
+    """Decode the forecast of a summary; None without one that can be used.
+
+    Older versions store none. The rest of a summary is read whatever it holds.
+    """
+    if value is None:
+        return None
+    try:
+        with decoding_record("forecast of a pool"):
+            fields = check_object("forecast", value)
+            queues = check_object("queues", fields["queues"])
+            organisations = check_object("organisations", fields["organisations"])
+            return BacklogForecast(
+                check_number("fence", fields["fence"], MAX_COUNTER),
+                check_number("computed_ms", fields["computed_ms"], MAX_TIME_MS),
+                min(1.0, read_factor(fields, "certain_share", default=0.0)),
+                min(1.0, read_factor(fields, "certain_share_beyond", default=0.0)),
+                {name: _decode_queue_forecast(row) for name, row in queues.items()},
+                {
+                    name: OrganisationForecast(
+                        {
+                            queue: _decode_seconds(waits)
+                            for queue, waits in row["begins_after_s"].items()
+                        },
+                        read_factor(row, "entitled_share", default=1.0),
+                    )
+                    for name, row in organisations.items()
+                },
+            )
+    except RecordInvalid:
+        return None
+
+
+def _decode_queue_forecast(row: Fields) -> QueueForecast:
+    correction = check_object("correction", row["correction"])
+    return QueueForecast(
+        _decode_seconds(row["least_core_s"]),
+        _decode_seconds(row["begins_after_s"]),
+        _decode_seconds(row["ends_after_s"]),
+        DurationCorrection(
+            read_factor(correction, "ratio", default=1.0),
+            read_factor(correction, "mean_s", default=0.0),
+        ),
+    )
+
+
+def _decode_seconds(values: list[object]) -> tuple[float, ...]:
+    return tuple(
+        read_factor({"seconds": value}, "seconds", default=0.0) for value in values
+    )
+
+
 def _decode_names(fields: Fields, name: str) -> tuple[str, ...]:
     return tuple(check_name(name, text) for text in fields[name])
 
--- a/src/sesameladder/node/_roles.py
+++ b/src/sesameladder/node/_roles.py
@@ -214,6 +214,12 @@
         record = self.records.get(role)
         return record is not None and record.holder is not None
 
+    def get_holder_fence(self, role: str) -> int | None:
+        """Return the fencing token of a role's holder as last read, or None."""
+        record = self.records.get(role)
+        is_held = record is not None and record.holder is not None
+        return record.revision if record is not None and is_held else None
+
     def is_exclusive_holder(self) -> bool:
         """Return whether no other process can have taken this process's roles yet."""
         return self.holders_are_current and self.is_confirmed(EXCLUSIVITY_TIMEOUT_S)
--- a/src/sesameladder/node/_telemetry.py
+++ b/src/sesameladder/node/_telemetry.py
@@ -86,6 +86,12 @@
     ["pool"],
     registry=REGISTRY,
 )
+ADMISSION_REFUSALS = Counter(
+    "sesameladder_admission_refusals",
+    "Jobs refused since they could not be done in time",
+    ["pool"],
+    registry=REGISTRY,
+)
 UNATTENDED_ROLES = Gauge(
     "sesameladder_unattended_roles",
     "Roles that the store grants to this process and that have no task here",
