--- a/src/sesameladder/jobs/_ordering.py
+++ b/src/sesameladder/jobs/_ordering.py
@@ -16,6 +16,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from enum import IntEnum
+from itertools import product
 from typing import Protocol
 
 from sesameladder.jobs._durations import DurationTable, count_cores
@@ -77,6 +78,34 @@
 BEYOND_RATE_OFFSET = Standing.IN_TIME_BEYOND_RATE - Standing.IN_TIME
 
 
+def find_standing(
+    urgency: int, has_begun: bool, is_within_rate: bool, is_in_turn: bool
+) -> Standing:
+    """Return the place of a step in the order by shares."""
+    if urgency == Urgency.LONG_RUNNING:
+        return Standing.LONG_RUNNING
+    if urgency == Urgency.BEST_EFFORT:
+        return Standing.BEST_EFFORT
+    if has_begun:
+        is_overdue = urgency == Urgency.OVERDUE
+        return Standing.OVERDUE if is_overdue else Standing.BEGUN
+    if urgency == Urgency.OVERDUE:
+        standing = Standing.OVERDUE
+    elif urgency == Urgency.LATE:
+        standing = Standing.LATE
+    else:
+        standing = Standing.IN_TIME if is_in_turn else Standing.IN_TIME_OUT_OF_TURN
+    return standing if is_within_rate else Standing(standing + BEYOND_RATE_OFFSET)
+
+
+# Looked up for each waiting step in each pass, of which there may be 2,000.
+STANDINGS = {
+    (int(urgency), *flags): find_standing(urgency, *flags)
+    for urgency in Urgency
+    for flags in product((False, True), repeat=3)
+}
+
+
 def compute_target(job: Job, occurrence: int, durations: DurationTable) -> float:
     """Return the target duration of an occurrence in seconds."""
     submission = job.submission
@@ -193,11 +222,8 @@
 
     def _sort_by_shares(self, rows: list[tuple[Rank, Step]], now: float) -> None:
         """Sort the steps by standing and rank, or by rank while nothing waits long."""
-        sharing = [
-            step.job
-            for rank, step in rows
-            if Urgency.LONG_RUNNING < rank[0] < Urgency.BEST_EFFORT
-        ]
+        lowest, highest = int(Urgency.LONG_RUNNING), int(Urgency.BEST_EFFORT)
+        sharing = [step.job for rank, step in rows if lowest < rank[0] < highest]
         is_short = any(
             job.state is JobState.QUEUED
             and now - job.accepted_at > SHORTAGE_WAIT_S
@@ -214,25 +240,13 @@
 
     def _find_standing(self, rank: Rank, step: Step) -> Standing:
         """Return the place of a step in the order by shares."""
-        urgency, job = rank[0], step.job
-        if urgency == Urgency.LONG_RUNNING:
-            return Standing.LONG_RUNNING
-        if urgency == Urgency.BEST_EFFORT:
-            return Standing.BEST_EFFORT
-        if job.state is not JobState.QUEUED:
-            is_overdue = urgency == Urgency.OVERDUE
-            return Standing.OVERDUE if is_overdue else Standing.BEGUN
-        if urgency == Urgency.OVERDUE:
-            standing = Standing.OVERDUE
-        elif urgency == Urgency.LATE:
-            standing = Standing.LATE
-        elif job.goes_first or self.shares.is_in_turn(job.submission.organisation):
-            standing = Standing.IN_TIME
-        else:
-            standing = Standing.IN_TIME_OUT_OF_TURN
-        if job.is_within_rate:
-            return standing
-        return Standing(standing + BEYOND_RATE_OFFSET)
+        job = step.job
+        is_in_turn = (
+            job.goes_first or job.submission.organisation in self.shares.in_turn
+        )
+        return STANDINGS[
+            rank[0], job.state is not JobState.QUEUED, job.is_within_rate, is_in_turn
+        ]
 
     # Counts of jobs and charges of work ------------------------------------
 
--- a/src/sesameladder/node/_records.py
+++ b/src/sesameladder/node/_records.py
@@ -288,10 +288,10 @@
                 {
                     name: OrganisationForecast(
                         {
-                            queue: _decode_seconds(waits)
+                            queue: _decode_factors(waits)
                             for queue, waits in row["begins_after_s"].items()
                         },
-                        read_factor(row, "entitled_share", default=1.0),
+                        _decode_factors([row["entitled_share"]])[0],
                     )
                     for name, row in organisations.items()
                 },
@@ -303,9 +303,9 @@
 def _decode_queue_forecast(row: Fields) -> QueueForecast:
     correction = check_object("correction", row["correction"])
     return QueueForecast(
-        _decode_seconds(row["least_core_s"]),
-        _decode_seconds(row["begins_after_s"]),
-        _decode_seconds(row["ends_after_s"]),
+        _decode_factors(row["least_core_s"]),
+        _decode_factors(row["begins_after_s"]),
+        _decode_factors(row["ends_after_s"]),
         DurationCorrection(
             read_factor(correction, "ratio", default=1.0),
             read_factor(correction, "mean_s", default=0.0),
@@ -313,9 +313,9 @@
     )
 
 
-def _decode_seconds(values: list[object]) -> tuple[float, ...]:
+def _decode_factors(values: list[object]) -> tuple[float, ...]:
     return tuple(
-        read_factor({"seconds": value}, "seconds", default=0.0) for value in values
+        read_factor({"a number": value}, "a number", default=0.0) for value in values
     )
 
 
--- a/src/sesameladder/organisations/_shares.py
+++ b/src/sesameladder/organisations/_shares.py
@@ -67,6 +67,7 @@
     __slots__ = (
         "beyond_rate",
         "charged_core_s",
+        "in_turn",
         "is_in_force",
         "latest_in_turn",
         "mean_cost",
@@ -83,6 +84,9 @@
         self.waiting: set[str] = set()
         """Organisations with work that waited at the latest pass."""
 
+        self.in_turn: set[str] = set()
+        """Those of them that had not had more than their share."""
+
         self.latest_in_turn = 0.0
         """Highest virtual time of the organisations that are in turn."""
 
@@ -147,10 +151,12 @@
             self.virtual_times.activate(name)
         self.waiting = names
         if not names:
+            self.in_turn = set()
             return
         weights = list(map(self.get_weight, names))
         slack = SLACK_JOBS * self.mean_cost * len(weights) / sum(weights)
         self.latest_in_turn = self.virtual_times.find_latest(names, slack)
+        self.in_turn = set(filter(self.is_in_turn, names))
         if len(self.windows) > MAX_FLOWS or len(self.virtual_times.by_flow) > MAX_FLOWS:
             kept = dict.fromkeys(names)
             self.virtual_times.forget(kept)
