--- a/src/sesameladder/jobs/_backlog.py
+++ b/src/sesameladder/jobs/_backlog.py
@@ -34,7 +34,6 @@
     """Forecasts of one pool, and how right they were."""
 
     __slots__ = (
-        "beyond",
         "computed_at",
         "durations",
         "entitled",
@@ -56,9 +55,6 @@
         self.latest: BacklogForecast | None = None
         """Latest forecast; None while new jobs begin soon."""
 
-        self.beyond: dict[tuple[str, bool], tuple[float, ...]] = {}
-        """Waits beyond the rate in the latest forecast, by queue and is in turn."""
-
         self.computed_at = 0.0
 
     def record_arrival(self, job: Job, core_s: float, now: float) -> None:
@@ -84,7 +80,7 @@
             waits = rows.begins_after_s
             if is_beyond:
                 is_in_turn = self.ranking.shares.is_in_turn(submission.organisation)
-                waits = self.beyond[submission.queue, is_in_turn]
+                waits = rows.begins_beyond_rate_s[is_in_turn]
             wait_s = waits[rows.find_row(core_s)]
             self.errors.record_arrival(job.id, wait_s, is_beyond, now)
 
@@ -107,15 +103,12 @@
         # Work without an organisation has no rate.
         names = (shares.waiting | self.entitled.arrived.keys()) - {""}
         self.entitled.update({name: shares.get_weight(name) for name in names}, now)
-        hot = sorted(self.entitled.by_organisation)
         if shares.is_in_force:
             views = [v for v in workers if v.is_listed and not v.is_draining]
             cores = sum(view.capacity.cpu_millis for view in views) / 1000
             free_cores = sum(view.free_cpu_millis for view in views) / 1000
             work = self._list_work(table.open_steps.values(), now)
-            self.latest = self._compute(
-                work, cores, max(0.0, free_cores), hot, fence, now
-            )
+            self.latest = self._compute(work, cores, max(0.0, free_cores), fence, now)
         return self.latest
 
     def _list_work(self, steps: Iterable[Step], now: float) -> list[WaitingWork]:
@@ -153,12 +146,10 @@
         work: list[WaitingWork],
         cores: float,
         free_cores: float,
-        hot: list[str],
         fence: int,
         now: float,
     ) -> BacklogForecast | None:
         queues: dict[str, QueueForecast] = {}
-        own: dict[str, dict[str, tuple[float, ...]]] = {name: {} for name in hot}
         for queue, sample in self.samples.items():
             sizes = self._list_sizes(queue)
             if not sizes:
@@ -188,30 +179,21 @@
 
             waits = list_waits(True, True)
             ends = tuple(round(w + sample.path_s, WAIT_DIGITS) for w in waits)
+            beyond = list_waits(False, False), list_waits(False, True)
             correction = self._find_correction(queue)
-            queues[queue] = QueueForecast(sizes, waits, ends, correction)
-            for is_in in (False, True):
-                self.beyond[queue, is_in] = list_waits(False, is_in)
-            for name in hot:
-                rows = self.beyond[queue, self.ranking.shares.is_in_turn(name)]
-                if rows[-1] >= LEAST_PUBLISHED_WAIT_S:
-                    own[name][queue] = rows
-        longest = sorted(
-            filter(own.__getitem__, own),
-            key=lambda name: max(map(max, own[name].values())),
-            reverse=True,
-        )
+            queues[queue] = QueueForecast(sizes, waits, ends, beyond, correction)
+        if all(
+            row.begins_beyond_rate_s[0][-1] < LEAST_PUBLISHED_WAIT_S
+            for row in queues.values()
+        ):
+            return None
+        shares = self.entitled.by_organisation
         organisations = {
             name: OrganisationForecast(
-                own[name], round(self.entitled.by_organisation[name], 2)
+                round(shares[name], 2), self.ranking.shares.is_in_turn(name)
             )
-            for name in longest[:MAX_ORGANISATIONS]
+            for name in sorted(shares, key=shares.__getitem__)[:MAX_ORGANISATIONS]
         }
-        is_short = all(
-            self.beyond[queue, False][-1] < LEAST_PUBLISHED_WAIT_S for queue in queues
-        )
-        if is_short and not organisations:
-            return None
         return BacklogForecast(
             fence,
             round(now * 1000),
--- a/src/sesameladder/jobs/_forecast.py
+++ b/src/sesameladder/jobs/_forecast.py
@@ -90,17 +90,20 @@
 
 @dataclass(frozen=True, slots=True)
 class QueueForecast:
-    """Forecast for the jobs of a queue whose organisation is within its rate."""
+    """Forecast for the jobs of a queue, in rows by their work."""
 
     least_core_s: tuple[float, ...]
     """Least work of a job by row, in core-seconds; rises."""
 
     begins_after_s: tuple[float, ...]
-    """Time until a job of at least that work would begin."""
+    """Time until a job of at least that work would begin, within its rate."""
 
     ends_after_s: tuple[float, ...]
     """Time until a job of at least that work and of mean length would end."""
 
+    begins_beyond_rate_s: tuple[tuple[float, ...], tuple[float, ...]] = ((), ())
+    """The same for a job beyond its rate: out of turn, and in turn."""
+
     correction: DurationCorrection = DurationCorrection()
 
     def find_row(self, core_s: float) -> int:
@@ -112,12 +115,12 @@
 class OrganisationForecast:
     """Forecast for an organisation that sends far more than its rate."""
 
-    begins_after_s: dict[str, tuple[float, ...]]
-    """Time until a job beyond the rate would begin: by queue, rows as there."""
-
     entitled_share: float
     """Part of its jobs that intake lets pass, since they may be within the rate."""
 
+    is_in_turn: bool
+    """Whether it has not had more than its share."""
+
 
 @dataclass(frozen=True, slots=True)
 class BacklogForecast:
@@ -147,8 +150,10 @@
             return 0.0
         number = rows.find_row(core_s)
         own = self.organisations.get(organisation) if is_beyond else None
-        waits = own.begins_after_s.get(queue) if own is not None else None
-        waits = waits or rows.begins_after_s
+        if own is None:
+            waits = rows.begins_after_s
+        else:
+            waits = rows.begins_beyond_rate_s[own.is_in_turn]
         return waits[number] if number < len(waits) else 0.0
 
 
--- a/src/sesameladder/jobs/tests/test_forecast.py
+++ b/src/sesameladder/jobs/tests/test_forecast.py
@@ -168,8 +168,10 @@
 def build_forecast(
     certain_share: float = 1.0, waits: tuple[float, ...] = (4.0, 9.0)
 ) -> BacklogForecast:
-    rows = QueueForecast((0.0, 10.0), waits, waits, DurationCorrection(2.0, 0.5))
-    own = OrganisationForecast({"queue": (30.0, 30.0)}, 0.25)
+    beyond = (30.0, 30.0), (0.0, 0.0)
+    correction = DurationCorrection(2.0, 0.5)
+    rows = QueueForecast((0.0, 10.0), waits, waits, beyond, correction)
+    own = OrganisationForecast(0.25, is_in_turn=False)
     return BacklogForecast(7, 1000, certain_share, 1.0, {"queue": rows}, {HOT: own})
 
 
--- a/src/sesameladder/node/_records.py
+++ b/src/sesameladder/node/_records.py
@@ -287,11 +287,8 @@
                 {name: _decode_queue_forecast(row) for name, row in queues.items()},
                 {
                     name: OrganisationForecast(
-                        {
-                            queue: _decode_factors(waits)
-                            for queue, waits in row["begins_after_s"].items()
-                        },
                         _decode_factors([row["entitled_share"]])[0],
+                        row["is_in_turn"] is True,
                     )
                     for name, row in organisations.items()
                 },
@@ -302,10 +299,12 @@
 
 def _decode_queue_forecast(row: Fields) -> QueueForecast:
     correction = check_object("correction", row["correction"])
+    out_of_turn, in_turn = row["begins_beyond_rate_s"]
     return QueueForecast(
         _decode_factors(row["least_core_s"]),
         _decode_factors(row["begins_after_s"]),
         _decode_factors(row["ends_after_s"]),
+        (_decode_factors(out_of_turn), _decode_factors(in_turn)),
         DurationCorrection(
             read_factor(correction, "ratio", default=1.0),
             read_factor(correction, "mean_s", default=0.0),
--- a/src/sesameladder/node/tests/test_admission.py
+++ b/src/sesameladder/node/tests/test_admission.py
@@ -47,8 +47,8 @@
     500_000,
     1.0,
     1.0,
-    {"q": QueueForecast((0.0,), (WAIT_S,), (WAIT_S,))},
-    {"hot": OrganisationForecast({"q": (20.0,)}, 0.0)},
+    {"q": QueueForecast((0.0,), (WAIT_S,), (WAIT_S,), ((20.0,), (0.0,)))},
+    {"hot": OrganisationForecast(0.0, is_in_turn=False)},
 )
 SUMMARY = PoolSummary({}, (), (), 0, forecast=FORECAST)
 
