Count timed jobs for no forecast before they are due

Cause: the owner's forecast looked at the steps of a timed job when it arrived; none is built before the first is due, so the error lost the job.

Change: timed jobs are left out; intake never refuses them either.

--- a/src/sesameladder/jobs/_backlog.py
+++ b/src/sesameladder/jobs/_backlog.py
@@ -60,6 +60,8 @@
     def record_arrival(self, job: Job, core_s: float, now: float) -> None:
         """Count a job that arrives, and note when it is forecast to begin."""
         submission = job.submission
+        if submission.spec.occurrences:
+            return  # its steps are built when they are due
         path_s = self.durations.estimate_critical_path(job, 0, only_remaining=False)
         patience_s = (
             submission.stretch - 1
--- a/src/sesameladder/jobs/tests/test_forecast.py
+++ b/src/sesameladder/jobs/tests/test_forecast.py
@@ -10,6 +10,7 @@
     QueueForecast,
     Resources,
     StepSpec,
+    Submission,
     find_excess,
 )
 from sesameladder.jobs._forecast import (
@@ -165,6 +166,15 @@
     assert entitled.by_organisation == {}
 
 
+def test_timed_job_arrives_before_it_is_due() -> None:
+    """Guards against a timed job that is lost since none of its steps is built."""
+    pool = AdmittingPool(1.0)
+    spec = JobSpec("", build_spec().steps, 3, first_due_ms=10_000, interval_ms=1000)
+    pool.scheduler.add_job(Submission("a", "queue", spec), None, 0.0)
+    assert list(pool.scheduler.job_table.jobs) == ["a"]
+    assert pool.backlog.samples == {}
+
+
 def build_forecast(
     certain_share: float = 1.0, waits: tuple[float, ...] = (4.0, 9.0)
 ) -> BacklogForecast:
