--- a/src/sesameladder/jobs/tests/shared_pool.py
+++ b/src/sesameladder/jobs/tests/shared_pool.py
@@ -175,17 +175,8 @@
         draw = self.draws.random()
         if self.forecast is None or not self.refuses_jobs:
             return False
-        excess = find_excess(
-            self.forecast,
-            "queue",
-            organisation,
-            spec,
-            1.6,
-            0.6,
-            OVERDUE_FACTOR,
-            1.0,
-            draw,
-        )
+        policy = 1.6, 0.6, OVERDUE_FACTOR, 1.0
+        excess = find_excess(self.forecast, "queue", organisation, spec, *policy, draw)
         if excess is not None:
             self.refused[job] = organisation
         return excess is not None
--- a/src/sesameladder/jobs/tests/test_forecast.py
+++ b/src/sesameladder/jobs/tests/test_forecast.py
@@ -51,19 +51,6 @@
         ({"unplaced_core_s": 30.0, "is_in_time": False}, False, True, 1.0),
         ({"has_begun": True, "unplaced_core_s": 30.0}, True, True, 1.0),
     ],
-    ids=[
-        "smaller",
-        "larger",
-        "more urgent queue",
-        "less urgent queue",
-        "late",
-        "overdue",
-        "out of turn",
-        "both out of turn",
-        "beyond rate",
-        "within rate, overdue",
-        "begun",
-    ],
 )
 def test_only_work_that_goes_before_counts(
     changes: dict[str, object],
@@ -186,16 +173,9 @@
 
 
 def build_spec(cpu_millis: int = 1000, steps: int = 1, **fields: object) -> JobSpec:
-    rows = [
-        StepSpec(
-            8,
-            Resources(cpu_millis, 1),
-            1000,
-            after=(n - 1,) if n else (),
-            **fields,  # type: ignore[arg-type]
-        )
-        for n in range(steps)
-    ]
+    needs = Resources(cpu_millis, 1)
+    after = [(number - 1,) if number else () for number in range(steps)]
+    rows = [StepSpec(8, needs, 1000, row, **fields) for row in after]  # type: ignore[arg-type]
     return JobSpec("", tuple(rows))
 
 
@@ -213,18 +193,6 @@
         (build_forecast(), HOT, build_spec(is_best_effort=True), 0.5, False),
         (build_forecast(), HOT, JobSpec("", build_spec().steps, 3), 0.5, False),
     ],
-    ids=[
-        "small",
-        "large",
-        "longer target",
-        "error",
-        "unknown error",
-        "hot",
-        "hot, entitled",
-        "long-running",
-        "best effort",
-        "timed",
-    ],
 )
 def test_refused_jobs(
     forecast: BacklogForecast,
@@ -234,12 +202,9 @@
     is_refused: bool,
 ) -> None:
     """Guards against refusals that are not certain, and of jobs that are exempt."""
-    excess = find_excess(
-        forecast, "queue", organisation, spec, 1.6, 0.6, 3.0, 1.0, draw
-    )
-    assert (excess is not None) is is_refused
-    other = find_excess(forecast, "other", organisation, spec, 1.6, 0.6, 3.0, 1.0, draw)
-    assert other is None
+    rest = organisation, spec, 1.6, 0.6, 3.0, 1.0, draw
+    assert (find_excess(forecast, "queue", *rest) is not None) is is_refused
+    assert find_excess(forecast, "other", *rest) is None
 
 
 @pytest.mark.parametrize(
