Merge shares of organisations and admission by backlog

Cause: a caller that sends many times its usual took the others' seconds, and jobs that could not be done in time were accepted.

Change: the ranking orders by organisations' shares and rates while jobs wait (docs/design/shares.md); owners publish a forecast and intake refuses what can't be done within three times its target (docs/design/admission.md). The offered load counts jobs within their organisation's rate only.

--- a/src/sesameladder/node/_process.py
+++ b/src/sesameladder/node/_process.py
@@ -9,6 +9,7 @@
 from time import sleep
 
 from sesameladder.jobs import WorkerRecord
+from sesameladder.node._admission import AdmissionControl
 from sesameladder.node._cap_task import CapTask
 from sesameladder.node._clock import read_steady_clock
 from sesameladder.node._configuration_task import ConfigurationTask
@@ -29,6 +30,7 @@
 from sesameladder.node._unrouted_pools import UnroutedPools, list_routed_pools
 from sesameladder.node._vm_load import VmSize
 from sesameladder.node._worker_link import WORKER_LEASE_MS
+from sesameladder.organisations import Organisations
 from sesameladder.platform import (
     AdviceClient,
     NodeSettings,
@@ -52,6 +54,7 @@
     """The tasks of one process, its settings and its servers."""
 
     __slots__ = (
+        "admission",
         "advice_client",
         "cap_task",
         "configuration",
@@ -99,10 +102,19 @@
             self._record_registry_pass,
         )
         self.cap_task = CapTask(self.store, self.configuration.read, self._wake_pool)
+        self.admission = AdmissionControl(
+            self.store,
+            lambda: self._get_organisations() is not None,
+            lambda pool: self.roles.get_holder_fence(pool_role(pool)),
+        )
         self.job_api = JobApiServer(
             settings.job_api_address,
             settings.node,
-            Intake(self.store, lambda: self.configuration.dependency.is_lost),
+            Intake(
+                self.store,
+                lambda: self.configuration.dependency.is_lost,
+                self.admission,
+            ),
             self.configuration.read,
             lambda: self.settings.key_revocation_s,
         )
@@ -140,6 +152,7 @@
         self.configuration.start()
         self.roles.start()
         self.unrouted_pools.start()
+        self.admission.start()
         self.registry.start()
         self.cap_task.start()
         text = self._read_settings_text()
@@ -168,6 +181,7 @@
         close_thread.start()
         close_thread.join(SERVER_CLOSE_TIMEOUT_S)
         self.configuration.stop()
+        self.admission.stop()
         log_event("shutdown_finished", in_flight=self.job_api.in_flight)
 
     def _is_ready(self) -> bool:
@@ -255,8 +269,13 @@
             lambda role, reason: self.roles.drop(role.role, role.fence, reason),
             VmSize(self.settings.cores, self.settings.link_mbps),
             lambda: self.cap_task.get_capped_starts(pool),
+            self._get_organisations,
         )
 
+    def _get_organisations(self) -> Organisations | None:
+        configuration = self.configuration.current
+        return configuration.organisations if configuration is not None else None
+
     def _build_fleet_task(self, held: HeldRole) -> FleetTask:
         return FleetTask(
             held,
--- a/src/sesameladder/node/_records.py
+++ b/src/sesameladder/node/_records.py
@@ -6,7 +6,16 @@
 from typing import Any
 
 from sesameladder.fleet import EndedIncarnation, OrderedVm, PoolOrders, PoolSummary
-from sesameladder.jobs import AdvicePolicy, QueuePolicy, Submission, TrackedWorker
+from sesameladder.jobs import (
+    AdvicePolicy,
+    BacklogForecast,
+    DurationCorrection,
+    OrganisationForecast,
+    QueueForecast,
+    QueuePolicy,
+    Submission,
+    TrackedWorker,
+)
 from sesameladder.node._keys import cap_key
 from sesameladder.organisations import Amounts, CapRow
 from sesameladder.platform import (
@@ -232,7 +241,10 @@
 
 def encode_summary(summary: PoolSummary) -> bytes:
     """Encode the summary that a pool's owner stores."""
-    return _encode_json(asdict(summary))
+    fields = asdict(summary)
+    if summary.forecast is None:
+        del fields["forecast"]
+    return _encode_json(fields)
 
 
 def decode_summary(value: bytes) -> PoolSummary:
@@ -257,9 +269,61 @@
             # Absent in the summaries of older versions.
             late_cores=read_number(fields, "late_cores", MAX_COUNTER),
             offered_cores=read_number(fields, "offered_cores", MAX_COUNTER),
+            forecast=_decode_forecast(fields.get("forecast")),
         )
 
 
+def _decode_forecast(value: object) -> BacklogForecast | None:
+    """Decode the forecast of a summary; None without one that can be used.
+
+    Older versions store none. The rest of a summary is read whatever it holds.
+    """
+    if value is None:
+        return None
+    try:
+        with decoding_record("forecast of a pool"):
+            fields = check_object("forecast", value)
+            queues = check_object("queues", fields["queues"])
+            organisations = check_object("organisations", fields["organisations"])
+            return BacklogForecast(
+                check_number("fence", fields["fence"], MAX_COUNTER),
+                check_number("computed_ms", fields["computed_ms"], MAX_TIME_MS),
+                min(1.0, read_factor(fields, "certain_share", default=0.0)),
+                min(1.0, read_factor(fields, "certain_share_beyond", default=0.0)),
+                {name: _decode_queue_forecast(row) for name, row in queues.items()},
+                {
+                    name: OrganisationForecast(
+                        _decode_factors([row["entitled_share"]])[0],
+                        row["is_in_turn"] is True,
+                    )
+                    for name, row in organisations.items()
+                },
+            )
+    except RecordInvalid:
+        return None
+
+
+def _decode_queue_forecast(row: Fields) -> QueueForecast:
+    correction = check_object("correction", row["correction"])
+    out_of_turn, in_turn = row["begins_beyond_rate_s"]
+    return QueueForecast(
+        _decode_factors(row["least_core_s"]),
+        _decode_factors(row["begins_after_s"]),
+        _decode_factors(row["ends_after_s"]),
+        (_decode_factors(out_of_turn), _decode_factors(in_turn)),
+        DurationCorrection(
+            read_factor(correction, "ratio", default=1.0),
+            read_factor(correction, "mean_s", default=0.0),
+        ),
+    )
+
+
+def _decode_factors(values: list[object]) -> tuple[float, ...]:
+    return tuple(
+        read_factor({"a number": value}, "a number", default=0.0) for value in values
+    )
+
+
 def encode_cap_record(organisation: str, rows: Mapping[str, CapRow]) -> bytes:
     """Encode what the pools are granted of an organisation's cap, and want."""
     encoded = {
--- a/src/sesameladder/organisations/__init__.py
+++ b/src/sesameladder/organisations/__init__.py
@@ -21,9 +21,15 @@
     OrganisationRefusal,
     Organisations,
 )
+from sesameladder.organisations._shares import (
+    MAX_LOGGED_SHARES,
+    ShareRow,
+    Shares,
+)
 
 __all__ = [
     "MAX_KEY_BYTES",
+    "MAX_LOGGED_SHARES",
     "NOTHING",
     "Amounts",
     "CapLedger",
@@ -39,6 +45,8 @@
     "OrganisationRefusal",
     "Organisations",
     "RecordWrite",
+    "ShareRow",
+    "Shares",
     "add",
     "check_key",
     "exceeds_cap",
