--- a/src/sesameladder/jobs/tests/test_shares.py
+++ b/src/sesameladder/jobs/tests/test_shares.py
@@ -19,7 +19,7 @@
 
 NOW = 10.0
 TARGET_S = 1.6 * 0.5 + 0.6
-# Of the share that is served of others' jobs; without shares it falls by 0.057 to 0.083.
+# Served share of the others' jobs; without shares it falls by 0.057 to 0.083.
 LARGEST_FALL = 0.05
 
 
