--- a/src/sesameladder/jobs/_copies.py
+++ b/src/sesameladder/jobs/_copies.py
@@ -25,6 +25,9 @@
 MIN_SAMPLES = 50
 CHECK_INTERVAL_S = 0.1  # a slow subtask runs for seconds
 MAX_CORE_SHARE = 0.1
+# A subtask that crashes its worker does so within 0.1 s. With that as the bound, copies
+# of such subtasks were started before the crash was noticed.
+MIN_KNOWN_AGE_S = 0.3
 MAX_KINDS = 200  # about 15 KB each; callers choose the names of images
 # An invalid start stays so; without a pause it uses up the run numbers of the term.
 RETRY_PAUSE_S = 0.5
@@ -284,8 +287,8 @@
         """Return whether a run is the only one of its subtask and may get a copy.
 
         A subtask under which a worker has crashed may be the cause, and gets none. Nor
-        does one whose worker has not responded since the run was young: it may have
-        crashed. Nor does one that could use up its attempts while the copy is on its
+        does one that its worker is not known to have outlived for long enough: it may
+        have crashed the worker. Nor does one that could use up its attempts while the copy is on its
         way: the copy would start after the last one.
         """
         subtask = run.subtask
@@ -295,7 +298,7 @@
             and run.stopping_since is None
             and not run.is_superseded
             and not run.is_rejected
-            and not run.is_young
+            and run.known_age_s >= MIN_KNOWN_AGE_S
             and not subtask.crashes
             and subtask.not_before <= now
             and now >= self.paused_until.get(subtask.id, 0.0)
