--- a/src/sesameladder/jobs/_copies.py
+++ b/src/sesameladder/jobs/_copies.py
@@ -288,8 +288,8 @@
 
         A subtask under which a worker has crashed may be the cause, and gets none. Nor
         does one that its worker is not known to have outlived for long enough: it may
-        have crashed the worker. Nor does one that could use up its attempts while the copy is on its
-        way: the copy would start after the last one.
+        have crashed the worker. Nor does one that could use up its attempts while the
+        copy is on its way: the copy would start after the last one.
         """
         subtask = run.subtask
         return (
--- a/src/sesameladder/jobs/tests/test_copies.py
+++ b/src/sesameladder/jobs/tests/test_copies.py
@@ -461,6 +461,7 @@
     pool.submit()
     pool.scheduler.unread_workers.deadline = at(7.5)
     pool.report(pool.names[0], 0.1, RunStatus(SUBTASK, 1, "", 10))
+    pool.report(pool.names[0], 0.6, RunStatus(SUBTASK, 1, "", 20))
     pool.report(pool.names[1], 0.1)
     assert pool.step(2.0) == []
     pool.report(pool.names[2], 2.1)
