--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -19,7 +19,7 @@
 from sesameladder.measure._load_generator import EntryEndpoint
 from sesameladder.planning import PlanStore, RegionPlan
 from sesameladder.settings import EntrySettings
-from sesameladder.settings.examples import write_example
+from sesameladder.settings.examples import ExampleFiles, write_example
 
 PORTS_PER_FLEET = 200
 FIRST_PORT = 22_000
@@ -61,14 +61,19 @@
     )
 
     @classmethod
-    def start(cls, deployment: str, directory: Path) -> "Fleet":
-        """Write the example settings and start all programs."""
-        files = write_example(deployment, directory, find_base_port())
+    def build(cls, deployment: str, directory: Path) -> "Fleet":
+        """Write the example settings; no program is started."""
+        return cls._from_files(
+            directory, write_example(deployment, directory, find_base_port())
+        )
+
+    @classmethod
+    def _from_files(cls, directory: Path, files: ExampleFiles) -> "Fleet":
         platform = json5.loads(files.platform.read_text())
         workers = [
             str(row["address"]) for row in platform["vms"] if row["kind"] == "upstream"
         ]
-        fleet = cls(
+        return cls(
             directory,
             files.entries,
             {name: EntrySettings.from_file(p) for name, p in files.entries.items()},
@@ -77,6 +82,12 @@
             tuple(workers),
             platform["address"],
         )
+
+    @classmethod
+    def start(cls, deployment: str, directory: Path) -> "Fleet":
+        """Write the example settings and start all programs."""
+        files = write_example(deployment, directory, find_base_port())
+        fleet = cls._from_files(directory, files)
         for rack, path in files.upstreams.items():
             fleet.run_program(rack, "sesameladder.standins.upstream", path)
         fleet.run_program("platform", "sesameladder.standins.platform", files.platform)
