Read requests to a node as they arrive, within limits

Cause: a thread of the pool read each request from its socket, without a bound on request line, header, chunk lines or chunked body, and waited for slow clients for up to 60 s.

Change: one thread reads what arrives on all connections of a server and splits it into requests, within limits of size and time. The threads of the pool get whole requests and give the connection back once the response is written or waits in memory, so they wait for no client. Connections in all and from one address are bounded; the client that has waited longest is closed for another. Limits that the configuration names apply as soon as it does. Refusals are counted by cause and logged once in 10 s for each cause.

--- a/src/sesameladder/node/_http_servers.py
+++ b/src/sesameladder/node/_http_servers.py
@@ -7,8 +7,6 @@
 from threading import Lock
 from typing import Any
 
-from cheroot.wsgi import Server
-
 from sesameladder.jobs import Configuration, QueuePolicy
 from sesameladder.node._clock import read_steady_clock
 from sesameladder.node._intake import (
@@ -26,12 +24,20 @@
     compute_response_deadline,
 )
 from sesameladder.node._telemetry import (
+    REFUSED_CONNECTIONS,
     REQUEST_SECONDS,
     REQUESTS,
     log_event,
     log_warning,
     logger,
 )
+from sesameladder.request_limits import (
+    BoundedServer,
+    ConnectionLimits,
+    Limits,
+    Refusal,
+    RefusalLog,
+)
 
 TIME_LIMIT_HEADER = "HTTP_X_SESAMELADDER_DEADLINE_MS"
 REQUEST_ID_HEADER = "X-Sesameladder-Request-Id"
@@ -39,7 +45,9 @@
 REQUEST_THREADS = 24  # each waits for the store: 4 ms typically, up to 1 s per attempt
 PROBE_THREADS = 2
 LISTEN_BACKLOG = 256
-IDLE_TIMEOUT_S = 60  # callers keep their connections open
+MAX_CONNECTIONS = 1024  # fewer where the limit of descriptors is low
+MAX_PROBE_CONNECTIONS = 128
+REFUSED_RETRY_AFTER_S = 1
 SERVER_STOP_TIMEOUT_S = 1
 DEFAULT_TIME_LIMIT_MS = 3000  # the callers' usual time limit
 MAX_LOGGED_CHARACTERS = 40  # of a header value, which the caller may make any length
@@ -145,6 +153,7 @@
         "get_configuration",
         "in_flight",
         "intake",
+        "limits",
         "lock",
         "node",
         "request_numbers",
@@ -157,7 +166,9 @@
         node: str,
         intake: Intake,
         get_configuration: Callable[[], Configuration | None],
+        max_descriptors: int = 0,
     ) -> None:
+        """Create a server; ``max_descriptors`` is 0 if the settings don't say."""
         self.node = node
         self.intake = intake
         self.get_configuration = get_configuration
@@ -167,7 +178,15 @@
 
         self.in_flight = 0
         self.lock = Lock()
-        self.server = _build_server(address, self._handle, REQUEST_THREADS)
+        self.limits = ConfiguredLimits(get_configuration)
+        self.server = _build_server(
+            "job_api",
+            address,
+            self._handle,
+            REQUEST_THREADS,
+            self.limits.read,
+            ConnectionLimits.for_process(MAX_CONNECTIONS, max_descriptors),
+        )
 
     def prepare(self) -> None:
         """Bind the address; raises ``OSError``."""
@@ -272,10 +291,20 @@
         address: str,
         is_ready: Callable[[], bool],
         render_metrics: Callable[[], bytes],
+        max_descriptors: int = 0,
     ) -> None:
+        """Create a server; ``max_descriptors`` is 0 if the settings don't say."""
         self.is_ready = is_ready
         self.render_metrics = render_metrics
-        self.server = _build_server(address, self._handle, PROBE_THREADS)
+        limits = Limits()
+        self.server = _build_server(
+            "probe",
+            address,
+            self._handle,
+            PROBE_THREADS,
+            lambda: limits,
+            ConnectionLimits.for_process(MAX_PROBE_CONNECTIONS, max_descriptors),
+        )
 
     def prepare(self) -> None:
         """Bind the address; raises ``OSError``."""
@@ -297,20 +326,85 @@
         return [body]
 
 
+class ConfiguredLimits:
+    """Limits of requests in the configuration in force, else the defaults."""
+
+    __slots__ = ("configuration", "get_configuration", "limits")
+
+    def __init__(self, get_configuration: Callable[[], Configuration | None]) -> None:
+        self.get_configuration = get_configuration
+        self.configuration: Configuration | None = None
+        """The configuration that ``limits`` were computed from."""
+
+        self.limits = Limits()
+
+    def read(self) -> Limits:
+        """Return the limits that apply now; called by any thread."""
+        configuration = self.get_configuration()
+        if configuration is None or configuration is self.configuration:
+            return self.limits
+        named = configuration.limits
+        limits = Limits().override(
+            named.header_bytes,
+            configuration.max_body_bytes,
+            named.header_timeout_s,
+            named.idle_timeout_s,
+        )
+        self.limits = limits
+        self.configuration = configuration
+        return limits
+
+
 def _build_server(
-    address: str, handle: Callable[..., Iterable[bytes]], threads: int
-) -> Server:
+    name: str,
+    address: str,
+    handle: Callable[..., Iterable[bytes]],
+    threads: int,
+    get_limits: Callable[[], Limits],
+    connection_limits: ConnectionLimits,
+) -> BoundedServer:
     host, _, port = address.rpartition(":")
-    return Server(
+    refusals = RefusalLog(
+        lambda cause: REFUSED_CONNECTIONS.labels(name, cause).inc(),
+        lambda cause, reason, client, number: log_warning(
+            "connection_refused",
+            server=name,
+            cause=cause,
+            reason=reason,
+            client=client,
+            count=number,
+        ),
+        read_steady_clock,
+    )
+    return BoundedServer(
         (host, int(port)),
         handle,
-        numthreads=threads,
-        max=threads,
-        request_queue_size=LISTEN_BACKLOG,
-        timeout=IDLE_TIMEOUT_S,
+        threads,
+        LISTEN_BACKLOG,
+        get_limits,
+        connection_limits,
+        refusals,
+        build_refused_response,
     )
 
 
+def build_refused_response(
+    refusal: Refusal, header: bytes
+) -> tuple[list[tuple[str, str]], bytes]:
+    """Return headers and body for a request that was refused before it was read.
+
+    No part of it has been passed on, so nothing of this request has run.
+    """
+    del header  # the answer is the same for all requests
+    body = json.dumps(
+        {"error": refusal.reason, "has_run": False}, separators=(",", ":")
+    ).encode()
+    headers = [("Content-Type", "application/json")]
+    if refusal.status == 503:
+        headers.append(("Retry-After", str(REFUSED_RETRY_AFTER_S)))
+    return headers, body
+
+
 def _parse_time_limit_ms(environ: Environ) -> float | None:
     """Return the caller's time limit in ms, or None if the default applies."""
     text = environ.get(TIME_LIMIT_HEADER)
--- a/src/sesameladder/node/_process.py
+++ b/src/sesameladder/node/_process.py
@@ -99,9 +99,13 @@
             settings.node,
             Intake(self.store, lambda: self.configuration.dependency.is_lost),
             lambda: self.configuration.current,
+            settings.max_descriptors,
         )
         self.probe_server = ProbeServer(
-            settings.readiness_address, self._is_ready, render_metrics
+            settings.readiness_address,
+            self._is_ready,
+            render_metrics,
+            settings.max_descriptors,
         )
         self.lock = Lock()
         self.pool_tasks: dict[str, PoolTask] = {}
--- a/src/sesameladder/node/_telemetry.py
+++ b/src/sesameladder/node/_telemetry.py
@@ -41,6 +41,12 @@
     buckets=LATENCY_BUCKETS_S,
     registry=REGISTRY,
 )
+REFUSED_CONNECTIONS = Counter(
+    "sesameladder_refused_connections",
+    "Requests refused before they were read, and connections closed",
+    ["server", "cause"],
+    registry=REGISTRY,
+)
 EVENTS_COUNTED = Counter(
     "sesameladder_events",
     "Decisions and changes of belief",
