Bound the size and duration of what a node reads as a client

Cause: the client read any answer whole: 90 GB announced, chunks, chunk lines or trailers without end, a compressed body that grows on decoding. Interim answers without end, or single bytes, kept a call for as long as the peer sent them.

Bodies are read in parts and are not decompressed, which the client never asked for. The error is one of malformed answers and of unknown outcomes, since a write with such an answer may have taken effect.

--- a/src/sesameladder/platform/_errors.py
+++ b/src/sesameladder/platform/_errors.py
@@ -40,6 +40,10 @@
     """The response is malformed, or its status is 400 or 403."""
 
 
+class ResponseTooLarge(UnexpectedResponse, OutcomeUnknown):
+    """The response was not read whole, so it doesn't tell the effect of the call."""
+
+
 class FieldInvalid(ValueError):
     """A field does not have the published type, or is out of range."""
 
--- a/src/sesameladder/platform/_http.py
+++ b/src/sesameladder/platform/_http.py
@@ -4,7 +4,7 @@
 from threading import Lock
 from typing import Any
 
-from urllib3 import HTTPConnectionPool, Retry, Timeout
+from urllib3 import BaseHTTPResponse, HTTPConnectionPool, Retry, Timeout
 from urllib3.exceptions import (
     ConnectTimeoutError,
     HTTPError,
@@ -14,11 +14,17 @@
     ProtocolError,
 )
 
+from sesameladder.platform._bounded_response import (
+    READ_BYTES,
+    BoundedConnection,
+    find_excess,
+)
 from sesameladder.platform._errors import (
     MALFORMED,
     CallNotSent,
     ConnectionLost,
     OutcomeUnknown,
+    ResponseTooLarge,
     UnexpectedResponse,
 )
 
@@ -57,6 +63,12 @@
         self.body = body
 
 
+class _BoundedConnectionPool(HTTPConnectionPool):
+    """Connection pool whose responses are bounded."""
+
+    ConnectionCls = BoundedConnection
+
+
 class HttpClient:
     """Sends requests to one ``host:port`` address; thread-safe."""
 
@@ -81,8 +93,8 @@
 
         Raises ``CallNotSent`` if no connection was established, ``OutcomeUnknown``
         if the call may have been executed (``ConnectionLost`` if the connection has
-        ended), and ``UnexpectedResponse`` if the body is not JSON. There are no
-        retries.
+        ended), and ``UnexpectedResponse`` if the body is not JSON or the response is
+        larger than any peer sends (``ResponseTooLarge``). There are no retries.
         """
         connection_pool = self.connection_pool
         sent_headers = {"Content-Type": "application/json", **(headers or {})}
@@ -94,7 +106,10 @@
                 body=data,
                 headers=sent_headers,
                 timeout=Timeout(connect=CONNECT_TIMEOUT_S, read=timeout_s),
+                preload_content=False,
+                decode_content=False,
             )
+            content = _read_content(response)
         except (
             NewConnectionError,
             ConnectTimeoutError,
@@ -104,17 +119,20 @@
         except HTTPError as error:
             TRAFFIC.add(len(data or ""), 0)
             self._drop_connections(connection_pool)
+            excess = find_excess(error)
+            if excess is not None:
+                raise ResponseTooLarge(f"{self.address}: {excess}") from error
             kind = ConnectionLost if _is_reset(error) else OutcomeUnknown
             raise kind(f"{self.address} did not answer: {error}") from error
-        TRAFFIC.add(len(data or ""), len(response.data))
-        return HttpResponse(response.status, _decode_body(response.data, self.address))
+        TRAFFIC.add(len(data or ""), len(content))
+        return HttpResponse(response.status, _decode_body(content, self.address))
 
     def close(self) -> None:
         """Close the idle connections."""
         self.connection_pool.close()
 
     def _build_connection_pool(self) -> HTTPConnectionPool:
-        return HTTPConnectionPool(
+        return _BoundedConnectionPool(
             self.host,
             self.port,
             maxsize=MAX_IDLE_CONNECTIONS,
@@ -134,6 +152,21 @@
         failed.close()
 
 
+def _read_content(response: BaseHTTPResponse) -> bytes:
+    """Return the body as it was sent; raises ``HTTPError``.
+
+    A body whose announced length is beyond all bounds is read in parts, since a
+    single read would reserve memory for all of it.
+    """
+    try:
+        parts = list(response.stream(READ_BYTES, decode_content=False))
+    except BaseException:
+        response.close()
+        raise
+    response.release_conn()
+    return b"".join(parts)
+
+
 def _is_reset(error: HTTPError) -> bool:
     """Return whether the peer has ended the connection, as opposed to its silence."""
     cause = error.reason if isinstance(error, MaxRetryError) else error
