--- a/src/sesameladder/entry/_admin.py
+++ b/src/sesameladder/entry/_admin.py
@@ -4,11 +4,13 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
-from cheroot.wsgi import Server
-
-from sesameladder.peering import split_address
+from sesameladder.entry._bounded_server import build_server
+from sesameladder.observability import Metrics
+from sesameladder.request_limits import ConnectionLimits, Limits, Refusal
 
 ADMIN_THREADS = 4
+ACCEPT_BACKLOG = 64
+MAX_CONNECTIONS = 128
 STOP_TIMEOUT_S = 1
 JSON_HEADERS = [("Content-Type", "application/json")]
 
@@ -30,16 +32,23 @@
         read_status: Callable[[], dict[str, object]],
         read_dump: Callable[[], dict[str, object]],
         block_zones: Callable[[frozenset[str]], None] | None,
+        metrics: Metrics,
     ) -> None:
         self.read_status = read_status
         self.read_dump = read_dump
         self.block_zones = block_zones
-        self.server = Server(
-            split_address(address),
+        self.server = build_server(
+            "admin",
+            address,
             self._handle,
-            numthreads=ADMIN_THREADS,
-            shutdown_timeout=STOP_TIMEOUT_S,
+            ADMIN_THREADS,
+            ACCEPT_BACKLOG,
+            Limits(),
+            ConnectionLimits.for_process(MAX_CONNECTIONS),
+            _build_refused_response,
+            metrics,
         )
+        self.server.shutdown_timeout = STOP_TIMEOUT_S
 
     def prepare(self) -> None:
         """Bind the address; raise ``OSError`` if that fails."""
@@ -85,3 +94,10 @@
             return "400 Bad Request", {"error": 'send {"zones": [<name>, ...]}'}
         self.block_zones(frozenset(zones))
         return "200 OK", {"zones": sorted(zones)}
+
+
+def _build_refused_response(
+    refusal: Refusal,
+    header: bytes,  # noqa: ARG001
+) -> tuple[list[tuple[str, str]], bytes]:
+    return JSON_HEADERS, json.dumps({"error": refusal.reason}).encode()
--- a/src/sesameladder/entry/_front_end.py
+++ b/src/sesameladder/entry/_front_end.py
@@ -1,14 +1,14 @@
 """HTTP server for callers' requests, health checks and idempotency tokens."""
 
 import logging
+import re
 from collections.abc import Callable, Iterable
 from itertools import count
 from threading import Condition
 from time import monotonic
 from typing import Any
 
-from cheroot.wsgi import Server
-
+from sesameladder.entry._bounded_server import build_server
 from sesameladder.entry._request import (
     OUTCOME_HEADER,
     REQUEST_ID_HEADER,
@@ -19,13 +19,17 @@
 from sesameladder.entry._responses import HttpResponse, build_response, get_outcome_name
 from sesameladder.idempotency import Outcome, Unknown
 from sesameladder.observability import Metric, Metrics
-from sesameladder.peering import split_address
+from sesameladder.request_limits import ConnectionLimits, Limits, Refusal
 
 HEALTH_PATH = "/-/health"
 TOKEN_PATH = "/-/tokens"
 ACCEPT_BACKLOG = 128
 MAX_HEADER_BYTES = 64 * 1024
-CONNECTION_TIMEOUT_S = 10
+HEADER_TIMEOUT_S = 10.0
+BODY_TIMEOUT_S = 30.0
+IDLE_TIMEOUT_S = 10.0
+MAX_CONNECTIONS = 1024  # fewer where the limit of descriptors is low
+IDEMPOTENCY_KEY_LINE = re.compile(rb"\r\nidempotency[-_]key:", re.IGNORECASE)
 STOP_TIMEOUT_S = 2
 
 logger = logging.getLogger(__name__)
@@ -88,16 +92,24 @@
         self.draining = False
         self.in_flight = 0
         self.idle_condition = Condition()
-        self.server = Server(
-            split_address(address),
+        limits = Limits(
+            header_bytes=MAX_HEADER_BYTES,
+            body_bytes=max_body_bytes,
+            header_timeout_s=HEADER_TIMEOUT_S,
+            body_timeout_s=BODY_TIMEOUT_S,
+            idle_timeout_s=IDLE_TIMEOUT_S,
+        )
+        self.server = build_server(
+            "front_end",
+            address,
             self._handle,
-            numthreads=threads,
-            max=threads,
-            request_queue_size=ACCEPT_BACKLOG,
-            timeout=CONNECTION_TIMEOUT_S,
+            threads,
+            ACCEPT_BACKLOG,
+            limits,
+            ConnectionLimits.for_process(MAX_CONNECTIONS),
+            build_refused_response,
+            metrics,
         )
-        self.server.max_request_header_size = MAX_HEADER_BYTES
-        self.server.max_request_body_size = max_body_bytes
 
     def prepare(self) -> None:
         """Bind the address; raise ``OSError`` if that fails."""
@@ -261,5 +273,21 @@
     return HttpResponse(400, headers, f"request invalid: {reason}\n".encode())
 
 
+def build_refused_response(
+    refusal: Refusal, header: bytes
+) -> tuple[list[tuple[str, str]], bytes]:
+    """Return headers and body for a request that was refused before it was read.
+
+    As for malformed requests, the outcome is unknown if an earlier attempt may have
+    run, which is not known either while the header is incomplete.
+    """
+    is_first = bool(header) and not IDEMPOTENCY_KEY_LINE.search(header)
+    headers = [
+        ("Content-Type", "text/plain"),
+        (OUTCOME_HEADER, "not-run" if is_first else "unknown"),
+    ]
+    return headers, f"request refused: {refusal.reason}\n".encode()
+
+
 def _build_text_response(status: int, text: str) -> HttpResponse:
     return HttpResponse(status, (("Content-Type", "text/plain"),), text.encode())
--- a/src/sesameladder/entry/_process.py
+++ b/src/sesameladder/entry/_process.py
@@ -123,7 +123,13 @@
             PeerAddress(item.instance, item.zone, item.peer_address)
             for item in settings.instances
         ]
-        self.peers = Peers(settings.deployment, identity, addresses, self.router)
+        self.peers = Peers(
+            settings.deployment,
+            identity,
+            addresses,
+            self.router,
+            lambda cause: self.metrics.count(Metric.CONNECTIONS_REFUSED, cause),
+        )
 
     def _build_control_tasks(self) -> None:
         settings = self.settings
@@ -211,6 +217,7 @@
             self.read_status,
             self.read_dump,
             self._block_zones if settings.fault_injection else None,
+            self.metrics,
         )
 
     @classmethod
--- a/src/sesameladder/eventlog/_events.py
+++ b/src/sesameladder/eventlog/_events.py
@@ -24,6 +24,7 @@
     "checkpoint_wanted": "running work holds up the planned stop of vm",
     "cell_adopted": "this instance dispatches the cell of pool and zone",
     "dispatch_error": "a step of the dispatch task failed",
+    "connection_refused": "requests were refused unread, or connections closed",
     "peer_message_refused": "a peer sent a message of another deployment or format",
     "request_error": "request failed inside this instance",
     "forward_error": "request of another instance failed inside this instance",
--- a/src/sesameladder/observability/_metrics.py
+++ b/src/sesameladder/observability/_metrics.py
@@ -40,6 +40,7 @@
     PLATFORM_CALLS = "platform_calls"
     PLATFORM_ERRORS = "platform_errors"
     TOKENS_ISSUED = "tokens_issued"
+    CONNECTIONS_REFUSED = "connections_refused"
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,6 +77,9 @@
     Metric.PLATFORM_CALLS: MetricSpec(COUNTER, "method", "calls of the platform"),
     Metric.PLATFORM_ERRORS: MetricSpec(COUNTER, "method", "calls that failed"),
     Metric.TOKENS_ISSUED: MetricSpec(COUNTER, "", "idempotency tokens issued"),
+    Metric.CONNECTIONS_REFUSED: MetricSpec(
+        COUNTER, "cause", "requests refused unread, connections closed"
+    ),
 }
 """Spec of each metric; a test compares it with the table in docs/OPERATIONS.md."""
 
--- a/src/sesameladder/peering/_peers.py
+++ b/src/sesameladder/peering/_peers.py
@@ -1,6 +1,6 @@
 """Messages of an instance to all instances by their ids."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from concurrent.futures import Future
 from concurrent.futures import TimeoutError as FutureTimeoutError
 
@@ -26,14 +26,21 @@
         identity: PeerIdentity,
         addresses: Iterable[PeerAddress],
         handler: MessageHandler,
+        count_refusal: Callable[[str], None] = lambda _: None,
     ) -> None:
+        """Bind the own address; ``count_refusal`` gets the cause of each refusal."""
         self.identity = identity
         self.handler = handler
         self.addresses = {address.instance: address for address in addresses}
         self.blocked_zones: frozenset[str] = frozenset()
         own_address = self.addresses[identity.instance]
         self.server = PeerServer(
-            deployment, identity, own_address.address, handler, self.is_blocked
+            deployment,
+            identity,
+            own_address.address,
+            handler,
+            self.is_blocked,
+            count_refusal,
         )
         self.links = {
             instance: PeerLink(deployment, identity, address, self.is_blocked)
