--- a/src/sesameladder/request_limits/_framing.py
+++ b/src/sesameladder/request_limits/_framing.py
@@ -144,6 +144,7 @@
             # Old clients send an empty line behind a body.
             del buffer[:2]
             self.skipped_line = True
+            self.searched = 0
         if buffer.startswith(LINE_END):
             raise Refusal(Cause.MALFORMED, 400, "empty request line")
         end = buffer.find(HEADER_END, max(0, self.searched - 3))
--- a/src/sesameladder/request_limits/_server.py
+++ b/src/sesameladder/request_limits/_server.py
@@ -92,6 +92,15 @@
 class _BoundedRequest(HTTPRequest):
     """Request whose body has been read."""
 
+    def read_request_line(self) -> bool:
+        """Read the request line; a target that is no URI is refused."""
+        try:
+            succeeded: bool = super().read_request_line()  # type: ignore[no-untyped-call]
+        except ValueError:  # of urlsplit, for example for an open bracket
+            self.simple_response("400 Bad Request", "Malformed Request-URI")
+            return False
+        return succeeded
+
     def read_request_headers(self) -> bool:
         """Read the header; ``100 Continue`` has been sent if it was expected."""
         succeeded: bool = super().read_request_headers()  # type: ignore[no-untyped-call]
