Let slow clients read their response at shutdown; test different header lines

Cause: a response that waited in memory for its client was cut by stop, where a thread used to have shutdown_timeout to send it. The test of header lines repeated one name, which takes no memory; only different names do.

Change: stop waits for such responses up to shutdown_timeout. A case with different names is added to the crowds; the others are as before.

--- a/src/sesameladder/request_limits/_server.py
+++ b/src/sesameladder/request_limits/_server.py
@@ -41,6 +41,7 @@
 # arrives at the closed socket.
 LINGER_S = 1.0
 LINGER_BYTES = 1_048_576
+STOP_POLL_S = 0.02
 LAST_WRITE_TIMEOUT_S = 1.0  # while the server stops and reads and writes no more
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 EXPECT = b"Expect"
@@ -254,6 +255,10 @@
             if not self.count_by_address[address]:
                 del self.count_by_address[address]
 
+    def is_writing(self) -> bool:
+        """Return whether a client has yet to read a part of its response."""
+        return any(c.state is _State.WRITING for c in self._list_connections())
+
     # Events ------------------------------------------------------------------
 
     def _handle_event(self, descriptor: int) -> None:
@@ -516,6 +521,15 @@
         self._connections.close()
         self._connections = ConnectionTable(self)
 
+    def stop(self) -> None:
+        """Stop to serve; responses under way may take ``shutdown_timeout`` s."""
+        until = time.monotonic() + self.shutdown_timeout
+        while self.ready and self._connections.is_writing():
+            if time.monotonic() > until:
+                break
+            time.sleep(STOP_POLL_S)
+        super().stop()
+
     def forget_connection(self, connection: _BoundedConnection) -> None:
         """Remove a connection that is being closed."""
         self._connections.forget(connection)
--- a/src/sesameladder/request_limits/tests/test_server.py
+++ b/src/sesameladder/request_limits/tests/test_server.py
@@ -22,7 +22,7 @@
 CLOSE = b"Connection: close\r\n"
 # Ends a hanging test; no check depends on the value.
 HANG_LIMIT_S = 20.0
-LARGE_BODY = b"x" * 3_000_000  # more than a socket takes at once
+LARGE_BODY = b"x" * 16_000_000  # more than both sockets hold
 
 
 class Running:
@@ -41,7 +41,7 @@
             2,
             16,
             lambda: self.limits,
-            ConnectionLimits(8, 8, held_bytes=12_000_000),
+            ConnectionLimits(8, 8, held_bytes=64_000_000),
             RefusalLog(self.refused.append, lambda *_: None, lambda: 0.0),
             build_refusal,
         )
@@ -234,5 +234,19 @@
         assert not stopping.is_alive()
 
 
+def test_stop_lets_slow_clients_read(running: Running) -> None:
+    """Guards against a shutdown that cuts a response which is being read."""
+    with running.connect() as slow:
+        slow.sendall(b"GET /large HTTP/1.1\r\n\r\n")
+        while not running.server._connections.is_writing():
+            time.sleep(0.01)
+        running.server.shutdown_timeout = HANG_LIMIT_S
+        stopping = Thread(target=running.server.stop)
+        stopping.start()
+        assert receive_all(slow).endswith(LARGE_BODY)
+        stopping.join(HANG_LIMIT_S)
+        assert not stopping.is_alive()
+
+
 def list_connections(running: Running) -> list[Any]:
     return list(running.server._connections.connections.values())
--- a/tests/processes/crowd.py
+++ b/tests/processes/crowd.py
@@ -26,7 +26,10 @@
 
 @dataclass(frozen=True)
 class Input:
-    """What one client sends: a start, then a block until ``ENDLESS_BYTES``."""
+    """What one client sends: a start, then a block until ``ENDLESS_BYTES``.
+
+    Each ``%d`` in the block becomes the number of times that it was sent before.
+    """
 
     name: str
     start: bytes
@@ -51,6 +54,11 @@
     Input("chunks", CHUNKED_START, (b"1000\r\n" + b"x" * 4096 + b"\r\n") * 16),
     Input("small chunks", CHUNKED_START, b"1\r\nx\r\n" * 10_000),
     Input("header lines", HEADER_START, b"X-Line: value\r\n" * 4000),
+    Input(
+        "different header lines",
+        HEADER_START,
+        b"".join(b"X-Line-%04d-%%d: value\r\n" % n for n in range(3000)),
+    ),
     Input("one header line", HEADER_START + b"X-Line: ", b"x" * 65_536),
     Input("trailer lines", CHUNKED_START + b"0\r\n", b"X-Line: value\r\n" * 4000),
     Input("announced body", BODY_START + b"90000000000\r\n\r\n", b"x" * 65_536),
@@ -76,8 +84,8 @@
     until = time.monotonic() + SENDING_S
     with connect(address) as connection, suppress(OSError):
         connection.sendall(sent.start)
-        for _ in range(ENDLESS_BYTES // len(sent.block)):
-            connection.sendall(sent.block)
+        for number in range(ENDLESS_BYTES // len(sent.block)):
+            connection.sendall(sent.block.replace(b"%d", b"%d" % number))
             if time.monotonic() > until:
                 return
 
