--- a/src/sesameladder/node/_process.py
+++ b/src/sesameladder/node/_process.py
@@ -117,10 +117,14 @@
             ),
             self.configuration.read,
             lambda: self.settings.key_revocation_s,
+            settings.max_descriptors,
         )
         CONFIGURATION_AGE_SECONDS.set_function(self._read_configuration_age)
         self.probe_server = ProbeServer(
-            settings.readiness_address, self._is_ready, render_metrics
+            settings.readiness_address,
+            self._is_ready,
+            render_metrics,
+            settings.max_descriptors,
         )
         self.lock = Lock()
         self.pool_tasks: dict[str, PoolTask] = {}
