Put overdue jobs last and late ones behind those in time in the order by shares

Cause: late jobs that had begun came before jobs that could still end in time, and overdue jobs within their rate, which have no value, before others.

Change: begun jobs come first only while in time; overdue jobs come last. The forecast of the backlog counts by the same order.

--- a/src/sesameladder/jobs/_forecast.py
+++ b/src/sesameladder/jobs/_forecast.py
@@ -256,7 +256,10 @@
         return 0.0  # a pool without workers has no expectation to reject by
     before = late = 0.0
     for row in work:
-        if row.has_begun or (row.is_within_rate and not is_within_rate):
+        if not row.is_in_time and not row.is_late:
+            continue  # overdue work comes after all other
+        goes_first = row.has_begun and row.is_in_time and row.is_within_rate
+        if goes_first or (row.is_within_rate and not is_within_rate):
             before += row.core_s
             continue
         # Larger work in time was accepted earlier, so it is late before the new job is;
@@ -266,7 +269,7 @@
             continue
         if row.is_in_time and (row.is_in_turn or not is_in_turn):
             before += row.core_s
-        elif row.is_in_time or row.is_late:
+        else:
             late += row.core_s
     wait_s = max(0.0, before - free_cores * sample.path_s) / cores
     return wait_s if wait_s <= sample.patience_s else wait_s + late / cores
--- a/src/sesameladder/jobs/_ordering.py
+++ b/src/sesameladder/jobs/_ordering.py
@@ -57,9 +57,10 @@
 class Standing(IntEnum):
     """Place of a step in the order by shares; comes before all of ``Rank``.
 
-    Jobs that have begun and still have a value are finished before new ones begin:
-    what they have used would be lost, and the pool's cores bound their number. Best-
-    effort work uses no cores that others could have, so it stays behind all.
+    Jobs that have begun and can end in time are finished before new ones begin: what
+    they have used would be lost, and the pool's cores bound their number. Overdue jobs
+    have no value any more, so jobs beyond their rate come before them. Best-effort work
+    uses no cores that others could have, so it stays behind all.
     """
 
     LONG_RUNNING = 0
@@ -67,12 +68,11 @@
     IN_TIME = 2
     IN_TIME_OUT_OF_TURN = 3
     LATE = 4
-    OVERDUE = 5
-    IN_TIME_BEYOND_RATE = 6
-    IN_TIME_BEYOND_RATE_OUT_OF_TURN = 7
-    LATE_BEYOND_RATE = 8
-    OVERDUE_BEYOND_RATE = 9
-    BEST_EFFORT = 10
+    IN_TIME_BEYOND_RATE = 5
+    IN_TIME_BEYOND_RATE_OUT_OF_TURN = 6
+    LATE_BEYOND_RATE = 7
+    OVERDUE = 8
+    BEST_EFFORT = 9
 
 
 BEYOND_RATE_OFFSET = Standing.IN_TIME_BEYOND_RATE - Standing.IN_TIME
@@ -86,13 +86,13 @@
         return Standing.LONG_RUNNING
     if urgency == Urgency.BEST_EFFORT:
         return Standing.BEST_EFFORT
-    if has_begun:
-        is_overdue = urgency == Urgency.OVERDUE
-        return Standing.OVERDUE if is_overdue else Standing.BEGUN
     if urgency == Urgency.OVERDUE:
-        standing = Standing.OVERDUE
-    elif urgency == Urgency.LATE:
+        return Standing.OVERDUE
+    if urgency == Urgency.LATE:
         standing = Standing.LATE
+    elif has_begun:
+        # Of the jobs beyond their rate, those that have begun have least work left.
+        return Standing.BEGUN if is_within_rate else Standing.IN_TIME_BEYOND_RATE
     else:
         standing = Standing.IN_TIME if is_in_turn else Standing.IN_TIME_OUT_OF_TURN
     return standing if is_within_rate else Standing(standing + BEYOND_RATE_OFFSET)
