Reserve workers for wide subtasks, switched off

Cause: on a full pool small subtasks take each gap that opens, and a wide one finds no worker with enough room at once.

Change: Reservations keeps for a wide step in time the worker on which room comes soonest by the expected ends of its runs. Later steps of the pass use that worker only if they end before or leave room enough. It is off unless PoolScheduler.reservations.is_enabled is set; placement is then as before.

--- a/src/sesameladder/jobs/_placement.py
+++ b/src/sesameladder/jobs/_placement.py
@@ -32,16 +32,9 @@
     for worker in accepting:
         if not worker.has_room(spec.needs, spec.is_best_effort):
             continue
-        if spec.label and spec.label not in worker.record.labels:
-            continue
         if rack and worker.rack != rack:
             continue
-        if tickets is not None and worker.id not in tickets:
-            continue
-        if (
-            spec.max_per_worker
-            and _count_step_runs(step, worker) >= spec.max_per_worker
-        ):
+        if not is_eligible(step, worker, tickets):
             continue
         score = _score(subtask, worker)
         if best is None or score < best_score:
@@ -49,6 +42,18 @@
     return best
 
 
+def is_eligible(step: Step, worker: WorkerView, tickets: dict[str, str] | None) -> bool:
+    """Return whether a worker may get a subtask of a step, if it has room."""
+    spec = step.spec
+    if spec.label and spec.label not in worker.record.labels:
+        return False
+    if tickets is not None and worker.id not in tickets:
+        return False
+    return (
+        not spec.max_per_worker or _count_step_runs(step, worker) < spec.max_per_worker
+    )
+
+
 def _score(subtask: Subtask, worker: WorkerView) -> tuple[float, ...]:
     spec = subtask.step.spec
     is_far = bool(spec.data_rack) and spec.data_rack not in worker.record.labels
--- a/src/sesameladder/jobs/_scheduler.py
+++ b/src/sesameladder/jobs/_scheduler.py
@@ -50,6 +50,7 @@
     is_ended_by_crash,
     must_give_up,
 )
+from sesameladder.jobs._reservations import Reservations
 from sesameladder.jobs._runs import Run, WorkerView
 from sesameladder.jobs._start_window import StartWindow
 from sesameladder.jobs._tracking import TrackedWorker, UnreadWorkers
@@ -116,6 +117,7 @@
 
     durations: DurationTable = field(default_factory=DurationTable)
     ranking: StepRanking = field(init=False)
+    reservations: Reservations = field(init=False)
     offered_load: OfferedLoad = field(default_factory=OfferedLoad)
     pacer: Pacer = field(default_factory=Pacer)
     probation: Probation = field(default_factory=Probation)
@@ -171,8 +173,9 @@
     """
 
     def __post_init__(self) -> None:
-        """Create the ranking, which shares the learned durations."""
+        """Create the parts that share the learned durations."""
         self.ranking = StepRanking(self.durations)
+        self.reservations = Reservations(self.durations, self.log_event)
 
     # Events ----------------------------------------------------------------
 
@@ -629,27 +632,28 @@
             step.urgency = rank[0]
         can_start_earlier_jobs = self.knows_earlier_runs(now)
         self._log_wait(now, can_start_earlier_jobs)
-        max_free_cpu_millis = _find_max_free_cpu(accepting)
+        self.reservations.begin_pass(self.probation.open_workers, now)
+        max_free_cpu_millis = self.reservations.find_max_free_cpu(accepting)
         for _, step in ranked:
             if not accepting or not self._has_place_for_start():
                 return
-            needs_free_cpu = not step.spec.is_best_effort and not step.spec.gang
-            if needs_free_cpu and step.spec.needs.cpu_millis > max_free_cpu_millis:
-                continue
             # An earlier owner may have started these jobs on a worker that has not
             # reported yet.
             if not can_start_earlier_jobs and step.job.submission.revision < self.fence:
                 continue
             try:
+                if not self.reservations.may_fit(step, max_free_cpu_millis):
+                    self.reservations.reserve(step, self._get_tickets(step))
+                    continue
                 if step.job.submission.advice and not self._ensure_tickets(step, now):
                     continue
                 if step.spec.gang:
-                    self._place_gang(step, self.probation.open_workers, now)
+                    self._place_gang(step, self.reservations.list_open(step), now)
                 else:
                     self._place_step(step, now)
             except Exception as error:
                 self._set_aside(step, error, now)
-            max_free_cpu_millis = _find_max_free_cpu(accepting)
+            max_free_cpu_millis = self.reservations.find_max_free_cpu(accepting)
 
     def _set_aside(self, step: Step, error: Exception, now: float) -> None:
         """Start nothing of a job for a while, after an unexpected error about it.
@@ -678,8 +682,10 @@
                 if worker is None:
                     continue
             else:
-                worker = choose_worker(subtask, self.probation.open_workers, tickets)
+                open_workers = self.reservations.list_open(step)
+                worker = choose_worker(subtask, open_workers, tickets)
                 if worker is None:
+                    self.reservations.reserve(step, tickets)
                     break
             if not self._is_announced(subtask, subtask.last_run + 1):
                 continue
@@ -1279,11 +1285,6 @@
             self.tickets.pop(step.key, None)
 
 
-def _find_max_free_cpu(workers: list[WorkerView]) -> int:
-    """Return the most unused millicores of any worker; -1 without workers."""
-    return max((view.free_cpu_millis for view in workers), default=-1)
-
-
 def _name_run(run: Run) -> str:
     subtask = run.subtask.id
     path = f"{subtask.occurrence}.{subtask.step}.{subtask.position}"
