--- a/src/sesameladder/measure/reservations.py
+++ b/src/sesameladder/measure/reservations.py
@@ -88,7 +88,7 @@
         self.random = Random(seed)
         self.has_tail = has_tail
         self.now = 0.0
-        self.scheduler = PoolScheduler(1, lambda event, **fields: None)
+        self.scheduler = PoolScheduler(1, _ignore_event)
         records = [
             WorkerRecord(
                 f"i-{number}",
@@ -228,6 +228,11 @@
     return pool
 
 
+def _ignore_event(event: str, **fields: object) -> None:
+    """Log nothing."""
+    del event, fields
+
+
 def summarise(pools: list[Pool]) -> dict[str, object]:
     """Return waits and jobs in time of the widest tenth of subtasks and of the rest."""
     rows = [(pool, name) for pool in pools for name in pool.subjects]
