--- a/src/sesameladder/jobs/_reservations.py
+++ b/src/sesameladder/jobs/_reservations.py
@@ -98,6 +98,7 @@
         "log_event",
         "logged_at",
         "made",
+        "max_reserved_free_millis",
         "next_searched",
         "now",
         "previous",
@@ -135,6 +136,10 @@
         self.workers: list[WorkerView] = []
         self.limit = 0
         self.searches_left = 0
+        self.max_reserved_free_millis = -1
+        """Most unused millicores of a reserved worker, at the latest search for the
+        most unused ones; a bound until the next, since a pass only adds runs."""
+
         self.next_searched = 0
         """Position among the workers at which the next search begins."""
 
@@ -185,13 +190,10 @@
             return workers
         return [view for view in workers if view.id not in blocked]
 
-    def may_fit(self, step: Step, max_free_cpu_millis: int) -> bool:
-        """Return whether a step may find room; see ``find_max_free_cpu``."""
-        spec = step.spec
-        if spec.is_best_effort or spec.gang:
-            return True
-        if spec.needs.cpu_millis <= max_free_cpu_millis:
-            return True
+    def may_fit(self, step: Step) -> bool:
+        """Return whether a step may find room on a reserved worker."""
+        if step.spec.needs.cpu_millis > self.max_reserved_free_millis:
+            return False
         return any(
             reservation.worker.free_cpu_millis >= step.spec.needs.cpu_millis
             and self._admits(reservation, step)
@@ -203,7 +205,11 @@
 
         -1 if there is none.
         """
+        self.max_reserved_free_millis = -1
         if self.current:
+            self.max_reserved_free_millis = max(
+                row.worker.free_cpu_millis for row in self.current.values()
+            )
             workers = [view for view in workers if view.id not in self.current]
         return max((view.free_cpu_millis for view in workers), default=-1)
 
--- a/src/sesameladder/jobs/_scheduler.py
+++ b/src/sesameladder/jobs/_scheduler.py
@@ -637,12 +637,16 @@
         for _, step in ranked:
             if not accepting or not self._has_place_for_start():
                 return
+            needs_cpu = not step.spec.is_best_effort and not step.spec.gang
+            is_full = needs_cpu and step.spec.needs.cpu_millis > max_free_cpu_millis
+            if is_full and not self.reservations.limit:
+                continue
             # An earlier owner may have started these jobs on a worker that has not
             # reported yet.
             if not can_start_earlier_jobs and step.job.submission.revision < self.fence:
                 continue
             try:
-                if not self.reservations.may_fit(step, max_free_cpu_millis):
+                if is_full and not self.reservations.may_fit(step):
                     self.reservations.reserve(step, self._get_tickets(step))
                     continue
                 if step.job.submission.advice and not self._ensure_tickets(step, now):
