Say why reservations are off by default

Cause: the switch alone doesn't tell that it was measured. Change: its comment names the result and the design note. Result: no change of behaviour.

--- a/src/sesameladder/jobs/_reservations.py
+++ b/src/sesameladder/jobs/_reservations.py
@@ -112,7 +112,10 @@
         self.durations = durations
         self.log_event = log_event
         self.is_enabled = False
-        """Whether reservations are made from the next pass on."""
+        """Whether reservations are made from the next pass on.
+
+        Off by default: no size of jobs gained by them (docs/design/reservations.md).
+        """
 
         self.is_over_cap: Callable[[Step], bool] = lambda _: False
         """Returns whether a step may not start now since its organisation is over
