--- a/src/sesameladder/node/tests/test_admission.py
+++ b/src/sesameladder/node/tests/test_admission.py
@@ -219,7 +219,7 @@
 def submit(admission: Admission, job: str = JOB) -> tuple[Result, Intake]:
     intake = Intake(admission.store, admission=admission.control)  # type: ignore[arg-type]
     deadline = read_steady_clock() + 0.4
-    return intake.submit(QUEUE, job, BODY, deadline, "a"), intake
+    return intake.submit(QUEUE, job, BODY, deadline, Organisation("a")), intake
 
 
 def test_refused_job_is_not_stored() -> None:
@@ -248,7 +248,8 @@
     assert result == Accepted(is_new=True)
     admission.learn()
     deadline = read_steady_clock() + 0.4
-    assert intake.submit(QUEUE, JOB, BODY, deadline, "a") == Accepted(is_new=False)
+    again = intake.submit(QUEUE, JOB, BODY, deadline, Organisation("a"))
+    assert again == Accepted(is_new=False)
 
 
 def test_store_that_does_not_tell_accepts() -> None:
