Let maintenance find idle VMs by what runs and waits, not by the offered load

Cause: lending and maintenance shared one trend.

Change: a trend of its own without the offered load for maintenance.

--- a/src/sesameladder/fleet/_lending.py
+++ b/src/sesameladder/fleet/_lending.py
@@ -86,6 +86,7 @@
         "last_attempt_at",
         "low_demand_since",
         "low_urgent_demand_since",
+        "present_urgent_trends",
         "trends",
         "urgent_trends",
     )
@@ -110,6 +111,12 @@
         self.urgent_trends: dict[str, DemandTrend] = {}
         """The same for the demand of jobs that can still end in time."""
 
+        self.present_urgent_trends: dict[str, DemandTrend] = {}
+        """The same without the offered load, by which maintenance finds idle VMs.
+
+        By the offered load too few VMs counted as idle, and a wave was late.
+        """
+
     def record_base_sizes(
         self, vms: dict[str, Vm], spare_pools: frozenset[str]
     ) -> bool:
@@ -136,7 +143,7 @@
         Pools of unknown demand are left out.
         """
         idle_vms = {}
-        for pool, trend in self.urgent_trends.items():
+        for pool, trend in self.present_urgent_trends.items():
             up = [v for v in vms.values() if v.pool == pool and v.phase is VmPhase.UP]
             if up:
                 cores_per_vm = up[0].capacity.cpu_millis / 1000 * USABLE_CORES_SHARE
@@ -177,6 +184,8 @@
             trend.add(summary.demand_cores, now)
             urgent_trend = self.urgent_trends.setdefault(pool, DemandTrend())
             urgent_trend.add(summary.urgent_cores, now)
+            present_trend = self.present_urgent_trends.setdefault(pool, DemandTrend())
+            present_trend.add(summary.present_urgent_cores, now)
         pools = [pool for pool in summaries if pool not in spare_pools]
         missing = self._count_missing_vms(vms, pools, self.trends, reserved)
         urgent = self._count_missing_vms(vms, pools, self.urgent_trends, reserved)
--- a/src/sesameladder/fleet/_model.py
+++ b/src/sesameladder/fleet/_model.py
@@ -94,9 +94,16 @@
 
     @property
     def urgent_cores(self) -> int:
-        """Return the cores that jobs need which can still end in time."""
-        urgent = self.used_cores + self.waiting_cores - self.late_cores
-        return max(0, urgent, self.offered_cores)
+        """Return the cores that jobs need which can still end in time.
+
+        Not less than the offered load, which rises earlier in a demand peak.
+        """
+        return max(self.present_urgent_cores, self.offered_cores)
+
+    @property
+    def present_urgent_cores(self) -> int:
+        """Return the same for the jobs that run and wait now."""
+        return max(0, self.used_cores + self.waiting_cores - self.late_cores)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/sesameladder/fleet/tests/test_lending.py
+++ b/src/sesameladder/fleet/tests/test_lending.py
@@ -199,3 +199,12 @@
     summaries = {"chair": replace(build_summary(60, 20), offered_cores=offered)}
     plan = planner.plan(vms, summaries, SPARE, NO_NAMES, NO_NAMES, 0.0)
     assert len(plan.moves) == moves
+
+
+def test_maintenance_finds_idle_vms_by_what_runs_and_waits() -> None:
+    """Guards against waves that are late since VMs are kept for arriving work."""
+    vms = build_vms(6)
+    planner = build_planner(vms)
+    summaries = {"chair": replace(build_summary(60, 20), offered_cores=900)}
+    planner.plan(vms, summaries, SPARE, NO_NAMES, NO_NAMES, 0.0)
+    assert planner.count_idle_vms(vms) == {"chair": 3}
