Forecast an occurrence once a pass, not for each of its steps

Callers saw ordinary jobs accepted and not started for over 40 s beside clients that submit sound jobs of 500 steps, and owners lose their roles. Each open step computed the critical path and the remaining work of its whole job, so the cost of a pass went with the square of the steps: 20 such jobs took over 50 s a pass under the allocator's trace.

All steps of an occurrence have the same target, path and remaining work, and nothing changes while steps are sorted. They are computed once for an occurrence and pass now; the ranks are the same.

test_cost_of_a_pass_goes_with_the_number_of_steps failed before: 400 paths for 200 steps instead of 2.

--- a/src/sesameladder/jobs/_ordering.py
+++ b/src/sesameladder/jobs/_ordering.py
@@ -115,6 +115,24 @@
     return submission.stretch * critical_path_s + submission.target_offset_ms / 1000
 
 
+class OccurrenceForecast:
+    """Estimates that all steps of an occurrence share; they hold for one pass."""
+
+    __slots__ = ("remaining_core_s", "remaining_path_s", "target_s")
+
+    def __init__(
+        self, target_s: float, remaining_path_s: float, remaining_core_s: float
+    ) -> None:
+        self.target_s = target_s
+        """Target duration in seconds."""
+
+        self.remaining_path_s = remaining_path_s
+        """Remaining critical path in seconds."""
+
+        self.remaining_core_s = remaining_core_s
+        """Remaining work in core-seconds."""
+
+
 @dataclass(slots=True)
 class StepForecast:
     """Estimates from which the rank of a step is computed, with their expiry."""
@@ -157,6 +175,7 @@
         "fairness",
         "forecasts",
         "listeners",
+        "occurrences",
         "shares",
         "start_delay_s",
     )
@@ -170,6 +189,8 @@
         """Time from the decision to start a subtask until a worker has it."""
 
         self.forecasts: dict[tuple[str, int, int], StepForecast] = {}
+        self.occurrences: dict[tuple[str, int], OccurrenceForecast] | None = None
+        """What the steps of one occurrence have in common, while they are sorted."""
 
     def sort(
         self,
@@ -182,11 +203,13 @@
         Steps that can't be ranked are left out and passed to ``on_error``.
         """
         rows = []
+        self.occurrences = {}
         for step in steps:
             try:
                 rows.append((self.rank(step, now), step))
             except Exception as error:
                 on_error(step, error, now)
+        self.occurrences = None
         chosen = set(map(id, self._choose_large_jobs(rows, now)))
         if chosen:
             rows = [
@@ -331,17 +354,38 @@
         )
 
     def _compute_forecast(self, step: Step, now: float) -> StepForecast:
-        job, occurrence = step.job, step.occurrence
-        subtask_core_s = self.durations.estimate_subtask_work(job, step.number)
-        remaining_core_s = self.durations.estimate_remaining_work(job, occurrence)
+        common = self._find_occurrence_forecast(step.job, step.occurrence)
+        subtask_core_s = self.durations.estimate_subtask_work(step.job, step.number)
         return StepForecast(
-            compute_target(job, occurrence, self.durations),
-            self.durations.estimate_critical_path(job, occurrence, only_remaining=True),
-            remaining_core_s - step.remaining_subtasks * subtask_core_s,
+            common.target_s,
+            common.remaining_path_s,
+            common.remaining_core_s - step.remaining_subtasks * subtask_core_s,
             subtask_core_s,
             now + FORECAST_VALID_S,
         )
 
+    def _find_occurrence_forecast(
+        self, job: Job, occurrence: int
+    ) -> OccurrenceForecast:
+        """Return the forecast of an occurrence; while steps are sorted, once for all.
+
+        Its cost goes with the number of steps. Computed for each step, 25 jobs of 500
+        steps kept an owner from its other work.
+        """
+        known = self.occurrences
+        forecast = known.get((job.id, occurrence)) if known is not None else None
+        if forecast is None:
+            forecast = OccurrenceForecast(
+                compute_target(job, occurrence, self.durations),
+                self.durations.estimate_critical_path(
+                    job, occurrence, only_remaining=True
+                ),
+                self.durations.estimate_remaining_work(job, occurrence),
+            )
+            if known is not None:
+                known[job.id, occurrence] = forecast
+        return forecast
+
 
 def _is_charged(step: Step) -> bool:
     """Return whether runs of a step count towards the shares of a pool.
--- a/src/sesameladder/jobs/tests/test_ordering.py
+++ b/src/sesameladder/jobs/tests/test_ordering.py
@@ -88,3 +88,19 @@
     scheduler.add_job(job, None, 0.0)
     demand = scheduler.estimate_demand(0.0)
     assert (demand.used, demand.waiting) == (0.0, cores)
+
+
+@pytest.mark.parametrize("steps", [2, 200])
+def test_cost_of_a_pass_goes_with_the_number_of_steps(steps: int) -> None:
+    """Guards against an owner that is kept busy by jobs of many steps.
+
+    The critical path of a job was computed for each of its open steps.
+    """
+    durations = CountingDurations()
+    ranking = StepRanking(durations)
+    scheduler = PoolScheduler(1, lambda event, **fields: None)
+    spec = JobSpec("", (StepSpec(1, Resources(4000, 100)),) * steps)
+    scheduler.add_job(Submission("0" * 16, "queue", spec), None, 0.0)
+    ranked = ranking.sort(scheduler.job_table.open_steps.values(), 0.1, pytest.fail)
+    assert len(ranked) == steps
+    assert durations.computed_paths == 2  # of the whole job, and of what remains
