Refuse bodies that are large when decoded before they are decoded

24 clients with bodies of 262,144 bytes that hold 87,000 empty lists took a node from 33 to 191 MB; the bodies were refused with 413 after they had been decoded, on all request threads at once.

Lists and objects are counted by their brackets first: over 10,000 the body is refused undecoded (a job within the users' limits has under 5,100, with those in its text). Of bodies over 16 KB two are decoded at a time; smaller ones, that is usual jobs, wait for none.

--- a/src/sesameladder/node/_intake.py
+++ b/src/sesameladder/node/_intake.py
@@ -52,6 +52,7 @@
     decode_job,
 )
 from sesameladder.platform import OutcomeUnknown as StoreOutcomeUnknown
+from sesameladder.request_limits import MAX_CONTAINERS, DecodingGate, count_containers
 
 JOB_ID = re.compile(r"[0-9a-f]{16}")
 RETRY_PAUSE_S = 0.05  # the store responds in 4 ms unless it is overloaded
@@ -152,7 +153,14 @@
 class Intake:
     """Reads and writes the records of jobs; thread-safe."""
 
-    __slots__ = ("admission", "is_store_unreachable", "lock", "pool_by_job", "store")
+    __slots__ = (
+        "admission",
+        "decoding",
+        "is_store_unreachable",
+        "lock",
+        "pool_by_job",
+        "store",
+    )
 
     def __init__(
         self,
@@ -163,6 +171,7 @@
         self.store = store
         self.is_store_unreachable = is_store_unreachable
         self.admission = admission
+        self.decoding = DecodingGate()
         self.pool_by_job: OrderedDict[str, str] = OrderedDict()
         """Pool by job, for up to ``MAX_CACHED_JOBS`` jobs known to be accepted."""
 
@@ -187,7 +196,7 @@
         if job in self.pool_by_job:
             return Accepted(is_new=False)
         try:
-            spec = decode_job(body)
+            spec = self._decode(body)
             if organisation is not None:
                 reason = explain_impossible_gang(spec, organisation)
                 if reason:
@@ -223,6 +232,19 @@
         self._cache_pool(job, self._find_pool_in(outcome.items, job) or queue.pool)
         return Accepted(is_new=False)
 
+    def _decode(self, body: bytes) -> JobSpec:
+        """Decode a job; raises ``RecordInvalid``."""
+        containers = count_containers(body)
+        if containers > MAX_CONTAINERS:
+            if not body.lstrip().startswith(b"{"):
+                raise RecordInvalid("the body is not an object")
+            raise RecordTooLarge(
+                f"the body has {containers} lists and objects, "
+                f"more than {MAX_CONTAINERS}"
+            )
+        with self.decoding.enter(body):
+            return decode_job(body)
+
     def _find_pool_in(self, items: tuple[StoredItem, ...], job: str) -> str | None:
         """Return the pool that a job was accepted for, if one of the items names it."""
         for item in items:
