Bound the store's calls that clients cause by a learned share

Callers saw submits refused for as long as a crowd asked for unknown jobs, and roles change owners. The store answers 429 beyond its rates to all processes together; what clients ask shared them with leases, ends and orders, and a 429 led to more calls.

Each process has a token bucket for reads and one for writes, whose rates grow slowly while they limit clients and fall when the store refuses any call (AIMD; docs/decisions/store-share.md). A request beyond it is refused at once without a call: 503, has_run false and a spread Retry-After. What is left last is for organisations, addresses and connections that have had least. A state query of a job that the store did not have within the last second makes no call.

Simulated with 2 and 8 processes, under 5 % of the calls of control are refused.

An unknown job still costs a read and two for each pool: versions before accepted/JOB stored jobs without it.

--- a/src/sesameladder/node/_http_servers.py
+++ b/src/sesameladder/node/_http_servers.py
@@ -41,6 +41,7 @@
     Refusal,
     RefusalLog,
 )
+from sesameladder.store_calls import Caller
 
 KEY_HEADER = "HTTP_X_SESAMELADDER_CREDENTIAL"
 TIME_LIMIT_HEADER = "HTTP_X_SESAMELADDER_DEADLINE_MS"
@@ -314,8 +315,9 @@
             _parse_time_limit_ms(environ), DEFAULT_TIME_LIMIT_MS
         )
         job = path[len(queue.path_prefix) :]
+        caller = build_caller(environ, name)
         action, result = self._dispatch(
-            method, configuration, queue, job, body, deadline, organisation
+            method, configuration, queue, job, body, deadline, organisation, caller
         )
         response = (
             build_response(result)
@@ -333,16 +335,20 @@
         body: bytes,
         deadline: float,
         organisation: Organisation | None,
+        caller: Caller,
     ) -> tuple[str, Result | None]:
+        intake = self.intake
         if method == "POST":
-            result = self.intake.submit(queue, job, body, deadline, organisation)
+            result = intake.submit(queue, job, body, deadline, organisation, caller)
             return "submit", result
         if method == "GET" and not job:
-            return "pending", self.intake.count_pending(queue, deadline)
+            return "pending", intake.count_pending(queue, deadline, caller)
         if method == "GET":
-            return "show", self.intake.get_state(configuration, queue, job, deadline)
+            result = intake.get_state(configuration, queue, job, deadline, caller)
+            return "show", result
         if method == "DELETE":
-            return "cancel", self.intake.cancel(configuration, queue, job, deadline)
+            result = intake.cancel(configuration, queue, job, deadline, caller)
+            return "cancel", result
         return "other", None
 
 
@@ -453,6 +459,13 @@
     )
 
 
+def build_caller(environ: Environ, organisation: str) -> Caller:
+    """Return who sent a request, for the turns at the store."""
+    address = str(environ.get("REMOTE_ADDR", ""))
+    connection = f"{address}:{environ.get('REMOTE_PORT', '')}"
+    return Caller(organisation, address, connection)
+
+
 def _read_key(environ: Environ) -> str:
     """Return the key of a call; empty for none.
 
--- a/src/sesameladder/node/_intake.py
+++ b/src/sesameladder/node/_intake.py
@@ -8,6 +8,7 @@
 from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass
+from math import inf
 from threading import Lock
 from time import sleep
 from typing import TypeVar
@@ -22,6 +23,7 @@
     explain_impossible_gang,
 )
 from sesameladder.node._admission import AdmissionControl
+from sesameladder.node._client_store import UNNAMED, ClientStore, ShareUsedUp
 from sesameladder.node._clock import read_steady_clock
 from sesameladder.node._keys import (
     accepted_key,
@@ -53,12 +55,15 @@
 )
 from sesameladder.platform import OutcomeUnknown as StoreOutcomeUnknown
 from sesameladder.request_limits import MAX_CONTAINERS, DecodingGate, count_containers
+from sesameladder.store_calls import Caller, ClientCalls
 
 JOB_ID = re.compile(r"[0-9a-f]{16}")
 RETRY_PAUSE_S = 0.05  # the store responds in 4 ms unless it is overloaded
 MAX_REJECTED_ATTEMPTS = 3  # a store that rejects calls does so for seconds
 RESPONSE_DEADLINE_SHARE = 0.6  # of the caller's time limit; sending takes the rest
 STORE_CHECK_AGE_S = 0.6  # lease renewals come every 0.4 s; a longer gap is a failure
+# Jobs accepted elsewhere may be shown as unknown for so long; the users allow 3 s.
+UNKNOWN_JOB_AGE_S = 1.0
 MAX_CACHED_JOBS = 20_000  # about 2 MB; saves a read per request for a job's state
 
 ResultT = TypeVar("ResultT")
@@ -155,11 +160,13 @@
 
     __slots__ = (
         "admission",
+        "client_store",
         "decoding",
         "is_store_unreachable",
         "lock",
         "pool_by_job",
         "store",
+        "unknown_jobs",
     )
 
     def __init__(
@@ -167,14 +174,21 @@
         store: StoreClient,
         is_store_unreachable: Callable[[], bool] = lambda: False,
         admission: AdmissionControl | None = None,
+        calls: ClientCalls | None = None,
     ) -> None:
         self.store = store
+        self.client_store = ClientStore(store, calls)
+        """The store for calls that requests cause."""
+
         self.is_store_unreachable = is_store_unreachable
         self.admission = admission
         self.decoding = DecodingGate()
         self.pool_by_job: OrderedDict[str, str] = OrderedDict()
         """Pool by job, for up to ``MAX_CACHED_JOBS`` jobs known to be accepted."""
 
+        self.unknown_jobs: OrderedDict[str, float] = OrderedDict()
+        """Steady time at which the store had no such job, by its identifier."""
+
         self.lock = Lock()
 
     def submit(
@@ -184,6 +198,7 @@
         body: bytes,
         deadline: float,
         organisation: Organisation | None = None,
+        caller: Caller = UNNAMED,
     ) -> Result:
         """Store a job; ``deadline`` is the steady time by which to return.
 
@@ -202,14 +217,17 @@
                 if reason:
                     raise RecordTooLarge(reason)
         except RecordInvalid as error:
-            return self._refuse(error, queue.pool, job)
+            return self._refuse(error, queue.pool, job, caller)
         if self.is_store_unreachable():
             return STORE_UNREACHABLE
         key = submission_key(queue.pool, job)
         if not self._is_store_responding(key):
             return STORE_UNREACHABLE
         name = organisation.name if organisation is not None else ""
-        refusal = self._check_admission(queue, name, job, spec)
+        try:
+            refusal = self._check_admission(queue, name, job, spec, caller)
+        except ShareUsedUp as error:
+            return Rejected(str(error), error.retry_after_s)
         if refusal is not None:
             return refusal
         puts = (
@@ -220,12 +238,13 @@
         keys = accepted_key(job), key, progress_key(queue.pool, job)
         preconditions = tuple((key, 0) for key in keys)
         outcome = self._call_with_retries(
-            lambda: self.store.commit(puts, (), preconditions),
+            lambda: self.client_store.commit(caller, puts, (), preconditions),
             deadline,
             lambda: self._find_commit(key),
         )
         if isinstance(outcome, (Rejected, Unknown)):
             return outcome
+        self.unknown_jobs.pop(job, None)
         if not isinstance(outcome, Conflict):
             self._cache_pool(job, queue.pool)
             return Accepted(is_new=True)
@@ -255,7 +274,9 @@
                     log_warning("job_record_refused", job=job, error=str(error))
         return None
 
-    def _refuse(self, error: RecordInvalid, pool: str, job: str) -> Result:
+    def _refuse(
+        self, error: RecordInvalid, pool: str, job: str, caller: Caller
+    ) -> Result:
         """Return the refusal of a body, or that the job is accepted already.
 
         An older version may have accepted the body, or the identifier may have been
@@ -265,8 +286,10 @@
         if is_new_job:
             keys = accepted_key(job), submission_key(pool, job), progress_key(pool, job)
             try:
-                if any(self.store.read(key) is not None for key in keys):
+                if any(self.client_store.read(key, caller) is not None for key in keys):
                     return Accepted(is_new=False)
+            except ShareUsedUp:
+                is_new_job = False
             except PlatformCallError as failure:
                 log_warning("earlier_job_unread", job=job, error=str(failure))
                 is_new_job = False
@@ -275,12 +298,17 @@
         return InvalidRequest(str(error), is_new_job)
 
     def _check_admission(
-        self, queue: QueuePolicy, organisation: str, job: str, spec: JobSpec
+        self,
+        queue: QueuePolicy,
+        organisation: str,
+        job: str,
+        spec: JobSpec,
+        caller: Caller,
     ) -> Result | None:
         """Return the refusal of a job that can't be done in time, or None.
 
         Another process may have accepted the job. If the store doesn't tell, the job is
-        not refused: the write that follows finds out.
+        not refused: the write that follows finds out. Raises ``ShareUsedUp``.
         """
         if self.admission is None:
             return None
@@ -293,8 +321,10 @@
             progress_key(queue.pool, job),
         )
         try:
-            if any(self.store.read(key) is not None for key in keys):
+            if any(self.client_store.read(key, caller) is not None for key in keys):
                 return Accepted(is_new=False)
+        except ShareUsedUp:
+            raise
         except PlatformCallError as error:
             log_warning("earlier_job_unread", job=job, error=str(error))
             return None
@@ -304,6 +334,7 @@
     def _find_commit(self, key: str) -> Committed | None:
         """Return the outcome of a write without a response if it took effect."""
         try:
+            # Not bounded: the caller's answer depends on it, and it is rare.
             item = self.store.read(key)
         except PlatformCallError as error:
             log_warning("unanswered_write_unread", key=key, error=str(error))
@@ -331,17 +362,26 @@
         queue: QueuePolicy,
         job: str,
         deadline: float,
+        caller: Caller = UNNAMED,
     ) -> Result:
-        """Return the state of a job as its pool's owner last stored it."""
+        """Return the state of a job as its pool's owner last stored it.
+
+        That there is no such job is remembered for ``UNKNOWN_JOB_AGE_S``.
+        """
         if not JOB_ID.fullmatch(job):
             return NotFound()
         if self.is_store_unreachable():
             return STORE_UNREACHABLE
-        pool = self._find_pool(configuration, queue, job, deadline)
+        sent_at = read_steady_clock()
+        if sent_at - self.unknown_jobs.get(job, -inf) < UNKNOWN_JOB_AGE_S:
+            return NotFound()
+        pool = self._find_pool(configuration, queue, job, deadline, caller)
+        if isinstance(pool, NotFound):
+            self._remember_unknown(job, sent_at)
         if not isinstance(pool, str):
             return pool
         item = self._call_with_retries(
-            lambda: self.store.read(progress_key(pool, job)), deadline
+            lambda: self.client_store.read(progress_key(pool, job), caller), deadline
         )
         if isinstance(item, (Rejected, Unknown)):
             return item
@@ -359,25 +399,30 @@
         queue: QueuePolicy,
         job: str,
         deadline: float,
+        caller: Caller = UNNAMED,
     ) -> Result:
         """Store the cancellation of a job."""
         if not JOB_ID.fullmatch(job):
             return NotFound()
-        pool = self._find_pool(configuration, queue, job, deadline)
+        pool = self._find_pool(configuration, queue, job, deadline, caller)
         if not isinstance(pool, str):
             return pool
         put = Put(cancel_key(pool, job), b"1")
-        outcome = self._call_with_retries(lambda: self.store.commit((put,)), deadline)
+        outcome = self._call_with_retries(
+            lambda: self.client_store.commit(caller, (put,)), deadline
+        )
         if isinstance(outcome, (Rejected, Unknown)):
             return outcome
         return Cancelled()
 
-    def count_pending(self, queue: QueuePolicy, deadline: float) -> Result:
+    def count_pending(
+        self, queue: QueuePolicy, deadline: float, caller: Caller = UNNAMED
+    ) -> Result:
         """Return the number of a queue's jobs that haven't started."""
         if self.is_store_unreachable():
             return STORE_UNREACHABLE
         item = self._call_with_retries(
-            lambda: self.store.read(summary_key(queue.pool)), deadline
+            lambda: self.client_store.read(summary_key(queue.pool), caller), deadline
         )
         if isinstance(item, (Rejected, Unknown)):
             return item
@@ -387,17 +432,21 @@
                 return PendingCount(summary.pending.get(queue.name, 0))
             except RecordInvalid as error:
                 log_warning("summary_refused", pool=queue.pool, error=str(error))
-        return self._count_pending_records(queue, deadline)
+        return self._count_pending_records(queue, deadline, caller)
 
-    def _count_pending_records(self, queue: QueuePolicy, deadline: float) -> Result:
+    def _count_pending_records(
+        self, queue: QueuePolicy, deadline: float, caller: Caller
+    ) -> Result:
         """Count the pending jobs in the records while there is no valid summary."""
         inbox_page = self._call_with_retries(
-            lambda: self.store.read_range(inbox_prefix(queue.pool)), deadline
+            lambda: self.client_store.read_range(inbox_prefix(queue.pool), caller),
+            deadline,
         )
         if isinstance(inbox_page, (Rejected, Unknown)):
             return inbox_page
         progress_page = self._call_with_retries(
-            lambda: self.store.read_range(progress_prefix(queue.pool)), deadline
+            lambda: self.client_store.read_range(progress_prefix(queue.pool), caller),
+            deadline,
         )
         if isinstance(progress_page, (Rejected, Unknown)):
             return progress_page
@@ -421,13 +470,14 @@
         queue: QueuePolicy,
         job: str,
         deadline: float,
+        caller: Caller,
     ) -> str | NotFound | Rejected | Unknown:
         """Return the pool that a job was accepted for."""
         cached_pool = self.pool_by_job.get(job)
         if cached_pool is not None:
             return cached_pool
         item = self._call_with_retries(
-            lambda: self.store.read(accepted_key(job)), deadline
+            lambda: self.client_store.read(accepted_key(job), caller), deadline
         )
         if isinstance(item, (Rejected, Unknown)):
             return item
@@ -440,7 +490,9 @@
         for pool in (queue.pool, *other_pools):
             for key in (progress_key(pool, job), submission_key(pool, job)):
                 item = self._call_with_retries(
-                    lambda key=key: self.store.read(key),  # type: ignore[misc]
+                    lambda key=key: self.client_store.read(  # type: ignore[misc]
+                        key, caller
+                    ),
                     deadline,
                 )
                 if isinstance(item, (Rejected, Unknown)):
@@ -450,6 +502,13 @@
                     return pool
         return NotFound()
 
+    def _remember_unknown(self, job: str, sent_at: float) -> None:
+        with self.lock:
+            self.unknown_jobs[job] = sent_at
+            self.unknown_jobs.move_to_end(job)
+            while len(self.unknown_jobs) > MAX_CACHED_JOBS:
+                self.unknown_jobs.popitem(last=False)
+
     def _cache_pool(self, job: str, pool: str) -> None:
         with self.lock:
             self.pool_by_job[job] = pool
@@ -477,6 +536,11 @@
             except StoreOutcomeUnknown as error:
                 is_unsettled = True
                 reason = str(error)
+            except ShareUsedUp as error:
+                # Asked again, the call would only have others wait.
+                reason = str(error)
+                if not is_unsettled:
+                    return Rejected(reason, error.retry_after_s)
             except PlatformCallError as error:
                 rejections += 1
                 reason = str(error)
--- a/src/sesameladder/node/_process.py
+++ b/src/sesameladder/node/_process.py
@@ -40,6 +40,7 @@
     find_settings_path,
     read_settings,
 )
+from sesameladder.store_calls import CallKind, ClientCalls
 
 SETTINGS_CHECK_S = 1.0  # within this time, a change without a signal is noticed
 READINESS_TIMEOUT_S = 1.5  # allows one lost renewal; partitions last up to 6 s
@@ -57,6 +58,7 @@
         "admission",
         "advice_client",
         "cap_task",
+        "client_calls",
         "configuration",
         "fleet_task",
         "is_shutting_down",
@@ -83,6 +85,10 @@
         self.advice_client = (
             AdviceClient(settings.advice_address) if settings.advice_address else None
         )
+        self.client_calls = ClientCalls(
+            settings.store_writes_per_s, settings.store_reads_per_s, read_steady_clock()
+        )
+        self.store.on_rate_answer = self._record_rate_answer
         self.configuration = ConfigurationTask(self.store)
         self.roles = RoleTask(
             self.store,
@@ -114,6 +120,7 @@
                 self.store,
                 lambda: self.configuration.dependency.is_lost,
                 self.admission,
+                self.client_calls,
             ),
             self.configuration.read,
             lambda: self.settings.key_revocation_s,
@@ -188,6 +195,10 @@
         self.admission.stop()
         log_event("shutdown_finished", in_flight=self.job_api.in_flight)
 
+    def _record_rate_answer(self, is_write: bool, is_refused: bool) -> None:
+        kind = CallKind.WRITE if is_write else CallKind.READ
+        self.client_calls.record_response(kind, is_refused, read_steady_clock())
+
     def _is_ready(self) -> bool:
         if self.is_shutting_down or self.configuration.current is None:
             return False
--- a/src/sesameladder/node/_telemetry.py
+++ b/src/sesameladder/node/_telemetry.py
@@ -123,6 +123,18 @@
     ["pool"],
     registry=REGISTRY,
 )
+CLIENT_CALLS_REFUSED = Counter(
+    "sesameladder_client_calls_refused",
+    "Calls of the store that were not made since the share of clients is used up",
+    ["kind"],
+    registry=REGISTRY,
+)
+CLIENT_CALL_RATE = Gauge(
+    "sesameladder_client_call_rate",
+    "Calls of the store a second for clients at most, as of the latest refusal",
+    ["kind"],
+    registry=REGISTRY,
+)
 UNATTENDED_ROLES = Gauge(
     "sesameladder_unattended_roles",
     "Roles that the store grants to this process and that have no task here",
--- a/src/sesameladder/platform/_errors.py
+++ b/src/sesameladder/platform/_errors.py
@@ -71,6 +71,10 @@
     """The platform rejected the call, which had no effect."""
 
 
+class RateExceeded(CallRejected):
+    """The store takes no more calls in this second from all processes together."""
+
+
 class RevisionExpired(PlatformCallError):
     """The store no longer keeps the changes after the requested revision."""
 
--- a/src/sesameladder/platform/_settings.py
+++ b/src/sesameladder/platform/_settings.py
@@ -67,6 +67,12 @@
     max_descriptors: int = 0
     """Limit of open descriptors of this process; 0 if not stated."""
 
+    store_writes_per_s: float = 0.0
+    """Writes a second that the store takes from all processes; 0 if not stated."""
+
+    store_reads_per_s: float = 0.0
+    """Reads a second that the store takes from all processes; 0 if not stated."""
+
 
 def find_settings_path() -> Path:
     """Return the path of the settings file from the environment, or the default."""
@@ -118,6 +124,8 @@
             cap_burst_share=float(fields.get("bounds.quotaBurst") or 0),
             memory_mb=int(float(fields.get("limits.memoryMb") or 0)),
             max_descriptors=int(float(fields.get("limits.maxFds") or 0)),
+            store_writes_per_s=float(fields.get("platform.writesPerS") or 0),
+            store_reads_per_s=float(fields.get("platform.readsPerS") or 0),
         )
     except KeyError as error:
         raise SettingsInvalid(
--- a/src/sesameladder/platform/_store.py
+++ b/src/sesameladder/platform/_store.py
@@ -1,6 +1,7 @@
 """Client of the platform's key-value store."""
 
 from base64 import b64decode, b64encode
+from collections.abc import Callable
 from dataclasses import dataclass
 from time import CLOCK_BOOTTIME, clock_gettime
 from typing import Any
@@ -11,6 +12,7 @@
     CallRejected,
     LeaseNotFound,
     OutcomeUnknown,
+    RateExceeded,
     RevisionExpired,
     UnexpectedResponse,
     decoding_response,
@@ -20,6 +22,7 @@
 CALL_TIMEOUT_S = 0.6  # a response takes 4 ms; after 150 times that it counts as lost
 RANGE_TIMEOUT_S = 1.0  # a page holds up to 1 MB
 WATCH_SLACK_S = 0.7  # beyond the requested wait, before a watch counts as lost
+WRITE_PATHS = ("/v1/kv-txn", "/v1/kv-lease")  # the other calls count as reads
 MAX_TRANSACTION_ENTRIES = 32  # published limit of preconditions, puts and removals
 
 
@@ -91,10 +94,14 @@
 class StoreClient:
     """Calls the key-value store; thread-safe."""
 
-    __slots__ = ("http", "last_served_call_at")
+    __slots__ = ("http", "last_served_call_at", "on_rate_answer")
 
     def __init__(self, http: HttpClient) -> None:
         self.http = http
+        self.on_rate_answer: Callable[[bool, bool], None] = lambda *_: None
+        """Told of each answer: whether the call was a write, and whether the store
+        refused it for its rate."""
+
         self.last_served_call_at = 0.0
         """Time at which the latest call that the store served was sent.
 
@@ -210,7 +217,11 @@
     ) -> HttpResponse:
         sent_at = clock_gettime(CLOCK_BOOTTIME)
         response = self.http.call(method, path, body, timeout_s=timeout_s)
-        if response.status in (429, 503):
+        is_rate_exceeded = response.status == 429
+        self.on_rate_answer(path.startswith(WRITE_PATHS), is_rate_exceeded)
+        if is_rate_exceeded:
+            raise RateExceeded(f"the store answered 429 to {path}")
+        if response.status == 503:
             raise CallRejected(f"the store answered {response.status} to {path}")
         if response.status in (200, 404, 410, 412):
             self.last_served_call_at = max(self.last_served_call_at, sent_at)
--- a/src/sesameladder/standins/system/_server.py
+++ b/src/sesameladder/standins/system/_server.py
@@ -10,6 +10,7 @@
 
 from cheroot.wsgi import Server
 
+from sesameladder.standins.system._rates import CallRates
 from sesameladder.standins.system._store import KeyValueStore
 from sesameladder.standins.system._worker import SimulatedWorker
 
@@ -37,6 +38,7 @@
         self.pool = pool
         self.random = random.Random(seed)
         self.store = KeyValueStore(time.monotonic)
+        self.store_rates = CallRates(time.monotonic)
         self.lock = Lock()
         self.is_stopping = False
         self.servers = [_build_server(self._handle_store)]
@@ -141,6 +143,8 @@
         store.calls += 1
         if store.is_down:
             return 503, {}
+        if not self.store_rates.allows(path):
+            return 429, {}
         if path == "/v1/kv-key":
             return store.get(query["key"])
         if path == "/v1/kv-range":
--- /dev/null
+++ b/src/sesameladder/store_calls/_client_calls.py
@@ -0,0 +1,103 @@
+"""Decides which calls of the store are made for clients; thread-safe."""
+
+from threading import Lock
+
+from sesameladder.store_calls._fairness import RecentCalls
+from sesameladder.store_calls._learned_rate import (
+    DEFAULT_RATES,
+    CallKind,
+    LearnedRate,
+)
+
+MIN_RETRY_S = 1.0
+MAX_RETRY_S = 15.0  # a crowd that is told to come back later comes back together
+# Around the time after which a call is likely to be served, callers come again.
+RETRY_SPREAD = (0.5, 1.5)
+
+
+class Caller:
+    """Who causes a call of the store."""
+
+    __slots__ = ("address", "connection", "organisation")
+
+    def __init__(
+        self, organisation: str = "", address: str = "", connection: str = ""
+    ) -> None:
+        self.organisation = organisation
+        """Name of the organisation of its key; empty for none."""
+
+        self.address = address
+        self.connection = connection
+        """Address and port; a new connection is a new client at first."""
+
+    def list_groups(self) -> tuple[tuple[str, str], ...]:
+        """Return the groups that take turns, as level and name.
+
+        An organisation takes turns with others whatever addresses it uses. Without one,
+        addresses take turns, and so do the connections of all of them: behind a load
+        balancer all clients have its address.
+        """
+        if self.organisation:
+            return (("organisation", self.organisation),)
+        return (("address", self.address), ("connection", self.connection))
+
+
+class ClientCalls:
+    """The calls that this process makes for clients, of both kinds.
+
+    The load is a crowd whose every request needs a call. A request that is refused at
+    once costs its client some milliseconds; one that makes the store refuse calls costs
+    owners their leases, and then all clients of a pool some seconds.
+    """
+
+    __slots__ = ("lock", "rates", "recent", "refused")
+
+    def __init__(self, writes_per_s: float, reads_per_s: float, now: float) -> None:
+        stated = {CallKind.WRITE: writes_per_s, CallKind.READ: reads_per_s}
+        self.rates = {
+            kind: LearnedRate(per_s or DEFAULT_RATES[kind], now)
+            for kind, per_s in stated.items()
+        }
+        self.recent: dict[str, RecentCalls] = {}
+        """Recent calls by level of ``Caller.list_groups``."""
+
+        self.refused = {kind: RecentCalls(now) for kind in stated}
+        self.lock = Lock()
+
+    def try_take(self, kind: CallKind, caller: Caller, now: float) -> bool:
+        """Return whether a call may be made for a client now, and count it."""
+        with self.lock:
+            rate = self.rates[kind]
+            rate.advance(now)
+            groups = caller.list_groups()
+            is_allowed = True
+            for level, name in groups:
+                recent = self.recent.setdefault(level, RecentCalls(now))
+                recent.advance(now)
+                recent.register(name)
+                is_allowed = is_allowed and not recent.is_beyond_part(name, rate.level)
+            if is_allowed and rate.try_take(now):
+                for level, name in groups:
+                    self.recent[level].record(name)
+                return True
+            rate.limited_at = now
+            self.refused[kind].advance(now)
+            self.refused[kind].record("")
+            return False
+
+    def record_response(self, kind: CallKind, is_refused: bool, now: float) -> None:
+        """Record an answer of the store to any call, also to one not for clients."""
+        with self.lock:
+            if is_refused:
+                self.rates[kind].record_refused(now)
+            else:
+                self.rates[kind].record_served()
+
+    def estimate_retry_s(self, kind: CallKind) -> float:
+        """Return after how many seconds a refused call is likely to be served.
+
+        As long as the rate needs for the calls refused lately, without a spread.
+        """
+        with self.lock:
+            waiting = self.refused[kind].total
+            return min(MAX_RETRY_S, max(MIN_RETRY_S, waiting / self.rates[kind].per_s))
--- /dev/null
+++ b/src/sesameladder/store_calls/_learned_rate.py
@@ -0,0 +1,109 @@
+"""Rate of the calls that one process makes for clients, learned from refusals.
+
+The load is a crowd on some or all processes of a deployment, whose number none of them
+knows. The store's latency stays the same up to its limit, so only its refusals (429)
+tell that all processes together ask too much. They fall back together, since each of
+them sees refusals, and come back slowly (additive increase, multiplicative decrease).
+"""
+
+from enum import StrEnum
+
+
+class CallKind(StrEnum):
+    """Rate of the store that a call counts against."""
+
+    READ = "read"
+    WRITE = "write"
+
+
+DEFAULT_RATES = {CallKind.READ: 2000.0, CallKind.WRITE: 400.0}
+"""Calls a second that the store takes from all processes, where it isn't stated."""
+
+START_SHARE = 0.125  # of the store's rate, before it has refused anything
+MAX_SHARE = 0.8  # the rest is for leases, ends, orders and configuration
+MIN_SHARE = 0.01  # 40 processes at this rate leave more than half of the store's
+GROWTH_SHARE_PER_S = 0.01
+GROWTH_PAUSE_S = 3.0  # after a decrease; each refusal may have been one of a lease
+DECREASE_FACTOR = 0.7
+DECREASE_INTERVAL_S = 0.25  # by then the calls under way have their answers
+BURST_S = 1.0  # calls that are saved up while none are made
+MIN_BURST = 4.0  # a request may need three reads at once
+LIMITED_S = 1.0  # after a refusal the rate may grow; without demand it stays
+
+
+class LearnedRate:
+    """Token bucket for calls of one kind; not thread-safe.
+
+    Steady times are in seconds.
+    """
+
+    __slots__ = (
+        "decreased_at",
+        "has_served",
+        "limited_at",
+        "per_s",
+        "store_per_s",
+        "tokens",
+        "updated_at",
+    )
+
+    def __init__(self, store_per_s: float, now: float) -> None:
+        self.store_per_s = store_per_s
+        """Calls a second that the store takes from all processes together."""
+
+        self.per_s = START_SHARE * store_per_s
+        """Calls a second that this process makes for clients at most."""
+
+        self.tokens = self.capacity
+        self.updated_at = now
+        self.limited_at = now - LIMITED_S
+        self.decreased_at = now - GROWTH_PAUSE_S
+        self.has_served = True
+        """Whether the store has served a call since the latest decrease.
+
+        If it has not, it refuses everything, which tells nothing about a rate.
+        """
+
+    @property
+    def capacity(self) -> float:
+        """Return how many calls can be saved up."""
+        return max(MIN_BURST, BURST_S * self.per_s)
+
+    @property
+    def level(self) -> float:
+        """Return the share of the saved calls that is left, from 0 to 1."""
+        return max(0.0, min(1.0, self.tokens / self.capacity))
+
+    def advance(self, now: float) -> None:
+        """Let time pass: calls are saved up, and the rate grows where it limits."""
+        passed_s = max(0.0, now - self.updated_at)
+        self.updated_at = max(self.updated_at, now)
+        self.tokens = min(self.capacity, self.tokens + passed_s * self.per_s)
+        has_settled = now - self.decreased_at >= GROWTH_PAUSE_S
+        if has_settled and now - self.limited_at < LIMITED_S:
+            growth = GROWTH_SHARE_PER_S * self.store_per_s * passed_s
+            self.per_s = min(MAX_SHARE * self.store_per_s, self.per_s + growth)
+
+    def try_take(self, now: float) -> bool:
+        """Take one call; returns False if there is none left."""
+        self.advance(now)
+        if self.tokens < 1.0:
+            self.limited_at = now
+            return False
+        self.tokens -= 1.0
+        return True
+
+    def record_served(self) -> None:
+        """Record that the store has served a call of this kind."""
+        self.has_served = True
+
+    def record_refused(self, now: float) -> None:
+        """Fall back, since the store has refused a call of this kind."""
+        self.advance(now)
+        if not self.has_served or now - self.decreased_at < DECREASE_INTERVAL_S:
+            return
+        self.decreased_at = now
+        self.has_served = False
+        minimum = max(1.0, MIN_SHARE * self.store_per_s)
+        self.per_s = max(minimum, DECREASE_FACTOR * self.per_s)
+        self.tokens = min(self.tokens, self.capacity)
--- /dev/null
+++ b/src/sesameladder/store_calls/tests/test_store_calls.py
@@ -0,0 +1,128 @@
+"""Decisions on the store's calls for clients, in a simulated deployment."""
+
+from random import Random
+
+import pytest
+
+from sesameladder.store_calls import (
+    Caller,
+    CallKind,
+    ClientCalls,
+    LearnedRate,
+)
+
+READS_PER_S = 120.0
+CONTROL_PER_S = 11.0  # reads a second of two processes without clients
+STEP_S = 0.001
+
+
+class SimulatedStore:
+    """Takes a number of reads in each second from all processes together."""
+
+    def __init__(self) -> None:
+        self.used_by_second: dict[int, int] = {}
+        self.refused = 0
+        self.calls = 0
+
+    def serve(self, now: float) -> bool:
+        self.calls += 1
+        used = self.used_by_second.get(int(now), 0)
+        if used >= READS_PER_S:
+            self.refused += 1
+            return False
+        self.used_by_second[int(now)] = used + 1
+        return True
+
+
+@pytest.mark.parametrize(("nodes", "crowd_per_s"), [(2, 800), (8, 2000), (8, 100)])
+def test_crowd_leaves_the_store_to_control(nodes: int, crowd_per_s: int) -> None:
+    """Guards against refused calls of control, each of which may cost a lease.
+
+    The processes know neither of each other nor how many there are.
+    """
+    random, store = Random(3), SimulatedStore()
+    calls = [ClientCalls(40.0, READS_PER_S, 0.0) for _ in range(nodes)]
+    control = {"made": 0, "refused": 0}
+    ordinary = {"made": 0, "served": 0}
+    for step in range(int(60 / STEP_S)):
+        now = step * STEP_S
+        if random.random() < CONTROL_PER_S * STEP_S:
+            served = store.serve(now)
+            if now > 5.0:
+                control["made"] += 1
+                control["refused"] += not served
+            random.choice(calls).record_response(CallKind.READ, not served, now)
+        for _ in range(int(crowd_per_s * STEP_S + random.random())):
+            node = random.choice(calls)
+            caller = Caller("", "10.0.0.1", f"crowd {random.randrange(24)}")
+            if node.try_take(CallKind.READ, caller, now):
+                node.record_response(CallKind.READ, not store.serve(now), now)
+        if random.random() < STEP_S:  # one ordinary caller, once a second
+            ordinary["made"] += 1
+            node = random.choice(calls)
+            if node.try_take(CallKind.READ, Caller("", "10.0.0.2", "usual"), now):
+                served = store.serve(now)
+                node.record_response(CallKind.READ, not served, now)
+                ordinary["served"] += served
+    assert control["refused"] <= 0.05 * control["made"]
+    assert store.refused <= 0.05 * store.calls
+    assert ordinary["served"] >= 0.8 * ordinary["made"]
+    if crowd_per_s > READS_PER_S:
+        assert store.calls >= 0.5 * 60 * READS_PER_S  # what is there is used
+
+
+@pytest.mark.parametrize(
+    ("events", "low", "high"),
+    [
+        ([], 50.0, 50.0),
+        (["refused"], 34.0, 36.0),
+        (["refused", "refused"], 34.0, 36.0),  # nothing was served in between
+        (["refused", "served", "refused"], 24.0, 25.0),
+        (["refused", "served"] * 50, 4.0, 4.0),
+        (["limited"] * 100, 50.0, 320.0),
+    ],
+)
+def test_rate_follows_the_answers_of_the_store(
+    events: list[str], low: float, high: float
+) -> None:
+    rate = LearnedRate(400.0, 0.0)
+    now = 0.0
+    for event in events:
+        now += 0.3
+        if event == "refused":
+            rate.record_refused(now)
+        elif event == "served":
+            rate.record_served()
+        else:
+            while rate.try_take(now):
+                pass
+    assert low <= rate.per_s <= high
+
+
+@pytest.mark.parametrize(
+    ("crowd", "usual"),
+    [
+        (Caller("hot", "10.0.0.1", "a"), Caller("cold", "10.0.0.1", "a")),
+        (Caller("", "10.0.0.1", "a"), Caller("", "10.0.0.2", "b")),
+        (Caller("", "10.0.0.1", "a"), Caller("", "10.0.0.1", "b")),
+    ],
+    ids=["organisation", "address", "connection"],
+)
+def test_ordinary_caller_gets_its_turn(crowd: Caller, usual: Caller) -> None:
+    """Guards against a caller that asks fast and leaves nothing to the others."""
+    calls = ClientCalls(40.0, READS_PER_S, 0.0)
+    served = 0
+    for step in range(20_000):
+        now = step * STEP_S
+        calls.try_take(CallKind.READ, crowd, now)
+        if step % 1000 == 999:
+            served += calls.try_take(CallKind.READ, usual, now)
+    assert served >= 18  # of 20; the first ones may find nothing left
+
+
+def test_callers_are_told_to_come_back_when_their_turn_is_likely() -> None:
+    calls = ClientCalls(40.0, READS_PER_S, 0.0)
+    assert calls.estimate_retry_s(CallKind.READ) == 1.0
+    for _ in range(1000):
+        calls.try_take(CallKind.READ, Caller("", "10.0.0.1", "a"), 0.0)
+    assert 5.0 <= calls.estimate_retry_s(CallKind.READ) <= 15.0
