Bound accepted work by the memory of its owner and of the next one

Clients that submit sound jobs which have to wait ended an owner, and each next one: what has been accepted had no bound, neither in the owner nor in the store that the next owner loads whole.

Each job has an estimate of the memory that its owner needs. An owner takes jobs up while the estimates stay within a quarter of limits.memoryMb, shared by the pools of a process; the others wait in the store with one small entry each and are read in the order of the ranking as room comes. A new owner reads page by page and keeps the first ones; jobs with progress are taken up at once, and a report with a run of a waiting job waits until that job is read. Owners publish their room, and intakes refuse what goes beyond it with 503 and a Retry-After from when room is expected, large jobs first. Subtasks are not built beyond 15 % of the memory. Equal steps of a job are one object.

The check of the ordinary job shows its answer now; what it asks for is the same.

Fakes of the store in three test files return their items as one page too, since owners read pages.

--- a/src/sesameladder/fleet/_model.py
+++ b/src/sesameladder/fleet/_model.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from sesameladder.accepted_work import PoolRoom
 from sesameladder.jobs import BacklogForecast, Resources
 
 DEMAND_ROUNDING_CORES = 8  # a quarter of a small worker; finer costs more writes
@@ -84,6 +85,9 @@
     forecast: BacklogForecast | None = None
     """How long new jobs wait; None while they begin soon, and without organisations."""
 
+    room: PoolRoom | None = None
+    """What further jobs may need of the owner's memory; None of earlier versions."""
+
     @property
     def demand_cores(self) -> int:
         """Return the cores that running and waiting subtasks need.
--- a/src/sesameladder/jobs/__init__.py
+++ b/src/sesameladder/jobs/__init__.py
@@ -26,6 +26,7 @@
     QueueForecast,
     find_excess,
 )
+from sesameladder.jobs._held_bytes import SUBTASK_BYTES, estimate_held_bytes
 from sesameladder.jobs._job import Job, Step, Submission, Subtask
 from sesameladder.jobs._job_table import JobTable
 from sesameladder.jobs._load import PoolLoad
@@ -62,6 +63,7 @@
 __all__ = [
     "DEFAULT_DURATION_S",
     "OVERDUE_FACTOR",
+    "SUBTASK_BYTES",
     "AdviceCommand",
     "AdvicePolicy",
     "Backlog",
@@ -108,6 +110,7 @@
     "WorkerView",
     "decode_progress",
     "encode_progress",
+    "estimate_held_bytes",
     "explain_impossible_gang",
     "find_excess",
 ]
--- a/src/sesameladder/jobs/_durations.py
+++ b/src/sesameladder/jobs/_durations.py
@@ -68,6 +68,24 @@
             return learned.mean_s
         return sqrt(learned.mean_s * estimated_s * learned.ratio)
 
+    def estimate_path(self, submission: Submission) -> float:
+        """Return the critical path of a job of which nothing is done, in seconds."""
+        path_ends_s: list[float] = []
+        for number, spec in enumerate(submission.spec.steps):
+            begin_s = max((path_ends_s[step] for step in spec.after), default=0.0)
+            path_ends_s.append(begin_s + self.estimate_duration(submission, number))
+        return max(path_ends_s, default=0.0)
+
+    def estimate_work(self, submission: Submission) -> float:
+        """Return the work of a job of which nothing is done, in core-seconds."""
+        occurrence_core_s = sum(
+            spec.count
+            * count_cores(spec.needs)
+            * self.estimate_duration(submission, number)
+            for number, spec in enumerate(submission.spec.steps)
+        )
+        return occurrence_core_s * max(1, submission.spec.occurrences)
+
     def estimate_critical_path(
         self, job: Job, occurrence: int, only_remaining: bool
     ) -> float:
--- a/src/sesameladder/jobs/_job.py
+++ b/src/sesameladder/jobs/_job.py
@@ -188,17 +188,19 @@
         subtask = Subtask(subtask_id, self, is_done=self.is_done(position))
         if not subtask.is_done:
             self.known[position] = subtask
+            self.job.built_subtasks += 1
             if self.is_open:
                 self.waiting[subtask_id] = subtask
         return subtask
 
-    def iterate_waiting(self) -> Iterator[Subtask]:
+    def iterate_waiting(self, may_build: bool = True) -> Iterator[Subtask]:
         """Yield the waiting subtasks, and build the unknown ones as they are needed.
 
-        Subtasks may be placed between two of them, but not set to wait.
+        Without ``may_build`` the unknown ones are left for later. Subtasks may be
+        placed between two of them, but not set to wait.
         """
         yield from list(self.waiting.values())
-        while self.is_open and self.next_unknown < self.spec.count:
+        while may_build and self.is_open and self.next_unknown < self.spec.count:
             position = self.next_unknown
             self.next_unknown += 1
             if position not in self.known and not self.is_done(position):
@@ -217,7 +219,8 @@
         """Mark a subtask as done and forget what is known of it."""
         subtask.is_done = True
         self.waiting.pop(subtask.id, None)
-        self.known.pop(subtask.id.position, None)
+        if self.known.pop(subtask.id.position, None) is not None:
+            self.job.built_subtasks -= 1
         self.done_mask |= 1 << subtask.id.position
         self.remaining_subtasks -= 1
 
@@ -280,6 +283,15 @@
     is_within_rate: bool = True
     """Whether it came within its organisation's rate; see ``Shares``."""
 
+    waiting_bytes: int = 0
+    """Memory that it needs while it waits, as estimated."""
+
+    waiting_subtasks: int = 0
+    """Number of subtasks that ``waiting_bytes`` includes."""
+
+    built_subtasks: int = 0
+    """Number of subtasks that have been built and are not done."""
+
     @property
     def id(self) -> str:
         """Return the job identifier that the caller chose."""
--- a/src/sesameladder/jobs/_job_table.py
+++ b/src/sesameladder/jobs/_job_table.py
@@ -3,20 +3,29 @@
 from heapq import heappop, heappush
 from itertools import count
 
+from sesameladder.jobs._held_bytes import (
+    SUBTASK_BYTES,
+    count_kept_occurrences,
+    count_waiting_subtasks,
+    estimate_held_bytes,
+)
 from sesameladder.jobs._job import Job, Step, Submission, Subtask
 from sesameladder.jobs._model import JobRecord, JobState, SubtaskId
 
-# Done occurrences are forgotten, oldest first, once a job has built more than this many
-# subtasks or occurrences; at twice as many, no more are opened.
-MAX_BUILT_SUBTASKS = 10_000
-# A late report about a forgotten occurrence counts as one about an unknown run.
-MAX_KEPT_OCCURRENCES = 200
-
 
 class JobTable:
     """The open jobs of a pool, and the final states of ended jobs."""
 
-    __slots__ = ("ended", "entry_numbers", "jobs", "open_steps", "timed_occurrences")
+    __slots__ = (
+        "ended",
+        "ended_bytes",
+        "entry_numbers",
+        "jobs",
+        "may_build",
+        "open_steps",
+        "timed_occurrences",
+        "waiting_bytes",
+    )
 
     def __init__(self) -> None:
         self.jobs: dict[str, Job] = {}
@@ -34,14 +43,43 @@
         """
 
         self.entry_numbers = count()
+        self.waiting_bytes = 0
+        """Memory that the open jobs need while they wait, as estimated."""
+
+        self.ended_bytes = 0
+        """Memory that the jobs which have ended so far needed, as estimated."""
+
+        self.may_build = True
+        """Whether subtasks that are not known yet may be built and started."""
+
+    @property
+    def built_subtasks(self) -> int:
+        """Return the number of subtasks that have been built and are not done."""
+        return sum(job.built_subtasks for job in self.jobs.values())
+
+    @property
+    def held_bytes(self) -> int:
+        """Return the memory that the open jobs need, as estimated."""
+        further_subtasks = sum(
+            max(0, job.built_subtasks - job.waiting_subtasks)
+            for job in self.jobs.values()
+        )
+        return self.waiting_bytes + SUBTASK_BYTES * further_subtasks
 
     def add(self, submission: Submission, record: JobRecord | None, now: float) -> Job:
         """Add an accepted job and restore its stored progress, if there is any.
 
         ``now`` is in seconds of the steady clock.
         """
-        job = Job(submission, now)
+        spec = submission.spec
+        job = Job(
+            submission,
+            now,
+            waiting_bytes=estimate_held_bytes(spec),
+            waiting_subtasks=count_waiting_subtasks(spec),
+        )
         self.jobs[job.id] = job
+        self.waiting_bytes += job.waiting_bytes
         if record is not None:
             self._restore(job, record, now)
         self._build_occurrences(job)
@@ -65,7 +103,10 @@
             return None
         # A worker may have been told to run it by an earlier owner, which knew that
         # more occurrences were done.
-        limit = min(job.occurrences, job.next_occurrence + _count_kept(job))
+        limit = min(
+            job.occurrences,
+            job.next_occurrence + count_kept_occurrences(job.submission.spec),
+        )
         if job.next_occurrence <= subtask.occurrence < limit:
             for occurrence in range(job.next_occurrence, subtask.occurrence + 1):
                 self._build_occurrence(job, occurrence)
@@ -119,6 +160,8 @@
         """Move a job from the open jobs to the ended ones."""
         job.state = state
         del self.jobs[job.id]
+        self.waiting_bytes -= job.waiting_bytes
+        self.ended_bytes += job.waiting_bytes
         self.ended[job.id] = (state, now)
         for step in job.steps.values():
             self.open_steps.pop(step.key, None)
@@ -160,7 +203,9 @@
         Later occurrences follow when it is built, or an earlier one is done.
         """
         spec = job.submission.spec
-        limit = job.first_kept_occurrence + 2 * _count_kept(job)
+        limit = job.first_kept_occurrence + 2 * count_kept_occurrences(
+            job.submission.spec
+        )
         while job.next_occurrence < min(job.occurrences, limit):
             if job.is_awaiting_time:
                 return
@@ -212,14 +257,8 @@
     return not any(step.remaining_subtasks for step in _list_steps(job, occurrence))
 
 
-def _count_kept(job: Job) -> int:
-    """Return how many of a job's built occurrences are kept when they are done."""
-    subtasks = sum(step.count for step in job.submission.spec.steps)
-    return max(1, min(MAX_KEPT_OCCURRENCES, MAX_BUILT_SUBTASKS // max(1, subtasks)))
-
-
 def _forget_old_occurrences(job: Job) -> None:
-    kept = _count_kept(job)
+    kept = count_kept_occurrences(job.submission.spec)
     while job.next_occurrence - job.first_kept_occurrence > kept:
         oldest = _list_steps(job, job.first_kept_occurrence)
         if any(step.remaining_subtasks for step in oldest):
--- a/src/sesameladder/jobs/_scheduler.py
+++ b/src/sesameladder/jobs/_scheduler.py
@@ -215,17 +215,18 @@
         # A new owner reads all earlier jobs at once, which is no demand peak.
         if is_short and job.is_within_rate and not is_inherited:
             self.offered_load.record(core_s, now)
-        self.log_event(
-            "job_taken", job=job.id, queue=submission.queue, core_s=round(core_s, 2)
-        )
+        queue = submission.queue
+        self.log_event("job_taken", job=job.id, queue=queue, core_s=round(core_s, 2))
         self._end_if_finished(job, now)
 
-    def fail_unreadable_job(self, job_id: str, queue: str, now: float) -> None:
-        """End a job that was accepted and can't be carried out as failed."""
-        if job_id in self.job_table.jobs or job_id in self.job_table.ended:
-            return
-        job = self.job_table.add(Submission(job_id, queue, JobSpec("", ())), None, now)
-        self._end_job(job, JobState.FAILED, now)
+    def end_unstarted_job(
+        self, job_id: str, queue: str, state: JobState, now: float
+    ) -> None:
+        """End a job that was accepted and has not been taken up."""
+        table = self.job_table
+        if job_id not in table.jobs and job_id not in table.ended:
+            submission = Submission(job_id, queue, JobSpec("", ()))
+            self._end_job(table.add(submission, None, now), state, now)
 
     def cancel_job(self, job_id: str, now: float) -> None:
         """Cancel a job and stop its runs."""
@@ -707,7 +708,7 @@
     def _place_step(self, step: Step, now: float) -> None:
         tickets = self._get_tickets(step)
         placed = []
-        for subtask in step.iterate_waiting():
+        for subtask in step.iterate_waiting(self.job_table.may_build):
             if subtask.not_before > now:
                 continue
             if not self._has_place_for_start():
--- a/src/sesameladder/jobs/tests/test_large_jobs.py
+++ b/src/sesameladder/jobs/tests/test_large_jobs.py
@@ -26,7 +26,7 @@
     decode_progress,
     encode_progress,
 )
-from sesameladder.jobs._job_table import MAX_KEPT_OCCURRENCES
+from sesameladder.jobs._held_bytes import MAX_KEPT_OCCURRENCES
 from sesameladder.jobs._ordering import StepRanking
 from sesameladder.jobs.tests.test_rules import (
     JOB,
@@ -218,7 +218,7 @@
 
 def test_unreadable_job_ends_as_failed() -> None:
     scheduler = build_scheduler(build_record(1))
-    scheduler.fail_unreadable_job(JOB, "queue", 0.0)
+    scheduler.end_unstarted_job(JOB, "queue", JobState.FAILED, 0.0)
     assert scheduler.job_table.ended[JOB][0] is JobState.FAILED
     (job,) = scheduler.take_dirty_jobs()
     record = decode_progress(JOB, encode_progress(job), None)
--- a/src/sesameladder/node/_admission.py
+++ b/src/sesameladder/node/_admission.py
@@ -1,8 +1,9 @@
-"""Admission of new jobs by the forecast that a pool's owner publishes.
+"""Admission of new jobs by what a pool's owner publishes: a forecast, and its room.
 
-The load is a demand peak of several times what a pool holds. A job that is refused at
-once costs its caller little; one that is accepted and has no value when it ends costs
-the pool's cores as well. Whatever is uncertain is accepted.
+The load is a demand peak of several times what a pool holds, or a crowd that submits
+more than an owner can hold in memory. A job that is refused at once costs its caller
+little; one that is accepted and has no value when it ends costs the pool's cores as
+well. Whatever is uncertain is accepted.
 """
 
 from collections.abc import Callable
@@ -11,6 +12,8 @@
 from random import Random
 from threading import Event, Lock
 
+from sesameladder.accepted_work import RETRY_SPREAD as ROOM_RETRY_SPREAD
+from sesameladder.accepted_work import RoomAccount, RoomShortage
 from sesameladder.jobs import (
     DEFAULT_DURATION_S,
     OVERDUE_FACTOR,
@@ -25,7 +28,12 @@
 from sesameladder.node._keys import summary_key
 from sesameladder.node._records import decode_summary
 from sesameladder.node._supervision import build_thread
-from sesameladder.node._telemetry import ADMISSION_REFUSALS, log_event, log_warning
+from sesameladder.node._telemetry import (
+    ADMISSION_REFUSALS,
+    ROOM_REFUSALS,
+    log_event,
+    log_warning,
+)
 from sesameladder.platform import PlatformCallError, RecordInvalid, StoreClient
 
 READ_INTERVAL_S = 1.0  # 42 reads a second of a busy pool with 42 VMs
@@ -110,6 +118,8 @@
         "read_clock",
         "refusals",
         "requests",
+        "room_refusals",
+        "rooms",
         "stopping",
         "store",
         "thread",
@@ -137,6 +147,10 @@
         self.refusals: dict[str, RefusalCount] = {}
         """Refusals not logged yet, by queue."""
 
+        self.rooms: dict[str, RoomAccount] = {}
+        self.room_refusals: dict[str, RefusalCount] = {}
+        """Refusals for want of room not logged yet, by pool."""
+
         self.requests: SimpleQueue[str | None] = SimpleQueue()
         """Pools whose summary is to be read."""
 
@@ -182,18 +196,58 @@
             self.random.random(),
         )
 
+    def find_shortage(
+        self, pool: str, organisation: str, job_bytes: int
+    ) -> RoomShortage | None:
+        """Return why the pool's owner has no room for a job; None to accept it.
+
+        A job without a shortage is counted as accepted.
+        """
+        now = self.read_clock()
+        with self.lock:
+            account = self.rooms.setdefault(pool, RoomAccount())
+            shortage = account.admit(job_bytes, organisation, now)
+            if account.take_reading(now):
+                self.requests.put(pool)
+        return shortage
+
+    def record_shortage(
+        self, pool: str, organisation: str, shortage: RoomShortage
+    ) -> int:
+        """Count and log a refusal, and return when to come again, in whole seconds."""
+        ROOM_REFUSALS.labels(pool, shortage.cause.value).inc()
+        count = self._count_refusal(self.room_refusals, pool)
+        if count:
+            log_event(
+                "room_refused",
+                pool=pool,
+                count=count,
+                cause=shortage.cause.value,
+                organisation=organisation,
+                job_bytes=shortage.job_bytes,
+                free_bytes=shortage.free_bytes,
+                limit_bytes=shortage.limit_bytes,
+            )
+        spread = self.random.uniform(*ROOM_RETRY_SPREAD)
+        return max(1, round(shortage.retry_after_s * spread))
+
+    def _count_refusal(self, refusals: dict[str, RefusalCount], name: str) -> int:
+        """Count a refusal; returns how many to log now, 0 shortly after a line."""
+        now = self.read_clock()
+        with self.lock:
+            row = refusals.setdefault(name, RefusalCount())
+            row.count += 1
+            if now - row.logged_at < LOG_INTERVAL_S:
+                return 0
+            count, row.count, row.logged_at = row.count, 0, now
+            return count
+
     def record_refusal(
         self, queue: QueuePolicy, organisation: str, excess: Excess
     ) -> int:
         """Count and log a refusal, and return when to come again, in whole seconds."""
         ADMISSION_REFUSALS.labels(queue.pool).inc()
-        now = self.read_clock()
-        with self.lock:
-            refusals = self.refusals.setdefault(queue.name, RefusalCount())
-            refusals.count += 1
-            count = 0
-            if now - refusals.logged_at >= LOG_INTERVAL_S:
-                count, refusals.count, refusals.logged_at = refusals.count, 0, now
+        count = self._count_refusal(self.refusals, queue.name)
         if count:
             log_event(
                 "admission_refused",
@@ -216,11 +270,12 @@
     def read_summary(self, pool: str) -> None:
         """Read the summary of a pool; without it, jobs of the pool are accepted."""
         sent_at = self.read_clock()
-        forecast = None
+        forecast, room = None, None
         try:
             item = self.store.read(summary_key(pool))
             if item is not None:
-                forecast = decode_summary(item.value).forecast
+                summary = decode_summary(item.value)
+                forecast, room = summary.forecast, summary.room
         except PlatformCallError as error:
             self.dependency.record_failure(error)
             return
@@ -230,3 +285,4 @@
         with self.lock:
             cached = self.by_pool.setdefault(pool, CachedForecast())
             cached.apply(forecast, sent_at, self.read_clock())
+            self.rooms.setdefault(pool, RoomAccount()).apply(room, sent_at)
--- a/src/sesameladder/node/_intake.py
+++ b/src/sesameladder/node/_intake.py
@@ -20,6 +20,7 @@
     ProgressInvalid,
     QueuePolicy,
     decode_progress,
+    estimate_held_bytes,
     explain_impossible_gang,
 )
 from sesameladder.node._admission import AdmissionControl
@@ -152,6 +153,7 @@
 STORE_UNREACHABLE = Rejected("the store does not answer this VM", retry_after_s=1)
 
 
+NO_ROOM = "the queue's backlog is too large for the job to be kept"
 TOO_LATE = "the queue's backlog is too long for the job to be done in time"
 
 
@@ -305,15 +307,17 @@
         spec: JobSpec,
         caller: Caller,
     ) -> Result | None:
-        """Return the refusal of a job that can't be done in time, or None.
+        """Return the refusal of a job that can't be kept or done in time, or None.
 
         Another process may have accepted the job. If the store doesn't tell, the job is
         not refused: the write that follows finds out. Raises ``ShareUsedUp``.
         """
         if self.admission is None:
             return None
+        job_bytes = estimate_held_bytes(spec)
+        shortage = self.admission.find_shortage(queue.pool, organisation, job_bytes)
         excess = self.admission.find_excess(queue, organisation, spec)
-        if excess is None:
+        if shortage is None and excess is None:
             return None
         keys = (
             accepted_key(job),
@@ -328,6 +332,12 @@
         except PlatformCallError as error:
             log_warning("earlier_job_unread", job=job, error=str(error))
             return None
+        if shortage is not None:
+            retry_after_s = self.admission.record_shortage(
+                queue.pool, organisation, shortage
+            )
+            return Rejected(NO_ROOM, retry_after_s)
+        assert excess is not None
         retry_after_s = self.admission.record_refusal(queue, organisation, excess)
         return Rejected(TOO_LATE, retry_after_s)
 
--- a/src/sesameladder/node/_pool_summary.py
+++ b/src/sesameladder/node/_pool_summary.py
@@ -4,6 +4,7 @@
 
 from sesameladder.fleet import DEMAND_ROUNDING_CORES, PoolSummary
 from sesameladder.jobs import Backlog, PoolScheduler
+from sesameladder.node._take_up import TakeUp
 from sesameladder.node._telemetry import JOBS_BEYOND_RATE, log_event, publish_load
 from sesameladder.node._vm_load import VmLoadMeter
 from sesameladder.organisations import MAX_LOGGED_SHARES, ShareRow
@@ -23,10 +24,12 @@
         "last_written_at",
         "scheduler",
         "stored",
+        "take_up",
     )
 
-    def __init__(self, scheduler: PoolScheduler, now: float) -> None:
+    def __init__(self, scheduler: PoolScheduler, take_up: TakeUp, now: float) -> None:
         self.scheduler = scheduler
+        self.take_up = take_up
         self.backlog = Backlog(scheduler.ranking)
         self.stored: PoolSummary | None = None
         """The summary last given out to be written; None to write the next one."""
@@ -69,8 +72,11 @@
         stoppable = sorted(
             view.id for view in draining_views if not view.has_long_running()
         )
+        pending = scheduler.job_table.count_pending()
+        for queue, number in self.take_up.count_pending().items():
+            pending[queue] = pending.get(queue, 0) + number
         return PoolSummary(
-            self.scheduler.job_table.count_pending(),
+            pending,
             tuple(drained),
             tuple(stoppable),
             orders_revision,
@@ -80,17 +86,25 @@
             floor(demand.late / DEMAND_ROUNDING_CORES) * DEMAND_ROUNDING_CORES,
             _round_up_cores(demand.offered),
             self.backlog.update(scheduler.job_table, views, scheduler.fence, now),
+            self.take_up.build_room(now),
         )
 
 
 class LoadReporter:
     """Logs and publishes the load of a pool once a second, unless it is idle."""
 
-    __slots__ = ("beyond_rate", "last_at", "meter", "pool", "scheduler")
+    __slots__ = ("beyond_rate", "last_at", "meter", "pool", "scheduler", "take_up")
 
-    def __init__(self, pool: str, scheduler: PoolScheduler, meter: VmLoadMeter) -> None:
+    def __init__(
+        self,
+        pool: str,
+        scheduler: PoolScheduler,
+        take_up: TakeUp,
+        meter: VmLoadMeter,
+    ) -> None:
         self.pool = pool
         self.scheduler = scheduler
+        self.take_up = take_up
         self.meter = meter
         self.last_at = meter.last_at
         self.beyond_rate = 0
@@ -117,6 +131,7 @@
                 link_mbps=self.meter.size.link_mbps,
                 longest_pass_ms=round(longest_pass_s * 1000),
                 **vm_load,
+                **self.take_up.describe_load(),
             )
         self._report_shares(load.waiting)
         return True
--- a/src/sesameladder/node/_pool_task.py
+++ b/src/sesameladder/node/_pool_task.py
@@ -5,23 +5,22 @@
 from queue import Empty, SimpleQueue
 from threading import Event, Thread
 
+from sesameladder.accepted_work import WorkBudget
 from sesameladder.fleet import EndedIncarnation, PoolOrders
 from sesameladder.jobs import (
     AdviceCommand,
     CappedStarts,
     Command,
     Job,
-    JobRecord,
     PoolScheduler,
-    ProgressInvalid,
     TrackedWorker,
     UnreadWorkers,
     WorkerRecord,
-    decode_progress,
     encode_progress,
 )
 from sesameladder.node._clock import read_steady_clock, read_wall_clock_ms
-from sesameladder.node._dependency import DependencyState
+from sesameladder.node._inbox_watch import INBOX_THREAD, InboxChanges, InboxWatch
+from sesameladder.node._job_records import JobRecords
 from sesameladder.node._keys import (
     accepted_key,
     cancel_key,
@@ -38,7 +37,6 @@
 from sesameladder.node._records import (
     TrackedWorkersRecord,
     decode_orders,
-    decode_submission,
     decode_tracked_workers,
     encode_summary,
     encode_tracked_workers,
@@ -46,6 +44,7 @@
 from sesameladder.node._refusals import RefusalLog
 from sesameladder.node._roles import HeldRole
 from sesameladder.node._supervision import build_thread
+from sesameladder.node._take_up import StoredJobReader, StoredJobsRead, TakeUp
 from sesameladder.node._telemetry import (
     REPORT_SECONDS,
     START_SECONDS,
@@ -71,7 +70,6 @@
     PlatformCallError,
     Put,
     RecordInvalid,
-    RevisionExpired,
     StoreClient,
 )
 
@@ -80,25 +78,13 @@
 TRACKING_CHECK_INTERVAL_S = 0.05  # visits all workers; a new list is checked at once
 CLEANUP_INTERVAL_S = 8.0  # removing keys of ended jobs triggers the pool's own watch
 MAX_BATCH_ENTRIES = 24  # the store accepts 32 entries in a transaction
-WATCH_WAIT_MS = 1000
 RETRY_PAUSE_S = 0.15
 ROLE_CONFIRMATION_TIMEOUT_S = 3.0  # running work goes on for one 4 s lease: 7 s in all
 # A shrunk capacity counts 4.5 s after it is listed; an order waits for 1 s at most.
 LIST_CONFIRMATION_TIMEOUT_S = 3.5
-INBOX_THREAD = "inbox"
 UNKNOWN_WORKER = ""  # no worker's identifier; stands for those that can't be read
 
 
-@dataclass(frozen=True, slots=True)
-class InboxChanges:
-    """Changes of the records that the owner watches: key, value, store revision.
-
-    The value is None for a removed key.
-    """
-
-    changes: tuple[tuple[str, bytes | None, int], ...]
-
-
 @dataclass(frozen=True, slots=True)
 class WorkersUpdated:
     """Contents of the list of workers, of all pools; None if they haven't changed."""
@@ -128,6 +114,7 @@
 PoolMessage = (
     LinkMessage
     | InboxChanges
+    | StoredJobsRead
     | WorkersUpdated
     | WriteDone
     | AdviceFinished
@@ -146,11 +133,11 @@
         "get_capped_starts",
         "get_organisations",
         "get_role_lease",
-        "inbox_revision",
-        "inbox_thread",
+        "inbox_watch",
         "is_confirmed",
         "is_exclusive_holder",
         "is_loaded",
+        "job_records",
         "job_state_retention_s",
         "keys_to_remove",
         "last_cleanup_at",
@@ -171,10 +158,10 @@
         "stopping",
         "store",
         "summary",
+        "take_up",
         "thread",
         "tracked_workers",
         "unapplied_changes",
-        "watch_dependency",
         "worker_lease_ms",
         "workers_confirmed_at",
         "writer",
@@ -197,6 +184,7 @@
         vm_size: VmSize,
         get_capped_starts: Callable[[], CappedStarts | None] = lambda: None,
         get_organisations: Callable[[], Organisations | None] = lambda: None,
+        budget: WorkBudget | None = None,
     ) -> None:
         self.pool = pool
         self.role = role
@@ -223,10 +211,12 @@
         self.writer = PoolWriter(
             pool, role, store, self.messages.put, self._give_up_role
         )
-        self.watch_dependency = DependencyState(f"store:inbox {pool}")
         self.stopping = Event()
+        self.inbox_watch = InboxWatch(
+            pool, role, store, self.messages.put, self.stopping
+        )
         self.is_loaded = False
-        self.unapplied_changes: list[tuple[str, bytes | None, int]] = []
+        self.unapplied_changes: list[InboxChanges] = []
         """Changes to apply once the role is known to be held exclusively."""
 
         self.ended_earlier: dict[str, float] = {}
@@ -235,8 +225,20 @@
         self.keys_to_remove: list[str] = []
         self.last_cleanup_at = self.last_write_at = read_steady_clock()
         self.last_tracking_check_at = 0.0
-        self.summary = SummaryBuilder(self.scheduler, self.last_write_at)
-        self.load = LoadReporter(pool, self.scheduler, VmLoadMeter(vm_size))
+        self.take_up = TakeUp(
+            pool,
+            self.scheduler,
+            budget or WorkBudget.from_memory(0),
+            StoredJobReader(pool, store, self.messages.put, self.stopping),
+            self.last_write_at,
+        )
+        self.job_records = JobRecords(
+            pool, self.scheduler, self.take_up, self._schedule_removal
+        )
+        self.summary = SummaryBuilder(self.scheduler, self.take_up, self.last_write_at)
+        self.load = LoadReporter(
+            pool, self.scheduler, self.take_up, VmLoadMeter(vm_size)
+        )
         self.longest_pass_s = 0.0
         """Longest time between two readings of ``messages`` since the last log."""
 
@@ -248,13 +250,7 @@
         self.workers_confirmed_at = 0.0
         """Steady time at which the scheduler's list of workers was still current."""
 
-        self.inbox_revision: int | None = None
-        """Store revision after which to watch the inbox; None to read it anew."""
-
         self.thread = build_thread(f"pool {pool}", self._run, self.stopping)
-        self.inbox_thread = build_thread(
-            f"inbox {pool}", self._watch_inbox, self.stopping
-        )
 
     def start(self) -> None:
         """Start the thread, which loads the pool's state first."""
@@ -268,6 +264,7 @@
         self.stopping.set()
         self.messages.put(StopPool())
         self.writer.stop()
+        self.take_up.close()
         for link in list(self.links.values()):
             link.stop()
 
@@ -283,7 +280,7 @@
         if not self.is_loaded:
             self._load()
         self.role.begin_passes(INBOX_THREAD)
-        for thread in (self.writer.thread, self.inbox_thread):
+        for thread in (self.writer.thread, self.inbox_watch.thread):
             if thread.ident is None:
                 thread.start()
         while not self.stopping.is_set():
@@ -304,8 +301,13 @@
         while not self.stopping.is_set():
             try:
                 tracked_item = self.store.read(tracked_workers_key(self.pool))
-                inbox_page = self.store.read_range(inbox_prefix(self.pool))
+                # Only the owner writes progress, so it stays as it is.
                 progress_page = self.store.read_range(progress_prefix(self.pool))
+                progress_by_job = {
+                    item.key.removeprefix(progress_prefix(self.pool)): item.value
+                    for item in progress_page.items
+                }
+                submitted, revision = self._load_jobs(progress_by_job)
                 self.writer.load_sequence()
             except PlatformCallError as error:
                 log_warning("pool_load_failed", pool=self.pool, error=str(error))
@@ -313,32 +315,43 @@
                 self.stopping.wait(RETRY_PAUSE_S)
                 continue
             now = read_steady_clock()
-            progress_by_job = {
-                item.key.removeprefix(progress_prefix(self.pool)): item.value
-                for item in progress_page.items
-            }
             if tracked_item is not None:
                 self._apply_tracked_workers(tracked_item.value, now)
             else:
                 self.scheduler.unread_workers.deadline = now + UNREAD_WORKER_WAIT_S
-            changes = tuple(
-                (item.key, item.value, item.revision) for item in inbox_page.items
-            )
-            self._apply_inbox(changes, progress_by_job)
-            prefix = submission_key(self.pool, "")
-            submitted = {item.key.removeprefix(prefix) for item in inbox_page.items}
             # The submission of a job is removed once the job has ended.
             self.ended_earlier = dict.fromkeys(progress_by_job.keys() - submitted, now)
             self._log_event(
                 "pool_loaded",
                 term=self.role.term,
                 jobs=len(self.scheduler.job_table.jobs),
+                left_in_store=len(self.take_up.waiting.by_job),
                 tracked=len(self.tracked_workers),
             )
-            self.inbox_revision = inbox_page.revision
+            self.inbox_watch.revision = revision
             self.is_loaded = True
             return
 
+    def _load_jobs(self, progress_by_job: dict[str, bytes]) -> tuple[set[str], int]:
+        """Read the jobs page by page; returns them and the first page's revision.
+
+        They are taken up after the last page, except for those that have begun.
+        """
+        prefix = submission_key(self.pool, "")
+        submitted: set[str] = set()
+        revision = 0
+        self.take_up.begin_load(read_steady_clock())
+        for page in self.store.read_pages(inbox_prefix(self.pool)):
+            revision = page.revision
+            changes = tuple(
+                (item.key, item.value, item.revision) for item in page.items
+            )
+            self._apply_inbox(changes, progress_by_job)
+            submitted.update(item.key.removeprefix(prefix) for item in page.items)
+            self.role.record_pass()
+        self.take_up.end_load(read_steady_clock())
+        return submitted, revision
+
     def _apply_tracked_workers(self, value: bytes, now: float) -> None:
         """Take over what the last owner has stored about workers."""
         try:
@@ -356,34 +369,6 @@
             dict.fromkeys(record.long_leases_s, self.long_leases.restarted_wait_s),
         )
 
-    def _watch_inbox(self) -> None:
-        revision, self.inbox_revision = self.inbox_revision, None
-        prefix = inbox_prefix(self.pool)
-        changes: tuple[tuple[str, bytes | None, int], ...]
-        while not self.stopping.is_set():
-            try:
-                if revision is None:
-                    page = self.store.read_range(prefix)
-                    changes = tuple((i.key, i.value, i.revision) for i in page.items)
-                    revision = page.revision
-                else:
-                    batch = self.store.watch(prefix, revision, WATCH_WAIT_MS)
-                    changes = tuple((c.key, c.value, c.revision) for c in batch.changes)
-                    revision = batch.revision
-            except RevisionExpired:
-                revision = None
-                continue
-            except PlatformCallError as error:
-                self.watch_dependency.record_failure(error)
-                self.role.record_pass(INBOX_THREAD)
-                revision = None
-                self.stopping.wait(RETRY_PAUSE_S)
-                continue
-            self.watch_dependency.record_success()
-            self.role.record_pass(INBOX_THREAD)
-            if changes:
-                self.messages.put(InboxChanges(changes))
-
     # Messages --------------------------------------------------------------
 
     def _process_messages(self) -> float:
@@ -409,6 +394,8 @@
         if self._is_outdated(message):
             return
         if isinstance(message, ReportReceived):
+            if self.take_up.is_held_back(message.report):
+                return
             REPORT_SECONDS.labels(self.pool).observe(now - message.sent_at)
             scheduler.apply_report(
                 message.worker,
@@ -435,7 +422,9 @@
                 message.worker, message.subtask, message.run, now
             )
         elif isinstance(message, InboxChanges):
-            self.unapplied_changes.extend(message.changes)
+            self.unapplied_changes.append(message)
+        elif isinstance(message, StoredJobsRead):
+            self.take_up.apply(message, self.job_records.add_read)
         elif isinstance(message, WorkersUpdated):
             if message.records is not None:
                 self._apply_workers(message.records, now)
@@ -464,6 +453,16 @@
         view = self.scheduler.workers.get(message.worker)
         return view is not None and view.record.born_ms != message.born_ms
 
+    def _apply_changes(self) -> None:
+        batches, self.unapplied_changes = self.unapplied_changes, []
+        try:
+            rows = tuple(row for batch in batches for row in batch.changes)
+            self._apply_inbox(rows, {})
+        finally:
+            for batch in batches:
+                if batch.applied is not None:
+                    batch.applied.set()
+
     def _apply_inbox(
         self,
         changes: tuple[tuple[str, bytes | None, int], ...],
@@ -480,54 +479,15 @@
                 if kind == "orders":
                     self._apply_orders(value, revision, now)
                 elif value is not None and kind == "in":
-                    self._add_job(name, value, revision, progress_by_job.get(name), now)
+                    self.job_records.add(
+                        name, value, revision, progress_by_job.get(name), now
+                    )
                 elif value is not None and kind == "cancel":
-                    self.scheduler.cancel_job(name, now)
+                    self.take_up.cancel(name, now)
             except Exception:
                 # The other changes are not read again.
                 log_failure("inbox_change_failed", pool=self.pool, key=key)
 
-    def _add_job(
-        self, job: str, value: bytes, revision: int, progress: bytes | None, now: float
-    ) -> None:
-        record: JobRecord | None = None
-        try:
-            submission = decode_submission(job, value, revision)
-            if progress is not None:
-                record = decode_progress(job, progress, submission.spec)
-        except RecordInvalid as error:
-            log_warning("job_record_refused", pool=self.pool, job=job, error=str(error))
-            self._fail_unreadable_job(job, progress, now)
-            return
-        except ProgressInvalid as error:
-            # What has run isn't known, so neither a start nor a final state is right.
-            log_warning("job_record_refused", pool=self.pool, job=job, error=str(error))
-            return
-        if record is not None and record.state.is_final:
-            self._schedule_removal(job)
-        self.scheduler.add_job(submission, record, now)
-
-    def _fail_unreadable_job(
-        self, job: str, progress: bytes | None, now: float
-    ) -> None:
-        """End a job whose submission can't be read, so that its caller is told.
-
-        An older version may have accepted what this one refuses.
-        """
-        queue = ""
-        if progress is not None:
-            try:
-                record = decode_progress(job, progress, None)
-            except ProgressInvalid as error:
-                self._log_event("job_state_unknown", job=job, error=str(error))
-                return
-            if record.state.is_final:
-                self.scheduler.job_table.ended[job] = record.state, now
-                self._schedule_removal(job)
-                return
-            queue = record.queue
-        self.scheduler.fail_unreadable_job(job, queue, now)
-
     def _apply_orders(self, value: bytes | None, revision: int, now: float) -> None:
         try:
             orders = decode_orders(value) if value is not None else PoolOrders()
@@ -599,8 +559,8 @@
         self._update_links()
         # After a network partition, changes may be read before the loss of the role.
         if self.unapplied_changes and self.is_exclusive_holder():
-            changes, self.unapplied_changes = tuple(self.unapplied_changes), []
-            self._apply_inbox(changes, {})
+            self._apply_changes()
+        self.take_up.step(now)
         self.scheduler.can_expire_leases = self.is_exclusive_holder()
         is_list_old = now - self.workers_confirmed_at > LIST_CONFIRMATION_TIMEOUT_S
         self.scheduler.is_paused = is_list_old or not self.is_confirmed(
--- a/src/sesameladder/node/_process.py
+++ b/src/sesameladder/node/_process.py
@@ -8,6 +8,7 @@
 from threading import Event, Lock, Thread
 from time import sleep
 
+from sesameladder.accepted_work import WorkBudget
 from sesameladder.jobs import WorkerRecord
 from sesameladder.node._admission import AdmissionControl
 from sesameladder.node._cap_task import CapTask
@@ -57,6 +58,7 @@
     __slots__ = (
         "admission",
         "advice_client",
+        "budget",
         "cap_task",
         "client_calls",
         "configuration",
@@ -89,6 +91,7 @@
             settings.store_writes_per_s, settings.store_reads_per_s, read_steady_clock()
         )
         self.store.on_rate_answer = self._record_rate_answer
+        self.budget = WorkBudget.from_memory(settings.memory_mb)
         self.configuration = ConfigurationTask(self.store)
         self.roles = RoleTask(
             self.store,
@@ -285,6 +288,7 @@
             VmSize(self.settings.cores, self.settings.link_mbps),
             lambda: self.cap_task.get_capped_starts(pool),
             self._get_organisations,
+            self.budget,
         )
 
     def _get_organisations(self) -> Organisations | None:
--- a/src/sesameladder/node/_records.py
+++ b/src/sesameladder/node/_records.py
@@ -5,6 +5,7 @@
 from dataclasses import asdict, dataclass, field
 from typing import Any
 
+from sesameladder.accepted_work import PoolRoom
 from sesameladder.fleet import EndedIncarnation, OrderedVm, PoolOrders, PoolSummary
 from sesameladder.jobs import (
     AdvicePolicy,
@@ -244,6 +245,9 @@
     fields = asdict(summary)
     if summary.forecast is None:
         del fields["forecast"]
+    del fields["room"]
+    if summary.room is not None:
+        fields["room"] = summary.room.describe()
     return _encode_json(fields)
 
 
@@ -270,9 +274,40 @@
             late_cores=read_number(fields, "late_cores", MAX_COUNTER),
             offered_cores=read_number(fields, "offered_cores", MAX_COUNTER),
             forecast=_decode_forecast(fields.get("forecast")),
+            room=_decode_room(fields.get("room")),
         )
 
 
+def _decode_room(value: object) -> PoolRoom | None:
+    """Decode the room of a summary; None without one that can be used.
+
+    Older versions store none. The rest of a summary is read whatever it holds.
+    """
+    if value is None:
+        return None
+    try:
+        with decoding_record("room of a pool"):
+            fields = check_object("room", value)
+            by_organisation = check_object(
+                "held_by_organisation", fields["held_by_organisation"]
+            )
+            return PoolRoom(
+                check_number("limit_bytes", fields["limit_bytes"], MAX_COUNTER),
+                check_number(
+                    "free_bytes", fields["free_bytes"], MAX_COUNTER, -MAX_COUNTER
+                ),
+                check_number(
+                    "release_bytes_per_s", fields["release_bytes_per_s"], MAX_COUNTER
+                ),
+                {
+                    name: check_number("held_by_organisation", held, MAX_COUNTER)
+                    for name, held in by_organisation.items()
+                },
+            )
+    except RecordInvalid:
+        return None
+
+
 def _decode_forecast(value: object) -> BacklogForecast | None:
     """Decode the forecast of a summary; None without one that can be used.
 
--- a/src/sesameladder/node/_telemetry.py
+++ b/src/sesameladder/node/_telemetry.py
@@ -123,6 +123,30 @@
     ["pool"],
     registry=REGISTRY,
 )
+ACCEPTED_WORK_BYTES = Gauge(
+    "sesameladder_accepted_work_bytes",
+    "Memory that the jobs need which the pool's owner holds, as estimated",
+    ["pool"],
+    registry=REGISTRY,
+)
+ACCEPTED_WORK_LIMIT_BYTES = Gauge(
+    "sesameladder_accepted_work_limit_bytes",
+    "Memory that these jobs may need at present",
+    ["pool"],
+    registry=REGISTRY,
+)
+JOBS_IN_STORE = Gauge(
+    "sesameladder_jobs_in_store",
+    "Accepted jobs that wait in the store until the pool's owner has room",
+    ["pool"],
+    registry=REGISTRY,
+)
+ROOM_REFUSALS = Counter(
+    "sesameladder_room_refusals",
+    "Jobs refused since the pool's owner has no room for them",
+    ["pool", "cause"],
+    registry=REGISTRY,
+)
 CLIENT_CALLS_REFUSED = Counter(
     "sesameladder_client_calls_refused",
     "Calls of the store that were not made since the share of clients is used up",
--- a/src/sesameladder/node/tests/test_admission.py
+++ b/src/sesameladder/node/tests/test_admission.py
@@ -313,8 +313,8 @@
 
 def test_forecast_alone_writes_the_summary_once_a_second() -> None:
     """Guards against a pool that writes more often in the demand peak."""
-    scheduler = build_pool_task().scheduler
-    builder = SummaryBuilder(scheduler, 0.0)
+    task = build_pool_task()
+    builder = SummaryBuilder(task.scheduler, task.take_up, 0.0)
     builder.backlog = ChangingBacklog()  # type: ignore[assignment]
     times = [0.1 * n for n in range(1, 101)]
     written = [at for at in times if builder.build_due(0, at) is not None]
--- a/src/sesameladder/node/tests/test_pool_task.py
+++ b/src/sesameladder/node/tests/test_pool_task.py
@@ -1,6 +1,7 @@
 """How a pool's owner deals with malformed records and messages."""
 
 import json
+from collections.abc import Iterator
 from threading import Thread
 
 import pytest
@@ -104,6 +105,9 @@
     def read_range(self, prefix: str) -> RangeResult:
         return RangeResult((), 3)
 
+    def read_pages(self, prefix: str) -> Iterator[RangeResult]:
+        yield self.read_range(prefix)
+
 
 def list_workers(put: Put) -> list[str]:
     return [worker.worker for worker in decode_tracked_workers(put.value).workers]
@@ -251,6 +255,9 @@
         value = encode_job() if prefix == "pool/chair/" else RUNNING
         return RangeResult(tuple(StoredItem(key, value, 3) for key in keys), 3)
 
+    def read_pages(self, prefix: str) -> Iterator[RangeResult]:
+        yield self.read_range(prefix)
+
 
 RUNNING = b'{"queue": "queue", "state": "running", "done": []}'
 
--- a/src/sesameladder/node/tests/test_supervision.py
+++ b/src/sesameladder/node/tests/test_supervision.py
@@ -1,6 +1,6 @@
 """Tests that the threads of a role outlive an unexpected error."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from threading import Event
 from time import monotonic, sleep
 from typing import Protocol
@@ -57,6 +57,9 @@
         self.answer("read_range")
         return RangeResult((), 1)
 
+    def read_pages(self, prefix: str) -> Iterator[RangeResult]:
+        yield self.read_range(prefix)
+
     def watch(self, prefix: str, after: int, wait_ms: int) -> WatchBatch:
         self.answer("watch")
         return WatchBatch((), after)
--- a/src/sesameladder/platform/_documents.py
+++ b/src/sesameladder/platform/_documents.py
@@ -58,7 +58,12 @@
         rows = read_list(fields, "steps", MAX_STEPS)
         if not rows:
             raise FieldInvalid("steps is empty; a job needs at least one step")
-        steps = tuple(_decode_step(number, row) for number, row in enumerate(rows))
+        known: dict[StepSpec, StepSpec] = {}
+        steps = tuple(
+            # Equal steps are one object: a job that waits keeps all of them.
+            known.setdefault(step, step)
+            for step in (_decode_step(number, row) for number, row in enumerate(rows))
+        )
         subtasks = sum(step.count for step in steps)
         if subtasks > MAX_SUBTASKS:
             raise LimitExceeded(
--- a/src/sesameladder/platform/_store.py
+++ b/src/sesameladder/platform/_store.py
@@ -1,7 +1,7 @@
 """Client of the platform's key-value store."""
 
 from base64 import b64decode, b64encode
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from time import CLOCK_BOOTTIME, clock_gettime
 from typing import Any
@@ -128,6 +128,18 @@
         The pages are read one after the other, so the result is not a snapshot.
         """
         items: list[StoredItem] = []
+        revision = 0
+        for page in self.read_pages(prefix):
+            items.extend(page.items)
+            revision = page.revision
+        return RangeResult(tuple(items), revision)
+
+    def read_pages(self, prefix: str) -> Iterator[RangeResult]:
+        """Yield the items under a prefix page by page, each read when asked for.
+
+        All pages have the revision of the first one: later changes may be in the
+        pages that follow, and a watch from that revision returns them all.
+        """
         revision: int | None = None
         after = ""
         while True:
@@ -138,9 +150,9 @@
                 page = [_decode_item(row) for row in response.body.get("items") or ()]
                 if revision is None:
                     revision = int(response.body["asOf"])
-            items.extend(page)
+            yield RangeResult(tuple(page), revision)
             if not response.body.get("morePages") or not page:
-                return RangeResult(tuple(items), revision)
+                return
             after = page[-1].key
 
     def watch(self, prefix: str, after: int, wait_ms: int) -> WatchBatch:
--- a/tests/processes/test_accepted_work.py
+++ b/tests/processes/test_accepted_work.py
@@ -147,7 +147,8 @@
     """Check that an ordinary job is accepted and ends."""
     job = take_job_id()
     body = build_job(SimulatedWork(duration_ms=10))
-    assert cluster.call(name, "POST", PREFIX + job, body)[0] == 200
+    answer = cluster.call(name, "POST", PREFIX + job, body)
+    assert answer[0] == 200, answer
     cluster.wait_state(name, job, "done")
 
 
