Read the records of a pool page by page outside its owner, too

What has been accepted may be larger than the memory of a process, and not only owners read it.

Jobs are counted page by page now, for one caller at a time, with a call of the share for each page; the others are refused with 503 if it takes longer than their time. Where one item tells, one page is read.

A state query also looks first whether this process has accepted the job: a read that was under way while the job was stored would have it shown as unknown for a second.

Found by reading; no process was brought to its end with it.

--- a/src/sesameladder/node/_cap_task.py
+++ b/src/sesameladder/node/_cap_task.py
@@ -363,7 +363,8 @@
         """Return whether a pool has no owner and no open jobs."""
         if self.store.read(role_key(pool_role(pool))) is not None:
             return False
-        return not self.store.read_range(submission_key(pool, "")).items
+        # One page tells whether there are any; all may not fit into memory.
+        return not next(self.store.read_pages(submission_key(pool, ""))).items
 
     def _publish_metrics(self) -> None:
         with self.lock:
--- a/src/sesameladder/node/_client_store.py
+++ b/src/sesameladder/node/_client_store.py
@@ -1,5 +1,6 @@
 """The store as one caller's request may use it."""
 
+from collections.abc import Iterator
 from random import Random
 from threading import Lock
 
@@ -71,10 +72,13 @@
         self.take(CallKind.READ, caller)
         return self.store.read(key)
 
-    def read_range(self, prefix: str, caller: Caller) -> RangeResult:
-        """Read the keys under a prefix for a client; raises likewise."""
+    def read_pages(self, prefix: str, caller: Caller) -> Iterator[RangeResult]:
+        """Yield the keys under a prefix page by page; each counts as a call."""
         self.take(CallKind.READ, caller)
-        return self.store.read_range(prefix)
+        for page in self.store.read_pages(prefix):
+            yield page
+            if page.has_more:
+                self.take(CallKind.READ, caller)
 
     def commit(
         self,
--- a/src/sesameladder/node/_intake.py
+++ b/src/sesameladder/node/_intake.py
@@ -29,7 +29,6 @@
 from sesameladder.node._keys import (
     accepted_key,
     cancel_key,
-    inbox_prefix,
     progress_key,
     progress_prefix,
     submission_key,
@@ -153,6 +152,7 @@
 STORE_UNREACHABLE = Rejected("the store does not answer this VM", retry_after_s=1)
 
 
+COUNTING = "the queue's jobs are being counted for other callers"
 NO_ROOM = "the queue's backlog is too large for the job to be kept"
 TOO_LATE = "the queue's backlog is too long for the job to be done in time"
 
@@ -163,6 +163,7 @@
     __slots__ = (
         "admission",
         "client_store",
+        "counting",
         "decoding",
         "is_store_unreachable",
         "lock",
@@ -185,6 +186,9 @@
         self.is_store_unreachable = is_store_unreachable
         self.admission = admission
         self.decoding = DecodingGate()
+        self.counting = Lock()
+        """Held while the records of a pool are counted."""
+
         self.pool_by_job: OrderedDict[str, str] = OrderedDict()
         """Pool by job, for up to ``MAX_CACHED_JOBS`` jobs known to be accepted."""
 
@@ -383,7 +387,9 @@
         if self.is_store_unreachable():
             return STORE_UNREACHABLE
         sent_at = read_steady_clock()
-        if sent_at - self.unknown_jobs.get(job, -inf) < UNKNOWN_JOB_AGE_S:
+        is_known = job in self.pool_by_job
+        unknown_at = self.unknown_jobs.get(job, -inf)
+        if not is_known and sent_at - unknown_at < UNKNOWN_JOB_AGE_S:
             return NotFound()
         pool = self._find_pool(configuration, queue, job, deadline, caller)
         if isinstance(pool, NotFound):
@@ -447,32 +453,37 @@
     def _count_pending_records(
         self, queue: QueuePolicy, deadline: float, caller: Caller
     ) -> Result:
-        """Count the pending jobs in the records while there is no valid summary."""
-        inbox_page = self._call_with_retries(
-            lambda: self.client_store.read_range(inbox_prefix(queue.pool), caller),
-            deadline,
-        )
-        if isinstance(inbox_page, (Rejected, Unknown)):
-            return inbox_page
-        progress_page = self._call_with_retries(
-            lambda: self.client_store.read_range(progress_prefix(queue.pool), caller),
-            deadline,
-        )
-        if isinstance(progress_page, (Rejected, Unknown)):
-            return progress_page
-        prefix = submission_key(queue.pool, "")
+        """Count the pending jobs in the records while there is no valid summary.
+
+        One count at a time: the records of a pool may be larger than the memory.
+        """
+        wait_s = max(0.0, deadline - read_steady_clock())
+        if not self.counting.acquire(timeout=wait_s):
+            return Rejected(COUNTING, retry_after_s=1)
+        try:
+            count = self._call_with_retries(
+                lambda: self._read_pending_count(queue, caller), deadline
+            )
+        finally:
+            self.counting.release()
+        return PendingCount(count) if isinstance(count, int) else count
+
+    def _read_pending_count(self, queue: QueuePolicy, caller: Caller) -> int:
+        """Count the jobs without progress page by page."""
+        prefix = progress_prefix(queue.pool)
         started_jobs = {
-            i.key.removeprefix(progress_prefix(queue.pool)) for i in progress_page.items
+            item.key.removeprefix(prefix)
+            for page in self.client_store.read_pages(prefix, caller)
+            for item in page.items
         }
+        prefix = submission_key(queue.pool, "")
         value_start = f'{{"queue":"{queue.name}"'.encode()
-        pending_items = [
-            item
-            for item in inbox_page.items
-            if item.key.startswith(prefix)
-            and item.value.startswith(value_start)
+        return sum(
+            item.value.startswith(value_start)
             and item.key.removeprefix(prefix) not in started_jobs
-        ]
-        return PendingCount(len(pending_items))
+            for page in self.client_store.read_pages(prefix, caller)
+            for item in page.items
+        )
 
     def _find_pool(
         self,
--- a/src/sesameladder/node/_unrouted_pools.py
+++ b/src/sesameladder/node/_unrouted_pools.py
@@ -93,7 +93,8 @@
             if not self._is_check_due(pool, now):
                 continue
             try:
-                page = self.store.read_range(submission_key(pool, ""))
+                # One page tells whether there are any; all may not fit into memory.
+                page = next(self.store.read_pages(submission_key(pool, "")))
             except PlatformCallError as error:
                 self.dependency.record_failure(error)
                 continue
--- a/src/sesameladder/node/tests/test_cap_task.py
+++ b/src/sesameladder/node/tests/test_cap_task.py
@@ -1,6 +1,7 @@
 """How a process follows and writes the records of caps."""
 
 import json
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -57,6 +58,9 @@
         rows = tuple(StoredItem(key, *self.items[key]) for key in keys)
         return RangeResult(rows, self.revision)
 
+    def read_pages(self, prefix: str) -> Iterator[RangeResult]:
+        yield self.read_range(prefix)
+
     def commit(
         self,
         puts: tuple[Put, ...],
--- a/src/sesameladder/node/tests/test_client_store.py
+++ b/src/sesameladder/node/tests/test_client_store.py
@@ -1,6 +1,7 @@
 """Requests of clients while their share of the store's calls is used up."""
 
 import json
+from collections.abc import Iterator
 
 import pytest
 
@@ -12,12 +13,16 @@
     Accepted,
     Intake,
     NotFound,
+    PendingCount,
+    Rejected,
     Result,
 )
+from sesameladder.node._records import encode_submission
 from sesameladder.node.tests.test_intake import BODY, JOB, QUEUE
-from sesameladder.platform import Committed, Conflict, StoredItem
+from sesameladder.platform import Committed, Conflict, RangeResult, StoredItem
 from sesameladder.store_calls import Caller, CallKind, ClientCalls
 
+PAGES = 3
 CALLER = Caller("", "10.0.0.1", "10.0.0.1:9")
 POOLS = {"chair": PoolPolicy("chair", enforces_capacity=True, is_spare=False)}
 CONFIGURATION = Configuration(2, (QUEUE,), POOLS, 1000)
@@ -40,6 +45,18 @@
         self.commits += 1
         return Committed(7)
 
+    def read_pages(self, prefix: str) -> Iterator[RangeResult]:
+        for number in range(PAGES):
+            self.reads.append(prefix)
+            job = f"{number:016x}"
+            value = encode_submission(QUEUE, BODY)
+            # The first job has begun.
+            items = [StoredItem(f"{prefix}{job}", value, 3)]
+            is_last = number == PAGES - 1 or prefix.startswith("progress/")
+            yield RangeResult(tuple(items), 3, not is_last)
+            if is_last:
+                return
+
 
 def build_intake(is_used_up: bool) -> tuple[Intake, CountingStore]:
     now = read_steady_clock()
@@ -106,3 +123,26 @@
     assert send(intake, "submit") == Accepted(is_new=True)
     assert not isinstance(send(intake, "show"), NotFound)
     assert store.commits == 1
+
+
+def test_jobs_are_counted_page_by_page_for_one_caller_at_a_time() -> None:
+    """Guards against processes that end since callers ask how many jobs wait.
+
+    While a pool has no owner its records are counted. Each such request held all of
+    them in memory, on all request threads at once.
+    """
+    intake, store = build_intake(is_used_up=False)
+    deadline = read_steady_clock() + 0.1
+    assert intake.count_pending(QUEUE, deadline, CALLER) == PendingCount(PAGES - 1)
+    assert len(store.reads) == 1 + 1 + PAGES, "summary, progress, jobs"
+    with intake.counting:
+        result = intake.count_pending(QUEUE, deadline, CALLER)
+    assert isinstance(result, Rejected)
+
+
+def test_job_accepted_while_it_was_read_is_not_shown_as_unknown() -> None:
+    """Guards against 410 for a job that this process has accepted."""
+    intake, _ = build_intake(is_used_up=False)
+    send(intake, "submit")
+    intake._remember_unknown(JOB, read_steady_clock())
+    assert not isinstance(send(intake, "show"), NotFound)
--- a/src/sesameladder/node/tests/test_unrouted_pools.py
+++ b/src/sesameladder/node/tests/test_unrouted_pools.py
@@ -1,5 +1,6 @@
 """Pools that have accepted jobs and to which no route leads any more."""
 
+from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
@@ -44,6 +45,9 @@
         items = [StoredItem(k, b"", 3) for k in self.keys if k.startswith(prefix)]
         return RangeResult(tuple(items), 3)
 
+    def read_pages(self, prefix: str) -> Iterator[RangeResult]:
+        yield self.read_range(prefix)
+
 
 def build_pools(store: StoreWithSubmissions, *held: str) -> UnroutedPools:
     roles = {f"pool.{pool}" for pool in held}
--- a/src/sesameladder/platform/_store.py
+++ b/src/sesameladder/platform/_store.py
@@ -41,12 +41,15 @@
 
 @dataclass(frozen=True, slots=True)
 class RangeResult:
-    """All items under a prefix."""
+    """All items under a prefix, or one page of them."""
 
     items: tuple[StoredItem, ...]
     revision: int
     """Revision of the store when the first page was read."""
 
+    has_more: bool = False
+    """Whether further pages follow."""
+
 
 @dataclass(frozen=True, slots=True)
 class StoreChange:
@@ -150,8 +153,9 @@
                 page = [_decode_item(row) for row in response.body.get("items") or ()]
                 if revision is None:
                     revision = int(response.body["asOf"])
-            yield RangeResult(tuple(page), revision)
-            if not response.body.get("morePages") or not page:
+            has_more = bool(response.body.get("morePages")) and bool(page)
+            yield RangeResult(tuple(page), revision, has_more)
+            if not has_more:
                 return
             after = page[-1].key
 
