--- a/src/sesameladder/jobs/_job_table.py
+++ b/src/sesameladder/jobs/_job_table.py
@@ -66,6 +66,10 @@
         )
         return self.waiting_bytes + SUBTASK_BYTES * further_subtasks
 
+    def knows(self, job: str) -> bool:
+        """Return whether a job is open or has ended."""
+        return job in self.jobs or job in self.ended
+
     def add(self, submission: Submission, record: JobRecord | None, now: float) -> Job:
         """Add an accepted job and restore its stored progress, if there is any.
 
--- a/src/sesameladder/jobs/_scheduler.py
+++ b/src/sesameladder/jobs/_scheduler.py
@@ -197,10 +197,7 @@
 
         Jobs that are known already are ignored.
         """
-        if (
-            submission.job in self.job_table.jobs
-            or submission.job in self.job_table.ended
-        ):
+        if self.job_table.knows(submission.job):
             return
         if record is not None and record.state.is_final:
             self.job_table.ended[submission.job] = (record.state, now)
@@ -220,13 +217,12 @@
         self._end_if_finished(job, now)
 
     def end_unstarted_job(
-        self, job_id: str, queue: str, state: JobState, now: float
+        self, job: str, queue: str, state: JobState, now: float
     ) -> None:
         """End a job that was accepted and has not been taken up."""
-        table = self.job_table
-        if job_id not in table.jobs and job_id not in table.ended:
-            submission = Submission(job_id, queue, JobSpec("", ()))
-            self._end_job(table.add(submission, None, now), state, now)
+        if not self.job_table.knows(job):
+            submission = Submission(job, queue, JobSpec("", ()))
+            self._end_job(self.job_table.add(submission, None, now), state, now)
 
     def cancel_job(self, job_id: str, now: float) -> None:
         """Cancel a job and stop its runs."""
--- a/src/sesameladder/node/_take_up.py
+++ b/src/sesameladder/node/_take_up.py
@@ -189,9 +189,8 @@
 
     def knows(self, job: str) -> bool:
         """Return whether a job has been taken up, has ended, or waits."""
-        table = self.scheduler.job_table
         is_waiting = job in self.waiting.by_job or job in self.reading
-        return job in table.jobs or job in table.ended or is_waiting
+        return is_waiting or self.scheduler.job_table.knows(job)
 
     def begin_load(self, now: float) -> None:
         """Choose among all jobs in the store from now on, rather than in turn."""
