Show that a job whose cancelling was acknowledged is accepted afterwards

Claimed: a submission whose write got no answer is repeated after its client has left and has cancelled the job. The cancelling is answered with 410, then the job is accepted, started, and runs on (rule UNASKED).

Shown by review/9/run.sh: one lost answer of the store, a client that leaves after 0.45 s and cancels through another process.

--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,62 +1,86 @@
-"""A queue that leads to another service shows none of its waiting jobs."""
+"""A lasting job whose cancelling was acknowledged before its acceptance runs on."""
 
+import asyncio
+import json
+import threading
 import time
 
 from site_standin import CannotRun, build_configuration, build_route, run_case
 
-WORKERS = 2
-JOBS = 20
-SEEN_AFTER_S = 5.0  # visible_ms and 2 s
-APPLY_S = 2.0  # configApplyMs
-LONG = {"ms": 90_000, "cpu": 32_000}
-LONG_STEPS = [{"count": WORKERS, "cpu": 32_000, "memMb": 1024, "estMs": 90_000}]
-SHORT = {"ms": 300, "cpu": 4000}
-SHORT_STEPS = [{"count": 1, "cpu": 4000, "memMb": 256, "estMs": 300}]
-SERVICES = ["colourlab", "workshop"]
+PATIENCE_S = 0.45  # of the client, which then leaves
+LATE_S = 2.0  # the store executes the call so late (platform_lost late: 1 to 6 s)
+SETTLE_S = 3.5  # stableMs and more, after the start of the processes
+CANCEL_S = 3.0  # cancel_ms; stopGraceMs is 0.9 s more
+WATCH_S = 12.0  # after the cancelling; the lost answer is over after LATE_S
+LASTING = {"ms": 0, "cpu": 3000, "lasts": True}
+STEPS = [{"count": 2, "cpu": 3000, "memMb": 512, "daemon": True}]
+JOB = "00000000000000d1"
+PREFIX = "/lasting/"
 
 
 def play(site, has_trouble):
-    site.add_workers("colourlab", WORKERS)
-    site.add_workers("workshop", WORKERS, first=WORKERS)
+    site.add_workers("chairside", 6)
     for number in range(3):
         site.start_node(f"front-{number}")
-    site.configure(build(3, "colourlab"))
+    site.configure(
+        build_configuration(3, [build_route("r-1", PREFIX, "chairside")], ["chairside"])
+    )
     site.wait_ready()
-    if not site.submit("front-0", "/blend/", "00000000000000aa", LONG, LONG_STEPS):
-        raise CannotRun("the long job was not accepted")
-    until = time.monotonic() + 10
-    while len(site.record.select("start")) < WORKERS:
-        if time.monotonic() > until:
-            raise CannotRun("the service is not full")
-        time.sleep(0.1)
-    jobs = [f"{number:016x}" for number in range(1, JOBS + 1)]
-    for number, job in enumerate(jobs):
-        node = f"front-{number % 3}"
-        if not site.submit(node, "/blend/", job, SHORT, SHORT_STEPS):
-            raise CannotRun(f"job {job} was not accepted")
+    time.sleep(SETTLE_S)
     if has_trouble:
-        site.configure(build(7, "workshop"))
-    time.sleep(SEEN_AFTER_S + APPLY_S)
+        lose_next_answer(site)
+    body = {"spec": json.dumps(LASTING), "steps": STEPS}
+    status, _ = site.request("front-0", "POST", PREFIX + JOB, body, PATIENCE_S)
+    if has_trouble == (status is not None):
+        raise CannotRun(f"the client got {status} in time")
+    until = time.monotonic() + 4.0
+    while True:
+        status, _ = site.request("front-1", "DELETE", PREFIX + JOB)
+        if status in (200, 410):
+            break
+        if time.monotonic() > until:
+            raise CannotRun("the cancelling is not acknowledged")
+    acknowledged_at = site.record.now()
+    site.record.add("cancel_acknowledged", status=status)
+    time.sleep(WATCH_S)
+    state = site.state("front-2", PREFIX, JOB)
     reasons = []
-    for node in site.nodes:
-        status, answer = site.request(node, "GET", "/blend/")
-        begun = {row["task"].split(".")[0] for row in site.record.select("start")}
-        waiting = [job for job in jobs if job not in begun]
-        states = {site.state(node, "/blend/", job) for job in jobs}
-        if status == 200 and answer["pending"] < len(waiting) / 2:
-            reasons.append(
-                f"MIXED: {node} shows {answer['pending']} pending jobs; {len(waiting)} "
-                f"were accepted over {SEEN_AFTER_S:.0f} s before and have not begun "
-                f"(their states there: {sorted(states)})"
-            )
-        elif status != 200:
-            raise CannotRun(f"{node} answers {status}")
-    return reasons
-
-
-def build(version, service):
-    route = build_route("r-1", "/blend/", service)
-    return build_configuration(version, [route], SERVICES)
+    for name, worker in site.workers.items():
+        for task, row in worker.runs.items():
+            if task.startswith(JOB):
+                reasons.append(
+                    f"UNASKED: {task} runs on {name} {WATCH_S:.0f} s after its job's "
+                    f"cancelling was acknowledged with {status}; the job is {state}"
+                )
+    late = [
+        r
+        for r in site.record.select("start")
+        if r["task"].startswith(JOB) and r["t"] > acknowledged_at + CANCEL_S
+    ]
+    return reasons + [f"UNASKED: start {row}" for row in late]
+
+
+def lose_next_answer(site):
+    """Have the store answer the next submission never and execute it late."""
+    store = site.store
+    handle = store.handle
+    is_lost = threading.Event()
+
+    async def lose(method, path, query, headers, body):
+        keys = [row["key"] for row in (body or {}).get("puts") or []]
+        if path == "/v1/kv-txn" and f"accepted/{JOB}" in keys and not is_lost.is_set():
+            is_lost.set()
+            site.record.add("store_silent", keys=keys)
+            await asyncio.sleep(LATE_S)
+            status, _ = store._commit(body)
+            site.record.add("store_late", status=status)
+            await asyncio.sleep(60)
+        return await handle(method, path, query, headers, body)
+
+    async def install():
+        site.overrides["store"] = lose
+
+    site.call(install())
 
 
 if __name__ == "__main__":
--- a/review/standins-2/site_standin.py
+++ b/review/standins-2/site_standin.py
@@ -31,6 +31,7 @@
 STOP_S = 0.05  # below stopGraceMs
 ENTRY_EXPIRY_S = 4.5  # three liveness reports of 1.5 s
 MAX_LEASE_MS = 10_000
+MAX_WAITING_ADVICE = 32
 MOVE_S, UPKEEP_S = 1.5, 2.0
 EXIT_HELD, EXIT_BROKEN, EXIT_NOT_RUN = 0, 1, 2
 
@@ -430,8 +431,15 @@
         self.configuration = None
         self.servers = {}
         self.connections = {}
+        self.overrides = {}
+        """What answers the calls of a server in place of it, by its name."""
+
         self.used_ports = set()
         self.advice_lock = None
+        self.waiting_advice = 0
+        self.skips_abandoned_advice = False
+        """Whether a call whose channel has been closed before its turn is skipped."""
+
         self.thread = threading.Thread(target=self._run_loop, daemon=True)
 
     # Servers ------------------------------------------------------------------
@@ -470,7 +478,12 @@
         async def serve(reader, writer):
             self.connections[name].add(writer)
             try:
-                await _serve_connection(reader, writer, handle)
+                await _serve_connection(
+                    reader,
+                    writer,
+                    lambda *call: self.overrides.get(name, handle)(*call),
+                    takes_reader=name == "advice",
+                )
             except (ConnectionError, asyncio.IncompleteReadError, OSError):
                 pass
             finally:
@@ -597,16 +610,22 @@
         self.loop.call_later(UPKEEP_S, setattr, machine, "state", "up")
         return 200, {}
 
-    async def _handle_advice(self, method, path, query, headers, body):
+    async def _handle_advice(self, method, path, query, headers, body, reader):
         del method, path, query, headers
+        names = body["workers"]
+        if len(names) > 100:
+            return 400, {}
+        if self.waiting_advice >= MAX_WAITING_ADVICE:
+            self.record.add("advice_refused", step=body["step"])
+            return 429, {}
+        policy = self.advice_policy
+        self.waiting_advice += 1
         async with self.advice_lock:
-            names = body["workers"]
-            if len(names) > 100:
-                return 400, {}
-            policy = self.advice_policy
-            await asyncio.sleep(
-                (policy["decideMs"] + policy["periodMs"] * len(names)) / 1000
-            )
+            self.waiting_advice -= 1
+            if self.skips_abandoned_advice and reader.at_eof():
+                return 503, {}
+            decision_ms = policy["decideMs"] + policy["periodMs"] * len(names)
+            await asyncio.sleep(decision_ms / 1000)
             step = body["step"]
             good = []
             for name in names:
@@ -615,7 +634,13 @@
                         (step, name), f"{random.getrandbits(48):012x}"
                     )
                     good.append([name, ticket])
-            self.record.add("advice", step=step, asked=len(names), good=len(good))
+            self.record.add(
+                "advice",
+                step=step,
+                asked=len(names),
+                good=len(good),
+                is_abandoned=reader.at_eof(),
+            )
             return 200, {"good": good, "validMs": policy["validMs"]}
 
     # The operator ---------------------------------------------------------------
@@ -793,7 +818,7 @@
         shutil.rmtree(self.temporary, ignore_errors=True)
 
 
-async def _serve_connection(reader, writer, handle):
+async def _serve_connection(reader, writer, handle, takes_reader=False):
     while True:
         line = await reader.readline()
         if not line:
@@ -810,7 +835,8 @@
         url = urlsplit(target)
         query = dict(parse_qsl(url.query, keep_blank_values=True))
         body = json.loads(data) if data else {}
-        status, answer = await handle(method, url.path, query, headers, body)
+        call = (method, url.path, query, headers, body)
+        status, answer = await handle(*call, *([reader] if takes_reader else []))
         content = json.dumps(answer).encode()
         writer.write(
             f"HTTP/1.1 {status} Status\r\nContent-Type: application/json\r\n"
