Let the cases end by an alarm of their own, and keep the last records

A case that takes too long now ends its processes and exits with 2. Refused calls for advice are counted in place of a row each.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -43,7 +43,13 @@
     waiting = [job for job in accepted if job not in begun]
     usage = sum(r["cpu"] for w in site.workers.values() for r in w.runs.values())
     states = {site.state("front-1", PREFIX, job) for job in waiting[:20]}
-    site.record.add("judged", accepted=len(accepted), begun=len(begun), usage=usage)
+    site.record.add(
+        "judged",
+        accepted=len(accepted),
+        begun=len(begun),
+        usage=usage,
+        refused_advice=site.refused_advice,
+    )
     if not waiting:
         return []
     return [
--- a/review/standins-2/site_standin.py
+++ b/review/standins-2/site_standin.py
@@ -33,6 +33,7 @@
 MAX_LEASE_MS = 10_000
 MAX_WAITING_ADVICE = 32
 MOVE_S, UPKEEP_S = 1.5, 2.0
+LONGEST_S = 110  # a case has 120 s, with the end of its processes
 EXIT_HELD, EXIT_BROKEN, EXIT_NOT_RUN = 0, 1, 2
 
 SETTINGS = """\
@@ -437,6 +438,7 @@
         self.used_ports = set()
         self.advice_lock = None
         self.waiting_advice = 0
+        self.refused_advice = 0
         self.skips_abandoned_advice = False
         """Whether a call whose channel has been closed before its turn is skipped."""
 
@@ -616,7 +618,7 @@
         if len(names) > 100:
             return 400, {}
         if self.waiting_advice >= MAX_WAITING_ADVICE:
-            self.record.add("advice_refused", step=body["step"])
+            self.refused_advice += 1
             return 429, {}
         policy = self.advice_policy
         self.waiting_advice += 1
@@ -950,11 +952,19 @@
     }
 
 
+def _give_up(number, frame):
+    del frame
+    raise CannotRun(f"ended by signal {number}")
+
+
 def run_case(folder, play):
     """Play a case and exit with its verdict; ``play`` returns what broke the rule."""
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     site = Site(folder)
     code = EXIT_NOT_RUN
+    for number in (signal.SIGALRM, signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, _give_up)
+    signal.alarm(LONGEST_S)
     try:
         site.start()
         reasons = play(site, has_trouble)
