Exit with 2 on an unexpected error in a case

An error of the stand-ins, or a closed standard output, ended a script with 1, which stands for a broken rule.

--- a/review/standins-2/site_standin.py
+++ b/review/standins-2/site_standin.py
@@ -15,11 +15,11 @@
 import signal
 import socket
 import subprocess
-import sys
 import tempfile
 import threading
 import time
 from collections import Counter
+from contextlib import suppress
 from pathlib import Path
 from urllib.parse import parse_qsl, urlsplit
 
@@ -971,12 +971,15 @@
         code = EXIT_BROKEN if reasons else EXIT_HELD
         verdict = "broken" if reasons else "held"
         site.record.add("verdict", trouble=has_trouble, rule=verdict, reasons=reasons)
-        print(f"rule {verdict}", *reasons, sep="\n  ")
-    except CannotRun as error:
-        site.record.add("verdict", trouble=has_trouble, rule="not run", reasons=[str(error)])
-        print(f"could not run: {error}")
+        lines = [f"rule {verdict}", *reasons]
+    except Exception as error:  # anything else than a verdict
+        code = EXIT_NOT_RUN
+        reason = repr(error)
+        site.record.add("verdict", trouble=has_trouble, rule="not run", reasons=[reason])
+        lines = [f"could not run: {reason}"]
     finally:
         site.record.write(Path(folder) / "record.txt")
         site.stop()
-    sys.stdout.flush()
+    with suppress(OSError):
+        print(*lines, sep="\n  ", flush=True)
     os._exit(code)
