--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,5 +1,6 @@
 """A job whose permitted workers are not among the first hundred never starts."""
 
+import os
 import time
 
 from site_standin import (
@@ -10,7 +11,7 @@
 )
 
 WORKERS = 111  # the sheet's workshop, 66, with all 45 machines of the spare pool
-FIRST_ALLOWED = 5
+FIRST_ALLOWED = 4  # lost for good: 0.036 of the workers
 LAST_ALLOWED = 6
 SETTLE_S = 8.0  # until the entries of lost workers are gone, and stableMs more
 FINISH_S = 14.0  # bounds.finish_s
@@ -71,4 +72,5 @@
 
 
 if __name__ == "__main__":
-    run_case(".", play)
+    # TROUBLE=0 plays the same without the disruption.
+    run_case(".", play, has_trouble=os.environ.get("TROUBLE", "1") != "0")
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -4,7 +4,7 @@
 import threading
 import time
 
-from site_standin import CannotRun, build_configuration, build_route, run_case
+from site_standin import build_configuration, build_route, run_case
 
 WORKERS = 36  # colourlab of csh-sched-grown
 JOBS = 240
@@ -81,4 +81,5 @@
 
 
 if __name__ == "__main__":
-    run_case(".", play)
+    # TROUBLE=0 plays the same without the disruption.
+    run_case(".", play, has_trouble=os.environ.get("TROUBLE", "1") != "0")
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import os
 import threading
 import time
 
@@ -15,6 +16,9 @@
 LASTING = {"ms": 0, "cpu": 3000, "lasts": True}
 STEPS = [{"count": 2, "cpu": 3000, "memMb": 512, "daemon": True}]
 JOB = "00000000000000d1"
+OTHERS = 6  # other clients, which stay; one of seven leaves
+SHORT = {"ms": 300, "cpu": 1000}
+SHORT_STEPS = [{"count": 1, "cpu": 1000, "memMb": 256, "estMs": 300}]
 PREFIX = "/lasting/"
 
 
@@ -29,6 +33,8 @@
     time.sleep(SETTLE_S)
     if has_trouble:
         lose_next_answer(site)
+    for number in range(1, OTHERS // 2 + 1):
+        submit_other(site, number)
     body = {"spec": json.dumps(LASTING), "steps": STEPS}
     status, _ = site.request("front-0", "POST", PREFIX + JOB, body, PATIENCE_S)
     if has_trouble == (status is not None):
@@ -42,7 +48,9 @@
             raise CannotRun("the cancelling is not acknowledged")
     acknowledged_at = site.record.now()
     site.record.add("cancel_acknowledged", status=status)
-    time.sleep(WATCH_S)
+    for number in range(OTHERS // 2 + 1, OTHERS + 1):
+        submit_other(site, number)
+    time.sleep(max(0.0, acknowledged_at + WATCH_S - site.record.now()))
     state = site.state("front-2", PREFIX, JOB)
     reasons = []
     for name, worker in site.workers.items():
@@ -60,6 +68,12 @@
     return reasons + [f"UNASKED: start {row}" for row in late]
 
 
+def submit_other(site, number):
+    node = f"front-{number % 3}"
+    if not site.submit(node, PREFIX, f"{number:016x}", SHORT, SHORT_STEPS):
+        raise CannotRun(f"job {number} of another client was not accepted")
+
+
 def lose_next_answer(site):
     """Have the store answer the next submission never and execute it late."""
     store = site.store
@@ -68,7 +82,8 @@
 
     async def lose(method, path, query, headers, body):
         keys = [row["key"] for row in (body or {}).get("puts") or []]
-        if path == "/v1/kv-txn" and f"accepted/{JOB}" in keys and not is_lost.is_set():
+        is_submission = any(JOB in key for key in keys)
+        if path == "/v1/kv-txn" and is_submission and not is_lost.is_set():
             is_lost.set()
             site.record.add("store_silent", keys=keys)
             await asyncio.sleep(LATE_S)
@@ -84,4 +99,5 @@
 
 
 if __name__ == "__main__":
-    run_case(".", play)
+    # TROUBLE=0 plays the same without the disruption.
+    run_case(".", play, has_trouble=os.environ.get("TROUBLE", "1") != "0")
--- a/review/standins-2/site_standin.py
+++ b/review/standins-2/site_standin.py
@@ -957,9 +957,8 @@
     raise CannotRun(f"ended by signal {number}")
 
 
-def run_case(folder, play):
+def run_case(folder, play, has_trouble):
     """Play a case and exit with its verdict; ``play`` returns what broke the rule."""
-    has_trouble = os.environ.get("TROUBLE", "1") != "0"
     site = Site(folder)
     code = EXIT_NOT_RUN
     for number in (signal.SIGALRM, signal.SIGTERM, signal.SIGINT):
